--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Commands for developers and for continuous integration.
+
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/.bin
+MODULES := ./steer/... ./front/...
+
+.PHONY: all build test fmt format-check lint generate generate-check bench demo
+
+all: format-check generate-check lint test
+
+build:
+	go build -o bin/ ./front/cmd/...
+
+test:
+	go test $(MODULES)
+
+fmt:
+	go tool gofumpt -w steer front
+
+format-check:
+	@out="$$(go tool gofumpt -l steer front)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+$(BIN)/golangci-lint-$(GOLANGCI_VERSION):
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $@
+
+lint: $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+	go vet $(MODULES)
+	$< run $(MODULES)
+
+generate:
+	go tool wire gen ./front/...
+
+generate-check:
+	go tool wire diff ./front/...
--- /dev/null
+++ b/steer/verdict/verdict_test.go
@@ -0,0 +1,33 @@
+package verdict
+
+import "testing"
+
+func TestZeroValueClaimsNothing(t *testing.T) {
+	var v Verdict
+	if v != MayHaveRun {
+		t.Fatalf("zero verdict = %v, want %v", v, MayHaveRun)
+	}
+}
+
+func TestWorse(t *testing.T) {
+	tests := []struct {
+		desc string
+		a, b Verdict
+		want Verdict
+	}{
+		{"both proved not run", NotRun, NotRun, NotRun},
+		{"one unknown attempt", NotRun, MayHaveRun, MayHaveRun},
+		{"refused once, then ran", NotRun, Ran, Ran},
+		{"unknown, then ran", MayHaveRun, Ran, Ran},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			if got := tt.a.Worse(tt.b); got != tt.want {
+				t.Errorf("%v.Worse(%v) = %v, want %v", tt.a, tt.b, got, tt.want)
+			}
+			if got := tt.b.Worse(tt.a); got != tt.want {
+				t.Errorf("%v.Worse(%v) = %v, want %v", tt.b, tt.a, got, tt.want)
+			}
+		})
+	}
+}
