Add the client towards endpoints with proved verdicts and distrust of silent connections

Cause: the request path needs a sender whose "not run" is true and which never sends a request twice by itself.

Ruled out: net/http's pooled Transport. It replays requests on reused connections (any request with an Idempotency-Key header), and its pool can't be told which connection is trusted.

Change: one exchange at a time on each connection; each network connection notes whether a write was begun and is sealed before a verdict is given, so not-run can't become false afterwards. One silent connection closes every idle one not answered since; the endpoint is asked on a new one and blamed only when that fails. Answers whose end can't be told from a cut are refused.

--- /dev/null
+++ b/front/endpoint/client.go
@@ -0,0 +1,151 @@
+// Package endpoint is the way to the users' endpoints.
+//
+// Client sends one request to one endpoint, streams bodies both ways, and says
+// of each failure whether the request may have run. It keeps the connections
+// itself, one exchange at a time on each, because which connection is trusted
+// is a decision (see steer/health) and because a request must never be sent
+// again without the caller's knowledge.
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cardamomfront/cardamomfront/steer/health"
+)
+
+const (
+	// defaultDialTimeout bounds the making of a connection.
+	defaultDialTimeout = time.Second
+	// defaultProbeTimeout bounds a probe, with the making of its connection.
+	defaultProbeTimeout = time.Second
+	// sweepEvery is the time between two sweeps of idle connections.
+	sweepEvery = time.Second
+)
+
+// Target is the endpoint that a request goes to.
+type Target struct {
+	// Address is the endpoint's host and port.
+	Address string
+}
+
+// Request is a request to be sent to an endpoint.
+type Request struct {
+	// HTTP is the caller's request. It is not changed; its body is read.
+	HTTP *http.Request
+	// Team is the team that the request runs for, "" on a route open to all.
+	Team string
+	// Idempotent says that the request may run twice without harm.
+	Idempotent bool
+	// Silence bounds the time without progress on the connection; 0 leaves
+	// only the context's deadline.
+	Silence time.Duration
+}
+
+// Observer learns how exchanges end. It is called from many goroutines.
+type Observer interface {
+	// Observe takes one outcome at the endpoint with the given address.
+	// elapsed is the time from sending until the answer began, or until the
+	// failure.
+	Observe(address string, o health.Outcome, elapsed time.Duration)
+}
+
+// Settings are a client's settings. Zero values mean the defaults.
+type Settings struct {
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// ProbeTimeout bounds a probe.
+	ProbeTimeout time.Duration
+	// Connections says how long idle connections are trusted.
+	Connections health.ConnectionRules
+	// Dial makes network connections; nil means the system's dialer.
+	Dial DialFunc
+}
+
+// DialFunc makes a network connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client sends requests to endpoints. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	observer Observer
+	dialer   *dialer
+	pools    sync.Map // address to *pool
+
+	exchangePrefix string
+	exchanges      atomic.Uint64
+	probes         sync.WaitGroup
+}
+
+// NewClient returns a client that reports outcomes to o.
+func NewClient(s Settings, o Observer) *Client {
+	if s.DialTimeout == 0 {
+		s.DialTimeout = defaultDialTimeout
+	}
+	if s.ProbeTimeout == 0 {
+		s.ProbeTimeout = defaultProbeTimeout
+	}
+	if s.Connections == (health.ConnectionRules{}) {
+		s.Connections = health.DefaultConnectionRules()
+	}
+	if s.Dial == nil {
+		s.Dial = (&net.Dialer{Timeout: s.DialTimeout}).DialContext
+	}
+	return &Client{
+		settings:       s,
+		observer:       o,
+		dialer:         newDialer(s),
+		exchangePrefix: uuid.NewString() + "-",
+	}
+}
+
+// Run closes idle connections that no request would use, until ctx ends. Then
+// it closes every idle connection and waits for the probes.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.Close()
+			return nil
+		case now := <-ticker.C:
+			c.eachPool(func(p *pool) { p.sweep(now) })
+		}
+	}
+}
+
+// Close closes the idle connections and waits for the probes.
+func (c *Client) Close() {
+	c.eachPool((*pool).close)
+	c.probes.Wait()
+}
+
+// eachPool calls f for each pool.
+func (c *Client) eachPool(f func(*pool)) {
+	c.pools.Range(func(_, v any) bool {
+		f(v.(*pool))
+		return true
+	})
+}
+
+// pool returns the pool of an endpoint.
+func (c *Client) pool(address string) *pool {
+	if p, ok := c.pools.Load(address); ok {
+		return p.(*pool)
+	}
+	p, _ := c.pools.LoadOrStore(address, &pool{rules: c.settings.Connections})
+	return p.(*pool)
+}
+
+// nextExchange returns an identifier that no other exchange has.
+func (c *Client) nextExchange() string {
+	return c.exchangePrefix + strconv.FormatUint(c.exchanges.Add(1), 36)
+}
--- /dev/null
+++ b/front/endpoint/exchange.go
@@ -0,0 +1,260 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const (
+	notRun = verdict.NotRun
+	// maxShedBody is how much of a shed answer is read to keep the connection,
+	// in bytes.
+	maxShedBody = 4 << 10
+)
+
+// notRunWord is what an endpoint says in HeaderVerdict when it sheds.
+var notRunWord = verdict.NotRun.String()
+
+// exchange is one request on one connection.
+type exchange struct {
+	client  *Client
+	pool    *pool
+	conn    *conn
+	address string
+	parent  context.Context
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	watch   *silenceWatch
+	body    *callerBody
+	sentAt  time.Time
+}
+
+// Send sends r to t and returns the answer as soon as its headers are there.
+// The context's deadline and cancellation reach the endpoint, and hold until
+// the answer's body has ended. The request is sent at most once: a second
+// connection is tried only when nothing was written to the first. Errors:
+// *Error.
+func (c *Client) Send(ctx context.Context, t Target, r *Request) (*Answer, error) {
+	if err := sendable(r); err != nil {
+		return nil, &Error{Reason: ReasonUnsendable, Verdict: notRun, Address: t.Address, Err: err}
+	}
+	p := c.pool(t.Address)
+	if idle := p.take(time.Now(), r.Idempotent); idle != nil {
+		answer, again, err := c.exchange(ctx, p, idle, t, r)
+		if !again {
+			return answer, err
+		}
+	}
+	cn, err := c.dialer.dial(ctx, t.Address)
+	if err != nil {
+		return nil, c.dialFailed(ctx, t, err)
+	}
+	answer, _, err := c.exchange(ctx, p, cn, t, r)
+	return answer, err
+}
+
+// sendable says why a request cannot be sent, or nil.
+func sendable(r *Request) error {
+	if r.HTTP.Method == http.MethodConnect {
+		return errors.New("method CONNECT is not supported")
+	}
+	token := bearerToken(r.HTTP.Header)
+	if token != "" && strings.Contains(r.HTTP.URL.RequestURI(), token) {
+		return errors.New("the request's target holds the key")
+	}
+	return nil
+}
+
+// dialFailed returns the error of a request for which no connection was made.
+func (c *Client) dialFailed(ctx context.Context, t Target, err error) *Error {
+	e := &Error{Reason: ReasonUnreachable, Verdict: notRun, Address: t.Address, Err: err}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		e.Reason = ReasonCanceled
+	case ctx.Err() != nil:
+		e.Reason = ReasonDeadline
+	default:
+		c.observer.Observe(t.Address, health.OutcomeUnreachable, 0)
+	}
+	return e
+}
+
+// exchange sends r on cn. It reports again when a new connection may be tried,
+// because nothing was written and the caller's body was not touched.
+func (c *Client) exchange(ctx context.Context, p *pool, cn *conn, t Target, r *Request) (a *Answer, again bool, err error) {
+	x := &exchange{client: c, pool: p, conn: cn, address: t.Address, parent: ctx, sentAt: time.Now()}
+	x.ctx, x.cancel = context.WithCancelCause(ctx)
+	cn.net.begin(x.sentAt)
+	x.watch = newSilenceWatch(cn.net, r.Silence, x.cancel)
+	x.body = &callerBody{body: r.HTTP.Body, watch: x.watch}
+	id := c.nextExchange()
+	resp, err := cn.http.RoundTrip(x.request(r, id)) //nolint:bodyclose // answerBody closes it
+	x.watch.stop()
+	if err != nil {
+		failure := x.failed(err)
+		again = failure.Verdict == notRun && !cn.fresh && ctx.Err() == nil && x.body.untouched()
+		return nil, again, failure
+	}
+	answer, err := x.accept(resp, id)
+	return answer, false, err
+}
+
+// request builds the request for the endpoint.
+func (x *exchange) request(r *Request, id string) *http.Request {
+	deadline, _ := x.ctx.Deadline()
+	out := &http.Request{
+		Method: r.HTTP.Method,
+		URL: &url.URL{
+			Scheme:     "http",
+			Host:       x.address,
+			Path:       r.HTTP.URL.Path,
+			RawPath:    r.HTTP.URL.RawPath,
+			RawQuery:   r.HTTP.URL.RawQuery,
+			ForceQuery: r.HTTP.URL.ForceQuery,
+		},
+		Host:          r.HTTP.Host,
+		Header:        requestHeaders(r, id, deadline, x.sentAt),
+		ContentLength: r.HTTP.ContentLength,
+	}
+	if r.HTTP.Body != nil && r.HTTP.Body != http.NoBody && r.HTTP.ContentLength != 0 {
+		out.Body = x.body
+	} else {
+		x.body.finished = true
+	}
+	return out.WithContext(x.ctx)
+}
+
+// accept turns a response into an answer, or into the error that it tells.
+func (x *exchange) accept(resp *http.Response, id string) (*Answer, error) {
+	elapsed := time.Since(x.sentAt)
+	if err := x.refuse(resp, id); err != nil {
+		x.client.observer.Observe(x.address, health.OutcomeBroken, elapsed)
+		x.abandon()
+		return nil, err
+	}
+	if err := shed(resp, x.address, time.Now()); err != nil {
+		x.client.observer.Observe(x.address, health.OutcomeShed, elapsed)
+		x.discard(resp.Body)
+		return nil, err
+	}
+	x.client.observer.Observe(x.address, outcomeOf(resp.StatusCode), elapsed)
+	a := &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	if resp.Body == http.NoBody {
+		x.finish()
+		return a, nil
+	}
+	a.Body = &answerBody{exchange: x, body: resp.Body}
+	return a, nil
+}
+
+// refuse returns an error for an answer that must not be passed on.
+func (x *exchange) refuse(resp *http.Response, id string) *Error {
+	e := &Error{Address: x.address}
+	echoed := resp.Header.Get(HeaderExchange)
+	switch {
+	case echoed != "" && echoed != id:
+		e.Reason = ReasonCrossed
+		e.Err = fmt.Errorf("the answer is for exchange %q", echoed)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		e.Reason = ReasonUnframed
+		e.Err = errors.New("the endpoint switched protocols unasked")
+	case resp.Body != http.NoBody && !framed(resp):
+		e.Reason = ReasonUnframed
+		e.Err = errors.New("the answer has neither a length nor chunks")
+	default:
+		return nil
+	}
+	return e
+}
+
+// failed returns the error of an exchange that got no answer, with its proved
+// verdict, and blames the connection, the endpoint or nobody.
+func (x *exchange) failed(err error) *Error {
+	e := &Error{Address: x.address, Err: err}
+	written := x.conn.net.seal()
+	x.abandon()
+	if !written {
+		e.Verdict = notRun
+	}
+	e.Reason = x.reason(ReasonBroken)
+	if written || x.conn.fresh {
+		x.blame(e.Reason)
+	}
+	return e
+}
+
+// cut returns the error of an answer that ended before it was whole.
+func (x *exchange) cut(err error) *Error {
+	e := &Error{Address: x.address, Err: err, Reason: x.reason(ReasonCut)}
+	x.blame(e.Reason)
+	return e
+}
+
+// reason tells why the exchange ended; other is the reason when neither the
+// caller nor time ended it.
+func (x *exchange) reason(other Reason) Reason {
+	switch {
+	case errors.Is(context.Cause(x.ctx), errSilent):
+		return ReasonSilent
+	case errors.Is(x.parent.Err(), context.DeadlineExceeded):
+		return ReasonDeadline
+	case x.parent.Err() != nil:
+		return ReasonCanceled
+	case x.body.failure() != nil:
+		return ReasonCallerBody
+	default:
+		return other
+	}
+}
+
+// blame reports the outcome of a failed exchange.
+func (x *exchange) blame(reason Reason) {
+	switch reason {
+	case ReasonCanceled, ReasonCallerBody:
+	case ReasonSilent:
+		x.client.suspect(x.pool, x.address, x.conn)
+	case ReasonDeadline:
+		if !x.watch.waitsForCaller() {
+			x.client.suspect(x.pool, x.address, x.conn)
+		}
+	default:
+		x.client.observer.Observe(x.address, health.OutcomeBroken, time.Since(x.sentAt))
+	}
+}
+
+// finish ends an exchange whose answer is whole and gives the connection back.
+func (x *exchange) finish() {
+	x.watch.stop()
+	if x.body.sent() {
+		x.pool.put(x.conn, time.Now())
+	} else {
+		x.conn.close()
+	}
+	x.cancel(nil)
+}
+
+// abandon ends an exchange early. Its connection is never used again.
+func (x *exchange) abandon() {
+	x.watch.stop()
+	x.conn.close()
+	x.cancel(nil)
+}
+
+// discard reads a short body that nobody wants and gives the connection back.
+func (x *exchange) discard(body io.ReadCloser) {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxShedBody))
+	if err == nil && n < maxShedBody {
+		x.finish()
+		return
+	}
+	x.abandon()
+}
--- /dev/null
+++ b/front/endpoint/headers.go
@@ -0,0 +1,124 @@
+package endpoint
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// HeaderPrefix starts every header that belongs to this system. Such
+	// headers from callers and endpoints are never passed through.
+	HeaderPrefix = "Cardamomfront-"
+	// HeaderTeam names the team that a request runs for.
+	HeaderTeam = HeaderPrefix + "Team"
+	// HeaderDeadline is the time left to answer, in milliseconds.
+	HeaderDeadline = HeaderPrefix + "Deadline-Ms"
+	// HeaderExchange identifies one exchange. An endpoint that repeats it in
+	// its answer lets a crossed answer be told.
+	HeaderExchange = HeaderPrefix + "Exchange"
+	// HeaderVerdict is an endpoint's word on whether it ran a request.
+	HeaderVerdict = HeaderPrefix + "Verdict"
+
+	// secretMinLen is the shortest bearer token that is searched for in other
+	// headers, in bytes.
+	secretMinLen = 8
+)
+
+// hopByHop lists the headers that end at the next hop (RFC 9110 section 7.6.1)
+// besides those that the Connection header names.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// endToEnd copies the headers that may be passed on.
+func endToEnd(src http.Header) http.Header {
+	dst := make(http.Header, len(src))
+	for name, values := range src {
+		if !ownHeader(name) {
+			dst[name] = values
+		}
+	}
+	for _, field := range src["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			dst.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		dst.Del(name)
+	}
+	return dst
+}
+
+// ownHeader reports whether name belongs to this system.
+func ownHeader(name string) bool {
+	return len(name) >= len(HeaderPrefix) && strings.EqualFold(name[:len(HeaderPrefix)], HeaderPrefix)
+}
+
+// requestHeaders returns the headers for the endpoint: no key, no hop-by-hop
+// header, and this system's own headers set afresh.
+func requestHeaders(r *Request, exchange string, deadline, now time.Time) http.Header {
+	h := endToEnd(r.HTTP.Header)
+	removeKey(h, r.HTTP.Header)
+	h.Del("Expect")
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+	if r.Team != "" {
+		h.Set(HeaderTeam, r.Team)
+	}
+	h.Set(HeaderExchange, exchange)
+	if !deadline.IsZero() {
+		left := max(0, deadline.Sub(now).Milliseconds())
+		h.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	return h
+}
+
+// removeKey deletes the Authorization header and every other header that
+// repeats the key.
+func removeKey(dst, src http.Header) {
+	dst.Del("Authorization")
+	token := bearerToken(src)
+	if token == "" {
+		return
+	}
+	for name, values := range dst {
+		for _, v := range values {
+			if strings.Contains(v, token) {
+				delete(dst, name)
+				break
+			}
+		}
+	}
+}
+
+// bearerToken returns the caller's key, or "" when it is absent or too short
+// to be searched for.
+func bearerToken(h http.Header) string {
+	fields := strings.Fields(h.Get("Authorization"))
+	if len(fields) == 0 {
+		return ""
+	}
+	token := fields[len(fields)-1]
+	if len(token) < secretMinLen {
+		return ""
+	}
+	return token
+}
+
+// retryAfter reads a Retry-After header (RFC 9110 section 10.2.3) as a delay;
+// 0 means that there is none.
+func retryAfter(h http.Header, now time.Time) time.Duration {
+	value := h.Get("Retry-After")
+	if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	if at, err := http.ParseTime(value); err == nil && at.After(now) {
+		return at.Sub(now)
+	}
+	return 0
+}
--- /dev/null
+++ b/front/endpoint/pool.go
@@ -0,0 +1,108 @@
+package endpoint
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/health"
+)
+
+// maxIdle bounds the idle connections kept to one endpoint by one instance.
+const maxIdle = 64
+
+// pool holds the idle connections to one endpoint. Each endpoint's pool is a
+// shard of its own.
+type pool struct {
+	rules health.ConnectionRules
+
+	mu      sync.Mutex
+	idle    []*conn // the last one answered most lately
+	trust   health.Connections
+	probing bool
+	closed  bool
+}
+
+// take removes and returns the trusted connection that answered most lately,
+// or nil when a new one is needed.
+func (p *pool) take(now time.Time, idempotent bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		if !p.trust.Trusted(p.rules, c.lastAnswer, now, idempotent) {
+			return nil
+		}
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		if c.http.Err() == nil {
+			return c
+		}
+		c.close()
+	}
+	return nil
+}
+
+// put gives back a connection whose exchange ended with a whole answer.
+func (p *pool) put(c *conn, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.fresh = false
+	c.lastAnswer = now
+	if p.closed || len(p.idle) >= maxIdle || p.trust.Doubted(now) {
+		go c.close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// silent notes that a request sent at sentAt got no answer. It closes every
+// idle connection that this throws doubt on and reports whether the caller
+// must probe the endpoint.
+func (p *pool) silent(sentAt time.Time) (probe bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trust.Silent(sentAt)
+	p.drop(func(c *conn) bool { return p.trust.Doubted(c.lastAnswer) })
+	probe = !p.probing && !p.closed
+	p.probing = p.probing || probe
+	return probe
+}
+
+// probed notes that a probe has ended.
+func (p *pool) probed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing = false
+}
+
+// sweep closes the idle connections that no request would use.
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(func(c *conn) bool {
+		return c.http.Err() != nil || !p.trust.Trusted(p.rules, c.lastAnswer, now, true)
+	})
+}
+
+// close closes the idle connections and those given back later.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.drop(func(*conn) bool { return true })
+}
+
+// drop closes the idle connections that match. The caller holds the lock.
+func (p *pool) drop(match func(*conn) bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if match(c) {
+			c.close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
--- /dev/null
+++ b/front/endpoint/verdict_test.go
@@ -0,0 +1,163 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// readRequestThen reads one request's headers and then does what then says.
+func readRequestThen(then func(net.Conn)) func(net.Conn) {
+	return func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		then(c)
+	}
+}
+
+// say writes text and closes the connection.
+func say(text string) func(net.Conn) {
+	return readRequestThen(func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	})
+}
+
+func TestVerdicts(t *testing.T) {
+	tests := []struct {
+		desc    string
+		serve   func(net.Conn)
+		refused bool
+		body    io.Reader
+		reason  Reason
+		verdict verdict.Verdict
+	}{
+		{desc: "connection refused", refused: true, reason: ReasonUnreachable, verdict: verdict.NotRun},
+		{desc: "closed after the request was written", serve: say(""), reason: ReasonBroken, verdict: verdict.MayHaveRun},
+		{
+			desc: "closed after part of the body", serve: say(""), body: strings.NewReader(strings.Repeat("x", 1<<20)),
+			reason: ReasonBroken, verdict: verdict.MayHaveRun,
+		},
+		{desc: "answer lost in its headers", serve: say("HTTP/1.1 200 OK\r\nContent-Le"), reason: ReasonBroken, verdict: verdict.MayHaveRun},
+		{
+			desc:   "endpoint sheds by its own word",
+			serve:  say("HTTP/1.1 503 Busy\r\nCardamomfront-Verdict: not-run\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n"),
+			reason: ReasonShed, verdict: verdict.NotRun,
+		},
+		{
+			desc:   "the word for another exchange proves nothing",
+			serve:  say("HTTP/1.1 503 Busy\r\nCardamomfront-Verdict: not-run\r\nCardamomfront-Exchange: other\r\nContent-Length: 0\r\n\r\n"),
+			reason: ReasonCrossed, verdict: verdict.MayHaveRun,
+		},
+		{desc: "answer without an end", serve: say("HTTP/1.1 200 OK\r\n\r\nhello"), reason: ReasonUnframed, verdict: verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			c, n, _ := newTestClient(t, tt.serve)
+			n.refused = tt.refused
+			r := &Request{HTTP: callerRequest(http.MethodPost, "/book", tt.body)}
+			_, err := c.Send(t.Context(), target, r)
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("Send error = %v, want *Error", err)
+			}
+			if e.Reason != tt.reason || e.Verdict != tt.verdict {
+				t.Errorf("Send = %s, %s; want %s, %s (%v)", e.Reason, e.Verdict, tt.reason, tt.verdict, e)
+			}
+		})
+	}
+}
+
+func TestUnavailableWithoutTheWordIsAnAnswer(t *testing.T) {
+	c, _, _ := newTestClient(t, say("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"))
+	a, err := c.Send(t.Context(), target, &Request{HTTP: callerRequest(http.MethodPost, "/", nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := readAll(a); err != nil || body != "busy" || a.Status != http.StatusServiceUnavailable {
+		t.Errorf("answer = %d %q, %v", a.Status, body, err)
+	}
+}
+
+// TestNoReplay sends a POST with an idempotency key, which net/http's own
+// transport would replay, to a server that closes after the first request.
+func TestNoReplay(t *testing.T) {
+	var seen atomic.Int32
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if seen.Add(1) == 1 {
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})
+	c, _, _ := newTestClient(t, serveHTTP(h))
+	send := func() (*Answer, error) {
+		r := callerRequest(http.MethodPost, "/pay", nil)
+		r.Header.Set("Idempotency-Key", "k")
+		return c.Send(t.Context(), target, &Request{HTTP: r, Idempotent: true})
+	}
+	if a, err := send(); err != nil || a.Body.Close() != nil {
+		t.Fatal(err)
+	}
+	var e *Error
+	if _, err := send(); !errors.As(err, &e) || e.Verdict != verdict.MayHaveRun {
+		t.Fatalf("second Send error = %v, want may-have-run", err)
+	}
+	if got := seen.Load(); got != 2 {
+		t.Errorf("the endpoint saw %d requests, want 2", got)
+	}
+}
+
+// TestStaleConnectionIsReplaced closes the idle connection under the client:
+// nothing was written, so a new one is tried and the request runs once.
+func TestStaleConnectionIsReplaced(t *testing.T) {
+	var seen atomic.Int32
+	h := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) })
+	c, n, _ := newTestClient(t, serveHTTP(h))
+	for i := range 3 {
+		a, err := c.Send(t.Context(), target, &Request{HTTP: callerRequest(http.MethodPost, "/", nil)})
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		_ = a.Body.Close()
+		_ = n.conns[len(n.conns)-1].Close()
+	}
+	if got := seen.Load(); got != 3 {
+		t.Errorf("the endpoint saw %d requests, want 3", got)
+	}
+}
+
+func TestCanceledBeforeSending(t *testing.T) {
+	c, _, _ := newTestClient(t, serveHTTP(http.NotFoundHandler()))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := c.Send(ctx, target, &Request{HTTP: callerRequest(http.MethodPost, "/", nil)})
+	var e *Error
+	if !errors.As(err, &e) || e.Reason != ReasonCanceled {
+		t.Fatalf("Send error = %v, want canceled", err)
+	}
+}
+
+// TestSealedConnectionWritesNothing checks the proof itself: after seal has
+// reported that nothing was written, no write goes out.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	client, server := net.Pipe()
+	defer func() { _ = server.Close() }()
+	p := &provedConn{Conn: client}
+	p.begin(time.Now())
+	if p.seal() {
+		t.Fatal("seal reports a write before any")
+	}
+	if n, err := p.Write([]byte("late")); n != 0 || !errors.Is(err, errSealed) {
+		t.Errorf("Write after seal = %d, %v", n, err)
+	}
+}
--- /dev/null
+++ b/steer/health/connections_test.go
@@ -0,0 +1,39 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+func TestTrusted(t *testing.T) {
+	r := DefaultConnectionRules()
+	start := time.Unix(1000, 0)
+	silentAt := start.Add(time.Second)
+	tests := []struct {
+		desc       string
+		silent     bool
+		lastAnswer time.Time
+		now        time.Time
+		idempotent bool
+		want       bool
+	}{
+		{"just answered", false, start, start, false, true},
+		{"not idempotent, idle too long", false, start, start.Add(r.FreshFor + 1), false, false},
+		{"idempotent, idle a while", false, start, start.Add(r.FreshFor + 1), true, true},
+		{"idempotent, idle too long", false, start, start.Add(r.ReusableFor + 1), true, false},
+		{"answered before another went silent", true, start, silentAt, true, false},
+		{"answered after another went silent", true, silentAt.Add(1), silentAt.Add(2), true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var c Connections
+			if tt.silent {
+				c.Silent(silentAt)
+				c.Silent(start.Add(-time.Hour))
+			}
+			if got := c.Trusted(r, tt.lastAnswer, tt.now, tt.idempotent); got != tt.want {
+				t.Errorf("Trusted = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
