--- /dev/null
+++ b/steer/document/checker.go
@@ -0,0 +1,95 @@
+package document
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// checker checks a decoded document and finds the place of a fault in the
+// parsed file.
+type checker struct {
+	doc  *Document
+	root ast.Node
+	// region maps a failure domain to its region.
+	region map[string]string
+}
+
+const maxNameLength = 63
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// check returns the first fault in the order of the document's sections.
+func (c *checker) check() error {
+	if err := c.name("$.environment", c.doc.Environment); err != nil {
+		return err
+	}
+	steps := []func() error{
+		c.teams, c.regions, c.services, c.routes, c.shifts, c.drains, c.entries,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failf reports a fault at path, or at the nearest enclosing node when there
+// is none at path.
+func (c *checker) failf(path, format string, args ...any) error {
+	message := fmt.Sprintf(format, args...)
+	for path != "" && path != "$" {
+		if node := c.find(path); node != nil {
+			return nodeError(node, message)
+		}
+		path = path[:max(strings.LastIndexByte(path, '.'), strings.LastIndexByte(path, '['), 0)]
+	}
+	return nodeError(c.root, message)
+}
+
+func (c *checker) find(path string) ast.Node {
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return nil
+	}
+	node, err := p.FilterNode(c.root)
+	if err != nil {
+		return nil
+	}
+	return node
+}
+
+// name checks the form of a required name.
+func (c *checker) name(path, name string) error {
+	if name == "" {
+		return c.failf(path, "%s is missing", fieldOf(path))
+	}
+	if len(name) > maxNameLength || !nameForm.MatchString(name) {
+		return c.failf(path, "%q is no name: use up to %d of a-z, 0-9 and - inside", name, maxNameLength)
+	}
+	return nil
+}
+
+// fieldOf returns the last field of a path: "$.teams[0].rate" gives "rate".
+func fieldOf(path string) string {
+	return path[strings.LastIndexByte(path, '.')+1:]
+}
+
+// names finds duplicates. It maps a name to the path that used it first.
+type names map[string]string
+
+// unique checks a name's form and that it was not used before.
+func (c *checker) unique(seen names, kind, path, name string) error {
+	if err := c.name(path, name); err != nil {
+		return err
+	}
+	if _, used := seen[name]; used {
+		return c.failf(path, "%s %q stands twice", kind, name)
+	}
+	seen[name] = path
+	return nil
+}
--- /dev/null
+++ b/steer/document/checkshifts.go
@@ -0,0 +1,159 @@
+package document
+
+import (
+	"fmt"
+	"time"
+)
+
+// shifts checks shifts; a service has at most one.
+func (c *checker) shifts() error {
+	shifts, services := names{}, map[string]string{}
+	for i, shift := range c.doc.Shifts {
+		path := fmt.Sprintf("$.shifts[%d]", i)
+		if err := c.unique(shifts, "shift", path+".name", shift.Name); err != nil {
+			return err
+		}
+		if other, used := services[shift.Service]; used {
+			return c.failf(path+".service", "shifts %q and %q are both on service %q", other, shift.Name, shift.Service)
+		}
+		services[shift.Service] = shift.Name
+		if err := c.shiftTarget(path, shift); err != nil {
+			return err
+		}
+		if err := c.stages(path, shift); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shiftTarget checks that the new version exists and does not serve already.
+func (c *checker) shiftTarget(path string, shift Shift) error {
+	service := c.doc.service(shift.Service)
+	if service == nil {
+		return c.failf(path+".service", "there is no service %q", shift.Service)
+	}
+	if service.version(shift.To) == nil {
+		return c.failf(path+".to", "service %q has no version %q", shift.Service, shift.To)
+	}
+	if service.Serving == shift.To {
+		return c.failf(path+".to", "version %q serves already", shift.To)
+	}
+	return nil
+}
+
+// stages checks that caps rise to 100% and that the holds fit.
+func (c *checker) stages(path string, shift Shift) error {
+	if len(shift.Stages) == 0 {
+		return c.failf(path+".stages", "shift %q has no stage", shift.Name)
+	}
+	var before Percent
+	var holds time.Duration
+	for i, stage := range shift.Stages {
+		at := fmt.Sprintf("%s.stages[%d].cap", path, i)
+		if stage.Cap <= before {
+			return c.failf(at, "cap %s does not rise above %s", stage.Cap, before)
+		}
+		before = stage.Cap
+		holds += stage.Hold.Std()
+	}
+	if before != Whole {
+		at := fmt.Sprintf("%s.stages[%d].cap", path, len(shift.Stages)-1)
+		return c.failf(at, "the last cap is %s; it must be %s", before, Whole)
+	}
+	if shift.Start.IsZero() {
+		return c.failf(path+".start", "start is missing")
+	}
+	if shift.Deadline.IsZero() {
+		return c.failf(path+".deadline", "deadline is missing")
+	}
+	if shift.Deadline.Sub(shift.Start) <= holds {
+		return c.failf(path+".deadline", "the holds take %s, which is not before the deadline", holds)
+	}
+	return nil
+}
+
+// drains checks drains, and that they leave endpoints for every service and
+// for every shift.
+func (c *checker) drains() error {
+	drained := map[string]Drain{}
+	for i, drain := range c.doc.Drains {
+		path := fmt.Sprintf("$.drains[%d]", i)
+		if err := c.drain(path, drain, drained); err != nil {
+			return err
+		}
+		drained[drain.Region] = drain
+		if err := c.drainLeavesServices(path, drain, drained); err != nil {
+			return err
+		}
+		if err := c.drainLeavesShifts(path, drain, drained); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *checker) drain(path string, drain Drain, drained map[string]Drain) error {
+	if !c.knownRegion(drain.Region) {
+		return c.failf(path+".region", "there is no region %q", drain.Region)
+	}
+	if _, twice := drained[drain.Region]; twice {
+		return c.failf(path+".region", "region %q is drained twice", drain.Region)
+	}
+	if drain.From.IsZero() {
+		return c.failf(path+".from", "from is missing")
+	}
+	if !drain.Deadline.After(drain.From) {
+		return c.failf(path+".deadline", "the deadline is not after the start of the drain")
+	}
+	return nil
+}
+
+func (c *checker) knownRegion(name string) bool {
+	for _, region := range c.doc.Regions {
+		if region.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) drainLeavesServices(path string, drain Drain, drained map[string]Drain) error {
+	for i := range c.doc.Services {
+		service := &c.doc.Services[i]
+		if !c.remains(service.version(service.Serving), drained) {
+			return c.failf(path+".region", "with region %q drained, service %q has no endpoint left", drain.Region, service.Name)
+		}
+	}
+	return nil
+}
+
+// drainLeavesShifts refuses a drain that begins before a shift's watch has
+// ended and leaves its new version without an endpoint.
+func (c *checker) drainLeavesShifts(path string, drain Drain, drained map[string]Drain) error {
+	for _, shift := range c.doc.Shifts {
+		end := shift.Deadline.Add(shift.Watch.Std())
+		during := map[string]Drain{}
+		for region, other := range drained {
+			if other.From.Before(end) {
+				during[region] = other
+			}
+		}
+		version := c.doc.service(shift.Service).version(shift.To)
+		if !c.remains(version, during) {
+			return c.failf(path+".region", "region %q can't be drained: shift %q needs its endpoints of version %q",
+				drain.Region, shift.Name, shift.To)
+		}
+	}
+	return nil
+}
+
+// remains says whether a version has an endpoint outside the drained regions.
+func (c *checker) remains(version *Version, drained map[string]Drain) bool {
+	for _, endpoint := range version.Endpoints {
+		if _, out := drained[c.region[endpoint.FailureDomain]]; !out {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/steer/document/decode.go
@@ -0,0 +1,137 @@
+package document
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// MaxSize is the largest document, in bytes.
+const MaxSize = 8 << 20
+
+// Decode reads and checks a document and fills in its defaults. The file is
+// used in errors only. Errors: *Error, for the first fault.
+func Decode(file string, content []byte) (*Document, error) {
+	root, err := parse(content)
+	if err != nil {
+		return nil, inFile(file, err)
+	}
+	doc := &Document{}
+	if err := yaml.NodeToValue(root, doc, yaml.Strict()); err != nil {
+		return nil, inFile(file, err)
+	}
+	doc.fillDefaults()
+	c := &checker{doc: doc, root: root}
+	if err := c.check(); err != nil {
+		return nil, inFile(file, err)
+	}
+	return doc, nil
+}
+
+// parse returns the root of the only YAML document in content.
+func parse(content []byte) (ast.Node, error) {
+	if len(content) > MaxSize {
+		return nil, &Error{Message: fmt.Sprintf("the document is larger than %d bytes", MaxSize)}
+	}
+	file, err := parser.ParseBytes(content, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, &Error{Message: fmt.Sprintf("there are %d YAML documents; one is expected", countBodies(file))}
+	}
+	root := file.Docs[0].Body
+	finder := &aliasFinder{}
+	ast.Walk(finder, root)
+	if finder.found != nil {
+		return nil, nodeError(finder.found, "anchors, aliases and merge keys are not allowed")
+	}
+	return root, nil
+}
+
+func countBodies(file *ast.File) int {
+	count := 0
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// aliasFinder looks for the first node that would refer to another one.
+type aliasFinder struct {
+	found ast.Node
+}
+
+// Visit implements ast.Visitor.
+func (f *aliasFinder) Visit(node ast.Node) ast.Visitor {
+	if f.found != nil {
+		return nil
+	}
+	switch node.Type() {
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		f.found = node
+		return nil
+	default:
+		return f
+	}
+}
+
+// inFile turns any error of decoding into an *Error of the named file.
+func inFile(file string, err error) error {
+	var own *Error
+	if errors.As(err, &own) {
+		placed := *own
+		placed.File = file
+		return &placed
+	}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		placed := &Error{File: file, Message: syntax.GetMessage()}
+		var mismatch *yaml.TypeError
+		if errors.As(err, &mismatch) {
+			placed.Message = fmt.Sprintf("a %s is expected here", kindName(mismatch.DstType))
+		}
+		if tk := syntax.GetToken(); tk != nil && tk.Position != nil {
+			placed.Line, placed.Column = tk.Position.Line, tk.Position.Column
+		}
+		return placed
+	}
+	return &Error{File: file, Message: err.Error()}
+}
+
+// kindName names what a field holds, for errors.
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int:
+		return "whole number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "list"
+	case reflect.Struct:
+		return "group of fields"
+	default:
+		return "text"
+	}
+}
+
+// nodeError places a message at a node.
+func nodeError(node ast.Node, message string) *Error {
+	e := &Error{Message: message}
+	if node == nil {
+		return e
+	}
+	if m, ok := node.(*ast.MappingNode); ok && !m.IsFlowStyle && len(m.Values) > 0 {
+		node = m.Values[0].Key
+	}
+	if tk := node.GetToken(); tk != nil && tk.Position != nil {
+		e.Line, e.Column = tk.Position.Line, tk.Position.Column
+	}
+	return e
+}
--- /dev/null
+++ b/steer/document/digest.go
@@ -0,0 +1,41 @@
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+)
+
+const digestPrefix = "sha256:"
+
+// Digest names content by its SHA-256 digest: "sha256:" and 64 hexadecimal
+// digits.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return digestPrefix + hex.EncodeToString(sum[:])
+}
+
+// KeyDigest returns the digest under which a key stands in a document. Keys
+// are long random strings, so a plain digest does not give them away.
+func KeyDigest(key string) string { return Digest([]byte(key)) }
+
+// keySum is a key's digest in binary form.
+type keySum [sha256.Size]byte
+
+// parseDigest reads the form that Digest gives.
+func parseDigest(text string) (sum keySum, ok bool) {
+	digits, found := strings.CutPrefix(text, digestPrefix)
+	if !found || len(digits) != hex.EncodedLen(len(sum)) || digits != strings.ToLower(digits) {
+		return sum, false
+	}
+	_, err := hex.Decode(sum[:], []byte(digits))
+	return sum, err == nil
+}
+
+// Encode writes a document in the form that Decode reads, defaults included.
+// Comments of the file that it was read from are not kept.
+func Encode(doc *Document) ([]byte, error) {
+	return yaml.Marshal(doc)
+}
--- /dev/null
+++ b/steer/document/document.go
@@ -0,0 +1,155 @@
+package document
+
+import "time"
+
+// Document is everything that operators say about one environment. A decoded
+// document is complete (defaults are filled in) and consistent (every name
+// that is referred to exists). It is not changed after decoding.
+type Document struct {
+	// Environment names the environment, such as "kano-trial". Required.
+	Environment string `yaml:"environment"`
+	// Teams are the tenants. At least one.
+	Teams []Team `yaml:"teams"`
+	// Regions are the regions and their failure domains. At least one.
+	Regions []Region `yaml:"regions"`
+	// Services are the services and the endpoints of their versions.
+	Services []Service `yaml:"services"`
+	// Routes map requests to services. The longest matching path wins.
+	Routes []Route `yaml:"routes"`
+	// Shifts move services to new versions. At most one for each service.
+	Shifts []Shift `yaml:"shifts,omitempty"`
+	// Drains take regions out of service. At most one for each region.
+	Drains []Drain `yaml:"drains,omitempty"`
+	// Entries says which instances callers are told to use.
+	Entries Entries `yaml:"entries"`
+}
+
+// Team is one tenant with its share of the system.
+type Team struct {
+	// Name is unique among teams. Required.
+	Name string `yaml:"name"`
+	// Rate is the sustained rate over all instances together. Required.
+	Rate Rate `yaml:"rate"`
+	// Burst is the number of requests that may come at once, over all
+	// instances together. Required, at least 1.
+	Burst int `yaml:"burst"`
+	// Keys are the keys in force. A key that is not listed does not work.
+	Keys []Key `yaml:"keys,omitempty"`
+}
+
+// Key is one caller's key, known by its digest only.
+type Key struct {
+	// ID names the key for operators. Unique in the document. Required.
+	ID string `yaml:"id"`
+	// Digest is KeyDigest of the key: "sha256:" and 64 hexadecimal digits.
+	// Unique in the document. Required.
+	Digest string `yaml:"digest"`
+}
+
+// Region is a region with its failure domains.
+type Region struct {
+	// Name is unique among regions. Required.
+	Name string `yaml:"name"`
+	// FailureDomains are unique in the document. At least one.
+	FailureDomains []string `yaml:"failureDomains"`
+}
+
+// Service is one service with its versions.
+type Service struct {
+	// Name is unique among services. Required.
+	Name string `yaml:"name"`
+	// Versions are the versions that have endpoints. At least one.
+	Versions []Version `yaml:"versions"`
+	// Serving names the version that serves while no shift is on. Required.
+	Serving string `yaml:"serving"`
+}
+
+// Version is one version of a service.
+type Version struct {
+	// Name is unique in the service. Required.
+	Name string `yaml:"name"`
+	// Endpoints run this version. At least one.
+	Endpoints []Endpoint `yaml:"endpoints"`
+}
+
+// Endpoint is one process that serves requests.
+type Endpoint struct {
+	// Address is an IP address and a port, such as "127.0.0.1:9001". Unique
+	// in the document. Required.
+	Address string `yaml:"address"`
+	// FailureDomain is one of the regions' failure domains. Required.
+	FailureDomain string `yaml:"failureDomain"`
+	// Slots is the number of requests that the endpoint runs at the same
+	// time. Required, at least 1.
+	Slots int `yaml:"slots"`
+}
+
+// Route maps requests to a service.
+type Route struct {
+	// Name is unique among routes. Required.
+	Name string `yaml:"name"`
+	// Path is a prefix of whole path segments: "/a" and "/a/" both match
+	// "/a/b", neither matches "/ab", and only "/a" matches "/a". Required.
+	Path string `yaml:"path"`
+	// Methods are the HTTP methods, in capitals. At least one.
+	Methods []string `yaml:"methods"`
+	// Service names the service that answers. Required.
+	Service string `yaml:"service"`
+	// Open says that no key is needed. Default false.
+	Open bool `yaml:"open,omitempty"`
+	// Idempotent says that a request may be sent again. Default false.
+	Idempotent bool `yaml:"idempotent,omitempty"`
+	// Timeout is the deadline of a request that names none. Default 5s.
+	Timeout Duration `yaml:"timeout"`
+	// MaxBody is the largest request body. Default 16MiB.
+	MaxBody Size `yaml:"maxBody"`
+}
+
+// Shift moves a service from the version that serves to another one.
+type Shift struct {
+	// Name is unique among shifts. Required.
+	Name string `yaml:"name"`
+	// Service names the service. Required.
+	Service string `yaml:"service"`
+	// To names the new version, other than the one that serves. Required.
+	To string `yaml:"to"`
+	// Start is when the first stage begins. Required.
+	Start time.Time `yaml:"start"`
+	// Deadline is when the shift must be complete, or it is taken back.
+	// Required, later than Start by more than all holds together.
+	Deadline time.Time `yaml:"deadline"`
+	// Stages have rising caps, the last one 100%. At least one.
+	Stages []Stage `yaml:"stages"`
+	// Watch is how long the new version is judged after the shift is
+	// complete. Default 10m.
+	Watch Duration `yaml:"watch"`
+}
+
+// Stage is one step of a shift.
+type Stage struct {
+	// Cap is the largest share of the service's requests that the new version
+	// gets. Required, over 0% and at most 100%.
+	Cap Percent `yaml:"cap"`
+	// Hold is the least time in this stage. Default 0s.
+	Hold Duration `yaml:"hold"`
+}
+
+// Drain takes a region out of service.
+type Drain struct {
+	// Region names the region. Required.
+	Region string `yaml:"region"`
+	// From is when the drain begins. Required.
+	From time.Time `yaml:"from"`
+	// Deadline is when the region must be empty. Required, later than From.
+	// The region stays out of service until the drain leaves the document.
+	Deadline time.Time `yaml:"deadline"`
+}
+
+// Entries says which instances callers are told to use.
+type Entries struct {
+	// Homes is the number of instances that a team's callers are given.
+	// Default 2.
+	Homes int `yaml:"homes"`
+	// Lifetime is how long a caller may use an answer. Default 30s.
+	Lifetime Duration `yaml:"lifetime"`
+}
--- /dev/null
+++ b/steer/document/errors.go
@@ -0,0 +1,24 @@
+package document
+
+import "fmt"
+
+// Error is one fault of a document, with its place. Line and column count from
+// 1; both are 0 when the fault has no place.
+type Error struct {
+	// File is the name given to Decode.
+	File string
+	// Line is the line of the fault.
+	Line int
+	// Column is the column of the fault.
+	Column int
+	// Message says what is wrong.
+	Message string
+}
+
+// Error implements error in the form "file:line:column: message".
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.File, e.Message)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Message)
+}
--- /dev/null
+++ b/steer/document/index.go
@@ -0,0 +1,153 @@
+package document
+
+import "crypto/sha256"
+
+// Index holds a document's look-ups. It is immutable and safe for use by many
+// goroutines; look-ups allocate nothing.
+type Index struct {
+	doc      *Document
+	routes   map[routeKey]*Route
+	keys     map[keySum]*Team
+	teams    map[string]*Team
+	services map[string]*Service
+	versions map[versionKey]*Version
+	shifts   map[string]*Shift
+	drains   map[string]*Drain
+	regions  map[string]string
+}
+
+type routeKey struct {
+	method string
+	path   string
+}
+
+type versionKey struct {
+	service string
+	version string
+}
+
+// usualKeyLength is the longest key, in bytes, that is digested without an
+// allocation.
+const usualKeyLength = 128
+
+// Compile builds the look-ups of a document that Decode returned. The document
+// must not be changed afterwards.
+func Compile(doc *Document) *Index {
+	x := &Index{
+		doc:      doc,
+		routes:   map[routeKey]*Route{},
+		keys:     map[keySum]*Team{},
+		teams:    map[string]*Team{},
+		services: map[string]*Service{},
+		versions: map[versionKey]*Version{},
+		shifts:   map[string]*Shift{},
+		drains:   map[string]*Drain{},
+		regions:  map[string]string{},
+	}
+	x.addTeams()
+	x.addRegions()
+	x.addServices()
+	x.addRoutes()
+	return x
+}
+
+func (x *Index) addTeams() {
+	for i := range x.doc.Teams {
+		team := &x.doc.Teams[i]
+		x.teams[team.Name] = team
+		for _, key := range team.Keys {
+			if sum, ok := parseDigest(key.Digest); ok {
+				x.keys[sum] = team
+			}
+		}
+	}
+}
+
+func (x *Index) addRegions() {
+	for _, region := range x.doc.Regions {
+		for _, domain := range region.FailureDomains {
+			x.regions[domain] = region.Name
+		}
+	}
+	for i := range x.doc.Drains {
+		drain := &x.doc.Drains[i]
+		x.drains[drain.Region] = drain
+	}
+}
+
+func (x *Index) addServices() {
+	for i := range x.doc.Services {
+		service := &x.doc.Services[i]
+		x.services[service.Name] = service
+		for j := range service.Versions {
+			version := &service.Versions[j]
+			x.versions[versionKey{service.Name, version.Name}] = version
+		}
+	}
+	for i := range x.doc.Shifts {
+		shift := &x.doc.Shifts[i]
+		x.shifts[shift.Service] = shift
+	}
+}
+
+func (x *Index) addRoutes() {
+	for i := range x.doc.Routes {
+		route := &x.doc.Routes[i]
+		for _, method := range route.Methods {
+			x.routes[routeKey{method: method, path: route.Path}] = route
+		}
+	}
+}
+
+// Document returns the document. It must not be changed.
+func (x *Index) Document() *Document { return x.doc }
+
+// Route returns the route with the longest path that matches, or nil. The path
+// is the decoded path of the request's URL; one that is not clean (empty, "."
+// or ".." segments, a percent sign or a backslash left) matches no route.
+func (x *Index) Route(method, path string) *Route {
+	if !cleanPath(path) {
+		return nil
+	}
+	for prefix := path; prefix != ""; prefix = shorter(prefix) {
+		if route := x.routes[routeKey{method: method, path: prefix}]; route != nil {
+			return route
+		}
+	}
+	return nil
+}
+
+// Team returns the team that a key belongs to by the key's digest, or nil.
+func (x *Index) Team(keyDigest string) *Team {
+	sum, ok := parseDigest(keyDigest)
+	if !ok {
+		return nil
+	}
+	return x.keys[sum]
+}
+
+// TeamOfKey returns the team that a key belongs to, or nil.
+func (x *Index) TeamOfKey(key string) *Team {
+	var buffer [usualKeyLength]byte
+	return x.keys[sha256.Sum256(append(buffer[:0], key...))]
+}
+
+// TeamNamed returns a team by its name, or nil.
+func (x *Index) TeamNamed(name string) *Team { return x.teams[name] }
+
+// Service returns a service by its name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Version returns a version of a service, or nil.
+func (x *Index) Version(service, version string) *Version {
+	return x.versions[versionKey{service, version}]
+}
+
+// Shift returns the shift on a service, or nil.
+func (x *Index) Shift(service string) *Shift { return x.shifts[service] }
+
+// Drain returns the drain of a region, or nil.
+func (x *Index) Drain(region string) *Drain { return x.drains[region] }
+
+// Region returns the region of a failure domain, or "".
+func (x *Index) Region(failureDomain string) string { return x.regions[failureDomain] }
