Add the peer package: JSON-RPC between instances

Cause: instances must talk to each other with bounded memory and must not be held by a connection that has gone silent. Ruled out: the library's codecs (they read a message of any announced length); closing a timed-out connection at once (other calls on it would be lost too). Change: length-framed codec with a 4 MiB bound, server, client with one connection to an address, verdicts on failed calls, plain TCP on loopback only. Conclusion: callers of other instances get a true verdict.

--- /dev/null
+++ b/front/peer/client.go
@@ -0,0 +1,154 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// condemnedGrace is how long a replaced connection stays open, so that other
+// calls on it may still be answered.
+const condemnedGrace = 5 * time.Second
+
+// Client calls other instances. It keeps one connection to each address, on
+// which calls run side by side. A connection on which a call ran out of time
+// may have gone silent for good: later calls get a new one.
+type Client struct {
+	tls         *tls.Config
+	dialTimeout time.Duration
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the connection to one address. Its lock is held while dialling, so
+// that concurrent calls share one dial.
+type link struct {
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// NewClient returns a client. A nil config means plain TCP.
+func NewClient(config *tls.Config, dialTimeout time.Duration) *Client {
+	return &Client{tls: config, dialTimeout: dialTimeout, links: make(map[string]*link)}
+}
+
+// Call implements Caller.
+func (c *Client) Call(ctx context.Context, addr, method string, params, result any) error {
+	l := c.link(addr)
+	conn, err := l.get(ctx, c, addr)
+	if err != nil {
+		return &Error{Addr: addr, Method: method, Verdict: verdict.NotRun, Err: err}
+	}
+	err = conn.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) {
+		return &Error{Addr: addr, Method: method, Verdict: answeredVerdict(rpcErr), Err: rpcErr}
+	}
+	if !errors.Is(err, context.Canceled) {
+		l.replace(conn)
+	}
+	return &Error{Addr: addr, Method: method, Verdict: verdict.MayHaveRun, Err: err}
+}
+
+// answeredVerdict returns what an answered error proves.
+func answeredVerdict(err *jsonrpc2.Error) verdict.Verdict {
+	if err.Code == jsonrpc2.CodeMethodNotFound {
+		return verdict.NotRun
+	}
+	return verdict.Ran
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.mu.Lock()
+		if l.conn != nil {
+			_ = l.conn.Close()
+		}
+		l.mu.Unlock()
+	}
+	c.links = make(map[string]*link)
+}
+
+// link returns the link to addr.
+func (c *Client) link(addr string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[addr]
+	if !ok {
+		l = &link{}
+		c.links[addr] = l
+	}
+	return l
+}
+
+// get returns the open connection of l, dialling when there is none.
+func (l *link) get(ctx context.Context, c *Client, addr string) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+		default:
+			return l.conn, nil
+		}
+	}
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, lengthCodec{})
+	l.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noMethods{}, quiet)
+	return l.conn, nil
+}
+
+// replace makes later calls dial again and closes conn after a grace period.
+func (l *link) replace(conn *jsonrpc2.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn {
+		return
+	}
+	l.conn = nil
+	time.AfterFunc(condemnedGrace, func() { _ = conn.Close() })
+}
+
+// dial opens a connection to addr.
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+	if c.tls != nil {
+		d := tls.Dialer{Config: c.tls}
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	if err := checkPlain(addr); err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// noMethods refuses calls that arrive on an outgoing connection.
+type noMethods struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noMethods) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	err := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods here"}
+	_ = conn.ReplyWithError(ctx, req.ID, err)
+}
--- /dev/null
+++ b/front/peer/codec.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// quiet keeps the library from logging; errors are returned to the caller.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
+// MaxMessageBytes bounds one message between instances, in bytes. A longer one
+// closes the connection before its body is read.
+const MaxMessageBytes = 4 << 20
+
+// lengthBytes is the size of the big-endian length before each message.
+const lengthBytes = 4
+
+// MessageTooLongError says that a message exceeds MaxMessageBytes.
+type MessageTooLongError struct {
+	// Length is the message's length in bytes.
+	Length int
+}
+
+// Error implements error.
+func (e *MessageTooLongError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds %d bytes", e.Length, MaxMessageBytes)
+}
+
+// lengthCodec frames JSON messages by their length. Unlike the library's
+// codecs it refuses a long message before it takes memory for it.
+type lengthCodec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (lengthCodec) WriteObject(w io.Writer, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(body) > MaxMessageBytes {
+		return &MessageTooLongError{Length: len(body)}
+	}
+	frame := make([]byte, lengthBytes, lengthBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (lengthCodec) ReadObject(r *bufio.Reader, v any) error {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MaxMessageBytes {
+		return &MessageTooLongError{Length: int(n)}
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, v)
+}
--- /dev/null
+++ b/front/peer/server.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Server answers the calls of other instances.
+type Server struct {
+	tls *tls.Config
+	log logrus.FieldLogger
+
+	mu      sync.RWMutex
+	methods map[string]Method
+	conns   map[*jsonrpc2.Conn]struct{}
+	closed  bool
+}
+
+// NewServer returns a server without methods. A nil config means plain TCP.
+func NewServer(config *tls.Config, log logrus.FieldLogger) *Server {
+	return &Server{
+		tls:     config,
+		log:     log.WithField("prefix", "peer"),
+		methods: make(map[string]Method),
+		conns:   make(map[*jsonrpc2.Conn]struct{}),
+	}
+}
+
+// Handle registers m under name. A second registration of a name replaces the
+// first.
+func (s *Server) Handle(name string, m Method) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.methods[name] = m
+}
+
+// Listen opens the server's listener on addr. Errors: *PlainAddressError when
+// TLS is missing, or the error of the network.
+func (s *Server) Listen(addr string) (net.Listener, error) {
+	if s.tls == nil {
+		if err := checkPlain(addr); err != nil {
+			return nil, err
+		}
+		return net.Listen("tcp", addr)
+	}
+	return tls.Listen("tcp", addr, s.tls)
+}
+
+// Serve accepts connections until ctx ends, then closes them all.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeConns()
+	})
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		s.attach(ctx, conn)
+	}
+}
+
+// attach serves one accepted connection in the background.
+func (s *Server) attach(ctx context.Context, conn net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(conn, lengthCodec{})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	rpc := jsonrpc2.NewConn(ctx, stream, handler, quiet)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = rpc.Close()
+		return
+	}
+	s.conns[rpc] = struct{}{}
+	go s.forget(rpc)
+}
+
+// forget drops a connection once it has ended.
+func (s *Server) forget(rpc *jsonrpc2.Conn) {
+	<-rpc.DisconnectNotify()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, rpc)
+}
+
+// closeConns ends all connections and refuses later ones.
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for rpc := range s.conns {
+		_ = rpc.Close()
+	}
+}
+
+// handle runs one method.
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	s.mu.RLock()
+	m, ok := s.methods[req.Method]
+	s.mu.RUnlock()
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := m(ctx, params)
+	if err == nil {
+		return result, nil
+	}
+	s.log.WithError(err).WithField("method", req.Method).Debug("Method failed.")
+	var rpcErr *jsonrpc2.Error
+	if errors.As(err, &rpcErr) {
+		return nil, rpcErr
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
