Add the platform client over HTTP and its in-memory stand-in

Cause: every other part talks to the table, the objects and the instance list.

The client sends each call once. Whether a failed write may have taken effect is told by what was sent: with no connection nothing was; a 4xx answer and an answer that says so mean none; everything else is unknown. One write is a conditional PUT or DELETE with an entity tag (RFC 9110), several are one POST. Ruled out: retries inside the client, since a repeated conditional write answers with a conflict against itself.

--- /dev/null
+++ b/front/platform/client.go
@@ -0,0 +1,232 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Settings says how to reach the platform. A zero field other than URL takes
+// its default.
+type Settings struct {
+	// URL is the base address, such as "http://127.0.0.1:7000".
+	URL string `yaml:"url" validate:"required,http_url"`
+	// Timeout bounds one call from start to the end of its answer.
+	Timeout time.Duration `yaml:"timeout" validate:"gte=0"`
+	// MaxAnswer bounds the answer of a table call, in bytes.
+	MaxAnswer int64 `yaml:"maxAnswer" validate:"gte=0"`
+	// MaxObject bounds one object, in bytes.
+	MaxObject int64 `yaml:"maxObject" validate:"gte=0"`
+	// MaxWrite bounds the body of one transaction, in bytes.
+	MaxWrite int64 `yaml:"maxWrite" validate:"gte=0"`
+	// Connections bounds the connections held open to the platform.
+	Connections int `yaml:"connections" validate:"gte=0"`
+}
+
+// Defaults of Settings.
+const (
+	DefaultTimeout     = 2 * time.Second
+	DefaultMaxAnswer   = 64 << 20 // bytes
+	DefaultMaxObject   = 16 << 20 // bytes
+	DefaultMaxWrite    = 4 << 20  // bytes
+	DefaultConnections = 32
+)
+
+const (
+	idleConnectionTimeout = 30 * time.Second
+	maxErrorAnswer        = 64 << 10 // bytes
+	mediaTypeJSON         = "application/json"
+	mediaTypeBytes        = "application/octet-stream"
+)
+
+var (
+	errAnswerTooLarge  = errors.New("answer is larger than the limit")
+	errRequestTooLarge = errors.New("request is larger than the limit")
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Timeout == 0 {
+		s.Timeout = DefaultTimeout
+	}
+	if s.MaxAnswer == 0 {
+		s.MaxAnswer = DefaultMaxAnswer
+	}
+	if s.MaxObject == 0 {
+		s.MaxObject = DefaultMaxObject
+	}
+	if s.MaxWrite == 0 {
+		s.MaxWrite = DefaultMaxWrite
+	}
+	if s.Connections == 0 {
+		s.Connections = DefaultConnections
+	}
+	return s
+}
+
+// Client is a Service that speaks plain HTTP and JSON, with entity tags and
+// conditional requests as in RFC 9110, sections 8.8.3 and 13.1. It sends each
+// call once: whether to repeat a call is its user's decision, who knows from
+// Error.Effect what may have happened.
+type Client struct {
+	settings Settings
+	base     string
+	http     *http.Client
+}
+
+var _ Service = (*Client)(nil)
+
+// NewClient returns a client; it opens no connection before the first call.
+func NewClient(settings Settings) *Client {
+	settings = settings.withDefaults()
+	transport := &http.Transport{
+		MaxConnsPerHost:     settings.Connections,
+		MaxIdleConnsPerHost: settings.Connections,
+		IdleConnTimeout:     idleConnectionTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{
+		settings: settings,
+		base:     strings.TrimSuffix(settings.URL, "/"),
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one request to the platform.
+type call struct {
+	op     string
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+	// writes says that the call changes the platform's state.
+	writes bool
+	// limit bounds the answer's body, in bytes.
+	limit int64
+}
+
+// reply is a complete answer.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do sends a call and reads its whole answer.
+func (c *Client) do(ctx context.Context, q call) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := c.request(ctx, q)
+	if err != nil {
+		return reply{}, &Error{Op: q.op, Effect: EffectNone, Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, &Error{Op: q.op, Effect: q.failureEffect(connected.Load()), Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readAtMost(resp.Body, q.answerLimit(resp.StatusCode))
+	if err != nil {
+		return reply{}, &Error{Op: q.op, Effect: q.failureEffect(true), Status: resp.StatusCode, Err: err}
+	}
+	return reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, q call) (*http.Request, error) {
+	target := c.base + q.path
+	if len(q.query) > 0 {
+		target += "?" + q.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, target, bytes.NewReader(q.body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range q.header {
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
+// failureEffect is the effect of a call that failed without a whole answer. A
+// call for which no connection was found has sent nothing.
+func (q call) failureEffect(connected bool) Effect {
+	if !q.writes || !connected {
+		return EffectNone
+	}
+	return EffectUnknown
+}
+
+func (q call) answerLimit(status int) int64 {
+	if status >= http.StatusBadRequest {
+		return maxErrorAnswer + q.limit
+	}
+	return q.limit
+}
+
+// statusError turns an answer with an unwanted status into an error: a
+// *ConflictError when the answer tells of one, else an *Error. A 4xx answer
+// says that the call was not carried out; a 5xx answer says so only in so many
+// words.
+func (q call) statusError(r reply) error {
+	var answer ErrorAnswer
+	decodeErr := json.Unmarshal(r.body, &answer)
+	if decodeErr == nil && answer.Conflict != nil && isConflict(r.status) {
+		return &ConflictError{Key: answer.Conflict.Key, Expected: answer.Conflict.Expected, Actual: answer.Conflict.Actual}
+	}
+	failure := &Error{Op: q.op, Status: r.status}
+	switch {
+	case !q.writes, isClientError(r.status), decodeErr == nil && answer.NoEffect:
+		failure.Effect = EffectNone
+	}
+	if decodeErr == nil && answer.Reason != "" {
+		failure.Err = fmt.Errorf("status %d: %s", r.status, answer.Reason)
+	}
+	return failure
+}
+
+func isClientError(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+func isConflict(status int) bool {
+	return status == http.StatusConflict || status == http.StatusPreconditionFailed
+}
+
+// decode reads a JSON answer. The call's effect is unknown when it wrote and
+// the answer can't be read.
+func (q call) decode(r reply, into any) error {
+	if err := json.Unmarshal(r.body, into); err != nil {
+		return &Error{Op: q.op, Effect: q.failureEffect(true), Status: r.status, Err: fmt.Errorf("answer: %w", err)}
+	}
+	return nil
+}
+
+func readAtMost(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errAnswerTooLarge
+	}
+	return body, nil
+}
--- /dev/null
+++ b/front/platform/standin/faults.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+var (
+	// ErrLost is the cause of an error whose answer was lost: the write took
+	// effect.
+	ErrLost = errors.New("answer lost")
+	// ErrDown is the cause of an error of a store that is down.
+	ErrDown = errors.New("connection broken")
+
+	errRefused = errors.New("refused by a fault that was set")
+)
+
+// Faults says how the store misbehaves; the zero value means not at all.
+type Faults struct {
+	// Delay is waited before a call is carried out, in nanoseconds in JSON.
+	Delay time.Duration `json:"delay"`
+	// Refuse answers every call with status 503 and carries out none.
+	Refuse bool `json:"refuse"`
+	// Down breaks the connection of every call and carries out none. The
+	// client can't tell that none was carried out.
+	Down bool `json:"down"`
+	// Freeze leaves every call without an answer until its client gives up,
+	// and carries out none.
+	Freeze bool `json:"freeze"`
+	// LoseAnswers is how many writes from now on take effect without their
+	// answer reaching the client.
+	LoseAnswers int `json:"loseAnswers"`
+	// InstancesLag is how old the list of instances is, in nanoseconds in
+	// JSON.
+	InstancesLag time.Duration `json:"instancesLag"`
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Faults returns the faults as they stand.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Store) enterRead(ctx context.Context, op string) error {
+	s.mu.Lock()
+	s.counts.Reads++
+	f := s.faults
+	s.mu.Unlock()
+	return f.enter(ctx, op, platform.EffectNone)
+}
+
+func (s *Store) enterWrite(ctx context.Context, op string) error {
+	s.mu.Lock()
+	s.counts.Writes++
+	f := s.faults
+	s.mu.Unlock()
+	return f.enter(ctx, op, platform.EffectUnknown)
+}
+
+// enter waits and fails as the faults say. The effect is what a client knows
+// of a call that got no answer.
+func (f Faults) enter(ctx context.Context, op string, silent platform.Effect) error {
+	if f.Refuse {
+		return &platform.Error{Op: op, Effect: platform.EffectNone, Status: http.StatusServiceUnavailable, Err: errRefused}
+	}
+	if f.Down {
+		return &platform.Error{Op: op, Effect: silent, Err: ErrDown}
+	}
+	if f.Freeze {
+		<-ctx.Done()
+		return &platform.Error{Op: op, Effect: silent, Err: ctx.Err()}
+	}
+	if f.Delay > 0 {
+		return f.wait(ctx, op, silent)
+	}
+	return nil
+}
+
+func (f Faults) wait(ctx context.Context, op string, silent platform.Effect) error {
+	timer := time.NewTimer(f.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &platform.Error{Op: op, Effect: silent, Err: ctx.Err()}
+	}
+}
+
+// loseAnswer uses up one lost answer, if one is left.
+func (s *Store) loseAnswer(op string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return nil
+	}
+	s.faults.LoseAnswers--
+	return &platform.Error{Op: op, Effect: platform.EffectUnknown, Err: ErrLost}
+}
--- /dev/null
+++ b/front/platform/standin/handler.go
@@ -0,0 +1,240 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+// Paths of the stand-in that the platform does not have.
+const (
+	// PathFaults takes GET and PUT of Faults as JSON.
+	PathFaults = "/standin/faults"
+	// PathCounts takes GET of Counts as JSON.
+	PathCounts = "/standin/counts"
+	// PathInstance takes PUT of ListedInstance and DELETE, below it the name.
+	PathInstance = "/standin/instances/"
+)
+
+// maxBody bounds what a client sends, in bytes.
+const maxBody = 64 << 20
+
+// Handler serves the store over HTTP as platform.Client expects it, and the
+// faults and counts below "/standin/".
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathRows, s.serveScan)
+	mux.HandleFunc("GET "+platform.PathRow, s.serveGet)
+	mux.HandleFunc("PUT "+platform.PathRow, s.servePut)
+	mux.HandleFunc("DELETE "+platform.PathRow, s.serveDelete)
+	mux.HandleFunc("POST "+platform.PathTransactions, s.serveTransaction)
+	mux.HandleFunc("PUT "+platform.PathObjects+"{digest}", s.servePutObject)
+	mux.HandleFunc("GET "+platform.PathObjects+"{digest}", s.serveGetObject)
+	mux.HandleFunc("GET "+platform.PathInstances, s.serveInstances)
+	mux.HandleFunc("GET "+PathFaults, s.serveFaults)
+	mux.HandleFunc("PUT "+PathFaults, s.serveSetFaults)
+	mux.HandleFunc("GET "+PathCounts, s.serveCounts)
+	mux.HandleFunc("PUT "+PathInstance+"{name}", s.servePutInstance)
+	mux.HandleFunc("DELETE "+PathInstance+"{name}", s.serveRemoveInstance)
+	return http.MaxBytesHandler(mux, maxBody)
+}
+
+func (s *Store) serveScan(w http.ResponseWriter, r *http.Request) {
+	rows, err := s.Scan(r.Context(), r.URL.Query().Get(platform.QueryPrefix))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.ScanAnswer{Rows: rows})
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	row, err := s.Get(r.Context(), r.URL.Query().Get(platform.QueryKey))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if row.Version == 0 {
+		writeJSON(w, http.StatusNotFound, platform.ErrorAnswer{Reason: "no such row"})
+		return
+	}
+	w.Header().Set("ETag", platform.EntityTag(row.Version))
+	writeJSON(w, http.StatusOK, row)
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	expected, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	write := platform.Write{Key: r.URL.Query().Get(platform.QueryKey), Expected: expected, Value: value}
+	versions, err := s.Commit(r.Context(), []platform.Write{write})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", platform.EntityTag(versions[0]))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
+	expected, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	write := platform.Write{Key: r.URL.Query().Get(platform.QueryKey), Expected: expected, Delete: true}
+	if _, err := s.Commit(r.Context(), []platform.Write{write}); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// expectedVersion reads the precondition, which every write of a row needs
+// (RFC 6585, section 3, for its absence).
+func expectedVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	if r.Header.Get("If-None-Match") == "*" {
+		return 0, true
+	}
+	tag := r.Header.Get("If-Match")
+	if tag == "" {
+		writeJSON(w, http.StatusPreconditionRequired, platform.ErrorAnswer{Reason: "a write needs If-Match or If-None-Match: *"})
+		return 0, false
+	}
+	version, err := platform.ParseEntityTag(tag)
+	if err != nil {
+		writeBadRequest(w, err)
+		return 0, false
+	}
+	return version, true
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	var request platform.TransactionRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	versions, err := s.Commit(r.Context(), request.Writes)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.TransactionAnswer{Versions: versions})
+}
+
+func (s *Store) servePutObject(w http.ResponseWriter, r *http.Request) {
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	if platform.Digest(content) != r.PathValue("digest") {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Reason: "content does not match its digest"})
+		return
+	}
+	if _, err := s.PutObject(r.Context(), content); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveGetObject(w http.ResponseWriter, r *http.Request) {
+	content, err := s.GetObject(r.Context(), r.PathValue("digest"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(content)
+}
+
+func (s *Store) serveInstances(w http.ResponseWriter, r *http.Request) {
+	list, err := s.ListInstances(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.InstancesAnswer{Instances: list})
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Faults())
+}
+
+func (s *Store) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+func (s *Store) servePutInstance(w http.ResponseWriter, r *http.Request) {
+	var entry platform.ListedInstance
+	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
+		writeBadRequest(w, err)
+		return
+	}
+	s.PutInstance(r.PathValue("name"), entry.Leaving)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveRemoveInstance(w http.ResponseWriter, r *http.Request) {
+	s.RemoveInstance(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// writeError answers as the platform would; where the fault is that no answer
+// comes, it breaks the connection.
+func writeError(w http.ResponseWriter, err error) {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		writeJSON(w, http.StatusPreconditionFailed, platform.ErrorAnswer{
+			Reason:   "a row has another version",
+			Conflict: &platform.ConflictAnswer{Key: conflict.Key, Expected: conflict.Expected, Actual: conflict.Actual},
+		})
+		return
+	}
+	var failure *platform.Error
+	if !errors.As(err, &failure) || failure.Status == 0 && failure.Effect == platform.EffectUnknown || errors.Is(err, ErrDown) {
+		panic(http.ErrAbortHandler)
+	}
+	status := failure.Status
+	if status == 0 {
+		status = http.StatusBadRequest
+	}
+	writeJSON(w, status, platform.ErrorAnswer{Reason: err.Error(), NoEffect: failure.Effect == platform.EffectNone})
+}
+
+func writeBadRequest(w http.ResponseWriter, err error) {
+	writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Reason: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/front/platform/standin/instances.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+// instanceChange is one change of the list of instances.
+type instanceChange struct {
+	at      time.Time
+	entry   platform.ListedInstance
+	removed bool
+}
+
+// PutInstance lists an instance or changes its entry, as of now.
+func (s *Store) PutInstance(name string, leaving bool) {
+	s.changeInstance(platform.ListedInstance{Name: name, Leaving: leaving}, false)
+}
+
+// RemoveInstance takes an instance off the list, as of now.
+func (s *Store) RemoveInstance(name string) {
+	s.changeInstance(platform.ListedInstance{Name: name}, true)
+}
+
+func (s *Store) changeInstance(entry platform.ListedInstance, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	entry.ObservedAt = now
+	s.changes = append(s.changes, instanceChange{at: now, entry: entry, removed: removed})
+}
+
+// ListInstances implements platform.Instances: the list as it stood before
+// Faults.InstancesLag.
+func (s *Store) ListInstances(ctx context.Context) ([]platform.ListedInstance, error) {
+	if err := s.enterRead(ctx, "list instances"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asOf := s.now().Add(-s.faults.InstancesLag)
+	listed := make(map[string]platform.ListedInstance)
+	for _, change := range s.changes {
+		if change.at.After(asOf) {
+			break
+		}
+		if change.removed {
+			delete(listed, change.entry.Name)
+			continue
+		}
+		listed[change.entry.Name] = change.entry
+	}
+	return sortedInstances(listed), nil
+}
+
+func sortedInstances(listed map[string]platform.ListedInstance) []platform.ListedInstance {
+	list := make([]platform.ListedInstance, 0, len(listed))
+	for _, entry := range listed {
+		list = append(list, entry)
+	}
+	slices.SortFunc(list, func(a, b platform.ListedInstance) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/front/platform/standin/store.go
@@ -0,0 +1,195 @@
+// Package standin is an in-memory stand-in for the platform's service, for
+// tests and for a first run on one machine. It keeps nothing.
+//
+// Store is a platform.Service by itself, for tests inside one process; Handler
+// serves the same store over HTTP.
+package standin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+var (
+	errBadWrite     = errors.New("a write needs a key, and a delete an expected version")
+	errTwiceInOne   = errors.New("a transaction names a row twice")
+	errNoSuchObject = errors.New("no such object")
+)
+
+// Counts says how many calls reached the store.
+type Counts struct {
+	// Reads counts Scan, Get, GetObject and ListInstances.
+	Reads uint64 `json:"reads"`
+	// Writes counts Commit and PutObject, whatever became of them.
+	Writes uint64 `json:"writes"`
+	// RowsWritten counts the rows that commits changed.
+	RowsWritten uint64 `json:"rowsWritten"`
+	// Conflicts counts the commits refused for another version.
+	Conflicts uint64 `json:"conflicts"`
+}
+
+// Store is the stand-in. Use NewStore.
+type Store struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	changes []instanceChange
+	faults  Faults
+	counts  Counts
+}
+
+var _ platform.Service = (*Store)(nil)
+
+// NewStore returns an empty store without faults.
+func NewStore() *Store {
+	return &Store{
+		now:     time.Now,
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+	}
+}
+
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Scan implements platform.Table.
+func (s *Store) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := s.enterRead(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []platform.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			row.Value = slices.Clone(row.Value)
+			found = append(found, row)
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return found, nil
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := s.enterRead(ctx, "get"); err != nil {
+		return platform.Row{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := s.row(key)
+	row.Value = slices.Clone(row.Value)
+	return row, nil
+}
+
+// row returns a row, with version 0 when it does not exist.
+func (s *Store) row(key string) platform.Row {
+	row, found := s.rows[key]
+	if !found {
+		return platform.Row{Key: key}
+	}
+	return row
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	if err := s.enterWrite(ctx, "commit"); err != nil {
+		return nil, err
+	}
+	versions, err := s.apply(writes)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.loseAnswer("commit"); err != nil {
+		return nil, err
+	}
+	return versions, nil
+}
+
+func (s *Store) apply(writes []platform.Write) ([]uint64, error) {
+	if err := checkWrites(writes); err != nil {
+		return nil, &platform.Error{Op: "commit", Effect: platform.EffectNone, Err: err}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range writes {
+		actual := s.row(w.Key)
+		if actual.Version != w.Expected {
+			s.counts.Conflicts++
+			return nil, &platform.ConflictError{Key: w.Key, Expected: w.Expected, Actual: actual}
+		}
+	}
+	versions := make([]uint64, len(writes))
+	for i, w := range writes {
+		versions[i] = s.write(w)
+	}
+	return versions, nil
+}
+
+// write carries out one checked write and returns the row's new version.
+func (s *Store) write(w platform.Write) uint64 {
+	s.counts.RowsWritten++
+	if w.Delete {
+		delete(s.rows, w.Key)
+		return 0
+	}
+	row := platform.Row{Key: w.Key, Version: w.Expected + 1, Value: slices.Clone(w.Value)}
+	s.rows[w.Key] = row
+	return row.Version
+}
+
+func checkWrites(writes []platform.Write) error {
+	seen := make(map[string]struct{}, len(writes))
+	for _, w := range writes {
+		if w.Key == "" || w.Delete && w.Expected == 0 {
+			return errBadWrite
+		}
+		if _, twice := seen[w.Key]; twice {
+			return errTwiceInOne
+		}
+		seen[w.Key] = struct{}{}
+	}
+	return nil
+}
+
+// PutObject implements platform.Objects.
+func (s *Store) PutObject(ctx context.Context, content []byte) (string, error) {
+	if err := s.enterWrite(ctx, "put object"); err != nil {
+		return "", err
+	}
+	digest := platform.Digest(content)
+	s.mu.Lock()
+	s.objects[digest] = slices.Clone(content)
+	s.mu.Unlock()
+	if err := s.loseAnswer("put object"); err != nil {
+		return "", err
+	}
+	return digest, nil
+}
+
+// GetObject implements platform.Objects.
+func (s *Store) GetObject(ctx context.Context, digest string) ([]byte, error) {
+	if err := s.enterRead(ctx, "get object"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	content, found := s.objects[digest]
+	if !found {
+		return nil, &platform.Error{Op: "get object", Effect: platform.EffectNone, Status: http.StatusNotFound, Err: errNoSuchObject}
+	}
+	return slices.Clone(content), nil
+}
--- /dev/null
+++ b/front/platform/table.go
@@ -0,0 +1,186 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+const (
+	headerContentType = "Content-Type"
+	headerETag        = "Etag"
+	headerIfMatch     = "If-Match"
+	headerIfNoneMatch = "If-None-Match"
+)
+
+var errVersionCount = errors.New("answer has another number of versions than the transaction has writes")
+
+// EntityTag writes a row's version as a strong entity tag (RFC 9110, 8.8.3).
+func EntityTag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// ParseEntityTag reads a row's version from a strong entity tag.
+func ParseEntityTag(tag string) (uint64, error) {
+	digits, opened := strings.CutPrefix(tag, `"`)
+	digits, closed := strings.CutSuffix(digits, `"`)
+	if !opened || !closed {
+		return 0, fmt.Errorf("entity tag %q is not strong", tag)
+	}
+	version, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("entity tag %q holds no version", tag)
+	}
+	return version, nil
+}
+
+// Scan implements Table.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
+	q := call{
+		op:     "scan",
+		method: http.MethodGet,
+		path:   PathRows,
+		query:  url.Values{QueryPrefix: {prefix}},
+		limit:  c.settings.MaxAnswer,
+	}
+	r, err := c.do(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if r.status != http.StatusOK {
+		return nil, q.statusError(r)
+	}
+	var answer ScanAnswer
+	if err := q.decode(r, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Rows, nil
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	q := call{
+		op:     "get",
+		method: http.MethodGet,
+		path:   PathRow,
+		query:  url.Values{QueryKey: {key}},
+		limit:  c.settings.MaxAnswer,
+	}
+	r, err := c.do(ctx, q)
+	if err != nil {
+		return Row{}, err
+	}
+	if r.status == http.StatusNotFound {
+		return Row{Key: key}, nil
+	}
+	if r.status != http.StatusOK {
+		return Row{}, q.statusError(r)
+	}
+	var row Row
+	if err := q.decode(r, &row); err != nil {
+		return Row{}, err
+	}
+	return row, nil
+}
+
+// Commit implements Table. One write goes out as a conditional PUT or DELETE
+// of its row, several as one POST with the expected versions.
+func (c *Client) Commit(ctx context.Context, writes []Write) ([]uint64, error) {
+	switch len(writes) {
+	case 0:
+		return nil, nil
+	case 1:
+		return c.commitOne(ctx, writes[0])
+	default:
+		return c.commitMany(ctx, writes)
+	}
+}
+
+func (c *Client) commitOne(ctx context.Context, w Write) ([]uint64, error) {
+	if err := c.checkSize("commit", len(w.Value)); err != nil {
+		return nil, err
+	}
+	q := call{
+		op:     "commit",
+		method: http.MethodPut,
+		path:   PathRow,
+		query:  url.Values{QueryKey: {w.Key}},
+		header: precondition(w.Expected),
+		body:   w.Value,
+		writes: true,
+		limit:  c.settings.MaxAnswer,
+	}
+	if w.Delete {
+		q.method, q.body = http.MethodDelete, nil
+	}
+	r, err := c.do(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if r.status != http.StatusOK && r.status != http.StatusNoContent {
+		return nil, q.statusError(r)
+	}
+	if w.Delete {
+		return []uint64{0}, nil
+	}
+	version, err := ParseEntityTag(r.header.Get(headerETag))
+	if err != nil {
+		return nil, &Error{Op: q.op, Effect: EffectUnknown, Status: r.status, Err: err}
+	}
+	return []uint64{version}, nil
+}
+
+// precondition asks for the expected version, or for no row when it is 0.
+func precondition(expected uint64) http.Header {
+	header := http.Header{headerContentType: {mediaTypeBytes}}
+	if expected == 0 {
+		header.Set(headerIfNoneMatch, "*")
+	} else {
+		header.Set(headerIfMatch, EntityTag(expected))
+	}
+	return header
+}
+
+func (c *Client) commitMany(ctx context.Context, writes []Write) ([]uint64, error) {
+	body, err := json.Marshal(TransactionRequest{Writes: writes})
+	if err != nil {
+		return nil, &Error{Op: "commit", Effect: EffectNone, Err: err}
+	}
+	if err := c.checkSize("commit", len(body)); err != nil {
+		return nil, err
+	}
+	q := call{
+		op:     "commit",
+		method: http.MethodPost,
+		path:   PathTransactions,
+		header: http.Header{headerContentType: {mediaTypeJSON}},
+		body:   body,
+		writes: true,
+		limit:  c.settings.MaxAnswer,
+	}
+	r, err := c.do(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if r.status != http.StatusOK {
+		return nil, q.statusError(r)
+	}
+	var answer TransactionAnswer
+	if err := q.decode(r, &answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Versions) != len(writes) {
+		return nil, &Error{Op: q.op, Effect: EffectUnknown, Status: r.status, Err: errVersionCount}
+	}
+	return answer.Versions, nil
+}
+
+func (c *Client) checkSize(op string, size int) error {
+	if int64(size) > c.settings.MaxWrite {
+		return &Error{Op: op, Effect: EffectNone, Err: errRequestTooLarge}
+	}
+	return nil
+}
