Add the stand-in endpoint and commands that serve the stand-ins

Cause: tests and first runs need an endpoint that tells what it got and misbehaves on request, and a platform to talk to, as processes of their own.

The endpoint counts an execution from the moment when it admits a request, whatever becomes of the answer, by idempotency key and by request id, so that a request that ran twice shows.

Mutation: counting after the answer instead of before: the cases that lose, cut and freeze the answer fail in TestFaults (tried, restored).

--- /dev/null
+++ b/front/endpoint/standin/answers.go
@@ -0,0 +1,139 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+const (
+	// queryBytes asks for an answer of that many bytes, streamed.
+	queryBytes = "bytes"
+	// maxBytes bounds an answer that was asked for with queryBytes.
+	maxBytes = 1 << 32
+	// chunkSize is how much of a streamed answer is written at once, in bytes.
+	chunkSize = 64 << 10
+)
+
+// Echo is the endpoint's answer: who it is and what it got.
+type Echo struct {
+	Endpoint  string      `json:"endpoint"`
+	Version   string      `json:"version"`
+	Method    string      `json:"method"`
+	Path      string      `json:"path"`
+	Query     string      `json:"query"`
+	Header    http.Header `json:"header"`
+	BodyBytes int64       `json:"bodyBytes"`
+	// BodySHA256 is the body's digest in hex.
+	BodySHA256 string `json:"bodySha256"`
+}
+
+// bodyDigest is what the stand-in keeps of a body.
+type bodyDigest struct {
+	bytes  int64
+	sha256 string
+}
+
+// digestBody reads a body without holding it.
+func digestBody(body io.Reader) (bodyDigest, error) {
+	hash := sha256.New()
+	n, err := io.Copy(hash, body)
+	if err != nil {
+		return bodyDigest{}, err
+	}
+	return bodyDigest{bytes: n, sha256: hex.EncodeToString(hash.Sum(nil))}, nil
+}
+
+// answer writes the answer that was planned.
+func (e *Endpoint) answer(w http.ResponseWriter, r *http.Request, p plan, body bodyDigest) {
+	if p.lose {
+		panic(http.ErrAbortHandler)
+	}
+	if p.fail {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	size, err := strconv.ParseInt(r.URL.Query().Get(queryBytes), 10, 64)
+	if err == nil && size >= 0 && size <= maxBytes {
+		streamAnswer(w, size, p.cut)
+		return
+	}
+	e.echo(w, r, p, body)
+}
+
+func (e *Endpoint) echo(w http.ResponseWriter, r *http.Request, p plan, body bodyDigest) {
+	answer, err := json.Marshal(Echo{
+		Endpoint:   e.settings.Name,
+		Version:    e.settings.Version,
+		Method:     r.Method,
+		Path:       r.URL.Path,
+		Query:      r.URL.RawQuery,
+		Header:     r.Header,
+		BodyBytes:  body.bytes,
+		BodySHA256: body.sha256,
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if p.cut {
+		cutAnswer(w, answer[:len(answer)/2])
+	}
+	_, _ = w.Write(answer)
+}
+
+// streamAnswer writes size bytes, or half of them when the answer is to be
+// cut.
+func streamAnswer(w http.ResponseWriter, size int64, cut bool) {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	left := size
+	if cut {
+		left = size / 2
+	}
+	chunk := make([]byte, chunkSize)
+	for left > 0 {
+		n := min(left, chunkSize)
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+	if cut {
+		cutAnswer(w, nil)
+	}
+}
+
+// cutAnswer writes a last part and breaks the connection.
+func cutAnswer(w http.ResponseWriter, part []byte) {
+	_, _ = w.Write(part)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Endpoint) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.Counts())
+}
+
+func (e *Endpoint) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.Faults())
+}
+
+func (e *Endpoint) serveSetFaults(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	var f Faults
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/front/endpoint/standin/counts.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"maps"
+	"net/http"
+)
+
+// maxCounted bounds the idempotency keys and request ids that are counted one
+// by one.
+const maxCounted = 200_000
+
+// Counts says what the endpoint did. A request counts as executed from the
+// moment when the endpoint starts it, whatever becomes of its answer.
+type Counts struct {
+	Executed uint64 `json:"executed"`
+	Shed     uint64 `json:"shed"`
+	Running  int    `json:"running"`
+	// MostRunning is the largest Running so far.
+	MostRunning int `json:"mostRunning"`
+	// ByIdempotencyKey and ByRequestID count executions.
+	ByIdempotencyKey map[string]int `json:"byIdempotencyKey"`
+	ByRequestID      map[string]int `json:"byRequestId"`
+	// Uncounted is how many executions found no more room in the maps.
+	Uncounted uint64 `json:"uncounted"`
+}
+
+type counts Counts
+
+func newCounts() counts {
+	return counts{ByIdempotencyKey: make(map[string]int), ByRequestID: make(map[string]int)}
+}
+
+func (c *counts) executed(r *http.Request) {
+	c.Executed++
+	c.Running++
+	c.MostRunning = max(c.MostRunning, c.Running)
+	c.add(c.ByIdempotencyKey, r.Header.Get(HeaderIdempotencyKey))
+	c.add(c.ByRequestID, r.Header.Get(HeaderRequestID))
+}
+
+func (c *counts) add(into map[string]int, key string) {
+	if key == "" {
+		return
+	}
+	if _, known := into[key]; !known && len(into) >= maxCounted {
+		c.Uncounted++
+		return
+	}
+	into[key]++
+}
+
+// Counts returns a copy of the counts.
+func (e *Endpoint) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := Counts(e.counts)
+	c.ByIdempotencyKey = maps.Clone(c.ByIdempotencyKey)
+	c.ByRequestID = maps.Clone(c.ByRequestID)
+	return c
+}
