Decide retries from verdicts, paid from a budget

Cause: a request that may have run must not be sent again unless its route is idempotent, and retries must not multiply an outage's load.

Budget: a token bucket filled by requests (Finagle, gRFC A6), 0.08 tokens a request and at most 5 kept. A proof of not-run lets any request go to another endpoint.

TestAddedLoadInOutage, every attempt failing, from a full bucket, 251, 1,000 and 100,000 requests: under 0.10 added, above none.

Mutations: without the budget check 2.000 added, the test fails at all three sizes. Without the rule for unknown outcomes TestDecide fails; TestNeverTwiceAfterUnknown missed it at 100 draws and finds it at 5,000, which it now makes. Both restored.

--- /dev/null
+++ b/steer/retry/retry_test.go
@@ -0,0 +1,140 @@
+package retry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "5")
+	_ = flag.Set("rapid.checks", "5000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// maxAddedLoad is the target: the load that retries add in an outage.
+const maxAddedLoad = 0.10
+
+func newBudget(t testing.TB) *Budget {
+	t.Helper()
+	budget, err := NewBudget(BudgetSettings{Ratio: DefaultRatio, Burst: DefaultBurst})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return budget
+}
+
+func TestDecide(t *testing.T) {
+	sound := Failure{Verdict: verdict.NotRun, Idempotent: true, BodyReplayable: true, Attempts: 1, Remaining: time.Second}
+	tests := []struct {
+		desc   string
+		change func(*Failure)
+		want   Denial
+	}{
+		{"idempotent, proved not run", func(*Failure) {}, DenialNone},
+		{"idempotent, outcome unknown", func(f *Failure) { f.Verdict = verdict.MayHaveRun }, DenialNone},
+		{"not idempotent, proved not run", func(f *Failure) { f.Idempotent = false }, DenialNone},
+		{"not idempotent, outcome unknown", func(f *Failure) { f.Idempotent, f.Verdict = false, verdict.MayHaveRun }, DenialOutcomeUnknown},
+		{"answered", func(f *Failure) { f.Verdict = verdict.Ran }, DenialAnswered},
+		{"answer begun", func(f *Failure) { f.AnswerStarted = true }, DenialAnswerStarted},
+		{"body gone", func(f *Failure) { f.BodyReplayable = false }, DenialBodySent},
+		{"third attempt", func(f *Failure) { f.Attempts = DefaultMaxAttempts }, DenialAttempts},
+		{"no time left", func(f *Failure) { f.Remaining = time.Millisecond }, DenialDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			failure := sound
+			tt.change(&failure)
+			if got := DefaultPolicy().Decide(failure, newBudget(t)); got != tt.want {
+				t.Fatalf("Decide(%+v) = %q, want %q", failure, got, tt.want)
+			}
+		})
+	}
+}
+
+// TestNeverTwiceAfterUnknown draws failures and budgets of every kind.
+func TestNeverTwiceAfterUnknown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget, err := NewBudget(BudgetSettings{Ratio: 1, Burst: rapid.IntRange(1, 100).Draw(t, "burst")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		failure := Failure{
+			Verdict:        rapid.SampledFrom([]verdict.Verdict{verdict.MayHaveRun, verdict.NotRun, verdict.Ran}).Draw(t, "verdict"),
+			Idempotent:     rapid.Bool().Draw(t, "idempotent"),
+			BodyReplayable: rapid.Bool().Draw(t, "replayable"),
+			AnswerStarted:  rapid.Bool().Draw(t, "started"),
+			Attempts:       rapid.IntRange(1, 5).Draw(t, "attempts"),
+			Remaining:      time.Duration(rapid.Int64Range(-1e9, 1e9).Draw(t, "remaining")),
+		}
+		if DefaultPolicy().Decide(failure, budget) != DenialNone {
+			return
+		}
+		if failure.Verdict != verdict.NotRun && !failure.Idempotent {
+			t.Fatalf("%+v is sent again", failure)
+		}
+	})
+}
+
+// TestAddedLoadInOutage fails every attempt of many requests, from a full
+// budget, at each size of outage from the one that pays for the burst.
+func TestAddedLoadInOutage(t *testing.T) {
+	policy := DefaultPolicy()
+	for _, requests := range []int{251, 1_000, 100_000} {
+		budget := newBudget(t)
+		retries := 0
+		for range requests {
+			retries += failAll(policy, budget)
+		}
+		added := float64(retries) / float64(requests)
+		if added >= maxAddedLoad || retries == 0 {
+			t.Errorf("%d requests: %d retries add %.3f, want above 0 and under %.2f", requests, retries, added, maxAddedLoad)
+		}
+	}
+}
+
+// failAll sends one request whose every attempt fails and counts its retries.
+func failAll(policy Policy, budget *Budget) int {
+	budget.Deposit()
+	failure := Failure{Idempotent: true, BodyReplayable: true, Attempts: 1, Remaining: time.Second}
+	for policy.Decide(failure, budget) == DenialNone {
+		failure.Attempts++
+	}
+	return failure.Attempts - 1
+}
+
+// TestLoneFailuresAreRetried gives a service whose requests fail now and then
+// at random, well within the budget: no request may fail for want of a token.
+func TestLoneFailuresAreRetried(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	budget := newBudget(t)
+	policy := DefaultPolicy()
+	for range 100_000 {
+		budget.Deposit()
+		failure := Failure{Idempotent: true, BodyReplayable: true, Attempts: 1, Remaining: time.Second}
+		for random.IntN(100) == 0 {
+			if denial := policy.Decide(failure, budget); denial == DenialBudget {
+				t.Fatalf("attempt %d denied for want of budget at 1 %% failures", failure.Attempts)
+			} else if denial != DenialNone {
+				break
+			}
+			failure.Attempts++
+		}
+	}
+}
+
+func TestBudgetSettingsAreChecked(t *testing.T) {
+	for _, s := range []BudgetSettings{{}, {Ratio: 2, Burst: 1}, {Ratio: 0.1}, {Ratio: -1, Burst: 1}} {
+		if _, err := NewBudget(s); err == nil {
+			t.Errorf("NewBudget(%+v) accepts them", s)
+		}
+	}
+}
