--- a/steer/document/decode.go
+++ b/steer/document/decode.go
@@ -11,7 +11,7 @@
 )
 
 // MaxSize is the largest document, in bytes.
-const MaxSize = 8 << 20
+const MaxSize = 2 << 20
 
 // Decode reads and checks a document and fills in its defaults. The file is
 // used in errors only. Errors: *Error, for the first fault.
--- a/steer/generation/settings.go
+++ b/steer/generation/settings.go
@@ -5,6 +5,7 @@
 // Defaults of Settings.
 const (
 	DefaultStaleAfter     = 5 * time.Second
+	DefaultMaxGap         = 3 * time.Second
 	DefaultConfirmDomains = 2
 )
 
@@ -24,6 +25,10 @@
 	StoreRegion string
 	// StaleAfter is the age at which knowledge is stale.
 	StaleAfter time.Duration
+	// MaxGap is the longest time between two reads of the store that are taken
+	// together: with both failed, the store counts as silent in between. It
+	// is more than a read's period and timeout together.
+	MaxGap time.Duration
 	// ConfirmDomains is the number of failure domains whose instances must
 	// agree before an instance becomes ready without the store, or goes on
 	// while the store is silent.
@@ -35,6 +40,7 @@
 	return Settings{
 		StoreRegion:    storeRegion,
 		StaleAfter:     DefaultStaleAfter,
+		MaxGap:         DefaultMaxGap,
 		ConfirmDomains: DefaultConfirmDomains,
 	}
 }
--- a/steer/generation/statement.go
+++ b/steer/generation/statement.go
@@ -18,6 +18,9 @@
 	// SilentAge is the time since that failed read began. It counts only when
 	// Silent.
 	SilentAge time.Duration `json:"silentAge"`
+	// SilentRun is the time since the first read of the unbroken run of failed
+	// reads began. It counts only when Silent.
+	SilentRun time.Duration `json:"silentRun"`
 }
 
 // Statement returns what the instance can tell others now.
@@ -26,42 +29,47 @@
 	if t.known {
 		s.Age = now.Sub(t.knownAsOf)
 	}
-	if t.silent {
+	if t.silence.on {
 		s.Silent = true
-		s.SilentAge = now.Sub(t.silentAsOf)
+		s.SilentAge = now.Sub(t.silence.until)
+		s.SilentRun = now.Sub(t.silence.since)
 	}
 	return s
 }
 
-// heard is a statement with its spans as moments on the hearer's clock. Each
-// moment is a lower bound: it is counted from the start of the exchange.
+// heard is a statement with the teller's silence on the hearer's clock.
 type heard struct {
-	statement  Statement
-	at         time.Time
-	knownAsOf  time.Time
-	silentAsOf time.Time
+	statement Statement
+	// at is when the statement was asked for.
+	at time.Time
+	// silence begins no earlier and ends no later than the teller's does.
+	silence silence
 }
 
 // PeerAnswered takes in the statement that a peer gave in answer to a question
-// sent at asked. The statement was made after asked, so that counting its
-// spans from asked never makes knowledge look younger than it is, however long
-// the answer took. It returns how the peer's head stands to the one followed;
-// with Newer the caller loads the document and calls Adopt with the result of
-// AsOf.
-func (t *Tracker) PeerAnswered(asked time.Time, s Statement) Relation {
+// sent at asked; the answer came at answered. The statement was made between
+// the two, so that spans count from asked where an early moment is the safe
+// one and from answered where a late one is. It returns how the peer's head
+// stands to the one followed; with Newer the caller loads the document and
+// calls Adopt with the result of AsOf.
+func (t *Tracker) PeerAnswered(asked, answered time.Time, s Statement) Relation {
 	if s.From.Instance == t.self.Instance {
 		return Older
 	}
-	h := heard{statement: s, at: asked, knownAsOf: s.AsOf(asked), silentAsOf: asked.Add(-s.SilentAge)}
-	last, known := t.peers[s.From.Instance]
-	if !known || !last.at.After(asked) {
+	t.prune(answered)
+	h := heard{statement: s, at: asked}
+	if s.Silent {
+		h.silence = silence{on: true, since: answered.Add(-s.SilentRun), until: asked.Add(-s.SilentAge)}
+	}
+	if last, known := t.peers[s.From.Instance]; !known || !last.at.After(asked) {
 		t.peers[s.From.Instance] = h
 	}
-	t.prune(asked)
 	relation := t.offered(s.Head)
 	if relation == Same && s.Known {
-		t.learn(h.knownAsOf)
+		t.learn(s.AsOf(asked))
 	}
+	t.countFailure(asked, s.From)
+	t.learnFromSilence()
 	return relation
 }
 
--- a/steer/generation/tracker.go
+++ b/steer/generation/tracker.go
@@ -1,9 +1,6 @@
 package generation
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Tracker is what one instance knows of the document in force. All moments
 // are readings of the instance's own monotonic clock.
@@ -19,9 +16,11 @@
 	knownAsOf time.Time
 	// answeredAsOf is the start of the latest read that the store answered.
 	answeredAsOf time.Time
-	// silent says that a read that began later, at silentAsOf, failed.
-	silent     bool
-	silentAsOf time.Time
+	// failedAsOf is the start of the latest read that failed since then; zero
+	// when there is none.
+	failedAsOf time.Time
+	// silence is the run of those failed reads that count.
+	silence silence
 	// storeRead says that the head came from the store itself at least once.
 	storeRead bool
 	ready     bool
@@ -41,7 +40,7 @@
 // with the same moment; until then the instance's knowledge does not get
 // younger.
 func (t *Tracker) StoreAnswered(started time.Time, head Head) Relation {
-	t.silent = false
+	t.silence, t.failedAsOf = silence{}, time.Time{}
 	if started.After(t.answeredAsOf) {
 		t.answeredAsOf = started
 	}
@@ -54,13 +53,12 @@
 }
 
 // StoreFailed takes in that a read of the store that began at started got no
-// answer. A read that began before an answered one is ignored.
+// answer. A read that began before an answered one is ignored. The caller then
+// asks its peers: the failure counts once one of them shows that this instance
+// is not merely cut off.
 func (t *Tracker) StoreFailed(started time.Time) {
-	if !started.After(t.answeredAsOf) {
-		return
-	}
-	if !t.silent || started.After(t.silentAsOf) {
-		t.silent, t.silentAsOf = true, started
+	if started.After(t.answeredAsOf) && started.After(t.failedAsOf) {
+		t.failedAsOf = started
 	}
 }
 
@@ -112,54 +110,7 @@
 	if !t.known {
 		return time.Time{}
 	}
-	asOf := t.knownAsOf
-	if silent, ok := t.confirmedSilence(); ok && silent.After(asOf) {
-		asOf = silent
-	}
-	return asOf.Add(t.settings.StaleAfter)
-}
-
-// confirmedSilence returns the latest moment at which the store was silent to
-// instances of enough failure domains of its own region. Without the store no
-// promotion is accepted, so what was known then has not changed.
-//
-// Only first-hand reports count, one for each failure domain, and none while a
-// newer head is known to exist.
-func (t *Tracker) confirmedSilence() (time.Time, bool) {
-	if t.behind() {
-		return time.Time{}, false
-	}
-	latest := map[string]time.Time{}
-	if t.silent && t.self.Region == t.settings.StoreRegion {
-		latest[t.self.FailureDomain] = t.silentAsOf
-	}
-	for _, h := range t.peers {
-		if !t.confirmsSilence(h.statement) {
-			continue
-		}
-		domain := h.statement.From.FailureDomain
-		if h.silentAsOf.After(latest[domain]) {
-			latest[domain] = h.silentAsOf
-		}
-	}
-	return nthLatest(latest, t.settings.ConfirmDomains)
-}
-
-func (t *Tracker) confirmsSilence(s Statement) bool {
-	return s.Silent && s.From.Region == t.settings.StoreRegion && t.head.Compare(s.Head) != Forked
-}
-
-// nthLatest returns the n-th latest of the moments.
-func nthLatest(moments map[string]time.Time, n int) (time.Time, bool) {
-	if n < 1 || len(moments) < n {
-		return time.Time{}, false
-	}
-	sorted := make([]time.Time, 0, len(moments))
-	for _, moment := range moments {
-		sorted = append(sorted, moment)
-	}
-	slices.SortFunc(sorted, func(a, b time.Time) int { return b.Compare(a) })
-	return sorted[n-1], true
+	return t.knownAsOf.Add(t.settings.StaleAfter)
 }
 
 // Ready says whether the instance may serve. It becomes ready when it has
--- /dev/null
+++ b/steer/generation/world_test.go
@@ -0,0 +1,215 @@
+package generation
+
+import (
+	"fmt"
+	"time"
+)
+
+// Periods of the modelled instances.
+const (
+	step        = 100 * time.Millisecond
+	readPeriod  = time.Second
+	readTimeout = time.Second
+)
+
+// promotion is one accepted write of the head row.
+type promotion struct {
+	head Head
+	at   time.Time
+}
+
+// world models a store in region kano and instances in two regions. It runs in
+// steps; messages are delivered after a delay.
+type world struct {
+	now       time.Time
+	delay     time.Duration // one way, between instances
+	storeDown bool
+	downSince time.Time
+	accepted  []promotion
+	instances []*node
+	regionCut bool
+	domainCut bool // kano-a is cut from everything outside it
+	names     int
+}
+
+// node is one instance of the world.
+type node struct {
+	place    Place
+	tracker  *Tracker
+	offset   time.Duration // its clock against the world's
+	storeCut bool
+	frozen   bool
+	nextRead time.Time
+	pending  []delivery
+	highest  uint64 // highest generation that it ever followed
+}
+
+// delivery is an answer on its way to a node.
+type delivery struct {
+	at    time.Time
+	apply func()
+}
+
+func newWorld(domains ...string) *world {
+	w := &world{now: time.Unix(1_000_000, 0), delay: 20 * time.Millisecond}
+	for i, domain := range domains {
+		n := &node{offset: time.Duration(i) * time.Hour}
+		n.place.FailureDomain = domain
+		w.instances = append(w.instances, n)
+		w.restart(n)
+	}
+	return w
+}
+
+// restart replaces the process of n by one that knows nothing.
+func (w *world) restart(n *node) {
+	w.names++
+	domain := n.place.FailureDomain
+	n.place = Place{
+		Instance:      fmt.Sprintf("i-%d", w.names),
+		Region:        domain[:len(domain)-2],
+		FailureDomain: domain,
+	}
+	n.tracker = NewTracker(n.place, DefaultSettings("kano"))
+	n.pending, n.highest, n.frozen, n.nextRead = nil, 0, false, w.now
+}
+
+func (w *world) local(n *node) time.Time { return w.now.Add(n.offset) }
+
+func (w *world) head() Head {
+	if len(w.accepted) == 0 {
+		return Head{}
+	}
+	return w.accepted[len(w.accepted)-1].head
+}
+
+// promote accepts a new generation, unless the store is down.
+func (w *world) promote() {
+	if w.storeDown {
+		return
+	}
+	g := w.head().Generation + 1
+	w.accepted = append(w.accepted, promotion{Head{g, fmt.Sprint("d", g)}, w.now})
+}
+
+func (w *world) setStoreDown(down bool) {
+	switch {
+	case down && !w.storeDown:
+		w.downSince = w.now
+	case !down && w.storeDown:
+		w.countFromNow()
+	}
+	w.storeDown = down
+}
+
+// countFromNow restarts the time allowed for promotions that the outage which
+// ends now may have hidden from every instance.
+func (w *world) countFromNow() {
+	for i := range w.accepted {
+		if w.hidden(w.accepted[i]) {
+			w.accepted[i].at = w.now
+		}
+	}
+}
+
+// hidden says that the latest outage began so soon after the promotion that
+// no instance may have read it. The operators' tool bridges this: it tells
+// the instances itself.
+func (w *world) hidden(p promotion) bool {
+	return !p.at.After(w.downSince) && w.downSince.Sub(p.at) < DefaultMaxGap+readTimeout
+}
+
+func (w *world) storeReachable(n *node) bool {
+	cut := n.storeCut || w.regionCut && n.place.Region != "kano" || w.domainCut && n.place.FailureDomain == "kano-a"
+	return !w.storeDown && !cut
+}
+
+func (w *world) linked(a, b *node) bool {
+	if w.regionCut && a.place.Region != b.place.Region {
+		return false
+	}
+	apart := (a.place.FailureDomain == "kano-a") != (b.place.FailureDomain == "kano-a")
+	return !w.domainCut || !apart
+}
+
+// run moves the world on by d.
+func (w *world) run(d time.Duration, check func()) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		for _, n := range w.instances {
+			if !n.frozen {
+				w.act(n)
+			}
+		}
+		check()
+	}
+}
+
+func (w *world) act(n *node) {
+	due := n.pending
+	n.pending = nil
+	for _, d := range due {
+		if d.at.After(w.now) {
+			n.pending = append(n.pending, d)
+			continue
+		}
+		d.apply()
+	}
+	if !n.nextRead.After(w.now) {
+		n.nextRead = w.now.Add(readPeriod)
+		w.read(n)
+	}
+	n.highest = max(n.highest, n.tracker.Head().Generation)
+}
+
+// read begins a read of the store; a silent one fails after the timeout, and
+// then the peers are asked.
+func (w *world) read(n *node) {
+	started, head := w.local(n), w.head()
+	if w.storeReachable(n) {
+		w.deliver(n, w.delay, func() {
+			if n.tracker.StoreAnswered(started, head) == Newer {
+				n.tracker.Adopt(head, started, true)
+			}
+		})
+		return
+	}
+	w.deliver(n, readTimeout, func() {
+		n.tracker.StoreFailed(started)
+		for _, peer := range w.instances {
+			if peer != n && w.linked(n, peer) {
+				w.ask(n, peer)
+			}
+		}
+	})
+}
+
+// ask carries out one exchange. The statement is made on the way there and
+// may be held up on the way back by a freeze of n.
+func (w *world) ask(n, peer *node) {
+	if peer.frozen {
+		return
+	}
+	asked := w.local(n)
+	statement := peer.tracker.Statement(w.local(peer))
+	w.deliver(n, 2*w.delay, func() {
+		if n.tracker.PeerAnswered(asked, w.local(n), statement) == Newer {
+			n.tracker.Adopt(statement.Head, statement.AsOf(asked), false)
+		}
+	})
+}
+
+func (w *world) deliver(n *node, after time.Duration, apply func()) {
+	tracker := n.tracker
+	n.pending = append(n.pending, delivery{at: w.now.Add(after), apply: func() {
+		if n.tracker == tracker {
+			apply()
+		}
+	}})
+}
+
+// serves says whether n lets a keyed request through now.
+func (w *world) serves(n *node) bool {
+	now := w.local(n)
+	return !n.frozen && n.tracker.Ready(now) && now.Before(n.tracker.FreshUntil())
+}
