--- /dev/null
+++ b/steer/generation/tracker_test.go
@@ -0,0 +1,155 @@
+package generation
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	start = time.Unix(2_000_000, 0)
+	one   = Head{Generation: 1, Digest: "d1"}
+	two   = Head{Generation: 2, Digest: "d2"}
+)
+
+func at(domain string) Place {
+	return Place{Instance: "i-" + domain, Region: domain[:len(domain)-2], FailureDomain: domain}
+}
+
+// informed returns an instance that read the store at start.
+func informed(domain string) *Tracker {
+	tracker := NewTracker(at(domain), DefaultSettings("kano"))
+	tracker.StoreAnswered(start, one)
+	tracker.Adopt(one, start, true)
+	return tracker
+}
+
+func silentPeer(domain string, head Head, run time.Duration) Statement {
+	place := at(domain)
+	place.Instance += "-peer"
+	return Statement{From: place, Head: head, Silent: true, SilentAge: 0, SilentRun: run}
+}
+
+func TestSilenceNeedsWitnesses(t *testing.T) {
+	const run = 2 * time.Second
+	tests := []struct {
+		desc, self string
+		peers      []Statement
+		extended   bool
+	}{
+		{"two domains of the store's region", "kano-a", []Statement{silentPeer("kano-b", one, run)}, true},
+		{"one domain of the store's region and a remote one", "kano-a", []Statement{silentPeer("kaduna-a", one, run)}, true},
+		{"remote instance with a witness in the store's region", "kaduna-a", []Statement{silentPeer("kano-b", one, run)}, true},
+		{"only the own domain", "kano-a", []Statement{silentPeer("kano-a", one, run)}, false},
+		{"only remote domains", "kaduna-a", []Statement{silentPeer("kaduna-b", one, run), silentPeer("sokoto-a", one, run)}, false},
+		{"peer that is not silent", "kano-a", []Statement{{From: at("kano-b"), Head: one}}, false},
+		{"peer whose run began too late", "kano-a", []Statement{silentPeer("kano-b", one, 0)}, false},
+		{"peer that follows a newer head", "kano-a", []Statement{silentPeer("kano-b", two, run)}, false},
+		{"newer head heard from another peer", "kano-a", []Statement{{From: at("kaduna-a"), Head: two}, silentPeer("kano-b", one, run)}, false},
+		{"peer that follows an older head", "kano-a", []Statement{silentPeer("kano-b", Head{}, run)}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			tracker := informed(tt.self)
+			before := tracker.FreshUntil()
+			tracker.StoreFailed(start.Add(time.Second))
+			asked := start.Add(DefaultMaxGap + time.Second)
+			for _, statement := range tt.peers {
+				tracker.PeerAnswered(asked, asked, statement)
+			}
+			if got := tracker.FreshUntil().After(before); got != tt.extended {
+				t.Errorf("extended = %v, want %v", got, tt.extended)
+			}
+		})
+	}
+}
+
+// TestIsolatedReadsDoNotCount covers an instance whose reads failed while it
+// reached nobody: only reads after that count.
+func TestIsolatedReadsDoNotCount(t *testing.T) {
+	for _, domain := range []string{"kano-a", "kaduna-a"} {
+		tracker := informed(domain)
+		for second := 1; second <= 10; second++ {
+			tracker.StoreFailed(start.Add(time.Duration(second) * time.Second))
+		}
+		now := start.Add(10500 * time.Millisecond)
+		tracker.PeerAnswered(now, now, silentPeer("kaduna-b", one, 10*time.Second))
+		tracker.PeerAnswered(now, now, silentPeer("kano-b", one, 0))
+		if !tracker.FreshUntil().Equal(start.Add(DefaultStaleAfter)) {
+			t.Errorf("%s: fresh for %v", domain, tracker.FreshUntil().Sub(start))
+		}
+	}
+}
+
+func TestSilenceBreaks(t *testing.T) {
+	var s silence
+	s.extend(start, DefaultMaxGap)
+	s.extend(start.Add(DefaultMaxGap), DefaultMaxGap)
+	if !s.since.Equal(start) {
+		t.Errorf("a run without a gap begins %v late", s.since.Sub(start))
+	}
+	late := start.Add(2*DefaultMaxGap + time.Millisecond)
+	s.extend(late, DefaultMaxGap)
+	if !s.since.Equal(late) {
+		t.Error("a run goes on over a gap")
+	}
+	s.extend(start, DefaultMaxGap)
+	if !s.until.Equal(late) {
+		t.Error("a late report moved the run back")
+	}
+}
+
+func TestAdopt(t *testing.T) {
+	tracker := informed("kano-a")
+	if !tracker.Adopt(two, time.Time{}, false) {
+		t.Fatal("a newer head was refused")
+	}
+	for _, head := range []Head{one, two, {Generation: 2, Digest: "other"}} {
+		if tracker.Adopt(head, start.Add(time.Hour), false) || tracker.Head() != two {
+			t.Errorf("adopted %v after %v", head, two)
+		}
+	}
+	if !tracker.FreshUntil().Equal(start.Add(DefaultStaleAfter)) {
+		t.Error("a refused head made knowledge younger")
+	}
+}
+
+func TestKnowledgeOfAnotherHeadDoesNotCount(t *testing.T) {
+	tracker := informed("kano-a")
+	later := start.Add(time.Second)
+	for _, head := range []Head{two, {Generation: 1, Digest: "other"}, {}} {
+		tracker.PeerAnswered(later, later, Statement{From: at("kano-b"), Head: head, Known: true})
+		tracker.StoreAnswered(later, head)
+	}
+	if !tracker.FreshUntil().Equal(start.Add(DefaultStaleAfter)) {
+		t.Error("knowledge of another head made this one's younger")
+	}
+}
+
+func TestReadyByPeers(t *testing.T) {
+	fresh := func(domain string, head Head) Statement { return Statement{From: at(domain), Head: head, Known: true} }
+	stale := fresh("kano-b", one)
+	stale.Age = DefaultStaleAfter
+	tests := []struct {
+		desc  string
+		peers []Statement
+		ready bool
+	}{
+		{"two failure domains", []Statement{fresh("kano-b", one), fresh("kaduna-a", one)}, true},
+		{"one failure domain", []Statement{fresh("kano-b", one)}, false},
+		{"a newer head is known", []Statement{fresh("kano-b", one), fresh("kaduna-a", one), fresh("sokoto-a", two)}, false},
+		{"a peer knows nothing", []Statement{fresh("kano-b", one), {From: at("kaduna-a")}}, false},
+		{"all knowledge is stale", []Statement{stale, {From: at("kaduna-a"), Head: one}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			tracker := NewTracker(at("kano-a"), DefaultSettings("kano"))
+			tracker.Adopt(one, time.Time{}, false)
+			for _, statement := range tt.peers {
+				tracker.PeerAnswered(start, start, statement)
+			}
+			if got := tracker.Ready(start); got != tt.ready {
+				t.Errorf("ready = %v, want %v", got, tt.ready)
+			}
+		})
+	}
+}
--- a/steer/generation/world_test.go
+++ b/steer/generation/world_test.go
@@ -154,12 +154,12 @@
 			continue
 		}
 		d.apply()
+		n.highest = max(n.highest, n.tracker.Head().Generation)
 	}
 	if !n.nextRead.After(w.now) {
 		n.nextRead = w.now.Add(readPeriod)
 		w.read(n)
 	}
-	n.highest = max(n.highest, n.tracker.Head().Generation)
 }
 
 // read begins a read of the store; a silent one fails after the timeout, and
@@ -169,7 +169,7 @@
 	if w.storeReachable(n) {
 		w.deliver(n, w.delay, func() {
 			if n.tracker.StoreAnswered(started, head) == Newer {
-				n.tracker.Adopt(head, started, true)
+				w.load(n, func() { n.tracker.Adopt(head, started, true) })
 			}
 		})
 		return
@@ -194,11 +194,14 @@
 	statement := peer.tracker.Statement(w.local(peer))
 	w.deliver(n, 2*w.delay, func() {
 		if n.tracker.PeerAnswered(asked, w.local(n), statement) == Newer {
-			n.tracker.Adopt(statement.Head, statement.AsOf(asked), false)
+			w.load(n, func() { n.tracker.Adopt(statement.Head, statement.AsOf(asked), false) })
 		}
 	})
 }
 
+// load adopts a head after its document was fetched.
+func (w *world) load(n *node, adopt func()) { w.deliver(n, w.delay, adopt) }
+
 func (w *world) deliver(n *node, after time.Duration, apply func()) {
 	tracker := n.tracker
 	n.pending = append(n.pending, delivery{at: w.now.Add(after), apply: func() {
