--- a/steer/generation/tracker_test.go
+++ b/steer/generation/tracker_test.go
@@ -64,18 +64,25 @@
 }
 
 // TestIsolatedReadsDoNotCount covers an instance whose reads failed while it
-// reached nobody: only reads after that count.
+// reached its neighbours only: just the reads after that count.
 func TestIsolatedReadsDoNotCount(t *testing.T) {
-	for _, domain := range []string{"kano-a", "kaduna-a"} {
-		tracker := informed(domain)
-		for second := 1; second <= 10; second++ {
-			tracker.StoreFailed(start.Add(time.Duration(second) * time.Second))
+	tests := []struct{ self, neighbour, witness string }{
+		{"kano-a", "kano-a", "kaduna-a"},
+		{"kaduna-a", "kaduna-b", "kano-b"},
+	}
+	for _, tt := range tests {
+		tracker := informed(tt.self)
+		neighbour := Statement{From: at(tt.neighbour), Head: one}
+		neighbour.From.Instance += "-neighbour"
+		now := start
+		for range 10 {
+			now = now.Add(time.Second)
+			tracker.StoreFailed(now)
+			tracker.PeerAnswered(now, now, neighbour)
 		}
-		now := start.Add(10500 * time.Millisecond)
-		tracker.PeerAnswered(now, now, silentPeer("kaduna-b", one, 10*time.Second))
-		tracker.PeerAnswered(now, now, silentPeer("kano-b", one, 0))
+		tracker.PeerAnswered(now, now, silentPeer(tt.witness, one, now.Sub(start)))
 		if !tracker.FreshUntil().Equal(start.Add(DefaultStaleAfter)) {
-			t.Errorf("%s: fresh for %v", domain, tracker.FreshUntil().Sub(start))
+			t.Errorf("%s: fresh for %v", tt.self, tracker.FreshUntil().Sub(start))
 		}
 	}
 }
