Add membership: leases with witnesses, eviction by promises

Cause: a dead instance's shares must come back within seconds, and with the table down for an hour every instance must go on with its whole share.

Ruled out: one short lease (stops everybody in an outage); a short lease on most and a two-hour lease on a floor (serves only the floor in an outage); asking every listed witness for a promise (two instances that die together lock each other's shares for two hours).

Change: each instance renews one row. While the table is silent the holder goes on as long as a majority of the witnesses named in its committed row answer. A taker needs promises from enough of them that no majority is left, and removes the row by compare-and-set. An unsettled renewal keeps its list of witnesses, and both lists must agree.

Found by the state machine while it was written: a name whose first write was in doubt, or that was evicted, must never be registered again, since row versions start over and a taker's older view matches the new row.

--- /dev/null
+++ b/steer/membership/lease.go
@@ -0,0 +1,178 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// Lease is the holder's side of its own row. It is not safe for concurrent
+// use.
+type Lease struct {
+	settings Settings
+
+	version    uint64    // version of the last renewal known to be committed; 0 is none
+	renewed    time.Time // when that renewal was sent
+	witnesses  []string  // witnesses that the committed row names
+	unsettled  bool      // a renewal is out
+	doubtful   bool      // an attempt of that renewal had an unknown outcome
+	pending    []string  // witnesses that the unsettled renewal names
+	firstAsked time.Time // when the unsettled renewal was first sent
+
+	spent bool // the row was removed
+
+	heard map[string]time.Time // per witness, when the last answered probe was sent
+}
+
+// NewLease returns a lease that is not held.
+func NewLease(s Settings) *Lease {
+	return &Lease{settings: s, heard: make(map[string]time.Time)}
+}
+
+// Version returns the version of the last renewal known to be committed; 0
+// means none. It is the expected version of the next write, and the version
+// that probes carry.
+func (l *Lease) Version() uint64 { return l.version }
+
+// Unsettled says that the outcome of a renewal is unknown.
+func (l *Lease) Unsettled() bool { return l.unsettled }
+
+// Begin starts a renewal at time asked and returns the witnesses that the row
+// must name. While an earlier renewal is unsettled, that is the earlier list:
+// the row then has one of two known contents, whichever write arrives. It must
+// not be called when NameSpent says so.
+func (l *Lease) Begin(asked time.Time, witnesses []string) []string {
+	if l.unsettled {
+		l.doubtful = true
+		return slices.Clone(l.pending)
+	}
+	l.unsettled = true
+	l.pending = slices.Clone(witnesses)
+	l.firstAsked = asked
+	return slices.Clone(l.pending)
+}
+
+// Committed reports that the renewal sent at asked was committed as version.
+func (l *Lease) Committed(version uint64, asked time.Time) {
+	l.version = version
+	l.renewed = asked
+	l.witnesses = l.pending
+	l.settle()
+}
+
+// NotCommitted reports that the last attempt certainly had no effect.
+func (l *Lease) NotCommitted() {
+	if !l.doubtful {
+		l.settle()
+	}
+}
+
+// Uncertain reports that the last attempt may have had an effect, now or
+// later.
+func (l *Lease) Uncertain() { l.doubtful = true }
+
+// Observed reports a read of the holder's own row. Only the holder writes the
+// row, so a newer version settles an unsettled renewal. The lease is counted
+// from the first attempt, as others may have seen the row since then.
+func (l *Lease) Observed(version uint64) {
+	if !l.unsettled || version <= l.version {
+		return
+	}
+	l.Committed(version, l.firstAsked)
+}
+
+// Lost ends the lease: the row was removed by an eviction.
+func (l *Lease) Lost() {
+	*l = *NewLease(l.settings)
+	l.spent = true
+}
+
+// NameSpent says that the instance must register under a new name. A name
+// whose first write is in doubt, or that was evicted, must not be written as a
+// new row again: versions would start over, and a taker that saw the first row
+// could take the second for it.
+func (l *Lease) NameSpent() bool {
+	return l.spent || l.version == 0 && l.doubtful
+}
+
+func (l *Lease) settle() {
+	l.unsettled = false
+	l.doubtful = false
+	l.pending = nil
+}
+
+// Heard reports that a witness answered a probe that was sent at asked and
+// carried version.
+func (l *Lease) Heard(witness string, version uint64, asked time.Time) {
+	if version != l.version {
+		return
+	}
+	if asked.After(l.heard[witness]) {
+		l.heard[witness] = asked
+	}
+}
+
+// Probes returns the witnesses to probe.
+func (l *Lease) Probes() []string {
+	all := slices.Clone(l.witnesses)
+	for _, w := range l.pending {
+		if !slices.Contains(all, w) {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
+// ValidUntil returns the end of the holder's right, on the holder's clock. The
+// zero time means that there is none.
+func (l *Lease) ValidUntil() time.Time {
+	if l.version == 0 {
+		return time.Time{}
+	}
+	end := l.renewed.Add(l.settings.Lease - l.settings.Guard)
+	if w := l.witnessedUntil(); w.After(end) {
+		end = w
+	}
+	if last := l.renewed.Add(l.settings.LongLease - l.settings.Guard); end.After(last) {
+		end = last
+	}
+	return end
+}
+
+// witnessedUntil returns the end of the right that witnesses give. With an
+// unsettled renewal the row may name either list, so both must agree.
+func (l *Lease) witnessedUntil() time.Time {
+	end := l.majorityHeard(l.witnesses)
+	if l.unsettled {
+		if p := l.majorityHeard(l.pending); p.Before(end) {
+			end = p
+		}
+	}
+	if end.IsZero() {
+		return end
+	}
+	return end.Add(l.settings.WitnessLease - l.settings.Guard)
+}
+
+// majorityHeard returns the latest time since which a majority of witnesses
+// has been asked and has answered.
+func (l *Lease) majorityHeard(witnesses []string) time.Time {
+	times := make([]time.Time, 0, len(witnesses))
+	for _, w := range witnesses {
+		if t, ok := l.heard[w]; ok {
+			times = append(times, t)
+		}
+	}
+	need := Majority(len(witnesses))
+	if len(times) < need {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[need-1]
+}
+
+// Majority returns how many of n witnesses must answer a holder.
+func Majority(n int) int { return n/2 + 1 }
+
+// PromisesNeeded returns how many of n witnesses must refuse a holder before
+// no majority can answer it.
+func PromisesNeeded(n int) int { return n - Majority(n) + 1 }
--- /dev/null
+++ b/steer/membership/lease_safety_test.go
@@ -0,0 +1,320 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// world is a store with one row per instance, and instances whose clocks have
+// nothing in common. Every message is drawn apart as sent, arrived and
+// answered, so that freezes, losses, delays and crossings are all in reach.
+type world struct {
+	settings Settings
+	now      time.Duration
+	nodes    []*node
+	store    map[string]stored
+	writes   []*write
+	probes   []*probe
+	promises []*promise
+}
+
+type stored struct {
+	version uint64
+	record  Record
+}
+
+type node struct {
+	name   string
+	epoch  int
+	offset time.Duration
+	lease  *Lease
+	guard  *Witness
+	watch  *Watch
+	got    map[string]map[string]bool // claim -> witnesses that promised
+}
+
+type write struct {
+	from      *node
+	expected  uint64
+	asked     time.Time
+	witnesses []string
+	arrived   bool
+	version   uint64 // as committed; 0 is a conflict
+}
+
+type probe struct {
+	from   *node
+	asked  time.Time
+	msg    Probe
+	done   bool
+	answer ProbeAnswer
+}
+
+type promise struct {
+	from *node
+	msg  PromiseRequest
+}
+
+func (w *world) clock(n *node) time.Time {
+	return time.Unix(0, 0).Add(w.now + n.offset)
+}
+
+func (w *world) valid(n *node) bool {
+	return w.clock(n).Before(n.lease.ValidUntil())
+}
+
+func (w *world) byName(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func pick[T any](t *rapid.T, from []T, label string) T {
+	if len(from) == 0 {
+		t.Skip("nothing to pick")
+	}
+	return from[rapid.IntRange(0, len(from)-1).Draw(t, label)]
+}
+
+func (w *world) evict(t *rapid.T, taker *node) {
+	for _, c := range taker.watch.Claims(taker.name, w.clock(taker)) {
+		have := len(taker.got[claimKey(c.Holder, c.Version)])
+		if have < c.Needed || w.store[c.Holder].version != c.Version {
+			continue
+		}
+		holder := w.byName(c.Holder)
+		if holder != nil && w.valid(holder) {
+			t.Fatalf("%s evicts %s at version %d while it is still valid for %v", taker.name, c.Holder, c.Version,
+				holder.lease.ValidUntil().Sub(w.clock(holder)))
+		}
+		delete(w.store, c.Holder)
+	}
+}
+
+func claimKey(holder string, version uint64) string { return fmt.Sprintf("%s@%d", holder, version) }
+
+func TestEvictionNeverMeetsAValidHolder(t *testing.T) {
+	evictions := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Heartbeat: time.Second, Lease: 3 * time.Second, Guard: 300 * time.Millisecond, WitnessLease: 2 * time.Second, LongLease: 40 * time.Second, Witnesses: 3}
+		w := &world{settings: s, store: make(map[string]stored)}
+		for i := range 4 {
+			w.nodes = append(w.nodes, w.fresh(i, 0))
+		}
+		w.settle()
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				w.pass(time.Duration(rapid.IntRange(1, 20).Draw(t, "tenths"))*100*time.Millisecond, drawSet(t, len(w.nodes), "readers"))
+			},
+			"pass long": func(t *rapid.T) {
+				readers := drawSet(t, len(w.nodes), "readers")
+				for range rapid.IntRange(2, 25).Draw(t, "steps") {
+					w.pass(2*time.Second, readers)
+				}
+			},
+			"send renewal": func(t *rapid.T) {
+				n := pick(t, w.nodes, "n")
+				w.send(n, w.someOthers(t, n))
+			},
+			"renewal arrives":   func(t *rapid.T) { w.arrive(pick(t, w.writes, "write")) },
+			"renewal answered":  func(t *rapid.T) { w.answer(pick(t, w.writes, "write"), true) },
+			"renewal times out": func(t *rapid.T) { w.answer(pick(t, w.writes, "write"), false) },
+			"reads own row": func(t *rapid.T) {
+				w.readOwn(rapid.IntRange(0, len(w.nodes)-1).Draw(t, "n"))
+			},
+			"renew": func(t *rapid.T) {
+				n := pick(t, w.nodes, "n")
+				w.send(n, w.someOthers(t, n))
+				last := w.writes[len(w.writes)-1]
+				w.arrive(last)
+				w.answer(last, rapid.Bool().Draw(t, "received"))
+			},
+			"probe round": func(t *rapid.T) {
+				n := pick(t, w.nodes, "n")
+				fates := rapid.SliceOfN(rapid.IntRange(0, 3), 8, 8).Draw(t, "fates")
+				for i, name := range n.lease.Probes() {
+					p := &probe{from: n, asked: w.clock(n), msg: Probe{Holder: n.name, Version: n.lease.Version(), Witness: name}}
+					w.probes = append(w.probes, p)
+					if fates[i] > 0 {
+						w.probeArrives(p)
+					}
+					if fates[i] > 1 {
+						w.probeAnswered(p)
+					}
+				}
+			},
+			"probe arrives":  func(t *rapid.T) { w.probeArrives(pick(t, w.probes, "p")) },
+			"probe answered": func(t *rapid.T) { w.probeAnswered(pick(t, w.probes, "p")) },
+			"take over": func(t *rapid.T) {
+				taker := pick(t, w.nodes, "taker")
+				reached := drawSet(t, len(w.nodes), "reached")
+				for _, c := range taker.watch.Claims(taker.name, w.clock(taker)) {
+					for i, o := range w.nodes {
+						if reached[i] && slices.Contains(c.Witnesses, o.name) {
+							w.promise(&promise{from: taker, msg: PromiseRequest{Holder: c.Holder, Version: c.Version, Witness: o.name}})
+						}
+					}
+				}
+				before := len(w.store)
+				w.evict(t, taker)
+				evictions += before - len(w.store)
+			},
+			"ask promises": func(t *rapid.T) {
+				n := pick(t, w.nodes, "n")
+				for _, c := range n.watch.Claims(n.name, w.clock(n)) {
+					for _, name := range c.Witnesses {
+						w.promises = append(w.promises, &promise{from: n, msg: PromiseRequest{Holder: c.Holder, Version: c.Version, Witness: name}})
+					}
+				}
+			},
+			"promise": func(t *rapid.T) { w.promise(pick(t, w.promises, "p")) },
+			"evict": func(t *rapid.T) {
+				before := len(w.store)
+				w.evict(t, pick(t, w.nodes, "taker"))
+				evictions += before - len(w.store)
+			},
+		})
+	})
+	if evictions == 0 {
+		t.Fatal("no run evicted anybody, so nothing was shown")
+	}
+	t.Logf("%d evictions", evictions)
+}
+
+func (w *world) fresh(place, epoch int) *node {
+	name := fmt.Sprintf("i%d.%d", place, epoch)
+	return &node{
+		name: name, epoch: epoch, offset: time.Duration(place*place) * 977 * time.Hour,
+		lease: NewLease(w.settings), guard: NewWitness(name, w.settings), watch: NewWatch(w.settings), got: make(map[string]map[string]bool),
+	}
+}
+
+// readOwn reads the row of the node at place. An evicted node comes back under
+// a new name.
+func (w *world) readOwn(place int) {
+	n := w.nodes[place]
+	if row, ok := w.store[n.name]; ok {
+		n.lease.Observed(row.version)
+	} else if n.lease.Version() > 0 {
+		n.lease.Lost()
+	}
+}
+
+// pass lets time go by, after which the readers read the rows.
+func (w *world) pass(d time.Duration, readers []bool) {
+	w.now += d
+	for i, n := range w.nodes {
+		if readers[i] {
+			w.read(n)
+		}
+	}
+}
+
+func (w *world) probeArrives(p *probe) {
+	if to := w.byName(p.msg.Witness); !p.done && to != nil {
+		p.done, p.answer = true, to.guard.Answer(w.clock(to), p.msg)
+	}
+}
+
+func (w *world) probeAnswered(p *probe) {
+	if p.answer.Answered {
+		p.from.lease.Heard(p.msg.Witness, p.msg.Version, p.asked)
+	}
+}
+
+func (w *world) promise(p *promise) {
+	to := w.byName(p.msg.Witness)
+	if to == nil || !to.guard.Promise(w.clock(to), p.msg).Promised {
+		return
+	}
+	key := claimKey(p.msg.Holder, p.msg.Version)
+	if p.from.got[key] == nil {
+		p.from.got[key] = make(map[string]bool)
+	}
+	p.from.got[key][to.name] = true
+}
+
+func drawSet(t *rapid.T, n int, label string) []bool {
+	return rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, label)
+}
+
+// settle registers every instance and lets everybody read.
+func (w *world) settle() {
+	for _, n := range w.nodes {
+		var others []string
+		for _, o := range w.nodes {
+			if o != n && len(others) < w.settings.Witnesses {
+				others = append(others, o.name)
+			}
+		}
+		w.send(n, others)
+		last := w.writes[len(w.writes)-1]
+		w.arrive(last)
+		w.answer(last, true)
+	}
+	for _, n := range w.nodes {
+		w.read(n)
+	}
+}
+
+func (w *world) send(n *node, witnesses []string) {
+	if n.lease.Unsettled() {
+		n.lease.Uncertain()
+	}
+	if n.lease.NameSpent() {
+		place := slices.Index(w.nodes, n)
+		n = w.fresh(place, n.epoch+1)
+		w.nodes[place] = n
+	}
+	asked := w.clock(n)
+	names := n.lease.Begin(asked, witnesses)
+	w.writes = append(w.writes, &write{from: n, expected: n.lease.Version(), asked: asked, witnesses: names})
+}
+
+func (w *world) someOthers(t *rapid.T, n *node) []string {
+	var others []string
+	for _, o := range w.nodes {
+		if o != n && len(others) < w.settings.Witnesses && rapid.Bool().Draw(t, "witness") {
+			others = append(others, o.name)
+		}
+	}
+	return others
+}
+
+func (w *world) arrive(x *write) {
+	if x.arrived {
+		return
+	}
+	x.arrived = true
+	if w.store[x.from.name].version != x.expected {
+		return
+	}
+	x.version = x.expected + 1
+	w.store[x.from.name] = stored{version: x.version, record: Record{Name: x.from.name, State: StateLive, Witnesses: x.witnesses}}
+}
+
+func (w *world) answer(x *write, received bool) {
+	w.writes = slices.DeleteFunc(w.writes, func(o *write) bool { return o == x && x.arrived })
+	switch {
+	case x.from.lease.Version() != x.expected || x.from.lease.NameSpent():
+	case !received || !x.arrived:
+		x.from.lease.Uncertain()
+	case x.version > 0:
+		x.from.lease.Committed(x.version, x.asked)
+	}
+}
+
+func (w *world) read(n *node) {
+	rows := make([]Row, 0, len(w.store))
+	for _, r := range w.store {
+		rows = append(rows, Row{Record: r.record, Version: r.version})
+	}
+	n.watch.Observe(w.clock(n), rows)
+}
--- /dev/null
+++ b/steer/membership/watch.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Member is an instance as others see it.
+type Member struct {
+	Record
+	// Version is the version of the row that the record was read from.
+	Version uint64
+	// Silent says that the row went unrenewed for longer than its lease.
+	Silent bool
+}
+
+// Usable says whether the member takes new work.
+func (m Member) Usable() bool { return !m.Silent && m.State == StateLive }
+
+// Watch is the others' side of the rows: who is live, who is leaving, who may
+// be evicted. It is not safe for concurrent use.
+type Watch struct {
+	settings Settings
+	lastRead time.Time
+	rows     map[string]watched
+	listed   map[string]bool // processes that the platform reports as leaving
+}
+
+type watched struct {
+	record  Record
+	version uint64
+	seen    time.Time // when a read that showed this version first ended
+	since   time.Time // start of the unbroken series of reads that showed it
+}
+
+// NewWatch returns a watch that has seen nothing.
+func NewWatch(s Settings) *Watch {
+	return &Watch{settings: s, rows: make(map[string]watched), listed: make(map[string]bool)}
+}
+
+// Row is one row as read.
+type Row struct {
+	Record  Record
+	Version uint64
+}
+
+// Observe takes in a complete read of the rows that ended at done. After a gap
+// in the reads silence is counted afresh, so that nobody is taken for dead
+// because the table was.
+func (w *Watch) Observe(done time.Time, rows []Row) {
+	broken := w.lastRead.IsZero() || done.Sub(w.lastRead) > w.settings.readGap()
+	next := make(map[string]watched, len(rows))
+	for _, r := range rows {
+		old, known := w.rows[r.Record.Name]
+		if known && r.Version < old.version {
+			next[r.Record.Name] = old
+			continue
+		}
+		entry := watched{record: r.Record, version: r.Version, seen: done, since: done}
+		if known && old.version == r.Version {
+			entry.seen = old.seen
+			if !broken {
+				entry.since = old.since
+			}
+		}
+		next[r.Record.Name] = entry
+	}
+	w.rows = next
+	w.lastRead = done
+}
+
+// ObserveListing takes in the platform's list: the processes it reports as
+// leaving. The list lags, so it never makes an instance live or dead.
+func (w *Watch) ObserveListing(leaving []string) {
+	w.listed = make(map[string]bool, len(leaving))
+	for _, process := range leaving {
+		w.listed[process] = true
+	}
+}
+
+// Members returns the members in the order of their names. While the table is
+// silent it stays as it was at the last read.
+func (w *Watch) Members() []Member {
+	members := make([]Member, 0, len(w.rows))
+	for _, r := range w.rows {
+		m := Member{Record: r.record, Version: r.version, Silent: w.silentAtLastRead(r)}
+		if w.listed[m.Process] {
+			m.State = StateLeaving
+		}
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+func (w *Watch) silentAtLastRead(r watched) bool {
+	return w.lastRead.Sub(r.since) >= w.settings.Lease+w.settings.Guard
+}
+
+// Claim is what a taker knows about a silent holder.
+type Claim struct {
+	// Holder names the silent instance.
+	Holder string
+	// Version is the expected version of its row in the eviction.
+	Version uint64
+	// Witnesses are the instances to ask for promises.
+	Witnesses []string
+	// Needed is the number of promises without which the holder may still be
+	// using what it holds; 0 when its long lease has ended.
+	Needed int
+}
+
+// Claims returns the holders that may be evicted with enough promises, as seen
+// by the instance called self. Each silent holder is left for a while to the
+// instance that ranks first for it.
+func (w *Watch) Claims(self string, now time.Time) []Claim {
+	var claims []Claim
+	for _, m := range w.Members() {
+		r := w.rows[m.Name]
+		if m.Name == self || !m.Silent {
+			continue
+		}
+		turn := time.Duration(w.rank(self, m.Name)) * w.settings.Heartbeat
+		if now.Sub(r.since) < w.settings.Lease+w.settings.Guard+turn {
+			continue
+		}
+		claim := Claim{Holder: m.Name, Version: m.Version, Witnesses: slices.Clone(m.Witnesses)}
+		if now.Sub(r.seen) < w.settings.LongLease+w.settings.Guard {
+			claim.Needed = PromisesNeeded(len(claim.Witnesses))
+		}
+		claims = append(claims, claim)
+	}
+	return claims
+}
+
+// rank returns the place of self among the usable members that could evict
+// holder.
+func (w *Watch) rank(self, holder string) int {
+	place := 0
+	own := score(holder, self)
+	for _, m := range w.Members() {
+		if m.Name != self && m.Name != holder && m.Usable() && score(holder, m.Name) > own {
+			place++
+		}
+	}
+	return place
+}
--- /dev/null
+++ b/steer/membership/witnesses.go
@@ -0,0 +1,48 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// score is the rendezvous hash of a candidate for a key: Thaler and
+// Ravishankar, "Using Name-Based Mappings to Increase Hit Rates" (1998).
+func score(key, candidate string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(candidate)
+	return d.Sum64()
+}
+
+// ChooseWitnesses returns up to n witnesses for self out of the usable
+// members, in turn from the region with the fewest so far, so that no region
+// that fails takes a majority with it. The choice within a region is by
+// rendezvous hashing, so that a change of one member changes few lists.
+func ChooseWitnesses(self string, members []Member, n int) []string {
+	var rest []Member
+	for _, m := range members {
+		if m.Name != self && m.Usable() {
+			rest = append(rest, m)
+		}
+	}
+	slices.SortFunc(rest, func(a, b Member) int { return cmp.Compare(score(self, b.Name), score(self, a.Name)) })
+	chosen := make([]string, 0, n)
+	perRegion := make(map[string]int)
+	for len(chosen) < n && len(rest) > 0 {
+		best := 0
+		for i, m := range rest {
+			if perRegion[m.Region] < perRegion[rest[best].Region] {
+				best = i
+			}
+		}
+		chosen = append(chosen, rest[best].Name)
+		perRegion[rest[best].Region]++
+		rest = slices.Delete(rest, best, best+1)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
