Add share: divisions, accounts, targets and moves

Cause: a team's rate and burst are counted over all instances, so each may use only its part, and parts must move without ever summing to more than the whole.

Change: a Division is a row of the table; an Account keeps what one instance owns, has set aside for a gift, has lent and has borrowed. A gift stays aside until the row has moved past the version it was based on, so that a lost answer or a late write never doubles it. Targets meet the demand first and spread the rest over demand and homes.

--- /dev/null
+++ b/steer/share/account.go
@@ -0,0 +1,115 @@
+package share
+
+import (
+	"slices"
+	"time"
+)
+
+// Account is what one instance may use of a resource. Parts that are lent and
+// borrowed come back by themselves at their end. It is not safe for
+// concurrent use.
+type Account struct {
+	owned    Units
+	reserved Units
+	lent     []loan
+	borrowed []loan
+	version  uint64 // version of the row that owned was read from
+	base     uint64 // version of the row that a reserved gift was based on
+}
+
+type loan struct {
+	id    string
+	units Units
+	end   time.Time
+}
+
+// Owned returns the units that the table gives to the instance.
+func (a *Account) Owned() Units { return a.owned }
+
+// Usable returns the units that the instance may use as of the last Expire.
+func (a *Account) Usable() Units {
+	return a.owned - a.reserved - sumUnits(a.lent) + sumUnits(a.borrowed)
+}
+
+// Giveable returns the units that the instance owns and has neither lent nor
+// set aside.
+func (a *Account) Giveable() Units { return a.owned - a.reserved - sumUnits(a.lent) }
+
+func sumUnits(loans []loan) Units {
+	var sum Units
+	for _, l := range loans {
+		sum += l.units
+	}
+	return sum
+}
+
+// Version returns the version of the row that the account reflects.
+func (a *Account) Version() uint64 { return a.version }
+
+// Observe takes in the instance's units as read from the row at version. Older
+// versions are passed over. A newer version settles a reserved gift: the row
+// either has it or, as the gift was conditional on an older version, never
+// will.
+func (a *Account) Observe(version uint64, owned Units) {
+	if version < a.version || version == 0 {
+		return
+	}
+	a.version = version
+	a.owned = owned
+	if version > a.base {
+		a.reserved = 0
+	}
+}
+
+// Reserve sets units aside for a gift that is written on the condition that
+// the row still has the account's version. It reports whether that many units
+// could be set aside; one gift at a time can be.
+func (a *Account) Reserve(units Units) bool {
+	if a.reserved > 0 || units <= 0 || units > a.Giveable() {
+		return false
+	}
+	a.reserved = units
+	a.base = a.version
+	return true
+}
+
+// Release takes back a reserved gift that certainly was not written.
+func (a *Account) Release() { a.reserved = 0 }
+
+// Reserved returns the units set aside for a gift.
+func (a *Account) Reserved() Units { return a.reserved }
+
+// Lend sets units aside until end.
+func (a *Account) Lend(id string, units Units, end time.Time) {
+	a.lent = append(a.lent, loan{id: id, units: units, end: end})
+}
+
+// Borrow adds units until end.
+func (a *Account) Borrow(id string, units Units, end time.Time) {
+	a.borrowed = append(a.borrowed, loan{id: id, units: units, end: end})
+}
+
+// NextExpiry returns the end of the loan that ends first, or false when there
+// is none.
+func (a *Account) NextExpiry() (time.Time, bool) {
+	var first time.Time
+	for _, l := range slices.Concat(a.lent, a.borrowed) {
+		if first.IsZero() || l.end.Before(first) {
+			first = l.end
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// HasLoans says whether anything is lent or borrowed.
+func (a *Account) HasLoans() bool { return len(a.lent)+len(a.borrowed) > 0 }
+
+// Expire ends the loans that end at or before now.
+func (a *Account) Expire(now time.Time) {
+	over := func(l loan) bool { return !l.end.After(now) }
+	a.lent = slices.DeleteFunc(a.lent, over)
+	a.borrowed = slices.DeleteFunc(a.borrowed, over)
+}
+
+// Reset empties the account, after the instance has lost its lease.
+func (a *Account) Reset() { *a = Account{} }
--- /dev/null
+++ b/steer/share/targets.go
@@ -0,0 +1,142 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Claimant is an instance that may hold a part of a resource.
+type Claimant struct {
+	// Instance names the member.
+	Instance string
+	// Region is where it runs.
+	Region string
+	// Demand is the demand it sees, in requests a second.
+	Demand float64
+	// Home says whether callers of its region are sent to it.
+	Home bool
+}
+
+// Targets returns how many units each claimant should hold of a resource that
+// gives rate requests a second, in the order of the claimants. Demand is met
+// first; what is left goes half by demand and half to the homes of the
+// regions that the demand comes from, so that a second home can step in.
+func Targets(rate float64, claimants []Claimant) []Units {
+	weights := make([]float64, len(claimants))
+	total := 0.0
+	for _, c := range claimants {
+		total += c.Demand
+	}
+	met := 1.0
+	if total > rate {
+		met = rate / total
+	}
+	left := rate - total*met
+	for i, c := range claimants {
+		weights[i] = c.Demand * met
+		if total > 0 {
+			weights[i] += left / 2 * c.Demand / total
+		}
+	}
+	spread := left / 2
+	if total == 0 {
+		spread = left
+	}
+	addHomes(weights, claimants, spread, total)
+	return round(weights)
+}
+
+// addHomes spreads extra over the homes, by the demand of their regions.
+func addHomes(weights []float64, claimants []Claimant, extra, total float64) {
+	demand := make(map[string]float64)
+	homes := make(map[string]int)
+	for _, c := range claimants {
+		demand[c.Region] += c.Demand
+		if c.Home {
+			homes[c.Region]++
+		}
+	}
+	for i, c := range claimants {
+		if !c.Home {
+			continue
+		}
+		part := 1 / float64(len(homes))
+		if total > 0 {
+			part = demand[c.Region] / total
+		}
+		weights[i] += extra * part / float64(homes[c.Region])
+	}
+}
+
+// round turns weights into units that sum to Whole, or to 0 without weights.
+func round(weights []float64) []Units {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	units := make([]Units, len(weights))
+	if sum <= 0 {
+		return units
+	}
+	left := Whole
+	largest := 0
+	for i, w := range weights {
+		units[i] = Units(math.Floor(w / sum * float64(Whole)))
+		left -= units[i]
+		if w > weights[largest] {
+			largest = i
+		}
+	}
+	units[largest] += left
+	return units
+}
+
+// Hand returns the moves that spread units of one holder over those that are
+// furthest below their targets. The holder itself gets none.
+func Hand(d Division, from string, units Units, claimants []Claimant, targets []Units) []Move {
+	type lack struct {
+		instance string
+		units    Units
+	}
+	var lacks []lack
+	var total Units
+	for i, c := range claimants {
+		if n := targets[i] - d.Of(c.Instance); n > 0 && c.Instance != from {
+			lacks = append(lacks, lack{instance: c.Instance, units: n})
+			total += n
+		}
+	}
+	slices.SortFunc(lacks, func(a, b lack) int {
+		return cmp.Or(cmp.Compare(b.units, a.units), strings.Compare(a.instance, b.instance))
+	})
+	var moves []Move
+	for _, l := range lacks {
+		n := l.units
+		if total > units {
+			n = l.units * units / total
+		}
+		if n > 0 {
+			moves = append(moves, Move{From: from, To: l.instance, Units: n})
+		}
+	}
+	return moves
+}
+
+// Gift returns the moves by which a holder gives away what it has above its
+// target. Differences below slack units are left alone, so that noise in the
+// demand moves nothing.
+func Gift(d Division, self string, claimants []Claimant, targets []Units, slack Units) []Move {
+	for i, c := range claimants {
+		if c.Instance != self {
+			continue
+		}
+		surplus := d.Of(self) - targets[i]
+		if surplus < slack {
+			return nil
+		}
+		return Hand(d, self, surplus, claimants, targets)
+	}
+	return nil
+}
