Add limit: team token buckets over shares, with loans

Cause: no team may get more than its rate and burst, counted over all instances, through kills, freezes, lost answers and crossed messages.

Ruled out: moving bare tokens between instances. The lender refills while the tokens are on their way or unspent, so some window has more than the burst.

Change: Bucket, Limiter (32 shards, each under its lock), Ask/Lend/Receive, gifts that stay aside until the row has moved, Confirm right before the send. A request in hand through a freeze is refused as not run unless the lease under which it was admitted still holds.

--- /dev/null
+++ b/steer/limit/bucket.go
@@ -0,0 +1,142 @@
+package limit
+
+import (
+	"math"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// Bucket is the token bucket of one team at one instance. It is not safe for
+// concurrent use.
+type Bucket struct {
+	quota   Quota
+	account share.Account
+	tokens  float64
+	last    time.Time
+	demand  demand
+	loans   loanBook
+}
+
+// NewBucket returns a bucket without a part and without tokens.
+func NewBucket(q Quota, now time.Time) *Bucket {
+	return &Bucket{quota: q, last: now, loans: newLoanBook()}
+}
+
+// size returns how many tokens the bucket holds at most.
+func (b *Bucket) size() float64 {
+	return b.quota.Burst * part(b.account.Usable())
+}
+
+// rate returns how many tokens the bucket gains in a second.
+func (b *Bucket) rate() float64 {
+	return b.quota.Rate * part(b.account.Usable())
+}
+
+func part(u share.Units) float64 {
+	return float64(max(u, 0)) / float64(share.Whole)
+}
+
+// advance brings the tokens up to now, loan end by loan end.
+func (b *Bucket) advance(now time.Time) {
+	for b.account.HasLoans() {
+		end, ok := b.account.NextExpiry()
+		if !ok || end.After(now) {
+			break
+		}
+		b.fill(end)
+		b.account.Expire(end)
+		b.clip()
+	}
+	b.fill(now)
+}
+
+func (b *Bucket) fill(now time.Time) {
+	if !now.After(b.last) {
+		return
+	}
+	b.tokens = math.Min(b.size(), b.tokens+b.rate()*now.Sub(b.last).Seconds())
+	b.last = now
+}
+
+func (b *Bucket) clip() { b.tokens = math.Min(b.tokens, b.size()) }
+
+// Take takes a token at time now, or says how long one needs to come.
+func (b *Bucket) Take(now time.Time) Decision {
+	b.advance(now)
+	b.demand.add(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return Decision{}
+	}
+	return b.refusal()
+}
+
+// TryAgain is Take for a request that was counted in the demand before.
+func (b *Bucket) TryAgain(now time.Time) Decision {
+	b.advance(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return Decision{}
+	}
+	return b.refusal()
+}
+
+func (b *Bucket) refusal() Decision {
+	rate := b.rate()
+	if rate <= 0 || b.size() < 1 {
+		return Decision{Reason: ReasonNoPart}
+	}
+	wait := time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	return Decision{Reason: ReasonRate, RetryAfter: wait}
+}
+
+// Demand returns the smoothed demand in requests a second.
+func (b *Bucket) Demand(now time.Time) float64 { return b.demand.rate(now) }
+
+// Owned returns the units that the table gives to the instance.
+func (b *Bucket) Owned() share.Units { return b.account.Owned() }
+
+// SetQuota changes the team's quota. Tokens above the new size are lost.
+func (b *Bucket) SetQuota(now time.Time, q Quota) {
+	b.advance(now)
+	b.quota = q
+	b.clip()
+}
+
+// Observe takes in the instance's units as read from the row at version. What
+// it gained starts without tokens.
+func (b *Bucket) Observe(now time.Time, version uint64, owned share.Units) {
+	b.advance(now)
+	b.account.Observe(version, owned)
+	b.clip()
+}
+
+// Reserve sets units aside for a gift that is written on the condition that
+// the row still has the returned version. It reports whether it could.
+func (b *Bucket) Reserve(now time.Time, units share.Units) (version uint64, ok bool) {
+	b.advance(now)
+	ok = b.account.Reserve(units)
+	b.clip()
+	return b.account.Version(), ok
+}
+
+// Release takes back a gift that certainly was not written.
+func (b *Bucket) Release(now time.Time) {
+	b.advance(now)
+	b.account.Release()
+}
+
+// Giveable returns the units that could be given away.
+func (b *Bucket) Giveable(now time.Time) share.Units {
+	b.advance(now)
+	return b.account.Giveable()
+}
+
+// Reset empties the bucket, after the instance has lost its lease.
+func (b *Bucket) Reset(now time.Time) {
+	b.advance(now)
+	b.account.Reset()
+	b.tokens = 0
+	b.loans = newLoanBook()
+}
--- /dev/null
+++ b/steer/limit/demand.go
@@ -0,0 +1,43 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// demandWindow is the time constant of the smoothed demand.
+const demandWindow = 15 * time.Second
+
+// demand is an exponentially weighted rate of requests, refused ones included.
+// Before a whole window has gone by it is the mean since the start.
+type demand struct {
+	start time.Time
+	last  time.Time
+	value float64 // weighted count
+}
+
+func (d *demand) add(now time.Time) {
+	if d.last.IsZero() {
+		d.start = now
+	}
+	d.decay(now)
+	d.value++
+}
+
+func (d *demand) decay(now time.Time) {
+	if gap := now.Sub(d.last); !d.last.IsZero() && gap > 0 {
+		d.value *= math.Exp(-gap.Seconds() / demandWindow.Seconds())
+	}
+	d.last = now
+}
+
+// rate returns requests a second.
+func (d *demand) rate(now time.Time) float64 {
+	if d.last.IsZero() {
+		return 0
+	}
+	value := d.value * math.Exp(-now.Sub(d.last).Seconds()/demandWindow.Seconds())
+	age := math.Max(now.Sub(d.start).Seconds(), 1)
+	seen := demandWindow.Seconds() * (1 - math.Exp(-age/demandWindow.Seconds()))
+	return value / seen
+}
--- /dev/null
+++ b/steer/limit/limiter.go
@@ -0,0 +1,223 @@
+package limit
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// shardCount is the number of parts that the teams are spread over, each under
+// its own lock. It is a power of two.
+const shardCount = 32
+
+// noLeaseRetry is how long a caller is told to stay away from an instance
+// whose lease has ended.
+const noLeaseRetry = time.Second
+
+// Limiter holds the buckets of all teams at one instance. It is safe for
+// concurrent use.
+type Limiter struct {
+	lease  atomic.Pointer[lease]
+	shards [shardCount]shard
+}
+
+// lease is the instance's right to use its parts.
+type lease struct {
+	until time.Time
+	epoch uint64
+}
+
+type shard struct {
+	mu      sync.Mutex
+	buckets map[string]*Bucket
+}
+
+// NewLimiter returns a limiter without teams and without a lease.
+func NewLimiter() *Limiter {
+	l := &Limiter{}
+	l.lease.Store(&lease{})
+	for i := range l.shards {
+		l.shards[i].buckets = make(map[string]*Bucket)
+	}
+	return l
+}
+
+func (l *Limiter) shard(team string) *shard {
+	return &l.shards[xxhash.Sum64String(team)&(shardCount-1)]
+}
+
+// with calls f with the team's bucket under its lock and reports whether there
+// is one.
+func (l *Limiter) with(team string, f func(*Bucket)) bool {
+	s := l.shard(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[team]
+	if ok {
+		f(b)
+	}
+	return ok
+}
+
+// SetLease sets the end of the instance's right on its own clock. The epoch
+// changes whenever the instance lost its lease in between.
+func (l *Limiter) SetLease(until time.Time, epoch uint64) {
+	l.lease.Store(&lease{until: until, epoch: epoch})
+}
+
+// LeaseUntil returns the end of the instance's right.
+func (l *Limiter) LeaseUntil() time.Time { return l.lease.Load().until }
+
+// Reset empties all buckets, after the instance lost its lease. SetLease with
+// the zero time and the next epoch goes before it.
+func (l *Limiter) Reset(now time.Time) {
+	l.each(func(_ string, b *Bucket) { b.Reset(now) })
+}
+
+// each calls f with each bucket under its shard's lock.
+func (l *Limiter) each(f func(team string, b *Bucket)) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for team, b := range s.buckets {
+			f(team, b)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// SetQuotas sets the teams and their quotas. A team that goes loses its
+// bucket; a new one starts without a part.
+func (l *Limiter) SetQuotas(now time.Time, quotas map[string]Quota) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for team, b := range s.buckets {
+			if q, ok := quotas[team]; ok {
+				b.SetQuota(now, q)
+			} else {
+				delete(s.buckets, team)
+			}
+		}
+		s.mu.Unlock()
+	}
+	for team, q := range quotas {
+		s := l.shard(team)
+		s.mu.Lock()
+		if s.buckets[team] == nil {
+			s.buckets[team] = NewBucket(q, now)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Allow decides on a request of a team that arrives at now, and takes a token
+// when it admits it.
+func (l *Limiter) Allow(now time.Time, team string) Decision {
+	return l.decide(now, team, (*Bucket).Take)
+}
+
+// TryAgain is Allow for a request that was refused before and has waited.
+func (l *Limiter) TryAgain(now time.Time, team string) Decision {
+	return l.decide(now, team, (*Bucket).TryAgain)
+}
+
+func (l *Limiter) decide(now time.Time, team string, take func(*Bucket, time.Time) Decision) Decision {
+	held := l.lease.Load()
+	if !now.Before(held.until) {
+		return Decision{Reason: ReasonNoLease, RetryAfter: noLeaseRetry}
+	}
+	s := l.shard(team)
+	s.mu.Lock()
+	b, ok := s.buckets[team]
+	if !ok {
+		s.mu.Unlock()
+		return Decision{Reason: ReasonUnknownTeam}
+	}
+	d := take(b, now)
+	s.mu.Unlock()
+	d.Epoch = held.epoch
+	return d
+}
+
+// Confirm checks an admitted request again right before it is sent. It returns
+// ReasonLeaseChanged when the lease under which it was admitted has ended or
+// was replaced, as after a freeze: its token may have been given to others.
+func (l *Limiter) Confirm(now time.Time, admitted Decision) Reason {
+	held := l.lease.Load()
+	if held.epoch != admitted.Epoch || !now.Before(held.until) {
+		return ReasonLeaseChanged
+	}
+	return ReasonNone
+}
+
+// Observe takes in the instance's part of a team as read from the row at
+// version.
+func (l *Limiter) Observe(now time.Time, team string, version uint64, owned share.Units) {
+	l.with(team, func(b *Bucket) { b.Observe(now, version, owned) })
+}
+
+// Reserve sets units of a team aside for a gift that is written on the
+// condition that the row still has the returned version.
+func (l *Limiter) Reserve(now time.Time, team string, units share.Units) (version uint64, ok bool) {
+	l.with(team, func(b *Bucket) { version, ok = b.Reserve(now, units) })
+	return version, ok
+}
+
+// Release takes back a gift that certainly was not written.
+func (l *Limiter) Release(now time.Time, team string) {
+	l.with(team, func(b *Bucket) { b.Release(now) })
+}
+
+// Giveable returns the units of a team that could be given away.
+func (l *Limiter) Giveable(now time.Time, team string) (units share.Units) {
+	l.with(team, func(b *Bucket) { units = b.Giveable(now) })
+	return units
+}
+
+// Ask returns the request for a loan of a team's part, to be sent at now.
+func (l *Limiter) Ask(now time.Time, id, team string, waiting int) (r LoanRequest, ok bool) {
+	ok = l.with(team, func(b *Bucket) { r = b.Ask(now, id, team, waiting) })
+	return r, ok
+}
+
+// Lend answers another instance's request for a loan.
+func (l *Limiter) Lend(now time.Time, r LoanRequest) Loan {
+	loan := Loan{ID: r.ID}
+	l.with(r.Team, func(b *Bucket) { loan = b.Lend(now, l.lease.Load().until, r) })
+	return loan
+}
+
+// Receive takes in the answer to a request for a loan.
+func (l *Limiter) Receive(now time.Time, team string, loan Loan) {
+	l.with(team, func(b *Bucket) { b.Receive(now, loan) })
+}
+
+// TeamDemand is the demand for one team at this instance.
+type TeamDemand struct {
+	// Team names the team.
+	Team string
+	// Rate is in requests a second, refused ones included.
+	Rate float64
+}
+
+// Demands returns the teams with demand, in the order of their names.
+func (l *Limiter) Demands(now time.Time) []TeamDemand {
+	var demands []TeamDemand
+	l.each(func(team string, b *Bucket) {
+		if rate := b.Demand(now); rate >= smallestDemand {
+			demands = append(demands, TeamDemand{Team: team, Rate: rate})
+		}
+	})
+	slices.SortFunc(demands, func(a, b TeamDemand) int { return strings.Compare(a.Team, b.Team) })
+	return demands
+}
+
+// smallestDemand is the demand in requests a second that is still told.
+const smallestDemand = 0.01
--- /dev/null
+++ b/steer/limit/safety_test.go
@@ -0,0 +1,292 @@
+package limit
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+const team = "ward-01"
+
+// fleet is a table row and instances with clocks that have nothing in common.
+// It ends leases and evicts only holders whose lease has ended, which is what
+// package membership holds; everything else may be lost, late, twice or
+// crossed.
+type fleet struct {
+	now      time.Duration
+	quota    Quota
+	row      share.Division
+	version  uint64
+	nodes    []*instance
+	reads    []read
+	gifts    []gift
+	requests []LoanRequest
+	loans    []Loan
+	inHand   []admitted
+
+	// tokens is the bucket of the whole team: if it ever lacks a token, some
+	// window had more than rate times its length plus the burst.
+	tokens float64
+	at     time.Duration
+	sent   int
+}
+
+type instance struct {
+	name    string
+	epoch   uint64
+	offset  time.Duration
+	limiter *Limiter
+	until   time.Duration // end of the lease in the fleet's time
+	evicted bool
+}
+
+type read struct {
+	to      *instance
+	epoch   uint64
+	version uint64
+	units   share.Units
+}
+
+type gift struct {
+	from    *instance
+	version uint64
+	moves   []share.Move
+}
+
+type admitted struct {
+	at       *instance
+	decision Decision
+}
+
+func (f *fleet) clock(n *instance) time.Time { return time.Unix(0, 0).Add(f.now + n.offset) }
+
+func (f *fleet) member(n *instance) string { return fmt.Sprintf("%s~%d", n.name, n.epoch) }
+
+func (f *fleet) renew(n *instance, life time.Duration) {
+	n.until = f.now + life
+	n.limiter.SetLease(f.clock(n).Add(life), n.epoch)
+}
+
+func (f *fleet) count(t *rapid.T) {
+	f.tokens = math.Min(f.quota.Burst, f.tokens+f.quota.Rate*(f.now-f.at).Seconds())
+	f.at = f.now
+	f.tokens--
+	f.sent++
+	if f.tokens < -1e-6 {
+		t.Fatalf("request %d exceeds rate and burst by %.3f", f.sent, -f.tokens)
+	}
+}
+
+func (f *fleet) readRow(n *instance) read {
+	return read{to: n, epoch: n.epoch, version: f.version, units: f.row.Of(f.member(n))}
+}
+
+func (f *fleet) take(r read) {
+	if r.to.epoch == r.epoch {
+		r.to.limiter.Observe(f.clock(r.to), team, r.version, r.units)
+	}
+}
+
+func (f *fleet) write(moves []share.Move) {
+	row, err := f.row.Apply(moves)
+	if err != nil {
+		panic(err)
+	}
+	f.row = row
+	f.version++
+}
+
+// offer lets up to n requests arrive and counts those admitted as sent at
+// once; keep leaves them in hand.
+func (f *fleet) offer(t *rapid.T, node *instance, n int, keep bool) {
+	for range n {
+		d := node.limiter.Allow(f.clock(node), team)
+		if !d.Admitted() {
+			return
+		}
+		f.count(t)
+		if keep {
+			f.inHand = append(f.inHand, admitted{at: node, decision: d})
+		}
+	}
+}
+
+func (f *fleet) receive(n *instance, loan Loan, borrowed *int) {
+	before := n.limiter.tokens(f.clock(n))
+	n.limiter.Receive(f.clock(n), team, loan)
+	if n.limiter.tokens(f.clock(n)) > before {
+		*borrowed++
+	}
+}
+
+func drawFrom[T any](t *rapid.T, from []T, label string) T {
+	if len(from) == 0 {
+		t.Skip("nothing to draw")
+	}
+	return from[rapid.IntRange(0, len(from)-1).Draw(t, label)]
+}
+
+func newFleet(q Quota) *fleet {
+	f := &fleet{quota: q, tokens: q.Burst, version: 1}
+	for i := range 3 {
+		n := &instance{name: fmt.Sprintf("i%d", i), offset: time.Duration(i) * 977 * time.Hour, limiter: NewLimiter()}
+		n.limiter.SetQuotas(f.clock(n), map[string]Quota{team: q})
+		f.renew(n, 3*time.Second)
+		f.nodes = append(f.nodes, n)
+	}
+	f.row, _ = f.row.Apply([]share.Move{{To: f.member(f.nodes[0]), Units: 6000}, {To: f.member(f.nodes[1]), Units: 3000}, {To: f.member(f.nodes[2]), Units: 1000}})
+	for _, n := range f.nodes {
+		f.take(f.readRow(n))
+	}
+	return f
+}
+
+func TestRateAndBurstHoldOverAllInstances(t *testing.T) {
+	sent, borrowed, evicted := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(Quota{Rate: 8, Burst: 24})
+		node := func(t *rapid.T) *instance { return drawFrom(t, f.nodes, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":      func(t *rapid.T) { f.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond },
+			"pass long": func(t *rapid.T) { f.now += time.Duration(rapid.IntRange(1, 3600).Draw(t, "s")) * time.Second },
+			"renew": func(t *rapid.T) {
+				if n := node(t); !n.evicted {
+					f.renew(n, 3*time.Second)
+				}
+			},
+			"renew all and read": func(*rapid.T) {
+				for _, n := range f.nodes {
+					if !n.evicted {
+						f.renew(n, 3*time.Second)
+						f.take(f.readRow(n))
+					}
+				}
+			},
+			"requests":      func(t *rapid.T) { f.offer(t, node(t), rapid.IntRange(1, 40).Draw(t, "n"), false) },
+			"requests wait": func(t *rapid.T) { f.offer(t, node(t), rapid.IntRange(1, 3).Draw(t, "n"), true) },
+			"burst everywhere": func(t *rapid.T) {
+				for _, n := range f.nodes {
+					f.offer(t, n, 100, false)
+				}
+			},
+			"read":       func(t *rapid.T) { f.reads = append(f.reads, f.readRow(node(t))) },
+			"read comes": func(t *rapid.T) { f.take(drawFrom(t, f.reads, "read")) },
+			"give": func(t *rapid.T) {
+				n, to := node(t), node(t)
+				units := share.Units(rapid.IntRange(1, 4000).Draw(t, "units"))
+				if version, ok := n.limiter.Reserve(f.clock(n), team, units); ok {
+					f.gifts = append(f.gifts, gift{from: n, version: version, moves: []share.Move{{From: f.member(n), To: f.member(to), Units: units}}})
+				}
+			},
+			"gift is written": func(t *rapid.T) {
+				g := drawFrom(t, f.gifts, "gift")
+				if g.version != f.version {
+					return
+				}
+				f.write(g.moves)
+			},
+			"gift with a lost answer": func(t *rapid.T) {
+				n, to := node(t), node(t)
+				f.reads = append(f.reads, f.readRow(n))
+				units := share.Units(rapid.IntRange(1000, 6000).Draw(t, "units"))
+				if version, ok := n.limiter.Reserve(f.clock(n), team, units); ok && version == f.version {
+					f.write([]share.Move{{From: f.member(n), To: f.member(to), Units: units}})
+				}
+				f.take(f.readRow(to))
+			},
+			"read of before the write": func(t *rapid.T) {
+				if len(f.reads) > 0 {
+					f.take(f.reads[len(f.reads)-1])
+				}
+			},
+			"busy spell": func(t *rapid.T) {
+				for range rapid.IntRange(2, 8).Draw(t, "halves") {
+					f.now += 500 * time.Millisecond
+					for _, n := range f.nodes {
+						if !n.evicted {
+							f.renew(n, 3*time.Second)
+						}
+						f.offer(t, n, 100, false)
+					}
+				}
+			},
+			"evict": func(t *rapid.T) {
+				n, to := node(t), node(t)
+				if n == to || n.evicted || f.now < n.until {
+					return
+				}
+				n.evicted = true
+				evicted++
+				if units := f.row.Of(f.member(n)); units > 0 {
+					f.write([]share.Move{{From: f.member(n), To: f.member(to), Units: units}})
+				}
+			},
+			"come back": func(t *rapid.T) {
+				if n := node(t); n.evicted {
+					n.limiter.SetLease(time.Time{}, n.epoch+1)
+					n.limiter.Reset(f.clock(n))
+					n.epoch++
+					n.evicted = false
+					f.renew(n, 3*time.Second)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				n := node(t)
+				id := fmt.Sprintf("%s-%d", n.name, len(f.requests))
+				if r, ok := n.limiter.Ask(f.clock(n), id, team, rapid.IntRange(1, 30).Draw(t, "waiting")); ok {
+					f.requests = append(f.requests, r)
+				}
+			},
+			"request comes": func(t *rapid.T) {
+				n, r := node(t), drawFrom(t, f.requests, "request")
+				if r.ID[:2] != n.name {
+					f.loans = append(f.loans, n.limiter.Lend(f.clock(n), r))
+				}
+			},
+			"borrow": func(t *rapid.T) {
+				n, from := node(t), node(t)
+				id := fmt.Sprintf("%s-%d", n.name, len(f.requests))
+				if r, ok := n.limiter.Ask(f.clock(n), id, team, rapid.IntRange(1, 30).Draw(t, "waiting")); ok && n != from {
+					f.requests = append(f.requests, r)
+					f.loans = append(f.loans, from.limiter.Lend(f.clock(from), r))
+				}
+			},
+			"last loan comes": func(t *rapid.T) {
+				if len(f.loans) > 0 {
+					f.receive(node(t), f.loans[len(f.loans)-1], &borrowed)
+				}
+			},
+			"loan comes": func(t *rapid.T) {
+				f.receive(node(t), drawFrom(t, f.loans, "loan"), &borrowed)
+			},
+			"send what waits": func(t *rapid.T) {
+				a := drawFrom(t, f.inHand, "in hand")
+				reason := a.at.limiter.Confirm(f.clock(a.at), a.decision)
+				held := !a.at.evicted && a.at.epoch == a.decision.Epoch && f.now < a.at.until
+				if (reason == ReasonNone) != held {
+					t.Fatalf("confirm says %q, lease held: %v", reason, held)
+				}
+				f.inHand = slices.DeleteFunc(f.inHand, func(o admitted) bool { return o == a })
+			},
+		})
+		sent += f.sent
+	})
+	t.Logf("%d requests sent, %d loans with tokens, %d evictions", sent, borrowed, evicted)
+	if sent == 0 || borrowed == 0 || evicted == 0 {
+		t.Fatal("nothing was shown")
+	}
+}
+
+func (l *Limiter) tokens(now time.Time) (tokens float64) {
+	l.with(team, func(b *Bucket) {
+		b.advance(now)
+		tokens = b.tokens
+	})
+	return tokens
+}
