Add entry: homes of a team by weighted rendezvous hashing

Cause: callers ask which instances to use, and a small team's rate must not lie in ten splinters.

Change: Homes chooses few instances of the caller's region in different failure domains, more for large teams, fewer teams on loaded instances; Answer rotates them by caller and adds spares, the first in another region.

--- /dev/null
+++ b/steer/entry/entry.go
@@ -0,0 +1,179 @@
+// Package entry decides which instances a caller is told to use.
+//
+// The choice is a pure function of the configuration and the usable instances:
+// instances with the same knowledge give the same answer. A team has few home
+// instances in each region, so that a small team's rate lies whole in one or
+// two places; a large team has more. Homes are chosen by weighted rendezvous
+// hashing (Thaler and Ravishankar 1998; Schindelhauer and Schomaker,
+// "Weighted Distributed Hash Tables", 2005), so that one instance that comes or
+// goes moves few teams.
+package entry
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Instance is an instance that takes new work. Leaving, silent and dead ones
+// are left out by the caller.
+type Instance struct {
+	// Name names the member.
+	Name string
+	// Address is where callers reach it, host:port.
+	Address string
+	// Region and FailureDomain say where it runs.
+	Region        string
+	FailureDomain string
+	// Load is the part of its capacity in use, 0 to 1.
+	Load float64
+}
+
+// Team is what the choice depends on.
+type Team struct {
+	// Name names the team.
+	Name string
+	// Rate is the team's rate in requests a second.
+	Rate float64
+}
+
+// Settings bound the number of homes.
+type Settings struct {
+	// Homes is the number of homes in a region of a small team.
+	Homes int
+	// RatePerHome is the rate in requests a second for which a large team gets
+	// one home more.
+	RatePerHome float64
+	// Spares is the number of further instances in an answer.
+	Spares int
+}
+
+// DefaultSettings returns the settings that instances use unless told
+// otherwise.
+func DefaultSettings() Settings {
+	return Settings{Homes: 2, RatePerHome: 100, Spares: 2}
+}
+
+// count returns how many homes the team gets in a region.
+func (s Settings) count(t Team) int {
+	return max(s.Homes, int(math.Ceil(t.Rate/s.RatePerHome)))
+}
+
+// Homes returns the team's homes in a region, best first, in as many failure
+// domains as there are. A region without instances has none.
+func Homes(t Team, region string, instances []Instance, s Settings) []Instance {
+	ranked := rank(t.Name, inRegion(instances, region))
+	want := min(s.count(t), len(ranked))
+	homes := make([]Instance, 0, want)
+	perDomain := make(map[string]int)
+	for len(homes) < want {
+		best := 0
+		for i, c := range ranked {
+			if perDomain[c.FailureDomain] < perDomain[ranked[best].FailureDomain] {
+				best = i
+			}
+		}
+		homes = append(homes, ranked[best])
+		perDomain[ranked[best].FailureDomain]++
+		ranked = slices.Delete(ranked, best, best+1)
+	}
+	return homes
+}
+
+// Ranked is one instance of an answer.
+type Ranked struct {
+	Instance
+	// Home says that the instance is one of the team's homes.
+	Home bool
+}
+
+// Answer returns the instances that a caller should try, in that order. The
+// homes of its region come first, beginning at a place that depends on the
+// caller, so that a team's callers spread over them. A few spares follow, the
+// first of them in another region.
+func Answer(t Team, region, caller string, instances []Instance, s Settings) []Ranked {
+	homes := Homes(t, region, instances, s)
+	answer := make([]Ranked, 0, len(homes)+s.Spares)
+	start := 0
+	if len(homes) > 0 {
+		start = int(score(t.Name, caller) % uint64(len(homes)))
+	}
+	for i := range homes {
+		answer = append(answer, Ranked{Instance: homes[(start+i)%len(homes)], Home: true})
+	}
+	for _, spare := range spares(t, region, instances, homes, s.Spares) {
+		answer = append(answer, Ranked{Instance: spare})
+	}
+	return answer
+}
+
+// spares returns up to n instances that are not homes: the best of another
+// region, then the best of the caller's region, then others.
+func spares(t Team, region string, instances, homes []Instance, n int) []Instance {
+	near, far := make([]Instance, 0, n), make([]Instance, 0, n)
+	for _, c := range rank(t.Name, instances) {
+		switch {
+		case slices.ContainsFunc(homes, func(h Instance) bool { return h.Name == c.Name }):
+		case c.Region == region:
+			near = append(near, c)
+		default:
+			far = append(far, c)
+		}
+	}
+	chosen := slices.Concat(far[:min(1, len(far))], near, far[min(1, len(far)):])
+	return chosen[:min(n, len(chosen))]
+}
+
+func inRegion(instances []Instance, region string) []Instance {
+	return slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return i.Region != region })
+}
+
+// rank orders the instances for a key, best first.
+func rank(key string, instances []Instance) []Instance {
+	type scored struct {
+		instance Instance
+		value    float64
+	}
+	all := make([]scored, 0, len(instances))
+	for _, i := range instances {
+		all = append(all, scored{instance: i, value: weighted(key, i)})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.instance.Name, b.instance.Name))
+	})
+	ranked := make([]Instance, 0, len(all))
+	for _, s := range all {
+		ranked = append(ranked, s.instance)
+	}
+	return ranked
+}
+
+// weighted is the weighted rendezvous score, -w/ln(u) with u uniform in (0,1).
+func weighted(key string, i Instance) float64 {
+	u := (float64(score(key, i.Name)>>11) + 0.5) / (1 << 53)
+	return -weight(i.Load) / math.Log(u)
+}
+
+// weight makes loaded instances home to fewer teams. It has few levels, so that
+// small changes of load move nothing.
+func weight(load float64) float64 {
+	switch {
+	case load < 0.7:
+		return 1
+	case load < 0.85:
+		return 0.6
+	default:
+		return 0.3
+	}
+}
+
+func score(key, candidate string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(candidate)
+	return d.Sum64()
+}
