--- /dev/null
+++ b/steer/shift/collector.go
@@ -0,0 +1,151 @@
+package shift
+
+import (
+	"cmp"
+	"hash/maphash"
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	collectorShards = 16
+	// Latencies are counted in buckets of four to a doubling, from 64 us up.
+	bucketShift      = 16
+	bucketsPerDouble = 4
+	latencyBuckets   = 24 * bucketsPerDouble
+)
+
+// Outcome is the end of one request to an endpoint of the service.
+type Outcome struct {
+	// Route is the name of the request's route.
+	Route string
+	// Domain is the failure domain of the endpoint.
+	Domain string
+	// New says that the endpoint runs the new version.
+	New bool
+	// Failed says that the endpoint failed or gave no answer in time.
+	Failed bool
+	// Latency is the time from sending to the answer.
+	Latency time.Duration
+}
+
+// histogram counts latencies by bucket.
+type histogram [latencyBuckets]uint32
+
+// bucketOf returns the bucket of a latency.
+func bucketOf(latency time.Duration) int {
+	units := uint64(max(latency, 0)) >> (bucketShift - 2)
+	if units < bucketsPerDouble {
+		return 0
+	}
+	top := bits.Len64(units) - 1
+	within := int(units>>(top-2)) & (bucketsPerDouble - 1)
+	return min((top-2)*bucketsPerDouble+within, latencyBuckets-1)
+}
+
+// add adds o to h and returns the number of entries of o.
+func (h *histogram) add(o *histogram) uint64 {
+	total := uint64(0)
+	for i, n := range o {
+		h[i] += n
+		total += uint64(n)
+	}
+	return total
+}
+
+// above counts the entries in buckets higher than limit.
+func (h *histogram) above(limit int) uint64 {
+	total := uint64(0)
+	for _, n := range h[limit+1:] {
+		total += uint64(n)
+	}
+	return total
+}
+
+// cellKey names what outcomes are counted by.
+type cellKey struct {
+	route, domain string
+	fresh         bool
+}
+
+// cell counts outcomes of one version on one route in one failure domain.
+type cell struct {
+	requests Counts
+	latency  histogram
+}
+
+// collectorShard is a part of the cells under its own lock.
+type collectorShard struct {
+	mu    sync.Mutex
+	cells map[cellKey]*cell
+}
+
+// collector takes outcomes from many goroutines.
+type collector struct {
+	seed   maphash.Seed
+	shards [collectorShards]collectorShard
+}
+
+// newCollector returns an empty collector.
+func newCollector() *collector {
+	return &collector{seed: maphash.MakeSeed()}
+}
+
+// record counts one outcome. Latencies of failures are not counted: a failure
+// may be fast.
+func (c *collector) record(o *Outcome) {
+	key := cellKey{route: o.Route, domain: o.Domain, fresh: o.New}
+	shard := &c.shards[maphash.Comparable(c.seed, key)%collectorShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.cells == nil {
+		shard.cells = make(map[cellKey]*cell)
+	}
+	counts := shard.cells[key]
+	if counts == nil {
+		counts = &cell{}
+		shard.cells[key] = counts
+	}
+	counts.requests.N++
+	if o.Failed {
+		counts.requests.Hits++
+		return
+	}
+	counts.latency[bucketOf(o.Latency)]++
+}
+
+// counted is a cell with its key.
+type counted struct {
+	key  cellKey
+	cell *cell
+}
+
+// take returns the cells in the order of their keys and starts anew.
+func (c *collector) take() []counted {
+	var all []counted
+	for i := range c.shards {
+		shard := &c.shards[i]
+		shard.mu.Lock()
+		cells := shard.cells
+		shard.cells = nil
+		shard.mu.Unlock()
+		for key, counts := range cells {
+			all = append(all, counted{key: key, cell: counts})
+		}
+	}
+	slices.SortFunc(all, func(a, b counted) int { return a.key.compare(b.key) })
+	return all
+}
+
+// compare orders keys; the old version comes before the new one.
+func (k cellKey) compare(o cellKey) int {
+	if k.fresh != o.fresh {
+		if o.fresh {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(k.route, o.route), cmp.Compare(k.domain, o.domain))
+}
--- /dev/null
+++ b/steer/shift/controller.go
@@ -0,0 +1,307 @@
+package shift
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// blindPicks is how many requests the new version must have got, without any
+// outcome, for its measurements to count as stopped.
+const blindPicks = 20
+
+// plan is how requests are dealt out until the next tick.
+type plan struct {
+	meter *Meter
+	// until is when the plan lapses: an instance that was paused must look
+	// again before it sends to the new version. Zero means never.
+	until time.Time
+}
+
+// Controller carries one shift at one instance. Choose and Record may be called
+// by many goroutines and take no common lock.
+type Controller struct {
+	cfg       Config
+	self      string
+	began     time.Time
+	epochs    epochs
+	collector *collector
+	plan      atomic.Pointer[plan]
+	picked    atomic.Uint64
+
+	mu    sync.Mutex
+	judge *judge
+	// view is the highest outcome known; row is the table's record.
+	view, row  Record
+	rowVersion uint64
+	// rowChanged and storeHeard are when the row last changed and when the
+	// store last answered.
+	rowChanged, storeHeard time.Time
+	listed                 []string
+	sources                map[string]*source
+	sequence               uint64
+	// peerTallies is the evidence of all peers; fleet judges it with the own.
+	peerTallies map[Scope]*Tally
+	fleet       map[Scope]*detector
+	ordered     scopeOrder
+	progress    map[string]*Progress
+	// pickedAtStep and pickedAtLast are picked's values when the step began
+	// and when the last outcome of the new version arrived, at lastNew.
+	pickedAtStep, pickedAtLast uint64
+	lastNew                    time.Time
+	blind                      bool
+	// warmShare is the highest share so far: a rise beyond it meets cold
+	// caches.
+	warmShare Share
+}
+
+// New returns the controller of a shift at the instance self. Errors:
+// *ConfigError.
+func New(cfg Config, self string, now time.Time) (*Controller, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		cfg:         cfg,
+		self:        self,
+		began:       now,
+		epochs:      newEpochs(cfg.Start, cfg.Deadline.Add(cfg.Watch)),
+		collector:   newCollector(),
+		judge:       newJudge(),
+		sources:     make(map[string]*source),
+		peerTallies: make(map[Scope]*Tally),
+		fleet:       make(map[Scope]*detector),
+		progress:    make(map[string]*Progress),
+		lastNew:     now,
+	}
+	c.plan.Store(&plan{meter: NewMeter(0)})
+	return c, nil
+}
+
+// Config returns the shift's description.
+func (c *Controller) Config() Config { return c.cfg }
+
+// Choose reports whether a request that arrives now goes to the new version.
+// A request is dealt once: its retries go to the version chosen for it or to
+// the old one.
+func (c *Controller) Choose(now time.Time) bool {
+	p := c.plan.Load()
+	if !p.until.IsZero() && now.After(p.until) {
+		return false
+	}
+	if !p.meter.Next() {
+		return false
+	}
+	c.picked.Add(1)
+	return true
+}
+
+// Record takes the outcome of a request to either version.
+func (c *Controller) Record(o Outcome) { c.collector.record(&o) }
+
+// SetListed tells which instances the platform lists as live, this one
+// included.
+func (c *Controller) SetListed(names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = names
+}
+
+// SeeRow takes the table's record as read at now; a missing row has version 0.
+func (c *Controller) SeeRow(now time.Time, row Record, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeHeard = now
+	if c.rowChanged.IsZero() {
+		c.rowChanged = now
+	}
+	if version > c.rowVersion {
+		c.row = row
+		c.rowVersion = version
+		c.rowChanged = now
+	}
+	c.adopt(now, row)
+	c.steer(now)
+}
+
+// Tick judges the outcomes since the last tick and acts on the time. It reports
+// whether the peers should be told at once, since the new version was taken
+// back or fell under suspicion by this very call.
+func (c *Controller) Tick(now time.Time) (urgent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, suspected := c.view.Phase, c.judge.suspicion.on
+	c.takeOutcomes(now)
+	c.judge.compareRipe(now)
+	c.checkEvidence(now)
+	c.checkDeadline(now)
+	c.steer(now)
+	newlySuspected := c.judge.suspicion.on && !suspected
+	return newlySuspected || c.view.Phase == TakenBack && before != TakenBack
+}
+
+// takeOutcomes moves the collected outcomes to the judge.
+func (c *Controller) takeOutcomes(now time.Time) {
+	for _, counted := range c.collector.take() {
+		c.judge.add(now, counted.key, counted.cell)
+		if counted.key.fresh {
+			c.lastNew = now
+			c.pickedAtLast = c.picked.Load()
+		}
+		c.countProgress(now, counted)
+	}
+	missing := c.picked.Load() - c.pickedAtLast
+	c.blind = missing >= blindPicks && now.Sub(c.lastNew) >= c.cfg.BlindAfter
+}
+
+// countProgress counts outcomes towards the present stage, once caches had time
+// to fill.
+func (c *Controller) countProgress(now time.Time, counted counted) {
+	if now.Before(c.judge.warmUntil) {
+		return
+	}
+	p := entry(c.progress, counted.key.route)
+	p.Route = counted.key.route
+	if counted.key.fresh {
+		p.New.add(counted.cell.requests)
+		return
+	}
+	p.Old.add(counted.cell.requests)
+}
+
+// adopt moves the view up to r if r stands higher.
+func (c *Controller) adopt(now time.Time, r Record) {
+	if !r.above(&c.view) {
+		return
+	}
+	c.view = r
+	clear(c.progress)
+	c.pickedAtStep = c.picked.Load()
+	c.pickedAtLast = c.pickedAtStep
+	c.lastNew = now
+}
+
+// takeBack moves the view to taken back.
+func (c *Controller) takeBack(now time.Time, cause Cause, scope Scope, detail string) {
+	r := c.view
+	r.Phase = TakenBack
+	r.Since = now
+	r.Reason = Reason{Cause: cause, Scope: scope, Instance: c.self, Detail: detail}
+	c.adopt(now, r)
+}
+
+// inTouch reports whether the store or most of the fleet was heard lately.
+func (c *Controller) inTouch(now time.Time) bool {
+	if c.recent(now, c.storeHeard) {
+		return true
+	}
+	heard := 0
+	for _, name := range c.listed {
+		if name == c.self || c.heardFrom(now, name) {
+			heard++
+		}
+	}
+	return 2*heard > len(c.listed)
+}
+
+// heardFrom reports whether the peer was heard lately.
+func (c *Controller) heardFrom(now time.Time, name string) bool {
+	from := c.sources[name]
+	return from != nil && c.recent(now, from.heard)
+}
+
+// recent reports whether t lies within the contact limit.
+func (c *Controller) recent(now, t time.Time) bool {
+	return !t.IsZero() && now.Sub(t) <= c.cfg.ContactLimit
+}
+
+// deadline is when this instance acts on the deadline: early enough that it is
+// not late by true time.
+func (c *Controller) deadline() time.Time { return c.cfg.Deadline.Add(-c.cfg.ClockSkew) }
+
+// checkDeadline takes the shift back if it is not complete in time. An instance
+// that is out of touch serves the old version but leaves the outcome open: the
+// fleet may have completed without it.
+func (c *Controller) checkDeadline(now time.Time) {
+	if c.view.Settled() || !c.inTouch(now) {
+		return
+	}
+	last := c.deadline()
+	if c.row.Holder == c.self {
+		last = c.cfg.Deadline.Add(-c.cfg.Guard)
+	}
+	if now.Before(last) {
+		return
+	}
+	c.takeBack(now, CauseDeadline, Scope{}, "not complete by the deadline")
+}
+
+// share returns the share of the new version at now.
+func (c *Controller) share(now time.Time) Share {
+	switch c.view.Phase {
+	case Running:
+		if !c.inTouch(now) || !now.Before(c.deadline()) {
+			return 0
+		}
+		return c.lowered(now, c.stage().Cap)
+	case Watching:
+		return c.lowered(now, Whole)
+	case Done:
+		return Whole
+	default:
+		return 0
+	}
+}
+
+// lowered returns the share left by doubts about the new version.
+func (c *Controller) lowered(now time.Time, limit Share) Share {
+	if c.blind {
+		limit = min(limit, c.cfg.Stages[0].Cap)
+	}
+	if c.suspected(now) {
+		limit = min(limit, suspectShare)
+	}
+	return limit
+}
+
+// suspected reports whether this instance or a live peer suspects the new
+// version.
+func (c *Controller) suspected(now time.Time) bool {
+	if c.judge.suspicion.on {
+		return true
+	}
+	for _, from := range c.sources {
+		if from.summary.Suspect && c.recent(now, from.heard) {
+			return true
+		}
+	}
+	return false
+}
+
+// stage returns the present stage. A record of a longer list of stages counts
+// as the last one.
+func (c *Controller) stage() Stage {
+	return c.cfg.Stages[min(c.view.Stage, len(c.cfg.Stages)-1)]
+}
+
+// steer makes the plan for requests that arrive from now on.
+func (c *Controller) steer(now time.Time) {
+	share := c.share(now)
+	present := c.plan.Load()
+	next := &plan{meter: present.meter}
+	if present.meter.Share() != share {
+		next.meter = NewMeter(share)
+	}
+	if share > c.warmShare {
+		c.judge.warmUntil = now.Add(c.cfg.WarmUp)
+		c.warmShare = share
+	}
+	c.judge.watchDrifts(share > suspectShare && c.view.Phase != Done)
+	if c.view.Phase == Running || c.view.Phase == Watching {
+		next.until = now.Add(c.cfg.ContactLimit)
+	}
+	if c.view.Phase == Running && next.until.After(c.deadline()) {
+		next.until = c.deadline()
+	}
+	c.plan.Store(next)
+}
--- /dev/null
+++ b/steer/shift/controller_test.go
@@ -0,0 +1,203 @@
+package shift
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// steady runs a fleet under light, good traffic and lets observe look on.
+func steady(f *fleet, until time.Duration, observe func(now time.Time)) {
+	cfg := f.controllers[0].cfg
+	tr := traffic{
+		seed: 7, step: 500 * time.Millisecond, instances: len(f.controllers),
+		perSecond: 200, length: until,
+	}
+	tr.run(&cfg, observed{f, observe})
+}
+
+// observed is a fleet that is looked at after each step.
+type observed struct {
+	*fleet
+	observe func(now time.Time)
+}
+
+func (o observed) step(now time.Time) {
+	o.fleet.step(now)
+	o.observe(now)
+}
+
+func TestSilenceHoldsTheStage(t *testing.T) {
+	cfg := testConfig()
+	f := newFleet(cfg, 3)
+	tr := traffic{
+		seed: 3, step: 500 * time.Millisecond, instances: 3, perSecond: 200,
+		blindFrom: 35 * time.Second, length: 5 * time.Minute,
+	}
+	seen := tr.run(&cfg, f)
+	if f.row.Phase != TakenBack || f.row.Reason.Cause != CauseDeadline {
+		t.Errorf("ends %v (%s), want taken back at the deadline", f.row.Phase, f.row.Reason.Detail)
+	}
+	if seen.perHigh > 0.2 {
+		t.Errorf("the new version got up to %.0f%%, want the share of the stage in which outcomes stopped", 100*seen.perHigh)
+	}
+}
+
+func TestFrozenHolderChangesNothing(t *testing.T) {
+	f := newFleet(testConfig(), 3)
+	var frozen *Controller
+	var held Proposal
+	var took time.Time
+	steady(f, 3*time.Minute, func(now time.Time) {
+		if frozen == nil && f.row.Phase == Running && f.row.Stage == 1 {
+			frozen, held = f.takeHolder(now)
+		}
+		if frozen != nil && took.IsZero() && f.row.Holder != frozen.self {
+			took = now
+			if f.commit(now, frozen, held) {
+				t.Error("the frozen holder's write took effect after another took over")
+			}
+		}
+	})
+	if took.IsZero() {
+		t.Fatal("no other instance took over")
+	}
+	if f.row.Phase != Watching {
+		t.Errorf("the shift ends %v, want watching", f.row.Phase)
+	}
+}
+
+// takeHolder removes the holder from the fleet, as if frozen, with the write that
+// it was about to make.
+func (f *fleet) takeHolder(now time.Time) (*Controller, Proposal) {
+	var holder *Controller
+	var rest []*Controller
+	var names []string
+	for _, c := range f.controllers {
+		if c.self == f.row.Holder {
+			holder = c
+			continue
+		}
+		rest = append(rest, c)
+		names = append(names, c.self)
+	}
+	for _, c := range rest {
+		c.SetListed(names)
+	}
+	held := holder.propose(holder.next(now))
+	// The frozen instance's callers find the others.
+	f.controllers = rest
+	f.controllers = append(f.controllers, rest[0])
+	return holder, held
+}
+
+func TestDeadlineWithoutTheStore(t *testing.T) {
+	cfg := testConfig()
+	tests := []struct {
+		desc string
+		// completed says that a completion was written in time, but its
+		// answer and all later reads were lost.
+		completed bool
+	}{
+		{"nothing recorded", false},
+		{"completion recorded, never read", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFleet(cfg, 3)
+			now := epoch
+			running := Record{Phase: Running, Stage: 3, Since: now, Holder: "i0"}
+			for _, c := range f.controllers {
+				c.SeeRow(now, running, 5)
+			}
+			f.row, f.version = running, 5
+			if tt.completed {
+				f.row.Phase, f.version = Watching, 6
+			}
+			f.peersOnly(&now, cfg.Deadline)
+			for _, c := range f.controllers {
+				if c.View().Phase != TakenBack || c.Choose(now) {
+					t.Errorf("%s is %v at the deadline, want taken back", c.self, c.View().Phase)
+				}
+			}
+			f.exchanged = time.Time{}
+			for range 10 {
+				now = now.Add(time.Second)
+				f.step(now)
+			}
+			if f.row.Phase != TakenBack {
+				t.Errorf("the record ends %v, want taken back", f.row.Phase)
+			}
+		})
+	}
+}
+
+// peersOnly lets time pass with the store out of reach.
+func (f *fleet) peersOnly(now *time.Time, until time.Time) {
+	for now.Before(until) {
+		*now = now.Add(time.Second)
+		for _, c := range f.controllers {
+			c.Tick(*now)
+			f.tell(*now, c)
+		}
+	}
+}
+
+func TestLoneInstanceLeavesTheOutcomeOpen(t *testing.T) {
+	cfg := testConfig()
+	f := newFleet(cfg, 3)
+	lone := f.controllers[0]
+	lone.SeeRow(epoch, Record{Phase: Running, Stage: 3}, 5)
+	past := cfg.Deadline.Add(time.Minute)
+	lone.Tick(past)
+	if lone.Choose(past) {
+		t.Error("a lone instance sends to the new version after the deadline")
+	}
+	if view := lone.View(); view.Settled() {
+		t.Fatalf("a lone instance settles on %v by itself", view.Phase)
+	}
+	lone.SeeRow(past, Record{Phase: Watching}, 6)
+	lone.Tick(past)
+	if lone.View().Phase != Watching {
+		t.Errorf("the outcome is %v, want that of the record", lone.View().Phase)
+	}
+}
+
+func TestPausedInstanceLooksAgain(t *testing.T) {
+	cfg := testConfig()
+	c := newFleet(cfg, 1).controllers[0]
+	now := cfg.Start
+	c.SeeRow(now, Record{Phase: Running, Stage: 3}, 4)
+	if !c.Choose(now) {
+		t.Fatal("the last stage sends nothing to the new version")
+	}
+	if c.Choose(now.Add(cfg.ContactLimit + time.Second)) {
+		t.Error("an instance sends to the new version right after a long pause")
+	}
+}
+
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		desc   string
+		change func(c *Config)
+		field  string
+	}{
+		{"sound", func(*Config) {}, ""},
+		{"same version", func(c *Config) { c.To = c.From }, "to"},
+		{"falling caps", func(c *Config) { c.Stages[1].Cap = Percent }, "stages"},
+		{"last stage below all", func(c *Config) { c.Stages = c.Stages[:2] }, "stages"},
+		{"no time", func(c *Config) { c.Deadline = c.Start.Add(time.Minute) }, "deadline"},
+		{"short guard", func(c *Config) { c.Guard = c.ContactLimit }, "guard"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			cfg := testConfig()
+			tt.change(&cfg)
+			err := cfg.Check()
+			var fault *ConfigError
+			if errors.As(err, &fault) != (tt.field != "") || fault != nil && fault.Field != tt.field {
+				t.Errorf("Check() = %v, want a fault of %q", err, tt.field)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/steer/shift/evidence.go
@@ -0,0 +1,145 @@
+package shift
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// minScopes is the least number of scopes that the false alarm budget is
+// divided by.
+const minScopes = 8
+
+// scopeOrder keeps the order of the scopes for as long as none is added.
+type scopeOrder struct {
+	tallies int
+	scopes  []Scope
+}
+
+// threshold is the evidence, in nats, at which a detector takes the shift back.
+// The budget is divided among the scopes, their two detectors (own and fleet)
+// and the detectors' starting times.
+func (c *Controller) threshold(scopes int) float64 {
+	parts := 2 * max(scopes, minScopes) * c.epochs.total
+	return math.Log(float64(parts) / c.cfg.FalseAlarm)
+}
+
+// fleetTally returns the evidence of this instance and its peers.
+func (c *Controller) fleetTally(scope Scope) Tally {
+	sum := Tally{}
+	if own := c.judge.tallies[scope]; own != nil {
+		sum = *own
+	}
+	if peers := c.peerTallies[scope]; peers != nil {
+		sum.Add(peers)
+	}
+	return sum
+}
+
+// scopes returns all scopes with evidence, here or at peers, in a fixed order.
+func (c *Controller) scopes() []Scope {
+	tallies := len(c.judge.tallies) + len(c.peerTallies)
+	if tallies == c.ordered.tallies {
+		return c.ordered.scopes
+	}
+	all := make(map[Scope]bool)
+	for scope := range c.judge.tallies {
+		all[scope] = true
+	}
+	for scope := range c.peerTallies {
+		all[scope] = true
+	}
+	c.ordered = scopeOrder{tallies: tallies, scopes: sortedScopes(all)}
+	return c.ordered.scopes
+}
+
+// checkEvidence takes the shift back if the new version proves worse. The own
+// evidence cuts by itself; the fleet's adds what each instance is too small to
+// see.
+func (c *Controller) checkEvidence(now time.Time) {
+	if c.view.Phase != Running && c.view.Phase != Watching {
+		return
+	}
+	started := c.epochs.started(now)
+	scopes := c.scopes()
+	limit := c.threshold(len(scopes))
+	for _, scope := range scopes {
+		fleet := c.fleetTally(scope)
+		summed := entry(c.fleet, scope)
+		summed.advance(&fleet.Logs, started)
+		own := entry(c.judge.detectors, scope)
+		if tally := c.judge.tallies[scope]; tally != nil {
+			own.advance(&tally.Logs, started)
+		}
+		if max(own.log(), summed.log()) >= limit {
+			c.takeBack(now, scope.cause(), scope, describe(scope, fleet))
+			return
+		}
+	}
+	c.checkStrikes(now)
+}
+
+// checkStrikes takes the shift back if suspicions passed without proof too
+// often.
+func (c *Controller) checkStrikes(now time.Time) {
+	total := make(map[Scope]int)
+	for scope, n := range c.judge.suspicion.strikes {
+		total[scope] += n
+	}
+	for _, from := range c.sources {
+		for _, s := range from.summary.Strikes {
+			total[s.Scope] += s.Strikes
+		}
+	}
+	for _, scope := range sortedScopes(total) {
+		if total[scope] < maxStrikes {
+			continue
+		}
+		detail := fmt.Sprintf("%s: worse in %d spells, only at a share above %s", scope, total[scope], suspectShare)
+		c.takeBack(now, CauseLoad, scope, detail)
+		return
+	}
+}
+
+// describe puts evidence into a sentence.
+func describe(scope Scope, t Tally) string {
+	return fmt.Sprintf("%s: new version %d of %d, old version %d of %d",
+		scope, t.New.Hits, t.New.N, t.Old.Hits, t.Old.N)
+}
+
+// fleetProgress sums the present stage's outcomes over the fleet.
+func (c *Controller) fleetProgress() map[string]*Progress {
+	sum := make(map[string]*Progress)
+	add := func(p *Progress) {
+		e := entry(sum, p.Route)
+		e.Route = p.Route
+		e.New.add(p.New)
+		e.Old.add(p.Old)
+	}
+	for _, p := range c.progress {
+		add(p)
+	}
+	for _, from := range c.sources {
+		if !from.summary.Record.sameStep(&c.view) {
+			continue
+		}
+		for i := range from.summary.Progress {
+			add(&from.summary.Progress[i])
+		}
+	}
+	return sum
+}
+
+// blindAnywhere reports whether outcomes of the new version have stopped at this
+// instance or at a live peer.
+func (c *Controller) blindAnywhere(now time.Time) bool {
+	if c.blind {
+		return true
+	}
+	for _, from := range c.sources {
+		if from.summary.Blind && c.recent(now, from.heard) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/steer/shift/figures_test.go
@@ -0,0 +1,239 @@
+package shift
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The targets of the figures.
+const (
+	maxExposure     = 0.01 // of the faulty part's requests in the watch
+	minFinished     = 0.99
+	maxWronglyTaken = 0.01
+)
+
+const (
+	figureRate      = 200.0 // requests a second over the fleet
+	figureInstances = 8
+	badSeeds        = 4
+	goodSeeds       = 50 // for each good case
+	rampSeeds       = 10 // for each good case, with the baseline
+)
+
+// onRoute limits a fault to one of the four routes.
+func onRoute(f fault) fault {
+	return func(r request) (float64, float64) {
+		if r.route != "pay" {
+			return 0, 1
+		}
+		return f(r)
+	}
+}
+
+// from lets a fault begin late.
+func from(at time.Duration, f fault) fault {
+	return func(r request) (float64, float64) {
+		if r.at < at {
+			return 0, 1
+		}
+		return f(r)
+	}
+}
+
+func failing(request) (float64, float64) { return 0.2, 1 }
+func slow(request) (float64, float64)    { return 0, 2 }
+
+func underLoad(r request) (float64, float64) {
+	if r.load < 0.6 {
+		return 0, 1
+	}
+	return failing(r)
+}
+
+func inDomain(r request) (float64, float64) {
+	if r.domain != "kaduna-a" {
+		return 0, 1
+	}
+	return failing(r)
+}
+
+// badCase is a version that must be taken back.
+type badCase struct {
+	desc  string
+	fault fault
+	part  float64 // of all requests that the fault can touch
+	lag   time.Duration
+}
+
+var badCases = []badCase{
+	{desc: "fails at once on one route", fault: onRoute(failing), part: 0.25},
+	{desc: "fails at 10% on one route", fault: from(50*time.Second, onRoute(failing)), part: 0.25},
+	{desc: "fails after completion on one route", fault: from(170*time.Second, onRoute(failing)), part: 0.25},
+	{desc: "fails at once on one route, outcomes 3 s late", fault: onRoute(failing), part: 0.25, lag: 3 * time.Second},
+	{desc: "fails under load on one route", fault: onRoute(underLoad), part: 0.25},
+	{desc: "fails in one failure domain", fault: inDomain, part: 1.0 / 6},
+	{desc: "slow at once on one route", fault: onRoute(slow), part: 0.25},
+	{desc: "slow after completion on one route", fault: from(170*time.Second, onRoute(slow)), part: 0.25},
+}
+
+// figureConfig is the shift of all figures.
+func figureConfig() Config {
+	cfg := testConfig()
+	cfg.Watch = 10 * time.Minute
+	return cfg
+}
+
+// forSeeds runs f for each seed, a few at a time.
+func forSeeds(n int, f func(seed uint64)) {
+	slots := make(chan struct{}, max(1, min(4, runtime.NumCPU()/2)))
+	for seed := range uint64(n) {
+		slots <- struct{}{}
+		go func() {
+			f(seed)
+			<-slots
+		}()
+	}
+	for range cap(slots) {
+		slots <- struct{}{}
+	}
+}
+
+// shiftRun is what one seeded shift gave.
+type shiftRun struct {
+	exposure
+	phase  Phase
+	reason Reason
+	at     time.Duration
+}
+
+// runBad runs one seed of a bad case.
+func runBad(tt *badCase, seed uint64, s steerer, cfg *Config) exposure {
+	tr := traffic{
+		seed: seed, step: 250 * time.Millisecond, instances: figureInstances, perSecond: figureRate,
+		baseRate: 0.005, fault: tt.fault, lag: tt.lag, length: 5 * time.Minute,
+	}
+	return tr.run(cfg, s)
+}
+
+func TestBadVersionsAreCut(t *testing.T) {
+	for _, tt := range badCases {
+		t.Run(tt.desc, func(t *testing.T) {
+			cfg := figureConfig()
+			allowed := maxExposure * tt.part * figureRate * cfg.Watch.Seconds()
+			var ours, threshold, none [badSeeds]shiftRun
+			forSeeds(badSeeds, func(seed uint64) {
+				f := newFleet(cfg, figureInstances)
+				ours[seed] = shiftRun{runBad(&tt, seed, f, &cfg), f.row.Phase, f.row.Reason, f.row.Since.Sub(cfg.Start)}
+				for limit, runs := range map[float64]*[badSeeds]shiftRun{0.05: &threshold, 1: &none} {
+					r := newRamp(&cfg, seed, limit)
+					runs[seed] = shiftRun{exposure: runBad(&tt, seed, r, &cfg), phase: r.phase}
+				}
+			})
+			for seed, run := range ours {
+				if run.phase != TakenBack {
+					t.Errorf("seed %d: %v, want taken back", seed, run.phase)
+				}
+				if float64(run.faulty) > allowed {
+					t.Errorf("seed %d: %d requests met the fault, want at most %.0f", seed, run.faulty, allowed)
+				}
+			}
+			t.Logf("requests that met the fault (allowed %.0f): %v", allowed, faulty(ours[:]))
+			t.Logf("  ramp with threshold: %v, taken back %d of %d", faulty(threshold[:]), takenBack(threshold[:]), badSeeds)
+			t.Logf("  ramp without:        %v in the first %v", faulty(none[:]), 5*time.Minute)
+			t.Logf("  reason with seed 0 at %v: %s", ours[0].at, ours[0].reason.Detail)
+		})
+	}
+}
+
+func faulty(runs []shiftRun) []uint64 {
+	var all []uint64
+	for _, r := range runs {
+		all = append(all, r.faulty)
+	}
+	return all
+}
+
+func takenBack(runs []shiftRun) int {
+	n := 0
+	for _, r := range runs {
+		if r.phase == TakenBack {
+			n++
+		}
+	}
+	return n
+}
+
+// goodCase is a version that must take over.
+type goodCase struct {
+	desc   string
+	shared func(at time.Duration) float64
+	cold   fault
+	lag    time.Duration
+}
+
+// sharedFault is a fault of something that both versions use.
+func sharedFault(at time.Duration) float64 {
+	if at > 35*time.Second && at < 50*time.Second || at > 170*time.Second && at < 185*time.Second {
+		return 0.3
+	}
+	return 0
+}
+
+// coldCaches make the new version slow after each large rise of its share.
+func coldCaches(r request) (float64, float64) {
+	if r.risen < 5*time.Second {
+		return 0, 4
+	}
+	return 0, 1
+}
+
+var goodCases = []goodCase{
+	{desc: "plain"},
+	{desc: "cold caches", cold: coldCaches},
+	{desc: "fault of both versions", shared: sharedFault},
+	{desc: "outcomes 3 s late", lag: 3 * time.Second},
+}
+
+func TestGoodVersionsFinish(t *testing.T) {
+	finished, wrongly, ramped := 0, 0, 0
+	for _, tt := range goodCases {
+		var ours [goodSeeds]shiftRun
+		var ramps [rampSeeds]shiftRun
+		cfg := testConfig()
+		cfg.Watch = time.Minute
+		forSeeds(goodSeeds, func(seed uint64) {
+			tr := traffic{
+				seed: 1000 + seed, step: 500 * time.Millisecond, instances: 4, perSecond: figureRate / 2,
+				baseRate: 0.005, shared: tt.shared, fault: tt.cold, lag: tt.lag, length: 4 * time.Minute,
+			}
+			f := newFleet(cfg, tr.instances)
+			ours[seed] = shiftRun{tr.run(&cfg, f), f.row.Phase, f.row.Reason, f.row.Since.Sub(cfg.Start)}
+			if seed >= rampSeeds {
+				return
+			}
+			r := newRamp(&cfg, seed, 0.05)
+			ramps[seed] = shiftRun{exposure: tr.run(&cfg, r), phase: r.phase}
+		})
+		for seed, run := range ours {
+			if run.phase == TakenBack && run.reason.Cause != CauseDeadline {
+				wrongly++
+			}
+			if run.phase == Watching || run.phase == Done {
+				finished++
+				continue
+			}
+			t.Logf("%s, seed %d: %v at %v: %s", tt.desc, seed, run.phase, run.at, run.reason.Detail)
+		}
+		ramped += rampSeeds - takenBack(ramps[:])
+		t.Logf("%s: ramp with threshold finished %d of %d", tt.desc, rampSeeds-takenBack(ramps[:]), rampSeeds)
+	}
+	total := len(goodCases) * goodSeeds
+	t.Logf("finished %d of %d, wrongly taken back %d; ramp with threshold finished %d of %d", finished, total, wrongly, ramped, len(goodCases)*rampSeeds)
+	if float64(finished) < minFinished*float64(total) {
+		t.Errorf("%d of %d good versions finished, want %.0f%%", finished, total, 100*minFinished)
+	}
+	if float64(wrongly) > maxWronglyTaken*float64(total) {
+		t.Errorf("%d of %d good versions were wrongly taken back, want at most %.0f%%", wrongly, total, 100*maxWronglyTaken)
+	}
+}
--- /dev/null
+++ b/steer/shift/fleet_rapid_test.go
@@ -0,0 +1,231 @@
+package shift
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	machineStep = time.Second
+	maxSkew     = time.Second
+)
+
+// node is one instance of the state machine.
+type node struct {
+	name                     string
+	c                        *Controller
+	skew                     time.Duration
+	paused, noStore, noPeers bool
+	highest                  Record
+	pending                  []Proposal // writes on their way to the table
+	reached                  int        // seconds for which the store answered
+}
+
+// machine is a fleet over a table that fails in all the ways the brief names.
+type machine struct {
+	cfg       Config
+	now       time.Time
+	nodes     []*node
+	row       Record
+	version   uint64
+	storeDown bool
+	born      int
+	bad       bool
+}
+
+func newMachine() *machine {
+	m := &machine{cfg: testConfig(), now: epoch}
+	m.cfg.Watch = time.Minute
+	return m
+}
+
+// start adds an instance that knows nothing.
+func (m *machine) start(t *rapid.T) {
+	m.born++
+	skew := rapid.SampledFrom([]time.Duration{-maxSkew, 0, maxSkew / 2, maxSkew}).Draw(t, "skew")
+	n := &node{name: fmt.Sprintf("i%d", m.born), skew: skew}
+	c, err := New(m.cfg, n.name, m.now.Add(skew))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.c = c
+	m.nodes = append(m.nodes, n)
+	m.list()
+}
+
+// list tells all which instances are live.
+func (m *machine) list() {
+	var names []string
+	for _, n := range m.nodes {
+		names = append(names, n.name)
+	}
+	for _, n := range m.nodes {
+		n.c.SetListed(names)
+	}
+}
+
+// second lets one second pass everywhere.
+func (m *machine) second(t *rapid.T) {
+	m.now = m.now.Add(machineStep)
+	for _, n := range m.nodes {
+		if n.paused {
+			continue
+		}
+		now := m.now.Add(n.skew)
+		m.requests(t, n, now)
+		n.c.Tick(now)
+		m.exchange(n)
+		if !m.storeDown && !n.noStore {
+			n.c.SeeRow(now, m.row, m.version)
+		}
+		m.write(t, n, now)
+		m.check(t, n)
+	}
+}
+
+// requests sends some requests through an instance.
+func (m *machine) requests(t *rapid.T, n *node, now time.Time) {
+	for i := range 30 {
+		fresh := n.c.Choose(now)
+		if fresh && !now.Before(m.cfg.Deadline) && !n.c.view.Settled() {
+			t.Fatalf("%s sends to the new version after the deadline in phase %v", n.name, n.c.view.Phase)
+		}
+		o := Outcome{Route: "read", Domain: "kano-a", New: fresh, Latency: 20 * time.Millisecond}
+		o.Failed = fresh && m.bad && i%3 == 0
+		n.c.Record(o)
+	}
+}
+
+// exchange sends an instance's summary to those it reaches.
+func (m *machine) exchange(from *node) {
+	s := from.c.Summary()
+	for _, to := range m.nodes {
+		if to != from && !from.noPeers && !to.noPeers && !to.paused {
+			to.c.SeePeer(m.now.Add(to.skew), s)
+		}
+	}
+}
+
+// write tries the instance's proposal; some writes are held up on their way.
+func (m *machine) write(t *rapid.T, n *node, now time.Time) {
+	p, ok := n.c.Propose(now)
+	tooLate := m.now.After(m.cfg.Deadline.Add(maxSkew - m.cfg.Guard))
+	if ok && p.Step && p.Record.Phase == Watching && tooLate {
+		t.Fatalf("%s proposes completion %v before the deadline", n.name, m.cfg.Deadline.Sub(m.now))
+	}
+	if !ok || m.storeDown || n.noStore {
+		return
+	}
+	if rapid.IntRange(0, 19).Draw(t, "held up") == 0 {
+		n.pending = append(n.pending, p)
+		return
+	}
+	if m.commit(t, p) {
+		n.c.SeeRow(now, m.row, m.version)
+	}
+}
+
+// commit is the table's compare-and-set.
+func (m *machine) commit(t *rapid.T, p Proposal) bool {
+	if p.Expected != m.version {
+		return false
+	}
+	if m.row.above(&p.Record) {
+		t.Fatalf("the record falls from %v %d to %v %d", m.row.Phase, m.row.Stage, p.Record.Phase, p.Record.Stage)
+	}
+	if p.Record.Stage > m.row.Stage+1 || p.Record.Phase < TakenBack && p.Record.Phase > m.row.Phase+1 {
+		t.Fatalf("the record jumps from %v %d to %v %d", m.row.Phase, m.row.Stage, p.Record.Phase, p.Record.Stage)
+	}
+	m.row = p.Record
+	m.version++
+	return true
+}
+
+// check checks what must hold at one instance at any time.
+func (m *machine) check(t *rapid.T, n *node) {
+	view := n.c.View()
+	if n.highest.above(&view) {
+		t.Fatalf("%s falls from %v to %v", n.name, n.highest.Phase, view.Phase)
+	}
+	n.highest = view
+	n.reached++
+	if m.storeDown || n.noStore {
+		n.reached = 0
+	}
+	if n.reached > 1 && m.now.After(m.cfg.Deadline.Add(2*maxSkew+machineStep)) && !view.Settled() {
+		t.Fatalf("%s is in phase %v after the deadline", n.name, view.Phase)
+	}
+}
+
+// heal mends everything, lets time pass and checks that all agree.
+func (m *machine) heal(t *rapid.T) {
+	m.storeDown = false
+	for _, n := range m.nodes {
+		n.paused, n.noStore, n.noPeers = false, false, false
+		for _, p := range n.pending {
+			m.commit(t, p)
+		}
+		n.pending = nil
+	}
+	end := m.cfg.Deadline.Add(m.cfg.Watch + 30*time.Second)
+	for range 30 {
+		m.second(t)
+	}
+	for m.now.Before(end) {
+		m.second(t)
+	}
+	for _, n := range m.nodes {
+		if view := n.c.View(); view.Phase != m.row.Phase || view.Phase < Done {
+			t.Fatalf("%s ends %v, the record says %v", n.name, view.Phase, m.row.Phase)
+		}
+	}
+}
+
+// TestFleetAgrees drives a fleet through partitions, pauses, deaths, outages of
+// the store, held-up writes and bad versions.
+func TestFleetAgrees(t *testing.T) {
+	var done, back int
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		for range 3 {
+			m.start(t)
+		}
+		any := func() *node { return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "instance")] }
+		pass := func(t *rapid.T) {
+			for range rapid.IntRange(1, 25).Draw(t, "seconds") {
+				m.second(t)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":         pass,
+			"pass on":      pass,
+			"pass further": pass,
+			"store":        func(t *rapid.T) { m.storeDown = !m.storeDown },
+			"pause":        func(t *rapid.T) { n := any(); n.paused = !n.paused },
+			"cut store":    func(t *rapid.T) { n := any(); n.noStore = !n.noStore },
+			"cut peers":    func(t *rapid.T) { n := any(); n.noPeers = !n.noPeers },
+			"turn bad":     func(t *rapid.T) { m.bad = rapid.IntRange(0, 3).Draw(t, "bad") == 0 },
+			"replace": func(t *rapid.T) {
+				m.nodes = m.nodes[1:]
+				m.start(t)
+			},
+			"deliver held-up writes": func(t *rapid.T) {
+				n := any()
+				for _, p := range n.pending {
+					m.commit(t, p)
+				}
+				n.pending = nil
+			},
+		})
+		m.heal(t)
+		if m.row.Phase == Done {
+			done++
+		} else {
+			back++
+		}
+	})
+	t.Logf("%d done, %d taken back", done, back)
+}
--- /dev/null
+++ b/steer/shift/fleet_test.go
@@ -0,0 +1,208 @@
+package shift
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const simExchange = time.Second
+
+var (
+	simRoutes  = []string{"read", "book", "pay", "photo"}
+	simDomains = []string{"kano-a", "kano-b", "kaduna-a", "kaduna-b", "sokoto-a", "sokoto-b"}
+)
+
+// request is what a fault depends on.
+type request struct {
+	at            time.Duration // since the shift's start
+	route, domain string
+	// load is the share of requests that the new version got in the last step.
+	load float64
+	// risen is the time since that share last rose to a new height.
+	risen time.Duration
+}
+
+// fault gives the new version's probability of failing and the factor on its
+// latency.
+type fault func(r request) (failing, slowness float64)
+
+// steerer is a way of shifting: the package's, or a baseline.
+type steerer interface {
+	choose(instance int, now time.Time) bool
+	record(instance int, o Outcome)
+	step(now time.Time)
+	outcome() Phase
+}
+
+// traffic drives a steerer with seeded requests.
+type traffic struct {
+	seed      uint64
+	step      time.Duration
+	instances int
+	perSecond float64 // requests a second over the whole fleet
+	baseRate  float64 // failures of a good version
+	shared    func(at time.Duration) float64
+	fault     fault
+	lag       time.Duration // before an outcome is reported
+	blindFrom time.Duration // when outcomes of the new version stop; 0: never
+	length    time.Duration
+}
+
+// exposure counts the requests that met a fault of the new version, and when
+// the shift ended.
+type exposure struct {
+	faulty  uint64
+	perHigh float64 // highest share that the new version got in a step
+}
+
+type lateOutcome struct {
+	at       time.Time
+	instance int
+	outcome  Outcome
+}
+
+// run drives the steerer until the time is over or it took the shift back.
+func (tr *traffic) run(cfg *Config, s steerer) exposure {
+	rng := rand.New(rand.NewPCG(tr.seed, 1))
+	var seen exposure
+	var late []lateOutcome
+	var risen time.Time
+	r := request{}
+	per := tr.perSecond * tr.step.Seconds() / float64(tr.instances*len(simRoutes))
+	for now := epoch; now.Sub(epoch) < tr.length && s.outcome() != TakenBack; now = now.Add(tr.step) {
+		sent, total := 0.0, 0.0
+		r.at = now.Sub(cfg.Start)
+		r.risen = now.Sub(risen)
+		for i := range tr.instances {
+			for _, r.route = range simRoutes {
+				for range poisson(rng, per) {
+					r.domain = simDomains[rng.IntN(len(simDomains))]
+					o := tr.one(rng, s.choose(i, now), r, &seen)
+					total++
+					if o.New {
+						sent++
+					}
+					late = append(late, lateOutcome{now.Add(tr.lag), i, o})
+				}
+			}
+		}
+		r.load = sent / max(total, 1)
+		if r.load > 2*seen.perHigh {
+			risen = now
+		}
+		seen.perHigh = max(seen.perHigh, r.load)
+		late = tr.report(cfg, s, now, late)
+		s.step(now)
+	}
+	return seen
+}
+
+// report hands over the outcomes that are due.
+func (tr *traffic) report(cfg *Config, s steerer, now time.Time, late []lateOutcome) []lateOutcome {
+	blind := tr.blindFrom > 0 && now.Sub(cfg.Start) >= tr.blindFrom
+	for len(late) > 0 && !late[0].at.After(now) {
+		if !late[0].outcome.New || !blind {
+			s.record(late[0].instance, late[0].outcome)
+		}
+		late = late[1:]
+	}
+	return late
+}
+
+// one serves a request and returns its outcome.
+func (tr *traffic) one(rng *rand.Rand, fresh bool, r request, seen *exposure) Outcome {
+	o := Outcome{Route: r.route, Domain: r.domain, New: fresh}
+	failing, slowness := tr.baseRate, 1.0
+	if tr.shared != nil {
+		failing = max(failing, tr.shared(r.at))
+	}
+	if fresh && tr.fault != nil {
+		f, slow := tr.fault(r)
+		if f > 0 || slow > 1 {
+			seen.faulty++
+		}
+		failing, slowness = max(failing, f), slow
+	}
+	o.Failed = rng.Float64() < failing
+	o.Latency = time.Duration(float64(20*time.Millisecond) * slowness * math.Exp(0.35*rng.NormFloat64()))
+	return o
+}
+
+// poisson draws a number of arrivals.
+func poisson(rng *rand.Rand, mean float64) int {
+	n, p, limit := 0, rng.Float64(), math.Exp(-mean)
+	for p > limit {
+		p *= rng.Float64()
+		n++
+	}
+	return n
+}
+
+// fleet is the package at work: controllers that share a row and summaries.
+type fleet struct {
+	controllers []*Controller
+	row         Record
+	version     uint64
+	exchanged   time.Time
+}
+
+func newFleet(cfg Config, instances int) *fleet {
+	f := &fleet{}
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	for _, name := range names {
+		c, err := New(cfg, name, epoch)
+		if err != nil {
+			panic(err)
+		}
+		c.SetListed(names)
+		f.controllers = append(f.controllers, c)
+	}
+	return f
+}
+
+func (f *fleet) choose(i int, now time.Time) bool { return f.controllers[i].Choose(now) }
+func (f *fleet) record(i int, o Outcome)          { f.controllers[i].Record(o) }
+func (f *fleet) outcome() Phase                   { return f.row.Phase }
+
+func (f *fleet) step(now time.Time) {
+	share := now.Sub(f.exchanged) >= simExchange
+	for _, c := range f.controllers {
+		if c.Tick(now) {
+			f.tell(now, c)
+		}
+	}
+	for _, c := range f.controllers {
+		if share {
+			c.SeeRow(now, f.row, f.version)
+			f.tell(now, c)
+		}
+		if p, ok := c.Propose(now); ok {
+			f.commit(now, c, p)
+		}
+	}
+	if share {
+		f.exchanged = now
+	}
+}
+
+func (f *fleet) commit(now time.Time, c *Controller, p Proposal) bool {
+	if p.Expected != f.version {
+		return false
+	}
+	f.row = p.Record
+	f.version++
+	c.SeeRow(now, f.row, f.version)
+	return true
+}
+
+func (f *fleet) tell(now time.Time, from *Controller) {
+	s := from.Summary()
+	for _, c := range f.controllers {
+		c.SeePeer(now, s)
+	}
+}
--- /dev/null
+++ b/steer/shift/meter_test.go
@@ -0,0 +1,104 @@
+package shift
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// member is one instance's meter with what it dealt in each run under test.
+type member struct {
+	meter     *Meter
+	sent      uint64
+	allowed   uint64 // sum of the caps of its requests, in parts per million
+	windowNew uint64
+	windowCap uint64
+}
+
+// deal deals one request and checks the instance's own bounds.
+func (m *member) deal() {
+	m.allowed += uint64(m.meter.Share())
+	m.windowCap += uint64(m.meter.Share())
+	if m.meter.Next() {
+		m.sent++
+		m.windowNew++
+	}
+}
+
+// TestFleetKeepsCap checks that the fleet's requests to the new version stay at
+// or under the cap from the start, and under the cap plus one for each instance
+// over any run of requests, while instances start, die and hold different stages.
+func TestFleetKeepsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stages := []Share{Percent, 10 * Percent, 33 * Percent, 50 * Percent, Whole}
+		live := []*member{{meter: NewMeter(stages[0])}}
+		all := append([]*member{}, live...)
+		pick := func() *member { return live[rapid.IntRange(0, len(live)-1).Draw(t, "instance")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				m := pick()
+				for range rapid.IntRange(1, 300).Draw(t, "n") {
+					m.deal()
+				}
+			},
+			"stage": func(t *rapid.T) {
+				pick().meter = NewMeter(rapid.SampledFrom(stages).Draw(t, "cap"))
+			},
+			"start": func(*rapid.T) {
+				m := &member{meter: NewMeter(rapid.SampledFrom(stages).Draw(t, "cap"))}
+				live = append(live, m)
+				all = append(all, m)
+			},
+			"die": func(t *rapid.T) {
+				if len(live) > 1 {
+					live = live[1:]
+				}
+			},
+			"open a run": func(*rapid.T) {
+				for _, m := range all {
+					m.windowNew, m.windowCap = 0, 0
+				}
+			},
+			"": func(t *rapid.T) { checkCaps(t, all) },
+		})
+	})
+}
+
+// checkCaps checks the sums over all instances that ever lived.
+func checkCaps(t *rapid.T, all []*member) {
+	var sent, allowed, windowNew, windowCap uint64
+	for _, m := range all {
+		sent += m.sent
+		allowed += m.allowed
+		windowNew += m.windowNew
+		windowCap += m.windowCap
+	}
+	if sent*uint64(Whole) > allowed {
+		t.Fatalf("%d requests sent, caps allow %d ppm", sent, allowed)
+	}
+	if windowNew*uint64(Whole) > windowCap+uint64(len(all))*uint64(Whole) {
+		t.Fatalf("%d requests sent in the run, caps allow %d ppm and %d instances", windowNew, windowCap, len(all))
+	}
+}
+
+func TestMeterSharedByGoroutines(t *testing.T) {
+	const workers, each = 8, 5000
+	m := NewMeter(3 * Percent)
+	var sent atomic.Uint64
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range each {
+				if m.Next() {
+					sent.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if want := uint64(workers * each * 3 / 100); sent.Load() != want {
+		t.Errorf("sent %d of %d, want exactly %d", sent.Load(), workers*each, want)
+	}
+}
--- /dev/null
+++ b/steer/shift/reference.go
@@ -0,0 +1,61 @@
+package shift
+
+const (
+	// slowQuantile is the part of the old version's answers that count as
+	// not slow.
+	slowQuantile = 0.9
+	// minReference is the least number of answers that define slowness.
+	minReference = 50
+	// maxReference is the number of entries at which older ones fade.
+	maxReference = 4000
+)
+
+// reference is the old version's recent latency on one route in one domain.
+type reference struct {
+	latency histogram
+	total   uint64
+}
+
+// learn adds answers of the old version; old entries fade by halving.
+func (r *reference) learn(h *histogram) {
+	r.total += r.latency.add(h)
+	if r.total <= maxReference {
+		return
+	}
+	r.total = 0
+	for i := range r.latency {
+		r.latency[i] /= 2
+		r.total += uint64(r.latency[i])
+	}
+}
+
+// limit returns the highest bucket that is not slow, and whether there were
+// enough answers to say so.
+func (r *reference) limit() (bucket int, known bool) {
+	if r == nil || r.total < minReference {
+		return 0, false
+	}
+	want := uint64(slowQuantile * float64(r.total))
+	seen := uint64(0)
+	for i, n := range r.latency {
+		seen += uint64(n)
+		if seen >= want {
+			return i, true
+		}
+	}
+	return latencyBuckets - 1, true
+}
+
+// baseline is the old version's recent rate of hits in one scope.
+type baseline struct {
+	counts Counts
+}
+
+// learn adds trials of the old version; old ones fade by halving.
+func (b *baseline) learn(c Counts) {
+	b.counts.add(c)
+	if b.counts.N > maxReference {
+		b.counts.N /= 2
+		b.counts.Hits /= 2
+	}
+}
--- /dev/null
+++ b/steer/shift/status.go
@@ -0,0 +1,86 @@
+package shift
+
+import "time"
+
+// ScopeStatus is the evidence in one scope over the fleet.
+type ScopeStatus struct {
+	Scope Scope  `json:"scope"`
+	New   Counts `json:"new"`
+	Old   Counts `json:"old"`
+	// Evidence is the logarithm of the evidence that the new version is
+	// worse, and Limit the value at which the shift is taken back.
+	Evidence float64 `json:"evidence"`
+	Limit    float64 `json:"limit"`
+}
+
+// Status is a shift as one instance sees it.
+type Status struct {
+	Shift    string    `json:"shift"`
+	Service  string    `json:"service"`
+	From     string    `json:"from"`
+	To       string    `json:"to"`
+	Instance string    `json:"instance"`
+	Deadline time.Time `json:"deadline"`
+	// Record is the outcome as the instance knows it.
+	Record Record `json:"record"`
+	// Stages is the number of stages.
+	Stages int `json:"stages"`
+	// Share is what the new version gets at this instance now.
+	Share Share `json:"share"`
+	// InTouch says that the store or most of the fleet was heard lately.
+	InTouch bool `json:"inTouch"`
+	// Waits says what the next step waits for.
+	Waits []Wait `json:"waits"`
+	// Routes holds the present stage's outcomes over the fleet.
+	Routes []Progress `json:"routes"`
+	// Scopes holds the evidence since the instance started.
+	Scopes []ScopeStatus `json:"scopes"`
+}
+
+// Status returns the shift's state at now.
+func (c *Controller) Status(now time.Time) Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Status{
+		Shift:    c.cfg.Name,
+		Service:  c.cfg.Service,
+		From:     c.cfg.From,
+		To:       c.cfg.To,
+		Instance: c.self,
+		Deadline: c.cfg.Deadline,
+		Record:   c.view,
+		Stages:   len(c.cfg.Stages),
+		Share:    c.share(now),
+		InTouch:  c.inTouch(now),
+		Waits:    c.waits(now),
+	}
+	progress := c.fleetProgress()
+	for _, route := range sortedKeys(progress) {
+		s.Routes = append(s.Routes, *progress[route])
+	}
+	scopes := c.scopes()
+	limit := c.threshold(len(scopes))
+	for _, scope := range scopes {
+		s.Scopes = append(s.Scopes, c.scopeStatus(scope, limit))
+	}
+	return s
+}
+
+// scopeStatus returns the fleet's evidence in one scope.
+func (c *Controller) scopeStatus(scope Scope, limit float64) ScopeStatus {
+	tally := c.fleetTally(scope)
+	s := ScopeStatus{Scope: scope, New: tally.New, Old: tally.Old, Limit: limit}
+	for _, d := range []*detector{c.fleet[scope], c.judge.detectors[scope]} {
+		if d != nil && d.started > 0 {
+			s.Evidence = max(s.Evidence, d.log())
+		}
+	}
+	return s
+}
+
+// View returns the outcome as this instance knows it.
+func (c *Controller) View() Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
--- /dev/null
+++ b/steer/shift/summary.go
@@ -0,0 +1,148 @@
+package shift
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ScopeTally is the evidence in one scope.
+type ScopeTally struct {
+	Scope Scope `json:"scope"`
+	Tally Tally `json:"tally"`
+}
+
+// ScopeStrikes counts the suspicions in one scope that ended without proof.
+type ScopeStrikes struct {
+	Scope   Scope `json:"scope"`
+	Strikes int   `json:"strikes"`
+}
+
+// Progress counts the outcomes on one route since the present stage began.
+type Progress struct {
+	Route string `json:"route"`
+	New   Counts `json:"new"`
+	Old   Counts `json:"old"`
+}
+
+// Summary is what one instance tells its peers about a shift. All counts run
+// from Began on, so a lost summary is made good by the next.
+type Summary struct {
+	// Shift names the shift.
+	Shift string `json:"shift"`
+	// Instance is the sender.
+	Instance string `json:"instance"`
+	// Began is when the sender's counts started.
+	Began time.Time `json:"began"`
+	// Sequence rises with each summary of the sender.
+	Sequence uint64 `json:"sequence"`
+	// Record is the outcome as the sender knows it.
+	Record Record `json:"record"`
+	// Suspect says that the new version is suspected.
+	Suspect bool `json:"suspect"`
+	// Blind says that outcomes of the new version stopped arriving.
+	Blind bool `json:"blind"`
+	// Picked counts the requests given to the new version in this stage.
+	Picked uint64 `json:"picked"`
+	// Progress holds the present stage's outcomes by route.
+	Progress []Progress `json:"progress"`
+	// Scopes holds the evidence since Began.
+	Scopes []ScopeTally `json:"scopes"`
+	// Strikes holds the suspicions that ended without proof.
+	Strikes []ScopeStrikes `json:"strikes"`
+}
+
+// source is a peer as its last summary shows it.
+type source struct {
+	summary Summary
+	heard   time.Time
+	// logs are the evidence already added to the fleet's.
+	logs map[Scope]Tally
+}
+
+// Summary returns the instance's own summary.
+func (c *Controller) Summary() Summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sequence++
+	return c.summary()
+}
+
+// summary builds the instance's own summary. c.mu is held.
+func (c *Controller) summary() Summary {
+	s := Summary{
+		Shift:    c.cfg.Name,
+		Instance: c.self,
+		Began:    c.began,
+		Sequence: c.sequence,
+		Record:   c.view,
+		Suspect:  c.judge.suspicion.on,
+		Blind:    c.blind,
+		Picked:   c.picked.Load() - c.pickedAtStep,
+	}
+	for _, route := range slices.Sorted(maps.Keys(c.progress)) {
+		s.Progress = append(s.Progress, *c.progress[route])
+	}
+	for _, scope := range c.scopes() {
+		if tally := c.judge.tallies[scope]; tally != nil {
+			s.Scopes = append(s.Scopes, ScopeTally{Scope: scope, Tally: *tally})
+		}
+	}
+	for _, scope := range sortedScopes(c.judge.suspicion.strikes) {
+		s.Strikes = append(s.Strikes, ScopeStrikes{Scope: scope, Strikes: c.judge.suspicion.strikes[scope]})
+	}
+	return s
+}
+
+// SeePeer takes a peer's summary. Summaries may arrive late, twice or in the
+// wrong order.
+func (c *Controller) SeePeer(now time.Time, s Summary) {
+	if s.Shift != c.cfg.Name || s.Instance == c.self {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := c.sources[s.Instance]
+	if from == nil || !from.summary.Began.Equal(s.Began) {
+		from = &source{logs: make(map[Scope]Tally)}
+		c.sources[s.Instance] = from
+	}
+	if s.Sequence <= from.summary.Sequence {
+		return
+	}
+	for _, st := range s.Scopes {
+		c.addPeerEvidence(from, st)
+	}
+	from.summary = s
+	from.heard = now
+	c.adopt(now, s.Record)
+	c.steer(now)
+}
+
+// addPeerEvidence adds what a peer has found since its last summary.
+func (c *Controller) addPeerEvidence(from *source, st ScopeTally) {
+	known := from.logs[st.Scope]
+	gain := st.Tally
+	gain.New.N -= known.New.N
+	gain.New.Hits -= known.New.Hits
+	gain.Old.N -= known.Old.N
+	gain.Old.Hits -= known.Old.Hits
+	for i := range gain.Logs {
+		gain.Logs[i] -= known.Logs[i]
+	}
+	entry(c.peerTallies, st.Scope).Add(&gain)
+	from.logs[st.Scope] = st.Tally
+}
+
+// sortedScopes returns the keys of m in a fixed order.
+func sortedScopes[V any](m map[Scope]V) []Scope {
+	return slices.SortedFunc(maps.Keys(m), func(a, b Scope) int {
+		return cmp.Or(
+			strings.Compare(string(a.Signal), string(b.Signal)),
+			strings.Compare(a.Route, b.Route),
+			strings.Compare(a.Domain, b.Domain),
+		)
+	})
+}
--- /dev/null
+++ b/steer/shift/transition.go
@@ -0,0 +1,205 @@
+package shift
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// WaitKind is the kind of thing that a shift waits for.
+type WaitKind string
+
+// What a shift may wait for.
+const (
+	WaitStart     WaitKind = "start"
+	WaitHold      WaitKind = "hold"
+	WaitWatch     WaitKind = "watch"
+	WaitSamples   WaitKind = "samples"
+	WaitOutcomes  WaitKind = "outcomes"
+	WaitCompare   WaitKind = "comparison"
+	WaitInstances WaitKind = "instances"
+	WaitStore     WaitKind = "store"
+)
+
+// Wait is one thing that a shift waits for before its next step.
+type Wait struct {
+	Kind WaitKind `json:"kind"`
+	// Detail is a sentence for operators.
+	Detail string `json:"detail"`
+}
+
+// Proposal is a write of the record that should be tried now.
+type Proposal struct {
+	// Record is the new content.
+	Record Record
+	// Expected is the version that the row must still have; 0 means that it
+	// must not exist.
+	Expected uint64
+	// Step says that the record's phase or stage changes, as opposed to its
+	// holder or renewal.
+	Step bool
+}
+
+// Propose returns the write that this instance should try at now. A write with
+// an outdated version fails, so an instance that was frozen while another took
+// over changes nothing.
+func (c *Controller) Propose(now time.Time) (Proposal, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.recent(now, c.storeHeard) {
+		return Proposal{}, false
+	}
+	if c.view.Phase == TakenBack && c.row.Phase != TakenBack {
+		return c.propose(c.view), true
+	}
+	if c.row.Phase >= Done || now.Before(c.cfg.Start) {
+		return Proposal{}, false
+	}
+	if c.row.Holder != c.self {
+		return c.claim(now)
+	}
+	if len(c.waits(now)) == 0 {
+		return c.propose(c.next(now)), true
+	}
+	if now.Sub(c.rowChanged) >= c.cfg.HolderLease/3 {
+		return c.propose(c.row), true
+	}
+	return Proposal{}, false
+}
+
+// claim proposes to take over a record that nobody advances.
+func (c *Controller) claim(now time.Time) (Proposal, bool) {
+	if c.rowVersion > 0 && now.Sub(c.rowChanged) < c.cfg.HolderLease {
+		return Proposal{}, false
+	}
+	r := c.row
+	if c.rowVersion == 0 {
+		r.Since = now
+	}
+	return c.propose(r), true
+}
+
+// propose builds the write of r by this instance.
+func (c *Controller) propose(r Record) Proposal {
+	step := c.rowVersion == 0 || !r.sameStep(&c.row)
+	r.Holder = c.self
+	r.Renewal = c.row.Renewal + 1
+	return Proposal{Record: r, Expected: c.rowVersion, Step: step}
+}
+
+// next returns the record after the present one.
+func (c *Controller) next(now time.Time) Record {
+	r := c.row
+	r.Since = now
+	switch {
+	case r.Phase == Pending:
+		r.Phase = Running
+		r.Stage = 0
+	case r.Phase == Running && r.Stage+1 < len(c.cfg.Stages):
+		r.Stage++
+	case r.Phase == Running:
+		r.Phase = Watching
+	default:
+		r.Phase = Done
+	}
+	return r
+}
+
+// waits returns what the next step waits for; nothing when it is due.
+func (c *Controller) waits(now time.Time) []Wait {
+	switch c.view.Phase {
+	case Pending:
+		if now.Before(c.cfg.Start) {
+			return []Wait{{WaitStart, "starts at " + c.cfg.Start.UTC().Format(time.RFC3339)}}
+		}
+		return c.waitsForStore(now)
+	case Running:
+		all := c.waitsForTime(now, WaitHold, c.stage().Hold)
+		all = append(all, c.waitsForEvidence(now)...)
+		all = append(all, c.waitsForInstances(now)...)
+		return append(all, c.waitsForStore(now)...)
+	case Watching:
+		all := c.waitsForTime(now, WaitWatch, c.cfg.Watch)
+		all = append(all, c.waitsForClarity(now)...)
+		return append(all, c.waitsForStore(now)...)
+	default:
+		return nil
+	}
+}
+
+// waitsForStore says whether the table is out of reach or behind.
+func (c *Controller) waitsForStore(now time.Time) []Wait {
+	if !c.recent(now, c.storeHeard) {
+		return []Wait{{WaitStore, "the platform's table does not answer"}}
+	}
+	if !c.view.sameStep(&c.row) {
+		return []Wait{{WaitStore, "the platform's table has not yet the latest step"}}
+	}
+	return nil
+}
+
+// waitsForTime says how long the step still has to last.
+func (c *Controller) waitsForTime(now time.Time, kind WaitKind, least time.Duration) []Wait {
+	left := least - now.Sub(c.view.Since)
+	if left <= 0 {
+		return nil
+	}
+	return []Wait{{kind, fmt.Sprintf("lasts %s longer", left.Round(time.Second))}}
+}
+
+// waitsForClarity says whether the new version is in doubt.
+func (c *Controller) waitsForClarity(now time.Time) []Wait {
+	var all []Wait
+	if c.blindAnywhere(now) {
+		all = append(all, Wait{WaitOutcomes, "no outcomes of the new version arrive"})
+	}
+	if c.suspected(now) {
+		all = append(all, Wait{WaitCompare, "the new version is suspected and compared at a lower share"})
+	}
+	return all
+}
+
+// waitsForEvidence says which outcomes the stage still needs. Silence is not
+// evidence: a route whose outcomes stay away holds the stage.
+func (c *Controller) waitsForEvidence(now time.Time) []Wait {
+	all := c.waitsForClarity(now)
+	progress := c.fleetProgress()
+	share := float64(c.stage().Cap) / float64(Whole)
+	var fresh, total uint64
+	for _, route := range slices.Sorted(maps.Keys(progress)) {
+		p := progress[route]
+		fresh += p.New.N
+		total += p.New.N + p.Old.N
+		due := share * float64(p.New.N+p.Old.N)
+		if p.New.N < c.cfg.MinRouteSamples && due >= float64(2*c.cfg.MinRouteSamples) {
+			all = append(all, Wait{WaitSamples, fmt.Sprintf("route %s has %d outcomes of the new version", route, p.New.N)})
+		}
+	}
+	if fresh < c.cfg.MinSamples {
+		all = append(all, Wait{WaitSamples, fmt.Sprintf("%d of %d outcomes of the new version", fresh, c.cfg.MinSamples)})
+	}
+	if c.stage().Cap <= suspectShare && total-fresh < c.cfg.MinSamples {
+		all = append(all, Wait{WaitSamples, fmt.Sprintf("%d of %d outcomes of the old version", total-fresh, c.cfg.MinSamples)})
+	}
+	return all
+}
+
+// waitsForInstances names the listed instances that have not confirmed the
+// present stage lately. Only the last stage needs them: completion must be
+// known everywhere.
+func (c *Controller) waitsForInstances(now time.Time) []Wait {
+	if c.view.Stage+1 < len(c.cfg.Stages) {
+		return nil
+	}
+	var all []Wait
+	for _, name := range c.listed {
+		if name == c.self {
+			continue
+		}
+		if !c.heardFrom(now, name) || !c.sources[name].summary.Record.sameStep(&c.view) {
+			all = append(all, Wait{WaitInstances, "instance " + name + " has not confirmed the last stage"})
+		}
+	}
+	return all
+}
