Decide at most once: attempt records, group commit, settling of lost answers

Cause: a booking with an idempotency key must run at most once over all instances, also when the store's answers are lost or its writes arrive late.

A claim is a conditional write of a record with an id of its own; many go in one transaction. A conflict settles one row and leaves the others; after two conflicts the other rows are read, so 63 of 64 conflicting rows are settled in three sends. A lost answer is settled by sending the same again: the row that conflicts tells by its id whether the earlier send took effect. A claim that stays unsettled is fenced by a release on the same expected version.

Changes now carry that they were sent before. Tried and dropped: a rule by which a conflict proves an earlier send void; no test needed it and it only saved a fence.

Requiring an unknown send before concluding from the own id can be left out without a test noticing: the own id implies one.

--- /dev/null
+++ b/steer/attempt/change.go
@@ -0,0 +1,94 @@
+package attempt
+
+// Kind is what a change does to a record.
+type Kind uint8
+
+const (
+	// KindClaim claims a key before its request is sent.
+	KindClaim Kind = iota
+	// KindFinish records the outcome of a claim.
+	KindFinish
+	// KindRelease records that a claim's request has not run. It also settles
+	// a claim of which it is unknown whether it was written: once the release
+	// stands, the claim can't be written any more.
+	KindRelease
+)
+
+// Change is one conditional write of a record.
+type Change struct {
+	Kind Kind
+	// Key is the record's row.
+	Key string
+	// Expected is the version that the row must have, 0 for no row.
+	Expected uint64
+	// Record is the new content.
+	Record Record
+	// sentBefore says that an earlier transaction, which was given up, may
+	// have written the change already.
+	sentBefore bool
+}
+
+// Result is what became of a change.
+type Result uint8
+
+const (
+	// ResultUnsettled means that the change may have been written, or may
+	// still be.
+	ResultUnsettled Result = iota
+	// ResultWritten means that the change stands in the table.
+	ResultWritten
+	// ResultNotWritten means that the change was not and will not be written.
+	ResultNotWritten
+	// ResultTaken means that another record stands, and that the change was
+	// not and will not be written.
+	ResultTaken
+)
+
+// Settled is a change with its result.
+type Settled struct {
+	Change *Change
+	Result Result
+	// Version is the row's version when Result is ResultWritten.
+	Version uint64
+	// Standing is the other record when Result is ResultTaken. Its State is
+	// empty when the row holds nothing that can be read.
+	Standing Record
+}
+
+// Standing is a row as it stands in the table.
+type Standing struct {
+	Key string
+	// Version is 0 when the row does not exist.
+	Version uint64
+	// Record is the row's content; its State is empty when the row does not
+	// exist or can't be read.
+	Record Record
+}
+
+// finding is what a standing row means for a change that did not expect it.
+type finding uint8
+
+const (
+	// findingOwn: the change itself stands there.
+	findingOwn finding = iota
+	// findingOther: something else stands there for good.
+	findingOther
+	// findingAgain: the change can be made on the standing version.
+	findingAgain
+)
+
+// find judges a standing row whose version is not the expected one.
+func (c *Change) find(s Standing) finding {
+	own := s.Record.ID == c.Record.ID
+	if own && s.Record.State == c.Record.State {
+		return findingOwn
+	}
+	free := s.Version == 0 || s.Record.State == StateReleased && !own
+	if c.Kind == KindClaim && free {
+		return findingAgain
+	}
+	if c.Kind != KindClaim && own && s.Record.State == StateRunning {
+		return findingAgain
+	}
+	return findingOther
+}
--- /dev/null
+++ b/steer/attempt/group.go
@@ -0,0 +1,189 @@
+package attempt
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// Defaults of GroupSettings. Ten instances with 20 writes a second each use
+// 200 of the several hundred that the store takes.
+const (
+	DefaultMaxRows        = 64
+	DefaultMaxWait        = 3 * time.Millisecond
+	DefaultMaxOutcomeWait = 100 * time.Millisecond
+	DefaultMaxInFlight    = 8
+	DefaultMaxQueued      = 1024
+	DefaultWriteRate      = 20 // transactions a second
+	DefaultWriteBurst     = 10 // transactions
+)
+
+// ErrQueueFull says that too many claims wait for the store.
+var ErrQueueFull = errors.New("attempts: queue full")
+
+// GroupSettings bounds the group commits of one instance.
+type GroupSettings struct {
+	// MaxRows is how many changes one transaction holds.
+	MaxRows int
+	// MaxWait is how long a claim waits for others when the store is free.
+	MaxWait time.Duration
+	// MaxOutcomeWait is how long an outcome, for which nobody waits, does.
+	MaxOutcomeWait time.Duration
+	// MaxInFlight is how many transactions are under way at once.
+	MaxInFlight int
+	// MaxQueued is how many claims wait at once.
+	MaxQueued int
+	// WriteRate is the instance's part of the store's writes, in transactions
+	// a second, and WriteBurst how many it saves up.
+	WriteRate  float64
+	WriteBurst float64
+}
+
+// DefaultGroupSettings returns the defaults.
+func DefaultGroupSettings() GroupSettings {
+	return GroupSettings{
+		MaxRows:        DefaultMaxRows,
+		MaxWait:        DefaultMaxWait,
+		MaxOutcomeWait: DefaultMaxOutcomeWait,
+		MaxInFlight:    DefaultMaxInFlight,
+		MaxQueued:      DefaultMaxQueued,
+		WriteRate:      DefaultWriteRate,
+		WriteBurst:     DefaultWriteBurst,
+	}
+}
+
+// queued is a change that waits.
+type queued struct {
+	change *Change
+	since  time.Time
+}
+
+// Group gathers changes into transactions (group commit; DeWitt et al.,
+// Implementation Techniques for Main Memory Database Systems, 1984). Claims
+// start a transaction; outcomes ride along, or start one when they have waited
+// long. It keeps to a rate of writes with a token bucket, so that groups grow
+// when the load does.
+//
+// A Group is not safe for concurrent use.
+type Group struct {
+	settings GroupSettings
+	claims   []queued
+	outcomes []queued
+	inFlight int
+	tokens   float64
+	filledAt time.Time
+}
+
+// NewGroup returns an empty group with a full bucket.
+func NewGroup(settings GroupSettings, now time.Time) *Group {
+	return &Group{settings: settings, tokens: settings.WriteBurst, filledAt: now}
+}
+
+// Add queues a change. Errors: ErrQueueFull, for a claim only; the number of
+// outcomes is bounded by that of the claims that were written.
+func (g *Group) Add(c *Change, now time.Time) error {
+	if c.Kind != KindClaim {
+		g.outcomes = append(g.outcomes, queued{c, now})
+		return nil
+	}
+	if len(g.claims) >= g.settings.MaxQueued {
+		return ErrQueueFull
+	}
+	g.claims = append(g.claims, queued{c, now})
+	return nil
+}
+
+// Remove takes a claim out of the queue and tells whether it was there. A
+// claim that is not there is under way or settled.
+func (g *Group) Remove(c *Change) bool {
+	at := slices.IndexFunc(g.claims, func(q queued) bool { return q.change == c })
+	if at < 0 {
+		return false
+	}
+	g.claims = slices.Delete(g.claims, at, at+1)
+	return true
+}
+
+// Len is how many changes wait.
+func (g *Group) Len() int { return len(g.claims) + len(g.outcomes) }
+
+// InFlight is how many transactions are under way.
+func (g *Group) InFlight() int { return g.inFlight }
+
+// Next returns the next transaction's changes and counts it as under way, or
+// none and the time at which to ask again; a zero time means after the next
+// Add or Ended.
+func (g *Group) Next(now time.Time) ([]*Change, time.Time) {
+	if g.Len() == 0 || g.inFlight >= g.settings.MaxInFlight {
+		return nil, time.Time{}
+	}
+	due := g.due(now)
+	if due.After(now) {
+		return nil, due
+	}
+	g.refill(now)
+	if g.tokens < 1 {
+		return nil, now.Add(g.untilToken())
+	}
+	g.tokens--
+	g.inFlight++
+	return g.take(), time.Time{}
+}
+
+// Ended notes that a transaction is no longer under way.
+func (g *Group) Ended() { g.inFlight-- }
+
+// ChargeResend takes a token for a transaction that is sent again. The bucket
+// may go below zero: a resend does not wait, the next transaction does.
+func (g *Group) ChargeResend(now time.Time) {
+	g.refill(now)
+	g.tokens--
+}
+
+// due is when the queued changes make a transaction.
+func (g *Group) due(now time.Time) time.Time {
+	if g.Len() >= g.settings.MaxRows {
+		return now
+	}
+	var due time.Time
+	if len(g.claims) > 0 {
+		due = g.claims[0].since.Add(g.settings.MaxWait)
+	}
+	if len(g.outcomes) > 0 {
+		outcomeDue := g.outcomes[0].since.Add(g.settings.MaxOutcomeWait)
+		if due.IsZero() || outcomeDue.Before(due) {
+			due = outcomeDue
+		}
+	}
+	return due
+}
+
+func (g *Group) refill(now time.Time) {
+	elapsed := now.Sub(g.filledAt)
+	if elapsed <= 0 {
+		return
+	}
+	g.tokens = min(g.tokens+elapsed.Seconds()*g.settings.WriteRate, g.settings.WriteBurst)
+	g.filledAt = now
+}
+
+func (g *Group) untilToken() time.Duration {
+	missing := 1 - g.tokens
+	return time.Duration(missing/g.settings.WriteRate*float64(time.Second)) + time.Microsecond
+}
+
+// take removes the next changes from the queues, claims first.
+func (g *Group) take() []*Change {
+	claims := min(len(g.claims), g.settings.MaxRows)
+	outcomes := min(len(g.outcomes), g.settings.MaxRows-claims)
+	changes := make([]*Change, 0, claims+outcomes)
+	for _, q := range g.claims[:claims] {
+		changes = append(changes, q.change)
+	}
+	for _, q := range g.outcomes[:outcomes] {
+		changes = append(changes, q.change)
+	}
+	g.claims = slices.Delete(g.claims, 0, claims)
+	g.outcomes = slices.Delete(g.outcomes, 0, outcomes)
+	return changes
+}
--- /dev/null
+++ b/steer/attempt/transaction.go
@@ -0,0 +1,121 @@
+package attempt
+
+import "slices"
+
+const (
+	// maxSends bounds how often a transaction is sent.
+	maxSends = 8
+	// conflictsBeforeRead is how many conflicts a transaction may have, one
+	// row each, before its other rows are read.
+	conflictsBeforeRead = 2
+)
+
+// Transaction is one group commit: many changes in one conditional write,
+// which takes effect as a whole or not at all. A conflict settles one change
+// and leaves the others for the next send; a lost answer is settled by sending
+// the same again, for then the row that conflicts tells by its id whether the
+// earlier send took effect.
+type Transaction struct {
+	changes []*Change
+	// unknown says that an earlier send of at least these changes, with these
+	// expected versions, may have taken effect or still may.
+	unknown   bool
+	sends     int
+	conflicts int
+}
+
+// NewTransaction returns a transaction of changes of different rows.
+func NewTransaction(changes []*Change) *Transaction {
+	return &Transaction{changes: slices.Clone(changes)}
+}
+
+// Changes returns the changes that are not settled.
+func (t *Transaction) Changes() []*Change { return t.changes }
+
+// Open tells whether the transaction is to be sent (again).
+func (t *Transaction) Open() bool { return len(t.changes) > 0 && t.sends < maxSends }
+
+// WantsRead tells that the rows should be read before the next send, because
+// several of them conflict.
+func (t *Transaction) WantsRead() bool {
+	return t.conflicts >= conflictsBeforeRead && len(t.changes) > 1
+}
+
+// OnWritten settles all changes by the store's word.
+func (t *Transaction) OnWritten() []Settled {
+	t.sends++
+	return t.settleAll(ResultWritten)
+}
+
+// OnUnknown notes that a send had no answer.
+func (t *Transaction) OnUnknown() {
+	t.sends++
+	t.unknown = true
+}
+
+// OnRefused notes that a send certainly took no effect.
+func (t *Transaction) OnRefused() { t.sends++ }
+
+// OnConflict notes that a send took no effect because of one row, and settles
+// what that row tells.
+func (t *Transaction) OnConflict(s Standing) []Settled {
+	t.sends++
+	t.conflicts++
+	return t.observe(s)
+}
+
+// OnRead settles what rows that were read tell.
+func (t *Transaction) OnRead(rows []Standing) []Settled {
+	t.conflicts = 0
+	var settled []Settled
+	for _, s := range rows {
+		settled = append(settled, t.observe(s)...)
+	}
+	return settled
+}
+
+// GiveUp settles the changes that are left.
+func (t *Transaction) GiveUp() []Settled {
+	if t.unknown {
+		return t.settleAll(ResultUnsettled)
+	}
+	return t.settleAll(ResultNotWritten)
+}
+
+// observe settles what one row tells.
+func (t *Transaction) observe(s Standing) []Settled {
+	at := slices.IndexFunc(t.changes, func(c *Change) bool { return c.Key == s.Key })
+	if at < 0 || t.changes[at].Expected == s.Version {
+		return nil
+	}
+	change := t.changes[at]
+	found := change.find(s)
+	if found == findingOwn && t.unknown && !change.sentBefore {
+		return t.settleAll(ResultWritten)
+	}
+	if found == findingAgain {
+		change.Expected = s.Version
+		return nil
+	}
+	t.changes = slices.Delete(t.changes, at, at+1)
+	if found == findingOwn {
+		return []Settled{{Change: change, Result: ResultWritten, Version: s.Version}}
+	}
+	return []Settled{{Change: change, Result: ResultTaken, Standing: s.Record}}
+}
+
+func (t *Transaction) settleAll(result Result) []Settled {
+	settled := make([]Settled, 0, len(t.changes))
+	for _, c := range t.changes {
+		s := Settled{Change: c, Result: result}
+		switch result {
+		case ResultWritten:
+			s.Version = c.Expected + 1
+		case ResultUnsettled:
+			c.sentBefore = true
+		}
+		settled = append(settled, s)
+	}
+	t.changes = nil
+	return settled
+}
--- /dev/null
+++ b/steer/attempt/transaction_test.go
@@ -0,0 +1,281 @@
+package attempt
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.checks", "20000")
+	_ = flag.Set("rapid.steps", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// write is one conditional write on its way to the model table.
+type write struct {
+	key      string
+	expected uint64
+	record   Record
+}
+
+// modelTable is a table to which writes may arrive late.
+type modelTable struct {
+	rows    map[string]Standing
+	delayed [][]write
+}
+
+// apply carries out a transaction and returns the row that differs, if any.
+func (m *modelTable) apply(writes []write) (Standing, bool) {
+	for _, w := range writes {
+		if row := m.row(w.key); row.Version != w.expected {
+			return row, false
+		}
+	}
+	for _, w := range writes {
+		m.rows[w.key] = Standing{Key: w.key, Version: w.expected + 1, Record: w.record}
+	}
+	return Standing{}, true
+}
+
+func (m *modelTable) row(key string) Standing {
+	row := m.rows[key]
+	row.Key = key
+	return row
+}
+
+// fleet is a few instances that claim few keys over the model table.
+type fleet struct {
+	table modelTable
+	open  []*Transaction
+	// waiting are changes that are in no transaction.
+	waiting []*Change
+	// ran counts by key the executions that may have run.
+	ran map[string]int
+	// dead are the ids of claims that were said not to be written.
+	dead map[string]bool
+	made int
+}
+
+func (f *fleet) claim(t *rapid.T) {
+	key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+	f.made++
+	id := fmt.Sprintf("%s-%d", key, f.made)
+	f.waiting = append(f.waiting, &Change{Key: key, Record: Record{ID: id, State: StateRunning}})
+}
+
+// group makes a transaction of some waiting changes of different rows.
+func (f *fleet) group(t *rapid.T) {
+	most := rapid.IntRange(1, 4).Draw(t, "rows")
+	rows := make(map[string]bool)
+	var changes, rest []*Change
+	for _, c := range f.waiting {
+		if len(changes) < most && !rows[c.Key] {
+			rows[c.Key] = true
+			changes = append(changes, c)
+			continue
+		}
+		rest = append(rest, c)
+	}
+	f.waiting = rest
+	if len(changes) > 0 {
+		f.open = append(f.open, NewTransaction(changes))
+	}
+}
+
+// send sends one transaction; its fate is drawn.
+func (f *fleet) send(t *rapid.T) {
+	if len(f.open) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(f.open)-1).Draw(t, "transaction")
+	tx := f.open[at]
+	var writes []write
+	for _, c := range tx.Changes() {
+		writes = append(writes, write{c.Key, c.Expected, c.Record})
+	}
+	switch rapid.SampledFrom([]string{"answered", "answered", "lost", "swallowed", "delayed", "refused"}).Draw(t, "fate") {
+	case "answered":
+		if row, ok := f.table.apply(writes); ok {
+			f.settle(t, tx.OnWritten())
+		} else {
+			f.settle(t, tx.OnConflict(row))
+		}
+	case "lost":
+		f.table.apply(writes)
+		tx.OnUnknown()
+	case "swallowed":
+		tx.OnUnknown()
+	case "delayed":
+		f.table.delayed = append(f.table.delayed, writes)
+		tx.OnUnknown()
+	case "refused":
+		tx.OnRefused()
+	}
+	f.after(t, at)
+}
+
+// after reads rows where that is wanted and drops a finished transaction.
+func (f *fleet) after(t *rapid.T, at int) {
+	tx := f.open[at]
+	if tx.WantsRead() {
+		var rows []Standing
+		for _, c := range tx.Changes() {
+			rows = append(rows, f.table.row(c.Key))
+		}
+		f.settle(t, tx.OnRead(rows))
+	}
+	if tx.Open() && rapid.IntRange(0, 9).Draw(t, "patience") > 0 {
+		return
+	}
+	f.settle(t, tx.GiveUp())
+	f.open = append(f.open[:at], f.open[at+1:]...)
+}
+
+// arrive lets one delayed transaction reach the table.
+func (f *fleet) arrive(t *rapid.T) {
+	if len(f.table.delayed) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(f.table.delayed)-1).Draw(t, "delayed")
+	writes := f.table.delayed[at]
+	f.table.delayed = append(f.table.delayed[:at], f.table.delayed[at+1:]...)
+	f.table.apply(writes)
+}
+
+func (f *fleet) settle(t *rapid.T, settled []Settled) {
+	for _, s := range settled {
+		switch {
+		case s.Change.Kind == KindClaim && s.Result == ResultWritten:
+			f.run(t, s)
+		case s.Change.Kind == KindClaim && s.Result == ResultUnsettled:
+			release := s.Change.Record
+			release.State = StateReleased
+			f.waiting = append(f.waiting, &Change{Kind: KindRelease, Key: s.Change.Key, Expected: s.Change.Expected, Record: release})
+		case s.Change.Kind == KindClaim:
+			f.dead[s.Change.Record.ID] = true
+		case s.Result == ResultUnsettled || s.Result == ResultNotWritten:
+			f.waiting = append(f.waiting, s.Change)
+		case s.Change.Kind == KindRelease:
+			f.dead[s.Change.Record.ID] = true
+		case s.Result == ResultTaken:
+			t.Fatalf("the outcome of %s was overtaken by %+v", s.Change.Record.ID, s.Standing)
+		}
+	}
+}
+
+// run sends the request of a claim that stands: it runs, or is proved not to
+// have run, or its holder dies and leaves the claim as it is.
+func (f *fleet) run(t *rapid.T, s Settled) {
+	standing := f.table.row(s.Change.Key)
+	if standing.Record.ID != s.Change.Record.ID || standing.Version != s.Version {
+		t.Fatalf("claim %s said to stand at version %d, the table has %+v", s.Change.Record.ID, s.Version, standing)
+	}
+	next := &Change{Kind: KindFinish, Key: s.Change.Key, Expected: s.Version, Record: s.Change.Record}
+	switch rapid.SampledFrom([]string{"ran", "not run", "died"}).Draw(t, "run") {
+	case "ran":
+		f.ran[s.Change.Key]++
+		next.Record.State = StateDone
+		next.Record.Outcome = &Outcome{Status: 200}
+	case "not run":
+		next.Kind = KindRelease
+		next.Record.State = StateReleased
+	case "died":
+		f.ran[s.Change.Key]++
+		return
+	}
+	f.waiting = append(f.waiting, next)
+}
+
+func (f *fleet) check(t *rapid.T) {
+	for key, ran := range f.ran {
+		if ran > 1 {
+			t.Fatalf("key %s may have run %d times", key, ran)
+		}
+	}
+	for _, row := range f.table.rows {
+		if row.Record.State != StateReleased && f.dead[row.Record.ID] {
+			t.Fatalf("claim %s stands, although it was said not to", row.Record.ID)
+		}
+	}
+}
+
+// TestRunsAtMostOnce lets instances claim the same keys while answers are lost,
+// writes arrive late, sends are refused and holders die.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{table: modelTable{rows: make(map[string]Standing)}, ran: make(map[string]int), dead: make(map[string]bool)}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim":  f.claim,
+			"group":  f.group,
+			"send":   f.send,
+			"resend": f.send,
+			"arrive": f.arrive,
+			"":       f.check,
+		})
+	})
+}
+
+func claimOf(key, id string) *Change {
+	return &Change{Key: key, Record: Record{ID: id, State: StateRunning}}
+}
+
+// TestConflictSettlesOnlyItsRow makes every row of a full group conflict but
+// one, and counts the sends and reads until all is settled.
+func TestConflictSettlesOnlyItsRow(t *testing.T) {
+	table := modelTable{rows: make(map[string]Standing)}
+	var changes []*Change
+	for i := range DefaultMaxRows {
+		key := fmt.Sprintf("key-%02d", i)
+		changes = append(changes, claimOf(key, "mine-"+key))
+		if i > 0 {
+			table.rows[key] = Standing{Key: key, Version: 1, Record: Record{ID: "other", State: StateRunning}}
+		}
+	}
+	tx := NewTransaction(changes)
+	results := make(map[Result]int)
+	sends := 0
+	for tx.Open() {
+		sends++
+		var writes []write
+		for _, c := range tx.Changes() {
+			writes = append(writes, write{c.Key, c.Expected, c.Record})
+		}
+		var settled []Settled
+		if row, ok := table.apply(writes); ok {
+			settled = tx.OnWritten()
+		} else {
+			settled = tx.OnConflict(row)
+		}
+		if tx.WantsRead() {
+			var rows []Standing
+			for _, c := range tx.Changes() {
+				rows = append(rows, table.row(c.Key))
+			}
+			settled = append(settled, tx.OnRead(rows)...)
+		}
+		for _, s := range settled {
+			results[s.Result]++
+		}
+	}
+	if results[ResultWritten] != 1 || results[ResultTaken] != DefaultMaxRows-1 {
+		t.Fatalf("results = %v, want 1 written and the others taken", results)
+	}
+	if sends > conflictsBeforeRead+1 {
+		t.Fatalf("%d sends, want at most %d", sends, conflictsBeforeRead+1)
+	}
+}
+
+func TestReleasedKeyIsClaimedAgain(t *testing.T) {
+	tx := NewTransaction([]*Change{claimOf("k", "second")})
+	settled := tx.OnConflict(Standing{Key: "k", Version: 2, Record: Record{ID: "first", State: StateReleased}})
+	if len(settled) != 0 || !tx.Open() || tx.Changes()[0].Expected != 2 {
+		t.Fatalf("settled %+v, changes %+v, want the claim to go on from version 2", settled, tx.Changes())
+	}
+}
