configuration: promoter, watcher, keyring

Cause: an accepted document has to be in force everywhere within seconds and never revert, and a withdrawn key must stop working within 5 s in every kind of cut.

Change: Promoter moves the head row by compare-and-set and settles lost answers by the operation id kept in the row and in its history. Watcher reads the row about once a second, counts a read as failed after 0.9 s but still takes in a late answer, asks the other instances while the store is silent and tells them of news.

Ruled out: one read at a time with a long timeout (a store that answers after 3 s makes knowledge stale); a short timeout that drops the late answer (a slow store would count as silent, and a withdrawal would be missed).

--- /dev/null
+++ b/front/platform/configuration/adopt.go
@@ -0,0 +1,173 @@
+package configuration
+
+import (
+	"context"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// learned is a head and where it was learned.
+type learned struct {
+	head generation.Head
+	// asOf is when the head was known to stand in the store; may be zero.
+	asOf time.Time
+	// fromStore says that the store itself named the head.
+	fromStore bool
+	// from is the address of the instance that named it, if one did.
+	from string
+	// content is the document, if it came with the head.
+	content []byte
+}
+
+// act does what the relation of a learned head asks for.
+func (w *Watcher) act(ctx context.Context, relation generation.Relation, l learned) {
+	switch relation {
+	case generation.Newer:
+		w.adopt(ctx, l)
+	case generation.Forked:
+		w.metrics.refused(ctx, refusedForked)
+		w.log.WithFields(fields(l.head)).Error("another document has the generation in force")
+	case generation.Older:
+		if l.fromStore {
+			w.metrics.refused(ctx, refusedOlder)
+			w.log.WithFields(fields(l.head)).Warn("store names an older generation")
+		}
+	case generation.Same:
+	}
+}
+
+// adopt loads a newer document, follows it, and tells the other instances.
+func (w *Watcher) adopt(ctx context.Context, l learned) {
+	index, content, err := w.load(ctx, l)
+	if err != nil {
+		w.metrics.refused(ctx, refusedUnloaded)
+		w.log.WithError(err).WithFields(fields(l.head)).Error("document can't be loaded")
+		return
+	}
+	w.mu.Lock()
+	adopted := w.tracker.Adopt(l.head, l.asOf, l.fromStore)
+	if adopted {
+		w.current.Store(&Snapshot{Head: l.head, Index: index, content: content})
+	}
+	w.publish()
+	w.mu.Unlock()
+	if !adopted {
+		return
+	}
+	w.metrics.adopted(ctx, l.head)
+	w.log.WithFields(fields(l.head)).Info("document is in force")
+	if l.from == "" {
+		w.tellAll()
+	}
+}
+
+// publish puts the tracker's state into the snapshot. The lock is held.
+func (w *Watcher) publish() {
+	next := *w.current.Load()
+	next.Ready = w.tracker.Ready(time.Now())
+	next.FreshUntil = w.tracker.FreshUntil()
+	w.current.Store(&next)
+}
+
+// compiled is a loaded document.
+type compiled struct {
+	index   *document.Index
+	content []byte
+}
+
+// load fetches and compiles a document once for all who ask at the same time.
+func (w *Watcher) load(ctx context.Context, l learned) (*document.Index, []byte, error) {
+	loaded, err, _ := w.loads.Do(l.head.Digest, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), loadTimeout)
+		defer cancel()
+		content, err := w.fetch(ctx, l)
+		if err != nil {
+			return nil, err
+		}
+		doc, err := document.Decode(l.head.Digest, content)
+		if err != nil {
+			return nil, err
+		}
+		return compiled{index: document.Compile(doc), content: content}, nil
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	c := loaded.(compiled)
+	return c.index, c.content, nil
+}
+
+// fetch returns a document that has the right digest: as it came along, from
+// the instance that told of it, from the store, or from any other instance.
+func (w *Watcher) fetch(ctx context.Context, l learned) ([]byte, error) {
+	if l.content != nil {
+		return l.content, checkDigest(l.head.Digest, l.content)
+	}
+	if l.from != "" {
+		if content, err := w.documentFrom(ctx, l.from, l.head.Digest); err == nil {
+			return content, nil
+		}
+	}
+	content, err := w.store.GetObject(ctx, l.head.Digest)
+	if err == nil {
+		return content, checkDigest(l.head.Digest, content)
+	}
+	for _, p := range w.directory.Peers() {
+		if content, peerErr := w.documentFrom(ctx, p.Addr, l.head.Digest); peerErr == nil {
+			return content, nil
+		}
+	}
+	return nil, err
+}
+
+// tellAll offers the head in force to the other instances.
+func (w *Watcher) tellAll() {
+	offer := Offer{Head: w.Current().Head, Sender: w.settings.PeerAddr}
+	for _, p := range w.directory.Peers() {
+		w.spawn(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
+			if err := w.peers.Call(ctx, p.Addr, methodOffer, offer, nil); err != nil {
+				w.log.WithError(err).WithField("instance", p.Name).Debug("instance was not told")
+			}
+		})
+	}
+}
+
+// takeOffer queues an offer for Run.
+func (w *Watcher) takeOffer(offer Offer) {
+	select {
+	case w.offers <- offer:
+	default:
+	}
+}
+
+// follow takes in an offer of another instance.
+func (w *Watcher) follow(ctx context.Context, offer Offer) {
+	w.mu.Lock()
+	relation := w.tracker.Offered(offer.Head)
+	w.mu.Unlock()
+	w.act(ctx, relation, learned{head: offer.Head, from: offer.Sender})
+}
+
+// Follow takes in a head with its document from the operators' tool, which has
+// seen the store accept it. It returns when the instance follows that head or
+// a newer one. Errors: *DigestError, *document.Error, *NotFollowedError.
+func (w *Watcher) Follow(ctx context.Context, head generation.Head, content []byte) error {
+	if err := checkDigest(head.Digest, content); err != nil {
+		return err
+	}
+	if _, err := document.Decode(head.Digest, content); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	relation := w.tracker.Offered(head)
+	w.mu.Unlock()
+	w.act(ctx, relation, learned{head: head, content: content})
+	if current := w.Current().Head; current.Compare(head) != generation.Same && current.Generation <= head.Generation {
+		return &NotFollowedError{Offered: head, Current: current}
+	}
+	return nil
+}
--- /dev/null
+++ b/front/platform/configuration/fleet_test.go
@@ -0,0 +1,232 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+const (
+	environment = "kano-trial"
+	keptKey     = "example-key-ward-01"
+	goneKey     = "example-key-ward-05"
+	peerDelay   = 20 * time.Millisecond
+)
+
+// exampleDocument returns the example; without the withdrawn key if so asked.
+func exampleDocument(t testing.TB, withdrawn bool) []byte {
+	t.Helper()
+	content, err := os.ReadFile("../../../examples/kano.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !withdrawn {
+		return content
+	}
+	var kept []string
+	for line := range strings.Lines(string(content)) {
+		if !strings.Contains(line, "id: ward-05-a") {
+			kept = append(kept, line)
+		}
+	}
+	return []byte(strings.Replace(strings.Join(kept, ""), "    burst: 8\n    keys:\n", "    burst: 8\n", 1))
+}
+
+// fleet is a number of watchers over one store in a synctest bubble.
+type fleet struct {
+	t       *testing.T
+	store   *standin.Store
+	members []*member
+	// apart says whether two failure domains can't reach each other; the
+	// store is in "kano-b".
+	apart func(a, b string) bool
+	ended sync.WaitGroup
+}
+
+// member is one instance: its watcher, its way to the store and to the others.
+type member struct {
+	fleet  *fleet
+	place  generation.Place
+	w      *Watcher
+	ring   *Keyring
+	stop   context.CancelFunc
+	noRead atomic.Bool
+}
+
+func newFleet(t *testing.T, domains ...string) *fleet {
+	f := &fleet{t: t, store: standin.NewStore(), apart: func(string, string) bool { return false }}
+	for i := range domains {
+		f.members = append(f.members, nil)
+		f.start(i, domains[i])
+	}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			m.stop()
+		}
+		f.ended.Wait()
+	})
+	return f
+}
+
+// start runs a new process in place i of the fleet.
+func (f *fleet) start(i int, domain string) *member {
+	m := &member{fleet: f}
+	m.place = generation.Place{Instance: uuid.NewString(), Region: domain[:len(domain)-2], FailureDomain: domain}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	meters, err := NewMeters(noop.Meter{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	settings := DefaultSettings(environment, m.place, fmt.Sprint(i), "kano")
+	m.w = NewWatcher(settings, memberStore{f.store, m}, m, m, log, meters)
+	m.ring = NewKeyring(m.w, RefuseStale)
+	f.members[i] = m
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	f.ended.Go(func() { _ = m.w.Run(ctx) })
+	return m
+}
+
+// Peers implements Directory.
+func (m *member) Peers() []Peer {
+	var peers []Peer
+	for i, other := range m.fleet.members {
+		if other != m {
+			peers = append(peers, Peer{Name: other.place.Instance, Addr: fmt.Sprint(i)})
+		}
+	}
+	return peers
+}
+
+// Call implements peer.Caller.
+func (m *member) Call(ctx context.Context, addr, method string, params, result any) error {
+	var i int
+	if _, err := fmt.Sscan(addr, &i); err != nil {
+		return err
+	}
+	other := m.fleet.members[i]
+	time.Sleep(peerDelay)
+	if m.fleet.apart(m.place.FailureDomain, other.place.FailureDomain) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := other.serve(ctx, method, raw)
+	if err != nil {
+		return err
+	}
+	time.Sleep(peerDelay)
+	if raw, err = json.Marshal(answer); err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (m *member) serve(ctx context.Context, method string, raw json.RawMessage) (any, error) {
+	switch method {
+	case methodStatement:
+		return m.w.serveStatement(ctx, raw)
+	case methodOffer:
+		return m.w.serveOffer(ctx, raw)
+	default:
+		return m.w.serveDocument(ctx, raw)
+	}
+}
+
+// memberStore is the store as one member reaches it.
+type memberStore struct {
+	*standin.Store
+	m *member
+}
+
+func (s memberStore) cut() bool {
+	return s.m.noRead.Load() || s.m.fleet.apart(s.m.place.FailureDomain, "kano-b")
+}
+
+// Get implements platform.Table.
+func (s memberStore) Get(ctx context.Context, key string) (platform.Row, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return platform.Row{}, &platform.Error{Op: "get", Effect: platform.EffectNone, Err: ctx.Err()}
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// GetObject implements platform.Objects.
+func (s memberStore) GetObject(ctx context.Context, digest string) ([]byte, error) {
+	if s.cut() {
+		<-ctx.Done()
+		return nil, &platform.Error{Op: "get object", Effect: platform.EffectNone, Err: ctx.Err()}
+	}
+	return s.Store.GetObject(ctx, digest)
+}
+
+// promote puts the example in force as the generation after expect.
+func (f *fleet) promote(expect uint64, withdrawn bool) (Promotion, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return NewPromoter(f.store).Promote(ctx, Request{
+		Environment: environment, Expect: expect, File: "kano.yaml", Content: exampleDocument(f.t, withdrawn),
+		Operation: uuid.NewString(), Operator: "test",
+	})
+}
+
+func (f *fleet) mustPromote(expect uint64, withdrawn bool) Promotion {
+	f.t.Helper()
+	promotion, err := f.promote(expect, withdrawn)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return promotion
+}
+
+// serves returns the members on which a key works, one letter for each: "+"
+// works, "s" refused as stale, "u" as unknown, "n" as not ready.
+func (f *fleet) serves(key string) string {
+	marks := map[KeyReason]string{KeyStale: "s", KeyUnknown: "u", KeyNotReady: "n"}
+	var out string
+	for _, m := range f.members {
+		_, err := m.ring.Authenticate(key)
+		var refused *KeyError
+		if errors.As(err, &refused) {
+			out += marks[refused.Reason]
+			continue
+		}
+		out += "+"
+	}
+	return out
+}
+
+// inBubble runs a test of a fleet of six with one generation in force.
+func inBubble(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "kano-a", "kano-b", "kaduna-a", "kaduna-b", "sokoto-a", "sokoto-b")
+		f.mustPromote(0, false)
+		time.Sleep(3 * time.Second)
+		if got := f.serves(goneKey); got != "++++++" {
+			t.Fatalf("key works on %q before the test", got)
+		}
+		test(t, f)
+	})
+}
--- /dev/null
+++ b/front/platform/configuration/keyring.go
@@ -0,0 +1,110 @@
+package configuration
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// StaleKeys says what happens to keyed requests while an instance can't know
+// whether a key was withdrawn.
+type StaleKeys string
+
+const (
+	// RefuseStale refuses them. This is the default.
+	RefuseStale StaleKeys = "refuse"
+	// ServeStale serves them with the keys last known. A withdrawn key then
+	// works on an instance for as long as it is cut off.
+	ServeStale StaleKeys = "serve"
+)
+
+// KeyReason says why a key was refused, for metrics and for callers.
+type KeyReason string
+
+// Reasons of a KeyError.
+const (
+	// KeyUnknown means that no key in force has this digest.
+	KeyUnknown KeyReason = "key-unknown"
+	// KeyStale means that the instance can't know whether the key is in
+	// force.
+	KeyStale KeyReason = "key-stale"
+	// KeyNotReady means that the instance has no document yet.
+	KeyNotReady KeyReason = "not-ready"
+)
+
+// KeyError is a refused key. Nothing was sent on because of it.
+type KeyError struct {
+	// Reason says why.
+	Reason KeyReason
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return fmt.Sprintf("key refused: %s", e.Reason) }
+
+// Source gives the snapshot in force. Watcher implements it.
+type Source interface {
+	// Current returns the snapshot in force; never nil.
+	Current() *Snapshot
+}
+
+// Keyring checks callers' keys. It is safe for use by many goroutines.
+type Keyring struct {
+	source Source
+	stale  StaleKeys
+}
+
+// NewKeyring returns a keyring over source.
+func NewKeyring(source Source, stale StaleKeys) *Keyring {
+	return &Keyring{source: source, stale: stale}
+}
+
+// Grant is a key that was accepted. It holds the key's digest, not the key.
+type Grant struct {
+	// Team is the team that the key belongs to.
+	Team *document.Team
+	// Snapshot is the snapshot that the key was checked against.
+	Snapshot *Snapshot
+
+	ring *Keyring
+	sum  document.KeySum
+}
+
+// Authenticate checks a key against the snapshot in force. Errors: *KeyError.
+func (k *Keyring) Authenticate(key string) (*Grant, error) {
+	snapshot := k.source.Current()
+	if !snapshot.Ready {
+		return nil, &KeyError{Reason: KeyNotReady}
+	}
+	sum := document.SumKey(key)
+	team := snapshot.Index.TeamOfSum(sum)
+	if team == nil {
+		return nil, &KeyError{Reason: KeyUnknown}
+	}
+	if !k.trusts(snapshot) {
+		return nil, &KeyError{Reason: KeyStale}
+	}
+	return &Grant{Team: team, Snapshot: snapshot, ring: k, sum: sum}, nil
+}
+
+func (k *Keyring) trusts(snapshot *Snapshot) bool {
+	return k.stale == ServeStale || snapshot.Fresh(time.Now())
+}
+
+// Check says whether the key still works for the same team. It is cheap enough
+// to be called for each piece of a long upload, and belongs right before a
+// request is sent. Errors: *KeyError.
+func (g *Grant) Check() error {
+	snapshot := g.ring.source.Current()
+	if !g.ring.trusts(snapshot) {
+		return &KeyError{Reason: KeyStale}
+	}
+	if snapshot.Index == g.Snapshot.Index {
+		return nil
+	}
+	team := snapshot.Index.TeamOfSum(g.sum)
+	if team == nil || team.Name != g.Team.Name {
+		return &KeyError{Reason: KeyUnknown}
+	}
+	return nil
+}
--- /dev/null
+++ b/front/platform/configuration/metrics.go
@@ -0,0 +1,73 @@
+package configuration
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// Outcomes of a read of the head row.
+const (
+	readOutcomeAnswered = "answered"
+	readOutcomeFailed   = "failed"
+)
+
+// Reasons why a head was refused.
+const (
+	refusedForked   = "forked"
+	refusedOlder    = "older"
+	refusedUnloaded = "unloaded"
+)
+
+// Meters holds the counters of the configuration.
+type Meters struct {
+	metrics *metrics
+}
+
+type metrics struct {
+	reads      metric.Int64Counter
+	refusals   metric.Int64Counter
+	adoptions  metric.Int64Counter
+	generation metric.Int64Gauge
+}
+
+// NewMeters creates the counters with meter. Errors: those of the meter.
+func NewMeters(meter metric.Meter) (*Meters, error) {
+	var m metrics
+	var err error
+	if m.reads, err = meter.Int64Counter("configuration.reads", metric.WithDescription("Reads of the head row, by outcome.")); err != nil {
+		return nil, err
+	}
+	if m.refusals, err = meter.Int64Counter("configuration.refusals", metric.WithDescription("Heads that were not followed, by reason.")); err != nil {
+		return nil, err
+	}
+	if m.adoptions, err = meter.Int64Counter("configuration.adoptions", metric.WithDescription("Generations put in force.")); err != nil {
+		return nil, err
+	}
+	if m.generation, err = meter.Int64Gauge("configuration.generation", metric.WithDescription("Generation in force.")); err != nil {
+		return nil, err
+	}
+	return &Meters{metrics: &m}, nil
+}
+
+func (m *metrics) read(ctx context.Context, outcome string) {
+	m.reads.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+func (m *metrics) refused(ctx context.Context, reason string) {
+	m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+func (m *metrics) adopted(ctx context.Context, head generation.Head) {
+	m.adoptions.Add(ctx, 1)
+	m.generation.Record(ctx, int64(head.Generation))
+}
+
+// fields returns a head for the log.
+func fields(head generation.Head) logrus.Fields {
+	return logrus.Fields{"generation": head.Generation, "digest": head.Digest}
+}
--- /dev/null
+++ b/front/platform/configuration/peers.go
@@ -0,0 +1,123 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// Methods between instances.
+const (
+	methodStatement = "configuration.statement"
+	methodOffer     = "configuration.offer"
+	methodDocument  = "configuration.document"
+)
+
+// Peer is another instance.
+type Peer struct {
+	// Name is the instance's name.
+	Name string
+	// Addr is the address of its listener for instances.
+	Addr string
+}
+
+// Directory lists the other instances.
+type Directory interface {
+	// Peers returns the instances to talk to, without this one.
+	Peers() []Peer
+}
+
+// Offer tells of a head that the sender follows.
+type Offer struct {
+	// Head is the head.
+	Head generation.Head `json:"head"`
+	// Sender is the sender's address, from which the document can be had.
+	Sender string `json:"sender"`
+}
+
+// DocumentRequest asks for a document by its digest.
+type DocumentRequest struct {
+	// Digest names the document.
+	Digest string `json:"digest"`
+}
+
+// DocumentAnswer carries a document.
+type DocumentAnswer struct {
+	// Content is the document.
+	Content []byte `json:"content"`
+}
+
+// DigestError says that content did not have the digest that names it.
+type DigestError struct {
+	// Want is the digest that was asked for.
+	Want string
+	// Got is the digest of the content that came.
+	Got string
+}
+
+// Error implements error.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("document has digest %s, not %s", e.Got, e.Want)
+}
+
+// NoDocumentError says that an instance does not hold a document.
+type NoDocumentError struct {
+	// Digest names the document.
+	Digest string
+}
+
+// Error implements error.
+func (e *NoDocumentError) Error() string { return fmt.Sprintf("no document %s here", e.Digest) }
+
+// Register lets other instances call the watcher through server.
+func (w *Watcher) Register(server *peer.Server) {
+	server.Handle(methodStatement, w.serveStatement)
+	server.Handle(methodOffer, w.serveOffer)
+	server.Handle(methodDocument, w.serveDocument)
+}
+
+func (w *Watcher) serveStatement(context.Context, json.RawMessage) (any, error) {
+	return w.Statement(), nil
+}
+
+func (w *Watcher) serveOffer(_ context.Context, params json.RawMessage) (any, error) {
+	var offer Offer
+	if err := json.Unmarshal(params, &offer); err != nil {
+		return nil, err
+	}
+	w.takeOffer(offer)
+	return nil, nil
+}
+
+func (w *Watcher) serveDocument(_ context.Context, params json.RawMessage) (any, error) {
+	var request DocumentRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, err
+	}
+	current := w.Current()
+	if current.Head.Digest != request.Digest {
+		return nil, &NoDocumentError{Digest: request.Digest}
+	}
+	return DocumentAnswer{Content: current.content}, nil
+}
+
+// documentFrom fetches a document from another instance.
+func (w *Watcher) documentFrom(ctx context.Context, addr, digest string) ([]byte, error) {
+	var answer DocumentAnswer
+	request := DocumentRequest{Digest: digest}
+	if err := w.peers.Call(ctx, addr, methodDocument, request, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Content, checkDigest(digest, answer.Content)
+}
+
+func checkDigest(want string, content []byte) error {
+	if got := document.Digest(content); got != want {
+		return &DigestError{Want: want, Got: got}
+	}
+	return nil
+}
--- /dev/null
+++ b/front/platform/configuration/promote.go
@@ -0,0 +1,206 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// Store is the part of the platform's service that this package uses.
+type Store interface {
+	platform.Table
+	platform.Objects
+}
+
+// Request asks for a promotion.
+type Request struct {
+	// Environment names the environment; the document must name it too.
+	Environment string
+	// Expect is the generation that the promotion follows; 0 for the first.
+	Expect uint64
+	// File names the document's file in errors.
+	File string
+	// Content is the document.
+	Content []byte
+	// Operation is a unique name for this promotion. A repeated request with
+	// the same operation promotes at most once.
+	Operation string
+	// Operator is who asks, as it is told to others.
+	Operator string
+}
+
+// ConflictError says that another promotion came first. Nothing was changed.
+type ConflictError struct {
+	// Expected is the generation that the loser expected.
+	Expected uint64
+	// Winner is the promotion in force.
+	Winner Promotion
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Winner.Generation == 0 {
+		return fmt.Sprintf("conflict: expected generation %d, but no document is in force", e.Expected)
+	}
+	return fmt.Sprintf("conflict: expected generation %d, but %q put generation %d (%s) in force",
+		e.Expected, e.Winner.Operator, e.Winner.Generation, e.Winner.Digest)
+}
+
+// UnknownOutcomeError says that a promotion may have been accepted: the store
+// fell silent before that could be settled. The same request, with the same
+// operation, settles it.
+type UnknownOutcomeError struct {
+	// Operation names the promotion.
+	Operation string
+	// Err is the last failure.
+	Err error
+}
+
+// Error implements error.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("promotion %s may or may not be in force: %v", e.Operation, e.Err)
+}
+
+// Unwrap returns the last failure.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
+
+// EnvironmentError says that a document is for another environment.
+type EnvironmentError struct {
+	// Want is the environment of the request.
+	Want string
+	// Got is the environment of the document.
+	Got string
+}
+
+// Error implements error.
+func (e *EnvironmentError) Error() string {
+	return fmt.Sprintf("the document is for environment %q, not %q", e.Got, e.Want)
+}
+
+// Promoter puts documents in force.
+type Promoter struct {
+	store Store
+}
+
+// NewPromoter returns a promoter.
+func NewPromoter(store Store) *Promoter { return &Promoter{store: store} }
+
+// Waits between tries of a promoter.
+const (
+	promoteFirstWait = 100 * time.Millisecond
+	promoteMaxWait   = 2 * time.Second
+)
+
+// Current returns the promotion in force and its document; the zero promotion
+// when there is none. Errors: *platform.Error.
+func (p *Promoter) Current(ctx context.Context, environment string) (Promotion, []byte, error) {
+	row, err := p.store.Get(ctx, HeadKey(environment))
+	if err != nil {
+		return Promotion{}, nil, err
+	}
+	head, err := decodeHead(row)
+	if err != nil || head.Generation == 0 {
+		return Promotion{}, nil, err
+	}
+	content, err := p.store.GetObject(ctx, head.Digest)
+	return head.Promotion, content, err
+}
+
+// Promote checks a document and puts it in force. It tries until ctx ends.
+// Errors: *document.Error, *EnvironmentError and *ConflictError change
+// nothing; *UnknownOutcomeError may have; *platform.Error changed nothing.
+func (p *Promoter) Promote(ctx context.Context, r Request) (Promotion, error) {
+	doc, err := document.Decode(r.File, r.Content)
+	if err != nil {
+		return Promotion{}, err
+	}
+	if doc.Environment != r.Environment {
+		return Promotion{}, &EnvironmentError{Want: r.Environment, Got: doc.Environment}
+	}
+	digest, err := retry(ctx, func() (string, error) { return p.store.PutObject(ctx, r.Content) })
+	if err != nil {
+		return Promotion{}, err
+	}
+	a := &attempt{store: p.store, request: r, digest: digest}
+	promotion, err := retry(ctx, func() (Promotion, error) { return a.once(ctx) })
+	var conflict *ConflictError
+	if err != nil && a.uncertain && !errors.As(err, &conflict) {
+		return Promotion{}, &UnknownOutcomeError{Operation: r.Operation, Err: err}
+	}
+	return promotion, err
+}
+
+// retry repeats an operation with growing, jittered waits until ctx ends.
+// Errors marked by backoff.Permanent end it at once.
+func retry[T any](ctx context.Context, operation func() (T, error)) (T, error) {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = promoteFirstWait
+	waits.MaxInterval = promoteMaxWait
+	var last error
+	result, err := backoff.Retry(ctx, func() (T, error) {
+		value, err := operation()
+		if err != nil {
+			last = err
+		}
+		return value, err
+	}, backoff.WithBackOff(waits), backoff.WithMaxElapsedTime(0))
+	var permanent *backoff.PermanentError
+	if err != nil && last != nil {
+		err = last
+	}
+	if errors.As(err, &permanent) {
+		err = permanent.Unwrap()
+	}
+	return result, err
+}
+
+// attempt is one promotion over several tries.
+type attempt struct {
+	store   Store
+	request Request
+	digest  string
+	// uncertain says that a write was sent whose outcome is unknown.
+	uncertain bool
+}
+
+// once reads the head row, settles whether an earlier try took effect, and
+// else writes. Sending the same write again is safe: it names the row version
+// that it replaces, so that at most one of them takes effect.
+func (a *attempt) once(ctx context.Context) (Promotion, error) {
+	key := HeadKey(a.request.Environment)
+	row, err := a.store.Get(ctx, key)
+	if err != nil {
+		return Promotion{}, err
+	}
+	head, err := decodeHead(row)
+	if err != nil {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	if done, found := head.find(a.request.Operation); found {
+		return done, nil
+	}
+	if head.Generation != a.request.Expect {
+		return Promotion{}, backoff.Permanent(&ConflictError{Expected: a.request.Expect, Winner: head.Promotion})
+	}
+	next := head.next(a.digest, a.request.Operation, a.request.Operator)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	_, err = a.store.Commit(ctx, []platform.Write{{Key: key, Expected: row.Version, Value: value}})
+	if err == nil {
+		return next.Promotion, nil
+	}
+	var failure *platform.Error
+	if errors.As(err, &failure) && failure.Effect == platform.EffectUnknown {
+		a.uncertain = true
+	}
+	return Promotion{}, err
+}
--- /dev/null
+++ b/front/platform/configuration/promote_test.go
@@ -0,0 +1,190 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func request(t testing.TB, expect uint64, operation, operator string) Request {
+	return Request{
+		Environment: environment, Expect: expect, File: "kano.yaml", Content: exampleDocument(t, false),
+		Operation: operation, Operator: operator,
+	}
+}
+
+func inTime(t *testing.T, f func(ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+func TestPromoteRefuses(t *testing.T) {
+	inTime(t, func(ctx context.Context) {
+		store := standin.NewStore()
+		p := NewPromoter(store)
+		faulty := request(t, 0, "op-1", "ana")
+		faulty.Content = append(faulty.Content, "extra: field\n"...)
+		var fault *document.Error
+		if _, err := p.Promote(ctx, faulty); !errors.As(err, &fault) || fault.File != "kano.yaml" {
+			t.Errorf("faulty document: %v", err)
+		}
+		foreign := request(t, 0, "op-2", "ana")
+		foreign.Environment = "kano-production"
+		var other *EnvironmentError
+		if _, err := p.Promote(ctx, foreign); !errors.As(err, &other) {
+			t.Errorf("document of another environment: %v", err)
+		}
+		if counts := store.Counts(); counts.Writes != 0 {
+			t.Errorf("%d writes of refused documents", counts.Writes)
+		}
+	})
+}
+
+func TestPromoteConflictNamesTheWinner(t *testing.T) {
+	inTime(t, func(ctx context.Context) {
+		p := NewPromoter(standin.NewStore())
+		won, err := p.Promote(ctx, request(t, 0, "op-1", "ana"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = p.Promote(ctx, request(t, 0, "op-2", "bilal"))
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || conflict.Winner != won {
+			t.Fatalf("err = %v, want a conflict with %v", err, won)
+		}
+		for _, part := range []string{"ana", "generation 1", won.Digest} {
+			if !strings.Contains(err.Error(), part) {
+				t.Errorf("%q does not name %q", err, part)
+			}
+		}
+	})
+}
+
+func TestPromoteSettlesLostAnswers(t *testing.T) {
+	inTime(t, func(ctx context.Context) {
+		store := standin.NewStore()
+		p := NewPromoter(store)
+		store.SetFaults(standin.Faults{LoseAnswers: 3})
+		won, err := p.Promote(ctx, request(t, 0, "op-1", "ana"))
+		if err != nil || won.Generation != 1 {
+			t.Fatalf("promotion = %v, %v", won, err)
+		}
+		if _, err = p.Promote(ctx, request(t, 1, "op-2", "bilal")); err != nil {
+			t.Fatal(err)
+		}
+		again, err := p.Promote(ctx, request(t, 0, "op-1", "ana"))
+		if err != nil || again != won {
+			t.Errorf("repeated after another one: %v, %v; want %v", again, err, won)
+		}
+	})
+}
+
+// silentAfterWrite is a store that answers nothing once a head row was written.
+type silentAfterWrite struct{ *standin.Store }
+
+func (s silentAfterWrite) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	_, _ = s.Store.Commit(ctx, writes)
+	s.SetFaults(standin.Faults{Refuse: true})
+	return nil, &platform.Error{Op: "commit", Effect: platform.EffectUnknown}
+}
+
+func TestPromoteSaysWhenTheOutcomeIsUnknown(t *testing.T) {
+	inTime(t, func(ctx context.Context) {
+		store := standin.NewStore()
+		_, err := NewPromoter(silentAfterWrite{store}).Promote(ctx, request(t, 0, "op-1", "ana"))
+		var unknown *UnknownOutcomeError
+		if !errors.As(err, &unknown) || unknown.Operation != "op-1" {
+			t.Errorf("write without an answer: %v", err)
+		}
+	})
+	inTime(t, func(ctx context.Context) {
+		store := standin.NewStore()
+		store.SetFaults(standin.Faults{Refuse: true})
+		_, err := NewPromoter(store).Promote(ctx, request(t, 0, "op-1", "ana"))
+		var failure *platform.Error
+		if !errors.As(err, &failure) {
+			t.Errorf("store that refuses everything: %v", err)
+		}
+	})
+}
+
+// TestRacingOperators lets operators race while answers are lost. Every
+// operation that reports a generation is the only one that has it, and
+// generations follow each other without a gap.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rounds := rapid.IntRange(1, 5).Draw(rt, "rounds")
+		operators := rapid.IntRange(2, 5).Draw(rt, "operators")
+		lost := rapid.SliceOfN(rapid.IntRange(0, 4), rounds, rounds).Draw(rt, "lost")
+		synctest.Test(t, func(t *testing.T) {
+			store := standin.NewStore()
+			for round := range rounds {
+				store.SetFaults(standin.Faults{LoseAnswers: lost[round], Delay: time.Millisecond})
+				race(t, rt, store, uint64(round), operators)
+			}
+		})
+	})
+}
+
+// race lets operators promote at the same time and requires one winner.
+func race(t *testing.T, rt *rapid.T, store *standin.Store, expect uint64, operators int) {
+	type result struct {
+		operator string
+		won      Promotion
+		err      error
+	}
+	results := make(chan result, operators)
+	for i := range operators {
+		go func() {
+			operator := fmt.Sprint("operator-", i)
+			operation := fmt.Sprint(operator, "-", expect)
+			won, err := NewPromoter(store).Promote(t.Context(), request(t, expect, operation, operator))
+			results <- result{operator, won, err}
+		}()
+	}
+	var winner string
+	losers := map[string]bool{}
+	for range operators {
+		r := <-results
+		var conflict *ConflictError
+		switch {
+		case r.err == nil && (winner != "" || r.won.Generation != expect+1 || r.won.Operator != r.operator):
+			rt.Fatalf("%s won %v after %q won", r.operator, r.won, winner)
+		case r.err == nil:
+			winner = r.operator
+		case errors.As(r.err, &conflict):
+			losers[conflict.Winner.Operator] = true
+		default:
+			rt.Fatalf("%s: %v", r.operator, r.err)
+		}
+	}
+	if winner == "" || len(losers) != 1 || !losers[winner] {
+		rt.Fatalf("winner %q, but losers were told of %v", winner, losers)
+	}
+}
--- /dev/null
+++ b/front/platform/configuration/settings.go
@@ -0,0 +1,56 @@
+package configuration
+
+import (
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// Settings of a Watcher.
+type Settings struct {
+	// Environment names the environment.
+	Environment string
+	// Place is where the instance runs.
+	Place generation.Place
+	// PeerAddr is the address at which other instances reach this one.
+	PeerAddr string
+	// Generation holds the limits of what may be trusted.
+	Generation generation.Settings
+	// Period is the time from the start of one read of the head row to the
+	// start of the next, while the store answers.
+	Period time.Duration
+	// Unanswered is the age at which a read counts as failed. Its answer is
+	// still taken in when it comes later.
+	Unanswered time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultPeriod     = time.Second
+	DefaultUnanswered = 900 * time.Millisecond
+)
+
+// Limits of a watcher's calls.
+const (
+	readTimeout  = 4 * time.Second
+	loadTimeout  = 4 * time.Second
+	askTimeout   = time.Second
+	periodJitter = 0.1
+	// Waits grow by this factor while the store is silent, up to this many
+	// periods. With Unanswered it stays well under generation.Settings.MaxGap.
+	periodGrowth = 1.1
+	periodLimit  = 1.25
+)
+
+// DefaultSettings returns the defaults for an instance whose store runs in
+// storeRegion.
+func DefaultSettings(environment string, place generation.Place, peerAddr, storeRegion string) Settings {
+	return Settings{
+		Environment: environment,
+		Place:       place,
+		PeerAddr:    peerAddr,
+		Generation:  generation.DefaultSettings(storeRegion),
+		Period:      DefaultPeriod,
+		Unanswered:  DefaultUnanswered,
+	}
+}
--- /dev/null
+++ b/front/platform/configuration/watcher_test.go
@@ -0,0 +1,222 @@
+package configuration
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+const staleAfter = generation.DefaultStaleAfter
+
+func regionApart(a, b string) bool {
+	kano := func(domain string) bool { return domain[:4] == "kano" }
+	return kano(a) != kano(b)
+}
+
+func domainApart(a, b string) bool { return (a == "kano-a") != (b == "kano-a") }
+
+// TestWithdrawnKey has one test for each line of the table of cuts in the
+// operators' pages: a key is withdrawn in the middle of a cut.
+func TestWithdrawnKey(t *testing.T) {
+	tests := []struct {
+		desc string
+		cut  func(f *fleet)
+		// before is where the keys work a minute into the cut; kept and gone
+		// are where they work StaleAfter past the withdrawal.
+		before, kept, gone string
+	}{
+		{"nothing is cut", func(*fleet) {}, "++++++", "++++++", "uuuuuu"},
+		{
+			"one instance of the store's region cut from the store",
+			func(f *fleet) { f.members[0].noRead.Store(true) },
+			"++++++", "++++++", "uuuuuu",
+		},
+		{
+			"one instance of another region cut from the store",
+			func(f *fleet) { f.members[3].noRead.Store(true) },
+			"++++++", "++++++", "uuuuuu",
+		},
+		{"region cut", func(f *fleet) { f.apart = regionApart }, "++ssss", "++ssss", "uussss"},
+		{"failure domain cut", func(f *fleet) { f.apart = domainApart }, "s+++++", "s+++++", "suuuuu"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				var grants []*Grant
+				for _, m := range f.members {
+					grant, err := m.ring.Authenticate(goneKey)
+					if err != nil {
+						t.Fatal(err)
+					}
+					grants = append(grants, grant)
+				}
+				tt.cut(f)
+				time.Sleep(time.Minute)
+				if got := f.serves(goneKey); got != tt.before {
+					t.Errorf("a minute into the cut: %q, want %q", got, tt.before)
+				}
+				f.mustPromote(1, true)
+				time.Sleep(staleAfter)
+				if got := f.serves(goneKey); got != tt.gone {
+					t.Errorf("withdrawn key: %q, want %q", got, tt.gone)
+				}
+				if got := f.serves(keptKey); got != tt.kept {
+					t.Errorf("other key: %q, want %q", got, tt.kept)
+				}
+				for i, grant := range grants {
+					if grant.Check() == nil {
+						t.Errorf("instance %d: an upload that began with the withdrawn key goes on", i)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestStoreDown covers an hour without the store: nothing can be withdrawn,
+// keys go on working, and a withdrawal right after it is in force in time.
+func TestStoreDown(t *testing.T) {
+	tests := []struct {
+		faults  standin.Faults
+		minutes int
+	}{{standin.Faults{Freeze: true}, 60}, {standin.Faults{Down: true}, 5}, {standin.Faults{Refuse: true}, 5}}
+	for _, tt := range tests {
+		inBubble(t, func(t *testing.T, f *fleet) {
+			f.store.SetFaults(tt.faults)
+			for range tt.minutes {
+				time.Sleep(time.Minute)
+				if got := f.serves(goneKey); got != "++++++" {
+					t.Fatalf("%+v: key works on %q", tt.faults, got)
+				}
+			}
+			if _, err := f.promote(1, true); err == nil {
+				t.Error("a promotion was accepted without the store")
+			}
+			f.store.SetFaults(standin.Faults{})
+			f.mustPromote(1, true)
+			time.Sleep(staleAfter)
+			if got := f.serves(goneKey); got != "uuuuuu" {
+				t.Errorf("%+v: withdrawn key works on %q", tt.faults, got)
+			}
+		})
+	}
+}
+
+// TestStoreSlow covers a store whose every answer takes long.
+func TestStoreSlow(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 3 * time.Second} {
+		inBubble(t, func(t *testing.T, f *fleet) {
+			f.store.SetFaults(standin.Faults{Delay: delay})
+			time.Sleep(time.Minute)
+			f.store.SetFaults(standin.Faults{})
+			f.mustPromote(1, true)
+			f.store.SetFaults(standin.Faults{Delay: delay})
+			time.Sleep(staleAfter)
+			if got := f.serves(goneKey); got != "uuuuuu" {
+				t.Errorf("answers after %v: withdrawn key works on %q", delay, got)
+			}
+		})
+	}
+}
+
+// TestStoreDownRightAfterAcceptance covers a promotion that no instance could
+// read: the operators' tool tells one instance, which tells the others.
+func TestStoreDownRightAfterAcceptance(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		promotion := f.mustPromote(1, true)
+		f.store.SetFaults(standin.Faults{Freeze: true})
+		if err := f.members[4].w.Follow(t.Context(), promotion.Head, exampleDocument(t, true)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(staleAfter)
+		if got := f.serves(goneKey); got != "uuuuuu" {
+			t.Errorf("withdrawn key works on %q", got)
+		}
+		if got := f.serves(keptKey); got != "++++++" {
+			t.Errorf("other key works on %q", got)
+		}
+	})
+}
+
+func TestRestartedInstance(t *testing.T) {
+	tests := []struct {
+		desc       string
+		cut        func(f *fleet)
+		ready      string
+		generation uint64
+	}{
+		{"store answers", func(*fleet) {}, "++++++", 2},
+		{"store down", func(f *fleet) { f.store.SetFaults(standin.Faults{Freeze: true}) }, "++++++", 2},
+		{"region cut", func(f *fleet) { f.apart = regionApart }, "++nsss", 2},
+		{"cut from everything", func(f *fleet) {
+			f.apart = func(a, b string) bool { return (a == "kaduna-a") != (b == "kaduna-a") }
+		}, "++n+++", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				f.mustPromote(1, false)
+				time.Sleep(3 * time.Second)
+				tt.cut(f)
+				time.Sleep(10 * time.Second)
+				f.members[2].stop()
+				fresh := f.start(2, "kaduna-a")
+				time.Sleep(10 * time.Second)
+				if got := f.serves(keptKey); got != tt.ready {
+					t.Errorf("keys work on %q, want %q", got, tt.ready)
+				}
+				if got := fresh.w.Current().Head.Generation; got != tt.generation {
+					t.Errorf("generation %d, want %d", got, tt.generation)
+				}
+			})
+		})
+	}
+}
+
+// TestAtRest counts what an instance asks of the store, and of the others.
+func TestAtRest(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		const seconds = 600
+		before := f.store.Counts().Reads
+		time.Sleep(seconds * time.Second)
+		perSecond := float64(f.store.Counts().Reads-before) / seconds / float64(len(f.members))
+		if perSecond < 0.9 || perSecond > 1.1 {
+			t.Errorf("%.2f reads per instance and second, want about 1", perSecond)
+		}
+		f.store.SetFaults(standin.Faults{Refuse: true})
+		before = f.store.Counts().Reads
+		time.Sleep(seconds * time.Second)
+		perSecond = float64(f.store.Counts().Reads-before) / seconds / float64(len(f.members))
+		if perSecond > 1 {
+			t.Errorf("%.2f reads per instance and second of a store that refuses, want at most 1", perSecond)
+		}
+	})
+}
+
+func TestFollowRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "kano-a")
+		w := f.members[0].w
+		content := exampleDocument(t, false)
+		first := f.mustPromote(0, false)
+		time.Sleep(2 * time.Second)
+		ctx := context.Background()
+		if err := w.Follow(ctx, generation.Head{Generation: 9, Digest: first.Digest}, content[1:]); err == nil {
+			t.Error("content with another digest was followed")
+		}
+		other := generation.Head{Generation: 1, Digest: "sha256:other"}
+		if relation := w.tracker.Offered(other); relation != generation.Forked {
+			t.Errorf("relation = %v", relation)
+		}
+		if err := w.Follow(ctx, first.Head, content); err != nil {
+			t.Errorf("the head in force was refused: %v", err)
+		}
+		if got := w.Current().Head; got != first.Head {
+			t.Errorf("head = %v, want %v", got, first.Head)
+		}
+	})
+}
--- a/steer/document/digest.go
+++ b/steer/document/digest.go
@@ -21,11 +21,21 @@
 // are long random strings, so a plain digest does not give them away.
 func KeyDigest(key string) string { return Digest([]byte(key)) }
 
-// keySum is a key's digest in binary form.
-type keySum [sha256.Size]byte
+// KeySum is a key's digest in binary form.
+type KeySum [sha256.Size]byte
+
+// usualKeyLength is the longest key, in bytes, that is digested without an
+// allocation.
+const usualKeyLength = 128
+
+// SumKey returns the digest of a key in binary form.
+func SumKey(key string) KeySum {
+	var buffer [usualKeyLength]byte
+	return sha256.Sum256(append(buffer[:0], key...))
+}
 
 // parseDigest reads the form that Digest gives.
-func parseDigest(text string) (sum keySum, ok bool) {
+func parseDigest(text string) (sum KeySum, ok bool) {
 	digits, found := strings.CutPrefix(text, digestPrefix)
 	if !found || len(digits) != hex.EncodedLen(len(sum)) || digits != strings.ToLower(digits) {
 		return sum, false
--- a/steer/document/index.go
+++ b/steer/document/index.go
@@ -1,13 +1,11 @@
 package document
 
-import "crypto/sha256"
-
 // Index holds a document's look-ups. It is immutable and safe for use by many
 // goroutines; look-ups allocate nothing.
 type Index struct {
 	doc      *Document
 	routes   map[routeKey]*Route
-	keys     map[keySum]*Team
+	keys     map[KeySum]*Team
 	teams    map[string]*Team
 	services map[string]*Service
 	versions map[versionKey]*Version
@@ -26,17 +24,13 @@
 	version string
 }
 
-// usualKeyLength is the longest key, in bytes, that is digested without an
-// allocation.
-const usualKeyLength = 128
-
 // Compile builds the look-ups of a document that Decode returned. The document
 // must not be changed afterwards.
 func Compile(doc *Document) *Index {
 	x := &Index{
 		doc:      doc,
 		routes:   map[routeKey]*Route{},
-		keys:     map[keySum]*Team{},
+		keys:     map[KeySum]*Team{},
 		teams:    map[string]*Team{},
 		services: map[string]*Service{},
 		versions: map[versionKey]*Version{},
@@ -127,10 +121,11 @@
 }
 
 // TeamOfKey returns the team that a key belongs to, or nil.
-func (x *Index) TeamOfKey(key string) *Team {
-	var buffer [usualKeyLength]byte
-	return x.keys[sha256.Sum256(append(buffer[:0], key...))]
-}
+func (x *Index) TeamOfKey(key string) *Team { return x.keys[SumKey(key)] }
+
+// TeamOfSum returns the team that a key belongs to by SumKey of the key, or
+// nil.
+func (x *Index) TeamOfSum(sum KeySum) *Team { return x.keys[sum] }
 
 // TeamNamed returns a team by its name, or nil.
 func (x *Index) TeamNamed(name string) *Team { return x.teams[name] }
