Keep attempt records in the table, many to a write

Cause: the decisions of steer/attempt need the platform's table, and a caller that waits must be answered at once when the store is silent.

A recorder gathers claims, releases and outcomes of one instance into transactions under a rate of writes. Three sends or two timeouts without an answer, with nothing heard meanwhile, make the store silent: queued and new claims are refused at once until a read of the epoch row is answered. A claim that nobody waits for any more, or of which it is unknown whether it was written, is released in the background. Outcomes outlive an outage in memory. Releases start a transaction as claims do, finishes wait up to 100 ms: with releases at 100 ms too, keys whose instance was killed meanwhile stayed locked (seen in the 10,000 attempts).

Limit: an instance killed between a not-run reply and the write of its release leaves the key locked until it expires.

--- /dev/null
+++ b/front/platform/attempts/addedtime_test.go
@@ -0,0 +1,109 @@
+package attempts
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+)
+
+// load is one instance's attempts over a while.
+type load struct {
+	oneWay   time.Duration
+	rate     float64 // attempts a second
+	settings Settings
+}
+
+// loadResult is what the load cost.
+type loadResult struct {
+	attempts int
+	failed   int
+	writes   float64
+	median   time.Duration
+	p99      time.Duration
+}
+
+const loadLength = 20 * time.Second
+
+// measure makes Poisson arrivals at one instance for loadLength; each attempt
+// is finished after serviceTime.
+func measure(t *testing.T, l load) loadResult {
+	store := standin.NewStore()
+	recorder, stop := startRecorder(t, l.settings, newRemoteTable(store, l.oneWay, 1, shares{}), "instance-1")
+	ready(recorder)
+	before := store.Counts().Writes
+	random := rand.New(rand.NewPCG(3, 0))
+	var (
+		mu    sync.Mutex
+		added []time.Duration
+		fail  int
+		wait  sync.WaitGroup
+	)
+	start := time.Now()
+	for i := 0; time.Since(start) < loadLength; i++ {
+		time.Sleep(time.Duration(random.ExpFloat64() / l.rate * float64(time.Second)))
+		wait.Go(func() {
+			begun := time.Now()
+			a, err := recorder.Begin(context.Background(), booking(fmt.Sprint(i)))
+			mu.Lock()
+			added = append(added, time.Since(begun))
+			if err != nil {
+				fail++
+			}
+			mu.Unlock()
+			if err == nil {
+				time.Sleep(serviceTime)
+				a.Finish(attempt.Outcome{Status: 200})
+			}
+		})
+	}
+	wait.Wait()
+	stop()
+	slices.Sort(added)
+	return loadResult{
+		attempts: len(added),
+		failed:   fail,
+		writes:   float64(store.Counts().Writes - before),
+		median:   added[len(added)/2],
+		p99:      added[len(added)*99/100],
+	}
+}
+
+// TestAddedTimeAndWrites measures what a claim adds from each region and how
+// many attempts share a table write, beside one write for each record. The
+// bounds are the store's budget and, for the time, the way to the store and
+// back, the wait for others and one interval of the write rate.
+func TestAddedTimeAndWrites(t *testing.T) {
+	single := DefaultSettings()
+	single.Group.MaxRows = 1
+	single.Group.MaxInFlight = 1 << 20
+	single.Group.WriteRate = 1e9
+	single.Group.WriteBurst = 1e9
+	for _, oneWay := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 55 * time.Millisecond} {
+		for _, rate := range []float64{5, 50, 400} {
+			t.Run(fmt.Sprintf("%v one way, %v a second", oneWay, rate), func(t *testing.T) {
+				var grouped, alone loadResult
+				synctest.Test(t, func(t *testing.T) { grouped = measure(t, load{oneWay, rate, DefaultSettings()}) })
+				synctest.Test(t, func(t *testing.T) { alone = measure(t, load{oneWay, rate, single}) })
+				t.Logf("grouped: %.1f attempts a write, adds %v median, %v p99; alone: %.1f attempts a write, adds %v median, %v p99",
+					float64(grouped.attempts)/grouped.writes, grouped.median, grouped.p99,
+					float64(alone.attempts)/alone.writes, alone.median, alone.p99)
+				budget := attempt.DefaultWriteBurst + attempt.DefaultWriteRate*(loadLength+DefaultFlushTimeout).Seconds()
+				if grouped.writes > budget {
+					t.Errorf("%.0f writes, the budget is %.0f", grouped.writes, budget)
+				}
+				const interval = time.Second / attempt.DefaultWriteRate
+				if most := 2*oneWay + attempt.DefaultMaxWait + interval; grouped.p99 > most || grouped.failed > 0 {
+					t.Errorf("p99 adds %v, want at most %v; %d failed", grouped.p99, most, grouped.failed)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/front/platform/attempts/atmostonce_test.go
@@ -0,0 +1,326 @@
+package attempts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const (
+	totalAttempts  = 10_000
+	callsPerKey    = 4
+	fleetSize      = 4
+	bookingsLength = 5 * time.Minute
+	serviceTime    = 30 * time.Millisecond
+)
+
+// process is one instance of the fleet, which may be killed.
+type process struct {
+	recorder *Recorder
+	table    *remoteTable
+	dead     atomic.Bool
+	killedAt time.Time
+	cancel   context.CancelFunc
+	ended    chan struct{}
+}
+
+// history is what became of one key.
+type history struct {
+	executed int
+	acked    int
+	notRun   int
+	mayHave  int
+	// silent calls got no reply, because their instance was killed.
+	silent int
+	// lastCall and processes are when and where the key was last used.
+	lastCall  time.Time
+	processes []*process
+}
+
+// fleet is a few instances in three regions over one store.
+type fleet struct {
+	t      *testing.T
+	store  *standin.Store
+	faults shares
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	processes []*process
+	history   map[string]*history
+	born      int
+}
+
+func (f *fleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+func (f *fleet) start(slot int) *process {
+	f.mu.Lock()
+	f.born++
+	born := f.born
+	f.mu.Unlock()
+	distance := []time.Duration{time.Millisecond, 20 * time.Millisecond, 55 * time.Millisecond}[slot%3]
+	p := &process{table: newRemoteTable(f.store, distance, uint64(born), f.faults), ended: make(chan struct{})}
+	recorder, stop := startRecorder(f.t, DefaultSettings(), p.table, fmt.Sprint("instance-", born))
+	p.recorder = recorder
+	p.cancel = func() {
+		stop()
+		close(p.ended)
+	}
+	return p
+}
+
+// kill ends an instance in the middle of whatever it does and starts another.
+func (f *fleet) kill(slot int) {
+	f.mu.Lock()
+	old := f.processes[slot]
+	f.mu.Unlock()
+	old.killedAt = time.Now()
+	old.dead.Store(true)
+	old.table.dead.Store(true)
+	go old.cancel()
+	fresh := f.start(slot)
+	f.mu.Lock()
+	f.processes[slot] = fresh
+	f.mu.Unlock()
+}
+
+func (f *fleet) process() *process {
+	slot := f.intN(fleetSize)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes[slot]
+}
+
+// call is one caller's request with a key, at one instance.
+func (f *fleet) call(key string) {
+	p := f.process()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := p.recorder.Begin(ctx, booking(key))
+	var v verdict.Verdict
+	if err != nil {
+		v = f.refusal(err)
+	} else {
+		v = f.forward(p, a, key)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.history[key]
+	h.lastCall = time.Now()
+	h.processes = append(h.processes, p)
+	switch {
+	case p.dead.Load():
+		h.silent++
+	case v == verdict.Ran:
+		h.acked++
+	case v == verdict.NotRun:
+		h.notRun++
+	default:
+		h.mayHave++
+	}
+}
+
+// refusal is what a caller without a claim is told.
+func (f *fleet) refusal(err error) verdict.Verdict {
+	var takenErr *TakenError
+	if !errors.As(err, &takenErr) {
+		return verdict.NotRun
+	}
+	if takenErr.Standing.State == attempt.StateDone {
+		return verdict.Ran
+	}
+	return verdict.MayHaveRun
+}
+
+// forward sends a claimed request to an endpoint, which runs it or not.
+func (f *fleet) forward(p *process, a *Attempt, key string) verdict.Verdict {
+	fate := f.intN(100)
+	if p.dead.Load() {
+		return verdict.MayHaveRun
+	}
+	if fate < 10 { // shed by the endpoint's word
+		a.Release()
+		return verdict.NotRun
+	}
+	if fate < 15 { // reset before the endpoint started it, which nobody knows
+		a.Abandon()
+		return verdict.MayHaveRun
+	}
+	f.mu.Lock()
+	f.history[key].executed++
+	f.mu.Unlock()
+	time.Sleep(serviceTime)
+	if fate < 25 { // the endpoint's answer was lost
+		a.Abandon()
+		return verdict.MayHaveRun
+	}
+	if p.dead.Load() {
+		return verdict.MayHaveRun
+	}
+	a.Finish(attempt.Outcome{Status: 200})
+	return verdict.Ran
+}
+
+// disturb kills instances and takes the store down until the bookings end.
+func (f *fleet) disturb(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			f.store.SetFaults(standin.Faults{})
+			return
+		case <-time.After(time.Duration(500+f.intN(2500)) * time.Millisecond):
+		}
+		switch f.intN(4) {
+		case 0, 1:
+			f.kill(f.intN(fleetSize))
+		case 2:
+			f.outage(standin.Faults{Freeze: true})
+		case 3:
+			f.outage(standin.Faults{Refuse: true})
+		}
+	}
+}
+
+func (f *fleet) outage(faults standin.Faults) {
+	f.store.SetFaults(faults)
+	time.Sleep(time.Duration(100+f.intN(3000)) * time.Millisecond)
+	f.store.SetFaults(standin.Faults{})
+}
+
+// run makes all attempts: each key is called several times, often at the same
+// moment, at instances drawn at random.
+func (f *fleet) run() {
+	for slot := range fleetSize {
+		f.processes = append(f.processes, f.start(slot))
+	}
+	for _, p := range f.processes {
+		ready(p.recorder)
+	}
+	done := make(chan struct{})
+	var disturbance, calls sync.WaitGroup
+	disturbance.Go(func() { f.disturb(done) })
+	for i := range totalAttempts / callsPerKey {
+		key := fmt.Sprint("booking-", i)
+		f.history[key] = &history{}
+		start := time.Duration(f.intN(int(bookingsLength)))
+		for range callsPerKey {
+			offset := time.Duration(f.intN(2)*f.intN(5000)) * time.Millisecond
+			calls.Go(func() {
+				time.Sleep(start + offset)
+				f.call(key)
+			})
+		}
+	}
+	calls.Wait()
+	close(done)
+	disturbance.Wait()
+	time.Sleep(time.Minute)
+}
+
+// stop ends all instances gracefully.
+func (f *fleet) stop() {
+	for _, p := range f.processes {
+		p.cancel()
+	}
+	time.Sleep(time.Minute)
+}
+
+// check compares what callers were told with what the endpoints did, and what
+// a last repeat is told.
+func (f *fleet) check(t *testing.T) {
+	var total history
+	unlocked := 0
+	last := f.start(0)
+	defer last.cancel()
+	ready(last.recorder)
+	for key, h := range f.history {
+		_, err := last.recorder.Begin(context.Background(), booking(key))
+		f.checkKey(t, key, *h, err)
+		if err == nil {
+			unlocked++
+		}
+		total.executed += h.executed
+		total.acked += h.acked
+		total.notRun += h.notRun
+		total.mayHave += h.mayHave
+		total.silent += h.silent
+	}
+	t.Logf("%d keys, %d instances: %d executed, calls: %d acknowledged, %d not run, %d may have run, %d without reply; "+
+		"%d keys free again; store %+v", len(f.history), f.born, total.executed, total.acked, total.notRun, total.mayHave,
+		total.silent, unlocked, f.store.Counts())
+	if unlocked == 0 || total.acked == 0 || total.notRun == 0 || total.mayHave == 0 || total.silent == 0 {
+		t.Errorf("an outcome did not occur, the test shows nothing of it")
+	}
+}
+
+func (f *fleet) checkKey(t *testing.T, key string, h history, lastErr error) {
+	var takenErr *TakenError
+	switch {
+	case h.executed > 1:
+		t.Errorf("%s ran %d times: %+v", key, h.executed, h)
+	case h.acked > 0 && h.executed == 0:
+		t.Errorf("%s was acknowledged and lost: %+v", key, h)
+	case h.notRun == callsPerKey && h.executed > 0:
+		t.Errorf("%s ran, and every caller was told not-run: %+v", key, h)
+	case h.executed > 0 && !errors.As(lastErr, &takenErr):
+		t.Errorf("%s ran, and a last repeat was told %v: %+v", key, lastErr, h)
+	case h.notRun == callsPerKey && lastErr != nil && !h.releaseLost():
+		t.Errorf("%s did not run, as every caller was told, and stays locked: %v", key, lastErr)
+	}
+}
+
+// settleTime is more than the longest time that a release takes, with every
+// outage of this test.
+const settleTime = 30 * time.Second
+
+// releaseLost tells whether an instance was killed before it can have written
+// every release. The key then stays locked until it expires.
+func (h history) releaseLost() bool {
+	for _, p := range h.processes {
+		if p.dead.Load() && p.killedAt.Before(h.lastCall.Add(settleTime)) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestAtMostOnce makes 10,000 attempts while instances are killed, answers of
+// the store and of endpoints are lost, writes arrive late and the store goes
+// silent or refuses.
+func init() { logrus.SetOutput(io.Discard) }
+
+func TestAtMostOnce(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{
+					t:       t,
+					store:   standin.NewStore(),
+					faults:  shares{lost: 5, swallowed: 3, late: 3, lateBy: 20 * time.Second, refused: 2},
+					random:  rand.New(rand.NewPCG(seed, 0)),
+					history: make(map[string]*history),
+				}
+				f.run()
+				f.stop()
+				f.faults = shares{}
+				f.check(t)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/front/platform/attempts/cleanup.go
@@ -0,0 +1,75 @@
+package attempts
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+)
+
+// cleanUp deletes expired records, one part of the table at a time. Every
+// instance does so, on parts drawn at random, with at most one write for each
+// interval.
+func (r *Recorder) cleanUp(ctx context.Context) error {
+	ticker := time.NewTicker(r.settings.CleanupInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if r.silence.silent() {
+			continue
+		}
+		part := rand.IntN(partCount)
+		if err := r.cleanPart(ctx, part); err != nil {
+			r.log.WithError(err).WithField("part of the records", part).Debug("not cleaned")
+		}
+	}
+}
+
+// cleanPart deletes the expired records of one part, at most CleanupRows.
+func (r *Recorder) cleanPart(ctx context.Context, part int) error {
+	current, known := r.epochs.current(time.Now())
+	if !known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.settings.CommitTimeout)
+	defer cancel()
+	rows, err := r.table.Scan(ctx, r.rows.part(part))
+	if err != nil {
+		return err
+	}
+	deletes := r.expired(rows, current)
+	if len(deletes) == 0 {
+		return nil
+	}
+	_, err = r.table.Commit(ctx, deletes)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // another instance was here; the part comes up again
+	}
+	if err == nil {
+		r.metrics.cleaned(len(deletes))
+	}
+	return err
+}
+
+func (r *Recorder) expired(rows []platform.Row, current uint64) []platform.Write {
+	var deletes []platform.Write
+	for _, row := range rows {
+		record, err := attempt.DecodeRecord(row.Value)
+		if err != nil || !attempt.Expired(record.Epoch, current, r.settings.KeepEpochs) {
+			continue
+		}
+		deletes = append(deletes, platform.Write{Key: row.Key, Expected: row.Version, Delete: true})
+		if len(deletes) == r.settings.CleanupRows {
+			break
+		}
+	}
+	return deletes
+}
--- /dev/null
+++ b/front/platform/attempts/fakes_test.go
@@ -0,0 +1,165 @@
+package attempts
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+)
+
+var (
+	errLost = errors.New("answer lost")
+	errDead = errors.New("process is dead")
+)
+
+// shares are the shares of an instance's writes that go wrong, in percent.
+type shares struct {
+	// lost writes take effect, their answers don't arrive.
+	lost int
+	// swallowed writes don't take effect, their answers don't arrive.
+	swallowed int
+	// late writes take effect up to lateBy after the answer was given up.
+	late   int
+	lateBy time.Duration
+	// refused writes are answered with an error and take no effect.
+	refused int
+}
+
+// remoteTable is a table at a distance, over a network that fails.
+type remoteTable struct {
+	*standin.Store
+	oneWay time.Duration
+	dead   atomic.Bool
+
+	mu     sync.Mutex
+	faults shares
+	random *rand.Rand
+}
+
+func newRemoteTable(store *standin.Store, oneWay time.Duration, seed uint64, faults shares) *remoteTable {
+	return &remoteTable{Store: store, oneWay: oneWay, faults: faults, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (r *remoteTable) percent() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.IntN(100)
+}
+
+func (r *remoteTable) setFaults(faults shares) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
+}
+
+func (r *remoteTable) currentFaults() shares {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+func (r *remoteTable) unknown(err error) error {
+	return &platform.Error{Op: "commit", Effect: platform.EffectUnknown, Err: err}
+}
+
+// Get implements platform.Table.
+func (r *remoteTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if r.dead.Load() || !pause(ctx, 2*r.oneWay) {
+		return platform.Row{}, r.unknown(errDead)
+	}
+	return r.Store.Get(ctx, key)
+}
+
+// Commit implements platform.Table.
+func (r *remoteTable) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	if !pause(ctx, r.oneWay) || r.dead.Load() {
+		return nil, r.unknown(errDead)
+	}
+	draw := r.percent()
+	f := r.currentFaults()
+	switch {
+	case draw < f.lost:
+		r.apply(writes)
+		return nil, r.unknown(errLost)
+	case draw < f.lost+f.swallowed:
+		return nil, r.unknown(errLost)
+	case draw < f.lost+f.swallowed+f.late:
+		go func() {
+			time.Sleep(f.lateBy * time.Duration(r.percent()) / 100)
+			r.apply(writes)
+		}()
+		return nil, r.unknown(errLost)
+	case draw < f.lost+f.swallowed+f.late+f.refused:
+		return nil, &platform.Error{Op: "commit", Effect: platform.EffectNone, Status: 503}
+	}
+	versions, err := r.Store.Commit(ctx, writes)
+	if !pause(ctx, r.oneWay) || r.dead.Load() {
+		return nil, r.unknown(errLost)
+	}
+	return versions, err
+}
+
+// apply carries out writes whose answer nobody gets.
+func (r *remoteTable) apply(writes []platform.Write) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, _ = r.Store.Commit(ctx, writes)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startRecorder runs a recorder until the returned function is called.
+func startRecorder(t *testing.T, settings Settings, table platform.Table, instance string) (*Recorder, func()) {
+	t.Helper()
+	recorder, err := New(settings, table, "kano", instance, noop.NewMeterProvider().Meter("test"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- recorder.Run(ctx) }()
+	return recorder, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// ready waits until a recorder makes claims.
+func ready(r *Recorder) {
+	for {
+		if _, known := r.epochs.current(time.Now()); known {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func booking(key string) Request {
+	return Request{Name: attempt.Name{Team: "ward-01", Route: "ledger-pay", IdempotencyKey: key}, Digest: "digest"}
+}
+
+func reasonOf(err error) Reason {
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		return unavailable.Reason
+	}
+	return ""
+}
--- /dev/null
+++ b/front/platform/attempts/metrics.go
@@ -0,0 +1,63 @@
+package attempts
+
+import (
+	"context"
+	"errors"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// metrics counts what the recorder does.
+type metrics struct {
+	claims       metric.Int64Counter
+	transactions metric.Int64Counter
+	rows         metric.Int64Counter
+	failures     metric.Int64Counter
+	deleted      metric.Int64Counter
+}
+
+func newMetrics(meter metric.Meter) (*metrics, error) {
+	m := &metrics{}
+	for _, counter := range []struct {
+		into        *metric.Int64Counter
+		name        string
+		description string
+	}{
+		{&m.claims, "cardamomfront_attempt_claims", "claims of an idempotency key, by result"},
+		{&m.transactions, "cardamomfront_attempt_transactions", "group commits sent to the table"},
+		{&m.rows, "cardamomfront_attempt_rows", "records in the group commits sent"},
+		{&m.failures, "cardamomfront_attempt_unanswered", "group commits without an answer or refused"},
+		{&m.deleted, "cardamomfront_attempt_deleted", "expired records deleted"},
+	} {
+		made, err := meter.Int64Counter(counter.name, metric.WithDescription(counter.description))
+		if err != nil {
+			return nil, err
+		}
+		*counter.into = made
+	}
+	return m, nil
+}
+
+// claimed counts the end of a claim by its result: "granted", "taken" or the
+// reason why none could be made.
+func (m *metrics) claimed(err error) {
+	result := "granted"
+	var unavailable *UnavailableError
+	switch {
+	case errors.As(err, &unavailable):
+		result = string(unavailable.Reason)
+	case err != nil:
+		result = "taken"
+	}
+	m.claims.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
+func (m *metrics) sent(rows int) {
+	m.transactions.Add(context.Background(), 1)
+	m.rows.Add(context.Background(), int64(rows))
+}
+
+func (m *metrics) unanswered() { m.failures.Add(context.Background(), 1) }
+
+func (m *metrics) cleaned(rows int) { m.deleted.Add(context.Background(), int64(rows)) }
--- /dev/null
+++ b/front/platform/attempts/recorder.go
@@ -0,0 +1,209 @@
+package attempts
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+)
+
+// Request is what a claim is made for.
+type Request struct {
+	// Name is what the key belongs to.
+	Name attempt.Name
+	// Digest is a digest of what is asked for. A repeat has the same.
+	Digest string
+}
+
+// Recorder makes claims and records their outcomes. Use New, and Run for as
+// long as it is used.
+type Recorder struct {
+	settings Settings
+	table    platform.Table
+	rows     rowNames
+	instance string
+	log      *logrus.Entry
+	metrics  *metrics
+	running  *running
+	silence  *silence
+	epochs   *epochs
+	nudge    chan struct{}
+
+	mu       sync.Mutex
+	group    *attempt.Group
+	waiting  map[*attempt.Change]*claim
+	stopping bool
+}
+
+// New returns a recorder for one environment; instance is the name of this
+// process.
+func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter) (*Recorder, error) {
+	m, err := newMetrics(meter)
+	if err != nil {
+		return nil, err
+	}
+	return &Recorder{
+		settings: settings,
+		table:    table,
+		rows:     rowNames{environment: environment},
+		instance: instance,
+		log:      logrus.WithField("part", "attempts"),
+		metrics:  m,
+		running:  newRunning(),
+		silence:  newSilence(),
+		epochs:   newEpochs(settings.Epoch),
+		nudge:    make(chan struct{}, 1),
+		group:    attempt.NewGroup(settings.Group, time.Now()),
+		waiting:  make(map[*attempt.Change]*claim),
+	}, nil
+}
+
+// claim is a claim that somebody waits for.
+type claim struct {
+	change *attempt.Change
+	// result receives one result.
+	result chan claimResult
+	// left says that nobody waits any more.
+	left bool
+}
+
+type claimResult struct {
+	version uint64
+	err     error
+}
+
+// Begin claims a request's key and returns when the claim stands in the table;
+// the request may then be sent. Errors: *TakenError, *UnavailableError; with
+// either, this call has not led to the request running.
+func (r *Recorder) Begin(ctx context.Context, q Request) (*Attempt, error) {
+	a, err := r.begin(ctx, q)
+	r.metrics.claimed(err)
+	return a, err
+}
+
+func (r *Recorder) begin(ctx context.Context, q Request) (*Attempt, error) {
+	epoch, known := r.epochs.current(time.Now())
+	if !known || r.silence.silent() {
+		return nil, &UnavailableError{Reason: ReasonStoreSilent}
+	}
+	record := attempt.Record{
+		ID:      uuid.NewString(),
+		Holder:  r.instance,
+		State:   attempt.StateRunning,
+		Epoch:   epoch,
+		Request: q.Digest,
+	}
+	key := r.rows.record(q.Name)
+	if standing, added := r.running.add(key, record); !added {
+		return nil, taken(standing, q.Digest)
+	}
+	c := &claim{
+		change: &attempt.Change{Kind: attempt.KindClaim, Key: key, Record: record},
+		result: make(chan claimResult, 1),
+	}
+	if err := r.enqueueClaim(c); err != nil {
+		r.running.remove(key)
+		return nil, err
+	}
+	return r.await(ctx, c)
+}
+
+func taken(standing attempt.Record, digest string) *TakenError {
+	return &TakenError{Standing: standing, OtherRequest: standing.State != "" && standing.Request != digest}
+}
+
+func (r *Recorder) enqueueClaim(c *claim) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return &UnavailableError{Reason: ReasonStopping}
+	}
+	if err := r.group.Add(c.change, time.Now()); err != nil {
+		return &UnavailableError{Reason: ReasonQueueFull, Err: err}
+	}
+	r.waiting[c.change] = c
+	r.wake()
+	return nil
+}
+
+// await returns the claim's result, or gives the claim up when the time ends.
+func (r *Recorder) await(ctx context.Context, c *claim) (*Attempt, error) {
+	select {
+	case result := <-c.result:
+		return r.begun(c, result)
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	select {
+	case result := <-c.result:
+		r.mu.Unlock()
+		return r.begun(c, result)
+	default:
+	}
+	c.left = true
+	if r.group.Remove(c.change) {
+		delete(r.waiting, c.change)
+		r.running.remove(c.change.Key)
+	}
+	r.mu.Unlock()
+	return nil, &UnavailableError{Reason: ReasonDeadline, Err: ctx.Err()}
+}
+
+func (r *Recorder) begun(c *claim, result claimResult) (*Attempt, error) {
+	if result.err != nil {
+		return nil, result.err
+	}
+	return &Attempt{recorder: r, key: c.change.Key, version: result.version, record: c.change.Record}, nil
+}
+
+// wake lets the dispatcher look at the queue.
+func (r *Recorder) wake() {
+	select {
+	case r.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Attempt is a claim that stands in the table. Exactly one of its methods is
+// called, once.
+type Attempt struct {
+	recorder *Recorder
+	key      string
+	version  uint64
+	record   attempt.Record
+}
+
+// Finish records the endpoint's answer. It does not wait: until the outcome
+// stands, the record says that the request may have run.
+func (a *Attempt) Finish(outcome attempt.Outcome) {
+	record := a.record
+	record.State = attempt.StateDone
+	record.Outcome = &outcome
+	a.recorder.enqueueOutcome(&attempt.Change{Kind: attempt.KindFinish, Key: a.key, Expected: a.version, Record: record})
+}
+
+// Release records that the request has not run, of which there must be proof,
+// so that a repeat may run. It does not wait.
+func (a *Attempt) Release() {
+	record := a.record
+	record.State = attempt.StateReleased
+	a.recorder.enqueueOutcome(&attempt.Change{Kind: attempt.KindRelease, Key: a.key, Expected: a.version, Record: record})
+}
+
+// Abandon leaves the record as it stands: the request may have run.
+func (a *Attempt) Abandon() { a.recorder.running.remove(a.key) }
+
+// enqueueOutcome queues a finish or a release; the local record tells at once.
+func (r *Recorder) enqueueOutcome(c *attempt.Change) {
+	r.running.set(c.Key, c.Record)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.group.Add(c, time.Now()) // only a claim can be refused
+	r.wake()
+}
--- /dev/null
+++ b/front/platform/attempts/recorder_test.go
@@ -0,0 +1,271 @@
+package attempts
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+)
+
+func wantTaken(t *testing.T, err error, state attempt.State) *TakenError {
+	t.Helper()
+	var takenErr *TakenError
+	if !errors.As(err, &takenErr) || takenErr.Standing.State != state {
+		t.Fatalf("Begin = %v, want the key taken in state %q", err, state)
+	}
+	return takenErr
+}
+
+// TestLifeOfAKey follows one key over two instances.
+func TestLifeOfAKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		kano, stopKano := startRecorder(t, DefaultSettings(), newRemoteTable(store, time.Millisecond, 1, shares{}), "kano-1")
+		sokoto, stopSokoto := startRecorder(t, DefaultSettings(), newRemoteTable(store, 20*time.Millisecond, 2, shares{}), "sokoto-1")
+		defer stopKano()
+		defer stopSokoto()
+		ready(kano)
+		ready(sokoto)
+		ctx := context.Background()
+		first, err := kano.Begin(ctx, booking("k"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = kano.Begin(ctx, booking("k"))
+		wantTaken(t, err, attempt.StateRunning)
+		_, err = sokoto.Begin(ctx, booking("k"))
+		wantTaken(t, err, attempt.StateRunning)
+		first.Release()
+		time.Sleep(time.Second)
+		second, err := sokoto.Begin(ctx, booking("k"))
+		if err != nil {
+			t.Fatalf("a released key can't be claimed: %v", err)
+		}
+		second.Finish(attempt.Outcome{Status: 201, Body: []byte("ok"), Complete: true})
+		time.Sleep(time.Second)
+		_, err = kano.Begin(ctx, booking("k"))
+		takenErr := wantTaken(t, err, attempt.StateDone)
+		if takenErr.Standing.Outcome.Status != 201 || string(takenErr.Standing.Outcome.Body) != "ok" {
+			t.Fatalf("outcome = %+v", takenErr.Standing.Outcome)
+		}
+		other := booking("k")
+		other.Digest = "another"
+		_, err = kano.Begin(ctx, other)
+		if takenErr = wantTaken(t, err, attempt.StateDone); !takenErr.OtherRequest {
+			t.Fatal("another request with the same key was not noticed")
+		}
+	})
+}
+
+// TestSilentStoreRefusesAtOnce freezes the store and checks that the first
+// claims are refused within two commit timeouts and later ones in no time,
+// that the silence ends with the store's, and that a claim that was refused
+// can then be made.
+func TestSilentStoreRefusesAtOnce(t *testing.T) {
+	for _, faults := range []standin.Faults{{Freeze: true}, {Down: true}, {Refuse: true}} {
+		t.Run(fmt.Sprintf("%+v", faults), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkSilence(t, faults) })
+		})
+	}
+}
+
+func checkSilence(t *testing.T, faults standin.Faults) {
+	store := standin.NewStore()
+	recorder, stop := startRecorder(t, DefaultSettings(), newRemoteTable(store, time.Millisecond, 1, shares{}), "kano-1")
+	defer stop()
+	ready(recorder)
+	store.SetFaults(faults)
+	start := time.Now()
+	_, err := recorder.Begin(context.Background(), booking("first"))
+	most := 2*DefaultCommitTimeout + 2*attempt.DefaultMaxWait
+	if reasonOf(err) != ReasonStoreSilent || time.Since(start) > most {
+		t.Fatalf("first claim: %v after %v, want %s within %v", err, time.Since(start), ReasonStoreSilent, most)
+	}
+	start = time.Now()
+	_, err = recorder.Begin(context.Background(), booking("second"))
+	if reasonOf(err) != ReasonStoreSilent || time.Since(start) != 0 {
+		t.Fatalf("second claim: %v after %v, want %s at once", err, time.Since(start), ReasonStoreSilent)
+	}
+	time.Sleep(time.Hour / 2)
+	store.SetFaults(standin.Faults{})
+	time.Sleep(2 * time.Second)
+	if _, err := recorder.Begin(context.Background(), booking("first")); err != nil {
+		t.Fatalf("after the silence: %v", err)
+	}
+}
+
+// TestGivenUpClaimIsReleased ends a caller's time while its claim is on its
+// way, and repeats it at another instance.
+func TestGivenUpClaimIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		far, stopFar := startRecorder(t, DefaultSettings(), newRemoteTable(store, 55*time.Millisecond, 1, shares{}), "siliguri-1")
+		near, stopNear := startRecorder(t, DefaultSettings(), newRemoteTable(store, time.Millisecond, 2, shares{}), "kolkata-1")
+		defer stopFar()
+		defer stopNear()
+		ready(far)
+		ready(near)
+		ctx, cancel := context.WithTimeout(context.Background(), 80*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := far.Begin(ctx, booking("k"))
+		if reasonOf(err) != ReasonDeadline || time.Since(start) != 80*time.Millisecond {
+			t.Fatalf("Begin = %v after %v, want %s at the deadline", err, time.Since(start), ReasonDeadline)
+		}
+		_, err = near.Begin(context.Background(), booking("k"))
+		wantTaken(t, err, attempt.StateRunning)
+		time.Sleep(time.Second)
+		if _, err := near.Begin(context.Background(), booking("k")); err != nil {
+			t.Fatalf("the claim that was given up still stands: %v", err)
+		}
+	})
+}
+
+// TestLateClaimIsFenced refuses a claim because its writes are late, and lets
+// them arrive after that: the key is free all the same.
+func TestLateClaimIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		table := newRemoteTable(store, time.Millisecond, 1, shares{})
+		recorder, stop := startRecorder(t, DefaultSettings(), table, "kano-1")
+		defer stop()
+		ready(recorder)
+		table.setFaults(shares{late: 100, lateBy: 10 * time.Second})
+		_, err := recorder.Begin(context.Background(), booking("k"))
+		if reasonOf(err) != ReasonStoreSilent {
+			t.Fatalf("Begin = %v, want %s", err, ReasonStoreSilent)
+		}
+		table.setFaults(shares{})
+		time.Sleep(time.Minute)
+		if _, err := recorder.Begin(context.Background(), booking("k")); err != nil {
+			t.Fatalf("a late write locks the key: %v", err)
+		}
+	})
+}
+
+// TestOutcomesOutliveAnOutage finishes while the store is down for an hour.
+func TestOutcomesOutliveAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		recorder, stop := startRecorder(t, DefaultSettings(), newRemoteTable(store, time.Millisecond, 1, shares{}), "kano-1")
+		ready(recorder)
+		a, err := recorder.Begin(context.Background(), booking("k"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.SetFaults(standin.Faults{Freeze: true})
+		a.Finish(attempt.Outcome{Status: 200})
+		time.Sleep(time.Hour)
+		store.SetFaults(standin.Faults{})
+		time.Sleep(2 * time.Second)
+		stop()
+		second, stopSecond := startRecorder(t, DefaultSettings(), store, "kano-2")
+		defer stopSecond()
+		ready(second)
+		_, err = second.Begin(context.Background(), booking("k"))
+		wantTaken(t, err, attempt.StateDone)
+	})
+}
+
+// TestStopWritesOutcomes stops an instance right after a finish.
+func TestStopWritesOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		recorder, stop := startRecorder(t, DefaultSettings(), newRemoteTable(store, 55*time.Millisecond, 1, shares{}), "siliguri-1")
+		ready(recorder)
+		a, err := recorder.Begin(context.Background(), booking("k"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Finish(attempt.Outcome{Status: 200})
+		stop()
+		if _, err := recorder.Begin(context.Background(), booking("other")); reasonOf(err) != ReasonStopping {
+			t.Fatalf("Begin after the stop = %v, want %s", err, ReasonStopping)
+		}
+		row, err := store.Get(context.Background(), recorder.rows.record(booking("k").Name))
+		if err != nil || standing(row).Record.State != attempt.StateDone {
+			t.Fatalf("row = %s, %v, want done", row.Value, err)
+		}
+	})
+}
+
+// TestSameKeyAtTwoInstances begins many keys at two instances in the same
+// moment: exactly one claim of each is granted.
+func TestSameKeyAtTwoInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const keys = 500
+		store := standin.NewStore()
+		var recorders []*Recorder
+		for i := range 2 {
+			r, stop := startRecorder(t, DefaultSettings(), newRemoteTable(store, 20*time.Millisecond, uint64(i), shares{}), fmt.Sprintf("kaduna-%d", i))
+			defer stop()
+			ready(r)
+			recorders = append(recorders, r)
+		}
+		var mu sync.Mutex
+		granted := make(map[string]int)
+		var wait sync.WaitGroup
+		for i := range keys {
+			for _, r := range recorders {
+				key := fmt.Sprint("key-", i)
+				wait.Go(func() {
+					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+					if _, err := r.Begin(context.Background(), booking(key)); err == nil {
+						mu.Lock()
+						granted[key]++
+						mu.Unlock()
+					} else {
+						var takenErr *TakenError
+						if !errors.As(err, &takenErr) {
+							t.Errorf("%s: %v, want it taken", key, err)
+						}
+					}
+				})
+			}
+		}
+		wait.Wait()
+		for i := range keys {
+			if n := granted[fmt.Sprint("key-", i)]; n != 1 {
+				t.Errorf("key %d was granted %d times, want once", i, n)
+			}
+		}
+	})
+}
+
+// TestExpiredRecordsAreDeleted lets two days pass and looks at the table.
+func TestExpiredRecordsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := DefaultSettings()
+		settings.CleanupInterval = 200 * time.Millisecond
+		store := standin.NewStore()
+		recorder, stop := startRecorder(t, settings, store, "kano-1")
+		defer stop()
+		ready(recorder)
+		claim := func(key string) {
+			a, err := recorder.Begin(context.Background(), booking(key))
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.Finish(attempt.Outcome{Status: 200})
+		}
+		for i := range 50 {
+			claim(fmt.Sprint("old-", i))
+		}
+		time.Sleep(attempt.DefaultKeepEpochs * time.Hour)
+		if rows, _ := store.Scan(context.Background(), "kano/attempts/records/"); len(rows) != 50 {
+			t.Fatalf("%d records after %d hours, want all 50", len(rows), attempt.DefaultKeepEpochs)
+		}
+		claim("new")
+		time.Sleep(6 * time.Hour)
+		rows, _ := store.Scan(context.Background(), "kano/attempts/records/")
+		if len(rows) != 1 || rows[0].Key != recorder.rows.record(booking("new").Name) {
+			t.Fatalf("%d records left, want the new one only", len(rows))
+		}
+	})
+}
--- a/steer/attempt/group.go
+++ b/steer/attempt/group.go
@@ -25,9 +25,10 @@
 type GroupSettings struct {
 	// MaxRows is how many changes one transaction holds.
 	MaxRows int
-	// MaxWait is how long a claim waits for others when the store is free.
+	// MaxWait is how long a claim or a release waits for others when the store
+	// is free.
 	MaxWait time.Duration
-	// MaxOutcomeWait is how long an outcome, for which nobody waits, does.
+	// MaxOutcomeWait is how long a finish, for which nobody waits, does.
 	MaxOutcomeWait time.Duration
 	// MaxInFlight is how many transactions are under way at once.
 	MaxInFlight int
@@ -60,15 +61,16 @@
 
 // Group gathers changes into transactions (group commit; DeWitt et al.,
 // Implementation Techniques for Main Memory Database Systems, 1984). Claims
-// start a transaction; outcomes ride along, or start one when they have waited
-// long. It keeps to a rate of writes with a token bucket, so that groups grow
+// and releases start a transaction; finishes ride along, or start one when they
+// have waited long. It keeps to a rate of writes with a token bucket, so that groups grow
 // when the load does.
 //
 // A Group is not safe for concurrent use.
 type Group struct {
 	settings GroupSettings
 	claims   []queued
-	outcomes []queued
+	releases []queued
+	finishes []queued
 	inFlight int
 	tokens   float64
 	filledAt time.Time
@@ -82,8 +84,12 @@
 // Add queues a change. Errors: ErrQueueFull, for a claim only; the number of
 // outcomes is bounded by that of the claims that were written.
 func (g *Group) Add(c *Change, now time.Time) error {
-	if c.Kind != KindClaim {
-		g.outcomes = append(g.outcomes, queued{c, now})
+	switch c.Kind {
+	case KindRelease:
+		g.releases = append(g.releases, queued{c, now})
+		return nil
+	case KindFinish:
+		g.finishes = append(g.finishes, queued{c, now})
 		return nil
 	}
 	if len(g.claims) >= g.settings.MaxQueued {
@@ -104,8 +110,18 @@
 	return true
 }
 
+// DropClaims takes all claims out of the queue.
+func (g *Group) DropClaims() []*Change {
+	dropped := make([]*Change, 0, len(g.claims))
+	for _, q := range g.claims {
+		dropped = append(dropped, q.change)
+	}
+	g.claims = nil
+	return dropped
+}
+
 // Len is how many changes wait.
-func (g *Group) Len() int { return len(g.claims) + len(g.outcomes) }
+func (g *Group) Len() int { return len(g.claims) + len(g.releases) + len(g.finishes) }
 
 // InFlight is how many transactions are under way.
 func (g *Group) InFlight() int { return g.inFlight }
@@ -145,15 +161,20 @@
 	if g.Len() >= g.settings.MaxRows {
 		return now
 	}
-	var due time.Time
-	if len(g.claims) > 0 {
-		due = g.claims[0].since.Add(g.settings.MaxWait)
+	due := now.Add(g.settings.MaxOutcomeWait)
+	due = earliest(due, g.claims, g.settings.MaxWait)
+	due = earliest(due, g.releases, g.settings.MaxWait)
+	return earliest(due, g.finishes, g.settings.MaxOutcomeWait)
+}
+
+// earliest returns the earlier of due and the time at which the first of a
+// queue has waited long enough.
+func earliest(due time.Time, queue []queued, wait time.Duration) time.Time {
+	if len(queue) == 0 {
+		return due
 	}
-	if len(g.outcomes) > 0 {
-		outcomeDue := g.outcomes[0].since.Add(g.settings.MaxOutcomeWait)
-		if due.IsZero() || outcomeDue.Before(due) {
-			due = outcomeDue
-		}
+	if waited := queue[0].since.Add(wait); waited.Before(due) {
+		return waited
 	}
 	return due
 }
@@ -174,16 +195,13 @@
 
 // take removes the next changes from the queues, claims first.
 func (g *Group) take() []*Change {
-	claims := min(len(g.claims), g.settings.MaxRows)
-	outcomes := min(len(g.outcomes), g.settings.MaxRows-claims)
-	changes := make([]*Change, 0, claims+outcomes)
-	for _, q := range g.claims[:claims] {
-		changes = append(changes, q.change)
-	}
-	for _, q := range g.outcomes[:outcomes] {
-		changes = append(changes, q.change)
+	changes := make([]*Change, 0, min(g.Len(), g.settings.MaxRows))
+	for _, queue := range []*[]queued{&g.claims, &g.releases, &g.finishes} {
+		n := min(len(*queue), g.settings.MaxRows-len(changes))
+		for _, q := range (*queue)[:n] {
+			changes = append(changes, q.change)
+		}
+		*queue = slices.Delete(*queue, 0, n)
 	}
-	g.claims = slices.Delete(g.claims, 0, claims)
-	g.outcomes = slices.Delete(g.outcomes, 0, outcomes)
 	return changes
 }
