--- /dev/null
+++ b/steer/document/digest.go
@@ -0,0 +1,51 @@
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+)
+
+const digestPrefix = "sha256:"
+
+// Digest names content by its SHA-256 digest: "sha256:" and 64 hexadecimal
+// digits.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return digestPrefix + hex.EncodeToString(sum[:])
+}
+
+// KeyDigest returns the digest under which a key stands in a document. Keys
+// are long random strings, so a plain digest does not give them away.
+func KeyDigest(key string) string { return Digest([]byte(key)) }
+
+// KeySum is a key's digest in binary form.
+type KeySum [sha256.Size]byte
+
+// usualKeyLength is the longest key, in bytes, that is digested without an
+// allocation.
+const usualKeyLength = 128
+
+// SumKey returns the digest of a key in binary form.
+func SumKey(key string) KeySum {
+	var buffer [usualKeyLength]byte
+	return sha256.Sum256(append(buffer[:0], key...))
+}
+
+// parseDigest reads the form that Digest gives.
+func parseDigest(text string) (sum KeySum, ok bool) {
+	digits, found := strings.CutPrefix(text, digestPrefix)
+	if !found || len(digits) != hex.EncodedLen(len(sum)) || digits != strings.ToLower(digits) {
+		return sum, false
+	}
+	_, err := hex.Decode(sum[:], []byte(digits))
+	return sum, err == nil
+}
+
+// Encode writes a document in the form that Decode reads, defaults included.
+// Comments of the file that it was read from are not kept.
+func Encode(doc *Document) ([]byte, error) {
+	return yaml.Marshal(doc)
+}
