Name a promotion that came without an operation

Cause: a request without an operation name matched the empty head row, whose operation is empty too, so Promote reported success and wrote nothing; an instance then waited for ever (seen as a 503 on /ready in the end-to-end test). Ruled out: an error for the caller (a name can always be made). Change: Promote makes a random name. Figures: TestPromoteWithoutOperation said 'promoted generation 0, <nil>, want 1' before, passes after. Conclusion: an unnamed promotion takes effect once.

--- a/front/platform/configuration/promote.go
+++ b/front/platform/configuration/promote.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/steer/document"
@@ -30,7 +31,7 @@
 	// Content is the document.
 	Content []byte
 	// Operation is a unique name for this promotion. A repeated request with
-	// the same operation promotes at most once.
+	// the same operation promotes at most once. Default: a new random name.
 	Operation string
 	// Operator is who asks, as it is told to others.
 	Operator string
@@ -124,6 +125,9 @@
 	if doc.Environment != r.Environment {
 		return Promotion{}, &EnvironmentError{Want: r.Environment, Got: doc.Environment}
 	}
+	if r.Operation == "" {
+		r.Operation = uuid.NewString()
+	}
 	digest, err := retry(ctx, func() (string, error) { return p.store.PutObject(ctx, r.Content) })
 	if err != nil {
 		return Promotion{}, err
--- a/front/platform/configuration/promote_test.go
+++ b/front/platform/configuration/promote_test.go
@@ -188,3 +188,19 @@
 		rt.Fatalf("winner %q, but losers were told of %v", winner, losers)
 	}
 }
+
+// TestPromoteWithoutOperation checks that a promotion without a name of its own
+// is not taken for one that was carried out before.
+func TestPromoteWithoutOperation(t *testing.T) {
+	inTime(t, func(ctx context.Context) {
+		store := standin.NewStore()
+		promotion, err := NewPromoter(store).Promote(ctx, request(t, 0, "", "ana"))
+		if err != nil || promotion.Generation != 1 {
+			t.Fatalf("promoted generation %d, %v, want 1", promotion.Generation, err)
+		}
+		current, _, err := NewPromoter(store).Current(ctx, environment)
+		if err != nil || current.Generation != 1 {
+			t.Errorf("generation %d, %v is in force, want 1", current.Generation, err)
+		}
+	})
+}
