Stand up the thin path: callers to endpoints through separate processes

Cause: the users want a thin version of the whole path first. Change: front/caller (stages, refusals with verdict and reason, entries page), front/instance (settings, life cycle, wire), front/telemetry, both commands, cardamomctl request, end-to-end tests with separate processes. Partial: an instance knows no other instance yet and its entries page names only itself; endpoints are taken in turn.

--- /dev/null
+++ b/front/caller/keys.go
@@ -0,0 +1,102 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+)
+
+// staleRetryAfter is when a caller may come back to an instance whose
+// knowledge of keys is stale.
+const staleRetryAfter = 2 * time.Second
+
+// bearerScheme is the authorization scheme of keys (RFC 6750, 2.1).
+const bearerScheme = "Bearer "
+
+// Keys is the stage that turns the caller's key into its team. The endpoint
+// client removes the key from the header that it passes on.
+type Keys struct {
+	ring *configuration.Keyring
+	uses *keyUses
+}
+
+// NewKeys returns the stage. Its Run must run for withdrawn keys to end
+// requests that were under way.
+func NewKeys(ring *configuration.Keyring) *Keys {
+	return &Keys{ring: ring, uses: newKeyUses()}
+}
+
+// Wrap implements Stage.
+func (s *Keys) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		key := bearerKey(x.Request)
+		if key != "" && strings.Contains(x.Request.RequestURI, key) {
+			return refuse(http.StatusBadRequest, ReasonKeyInURL)
+		}
+		if x.Route.Open {
+			return next.ServeExchange(x)
+		}
+		if key == "" {
+			return refuse(http.StatusUnauthorized, ReasonNoKey)
+		}
+		grant, err := s.ring.Authenticate(key)
+		if err != nil {
+			return keyRefusal(err)
+		}
+		x.Team = grant.Team.Name
+		x.Index = grant.Snapshot.Index
+		return s.serveWatched(x, grant, next)
+	})
+}
+
+// keyRefusal turns a refused key into the answer for the caller.
+func keyRefusal(err error) *Refusal {
+	var refused *configuration.KeyError
+	if errors.As(err, &refused) && refused.Reason == configuration.KeyUnknown {
+		return refuse(http.StatusUnauthorized, ReasonUnknownKey)
+	}
+	refusal := refuse(http.StatusServiceUnavailable, ReasonStaleKeys)
+	refusal.RetryAfter = staleRetryAfter
+	return refusal
+}
+
+// serveWatched serves x and ends it when its key is withdrawn meanwhile.
+func (s *Keys) serveWatched(x *Exchange, grant *configuration.Grant, next Handler) error {
+	ctx, cancel := context.WithCancelCause(x.Context())
+	defer cancel(nil)
+	x.Request = x.Request.WithContext(ctx)
+	s.uses.add(x.ID, &keyUse{grant: grant, cancel: cancel})
+	defer s.uses.remove(x.ID)
+	err := next.ServeExchange(x)
+	if err == nil || !errors.Is(context.Cause(ctx), errKeyWithdrawn) {
+		return err
+	}
+	refusal := &Refusal{Verdict: x.Verdict, Reason: ReasonKeyWithdrawn, Status: http.StatusUnauthorized, Err: err}
+	var inner *Refusal
+	if errors.As(err, &inner) {
+		refusal.Verdict = inner.Verdict
+	}
+	return refusal
+}
+
+// bearerKey returns the key of r, or "".
+func bearerKey(r *http.Request) string {
+	value := r.Header.Get("Authorization")
+	if len(value) < len(bearerScheme) || !strings.EqualFold(value[:len(bearerScheme)], bearerScheme) {
+		return ""
+	}
+	return strings.TrimSpace(value[len(bearerScheme):])
+}
+
+// keyWithdrawnError ends the context of a request whose key was withdrawn.
+type keyWithdrawnError struct{}
+
+// Error implements error.
+func (keyWithdrawnError) Error() string { return "key withdrawn" }
+
+// errKeyWithdrawn is the only value of its type.
+var errKeyWithdrawn error = keyWithdrawnError{}
--- /dev/null
+++ b/front/caller/metrics.go
@@ -0,0 +1,61 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+)
+
+// Metrics counts what became of callers' requests.
+type Metrics struct {
+	answers  metric.Int64Counter
+	refusals metric.Int64Counter
+	cuts     metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+// NewMetrics returns the instruments of this package.
+func NewMetrics(t *telemetry.Metrics) (*Metrics, error) {
+	answers, err1 := t.Meter.Int64Counter("cardamomfront.caller.answers",
+		metric.WithDescription("Whole answers of endpoints, by route and team."))
+	refusals, err2 := t.Meter.Int64Counter("cardamomfront.caller.refusals",
+		metric.WithDescription("Refused requests, by reason, verdict and team."))
+	cuts, err3 := t.Meter.Int64Counter("cardamomfront.caller.cuts",
+		metric.WithDescription("Answers cut short after they had begun, by reason."))
+	duration, err4 := t.Meter.Float64Histogram("cardamomfront.caller.duration",
+		metric.WithUnit("s"), metric.WithDescription("Time from a request's header to the end of its answer."))
+	err := errors.Join(err1, err2, err3, err4)
+	if err != nil {
+		return nil, err
+	}
+	return &Metrics{answers: answers, refusals: refusals, cuts: cuts, duration: duration}, nil
+}
+
+// record counts an ended exchange.
+func (m *Metrics) record(x *Exchange, err error) {
+	ctx := context.Background()
+	team := attribute.String("team", x.Team)
+	m.duration.Record(ctx, time.Since(x.Arrived).Seconds(), metric.WithAttributes(team))
+	if err == nil {
+		m.answers.Add(ctx, 1, metric.WithAttributes(team, attribute.String("route", x.Route.Name)))
+		return
+	}
+	reason := ReasonInternal
+	outcome := x.Verdict
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		reason = refusal.Reason
+		outcome = refusal.Verdict
+	}
+	attrs := metric.WithAttributes(team, attribute.String("reason", string(reason)), attribute.String("verdict", outcome.String()))
+	if x.Writer.Written() && x.Writer.Header().Get(HeaderReason) == "" {
+		m.cuts.Add(ctx, 1, attrs)
+		return
+	}
+	m.refusals.Add(ctx, 1, attrs)
+}
--- /dev/null
+++ b/front/caller/routes.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+)
+
+// HeaderTimeoutMs is the caller's own deadline for a request, in milliseconds
+// from its arrival. It can only shorten the route's.
+const HeaderTimeoutMs = "Cardamomfront-Timeout-Ms"
+
+// HeaderIdempotencyKey names a request that must run at most once.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// maxIdempotencyKeyBytes bounds a caller's idempotency key, in bytes.
+const maxIdempotencyKeyBytes = 255
+
+// Routes is the stage that finds a request's route and deadline.
+type Routes struct {
+	// Source gives the document in force.
+	Source configuration.Source
+}
+
+// Wrap implements Stage.
+func (s *Routes) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		snapshot := s.Source.Current()
+		if !snapshot.Ready {
+			refusal := refuse(http.StatusServiceUnavailable, ReasonNoConfiguration)
+			refusal.RetryAfter = time.Second
+			return refusal
+		}
+		x.Index = snapshot.Index
+		x.Route = x.Index.Route(x.Request.Method, x.Request.URL.Path)
+		if x.Route == nil {
+			return refuse(http.StatusNotFound, ReasonNoRoute)
+		}
+		if err := readHeaders(x); err != nil {
+			return err
+		}
+		return serveUntilDeadline(x, next)
+	})
+}
+
+// readHeaders takes the deadline and the idempotency key from the request.
+func readHeaders(x *Exchange) error {
+	timeout := x.Route.Timeout.Std()
+	if text := x.Request.Header.Get(HeaderTimeoutMs); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 31)
+		if err != nil || ms == 0 {
+			return refuse(http.StatusBadRequest, ReasonBadHeader)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	x.Deadline = x.Arrived.Add(timeout)
+	keys := x.Request.Header.Values(HeaderIdempotencyKey)
+	if len(keys) > 1 || len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxIdempotencyKeyBytes) {
+		return refuse(http.StatusBadRequest, ReasonBadHeader)
+	}
+	if len(keys) == 1 {
+		x.IdempotencyKey = keys[0]
+	}
+	if x.Request.ContentLength > x.Route.MaxBody.Bytes() {
+		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
+	}
+	x.Request.Body = http.MaxBytesReader(x.Writer, x.Request.Body, x.Route.MaxBody.Bytes())
+	return nil
+}
+
+// serveUntilDeadline serves x with a context that ends at its deadline. A
+// request whose deadline passes gets its answer at once.
+func serveUntilDeadline(x *Exchange, next Handler) error {
+	ctx, cancel := context.WithDeadline(x.Context(), x.Deadline)
+	defer cancel()
+	x.Request = x.Request.WithContext(ctx)
+	return next.ServeExchange(x)
+}
--- /dev/null
+++ b/front/cmd/cardamomfront/main.go
@@ -0,0 +1,65 @@
+// Command cardamomfront is the entry instance of the traffic steering system.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cardamomfront/cardamomfront/front/instance"
+)
+
+func main() { os.Exit(execute()) }
+
+// execute runs the command until it ends or a signal asks it to, and returns
+// the exit code.
+func execute() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// command returns the only command: run an instance, or check its settings.
+func command() *cobra.Command {
+	var file string
+	var checkOnly bool
+	cmd := &cobra.Command{
+		Use:           "cardamomfront --settings FILE",
+		Short:         "Run one entry instance",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := instance.ReadSettings(file)
+			if err != nil {
+				return err
+			}
+			if checkOnly {
+				cmd.Printf("%s: ok\n", file)
+				return nil
+			}
+			return run(cmd.Context(), settings)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file (required)")
+	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings file and exit")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// run runs an instance until ctx ends.
+func run(ctx context.Context, s *instance.Settings) error {
+	i, err := instance.Build(s, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
--- /dev/null
+++ b/front/e2e/processes_test.go
@@ -0,0 +1,166 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// readyWithin bounds the wait for a process to become ready. It is far above
+// what is needed, so that a busy machine changes no verdict.
+const readyWithin = 60 * time.Second
+
+// binDir holds the binaries under test.
+var binDir string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+// runTests builds the binaries, runs the tests and removes the binaries.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "cardamomfront")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running process.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	out  *lockedBuffer
+	done chan struct{}
+	err  error
+}
+
+// lockedBuffer collects a process's output.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// start runs a binary until the test ends.
+func start(t *testing.T, name, binary string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, out: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binDir, binary), args...)
+	p.cmd.Stdout = p.out
+	p.cmd.Stderr = p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("--- output of %s\n%s", name, p.out)
+		}
+	})
+	return p
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// stop ends the process in order and fails the test when it does not end well.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(readyWithin):
+		t.Fatalf("%s did not stop", p.name)
+	}
+	if p.err != nil {
+		t.Fatalf("%s: %v", p.name, p.err)
+	}
+}
+
+// ctl runs the operators' tool and returns its output and exit code.
+func ctl(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(filepath.Join(binDir, "cardamomctl"), args...)
+	out, err := cmd.CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); ok { //nolint:errorlint // returned unwrapped
+		return string(out), exit.ExitCode()
+	}
+	if err != nil {
+		t.Fatalf("cardamomctl %s: %v", strings.Join(args, " "), err)
+	}
+	return string(out), 0
+}
+
+// mustCtl runs the operators' tool and fails the test unless it succeeds.
+func mustCtl(t *testing.T, args ...string) string {
+	t.Helper()
+	out, code := ctl(t, args...)
+	if code != 0 {
+		t.Fatalf("cardamomctl %s: exit %d\n%s", strings.Join(args, " "), code, out)
+	}
+	return out
+}
+
+// freeAddress returns an address on ip that nobody listens on.
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits until done says that it is done.
+func eventually(t *testing.T, what string, done func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = done(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("%s: %v", what, err)
+}
--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -40,6 +40,8 @@
 type Request struct {
 	// HTTP is the caller's request. It is not changed; its body is read.
 	HTTP *http.Request
+	// ID names the request in the logs of instances and endpoints, "" for none.
+	ID string
 	// Team is the team that the request runs for, "" on a route open to all.
 	Team string
 	// Idempotent says that the request may run twice without harm.
--- a/front/endpoint/headers.go
+++ b/front/endpoint/headers.go
@@ -14,6 +14,8 @@
 	HeaderPrefix = "Cardamomfront-"
 	// HeaderTeam names the team that a request runs for.
 	HeaderTeam = HeaderPrefix + "Team"
+	// HeaderRequestID names the request in logs.
+	HeaderRequestID = HeaderPrefix + "Request-Id"
 	// HeaderDeadline is the time left to answer, in milliseconds.
 	HeaderDeadline = HeaderPrefix + "Deadline-Ms"
 	// HeaderExchange identifies one exchange. An endpoint that repeats it in
@@ -70,6 +72,9 @@
 	if r.Team != "" {
 		h.Set(HeaderTeam, r.Team)
 	}
+	if r.ID != "" {
+		h.Set(HeaderRequestID, r.ID)
+	}
 	h.Set(HeaderExchange, exchange)
 	if !deadline.IsZero() {
 		left := max(0, deadline.Sub(now).Milliseconds())
--- /dev/null
+++ b/front/instance/defaults.go
@@ -0,0 +1,13 @@
+package instance
+
+import "time"
+
+// Defaults of the settings.
+const (
+	defaultHeaderTimeout   = 5 * time.Second
+	defaultMaxHeader       = 64 << 10 // bytes
+	defaultDialTimeout     = time.Second
+	defaultPlatformTimeout = 2 * time.Second
+	defaultAnnounce        = 35 * time.Second
+	defaultDrain           = 60 * time.Second
+)
--- /dev/null
+++ b/front/instance/instance.go
@@ -0,0 +1,137 @@
+// Package instance assembles one process of the system: its settings, its
+// listeners, its background work and its orderly end.
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+)
+
+// Component is work that goes on in the background as long as the instance
+// lives.
+type Component interface {
+	// Run works until ctx ends and then returns nil.
+	Run(ctx context.Context) error
+}
+
+// Instance is one process of the system.
+type Instance struct {
+	settings   *Settings
+	callers    *caller.Server
+	peers      *peer.Server
+	operators  *http.Server
+	components []Component
+	log        logrus.FieldLogger
+}
+
+// New returns an instance that is not running.
+func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, parts []Component, log *logrus.Logger) *Instance {
+	return &Instance{
+		settings:   s,
+		callers:    c,
+		peers:      p,
+		operators:  o,
+		components: parts,
+		log:        log.WithField("prefix", "instance"),
+	}
+}
+
+// listeners are the open listeners of an instance.
+type listeners struct {
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+}
+
+// Run serves until ctx ends and then stops in order: it announces its leaving,
+// goes on until callers have turned away, finishes what runs, and ends its
+// background work. Errors: a listener that can't be opened, or the first
+// failure of a part.
+func (i *Instance) Run(ctx context.Context) error {
+	ls, err := i.listen()
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, life := errgroup.WithContext(life)
+	group.Go(func() error { return i.peers.Serve(life, ls.peers) })
+	group.Go(func() error { return serveHTTP(i.operators, ls.operators) })
+	group.Go(func() error { return i.callers.Serve(ls.callers) })
+	for _, c := range i.components {
+		group.Go(func() error { return c.Run(life) })
+	}
+	i.log.WithField("callers", ls.callers.Addr().String()).Info("Started.")
+	select {
+	case <-ctx.Done():
+	case <-life.Done():
+		i.log.Error("A part failed, stopping.")
+	}
+	i.stop(life)
+	_ = i.operators.Close()
+	end()
+	err = group.Wait()
+	i.log.Info("Stopped.")
+	return err
+}
+
+// listen opens all listeners or none.
+func (i *Instance) listen() (ls listeners, err error) {
+	defer func() {
+		if err != nil {
+			ls.close()
+		}
+	}()
+	if ls.callers, err = listenCallers(i.settings.Callers); err != nil {
+		return ls, err
+	}
+	if ls.peers, err = i.peers.Listen(i.settings.Peers.Listen); err != nil {
+		return ls, err
+	}
+	ls.operators, err = net.Listen("tcp", i.settings.Operators.Listen)
+	return ls, err
+}
+
+// close closes the listeners that are open.
+func (ls *listeners) close() {
+	for _, l := range []net.Listener{ls.callers, ls.peers, ls.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// stop carries out a planned stop: no request that is under way is cut before
+// the drain time is over.
+func (i *Instance) stop(ctx context.Context) {
+	i.log.Info("Leaving.")
+	announce := i.settings.Stop.Announce.Std()
+	select {
+	case <-time.After(announce):
+	case <-ctx.Done():
+	}
+	i.callers.CloseKeptAlive()
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
+	defer cancel()
+	if err := i.callers.Shutdown(drainCtx); err != nil {
+		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
+	}
+}
+
+// serveHTTP serves until the server is closed.
+func serveHTTP(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/front/instance/listen.go
@@ -0,0 +1,23 @@
+package instance
+
+import (
+	"crypto/tls"
+	"net"
+)
+
+// listenCallers opens the callers' listener, with TLS when the settings name a
+// certificate.
+func listenCallers(s CallerSettings) (net.Listener, error) {
+	if s.Certificate == "" {
+		return net.Listen("tcp", s.Listen)
+	}
+	pair, err := tls.LoadX509KeyPair(s.Certificate, s.PrivateKey)
+	if err != nil {
+		return nil, err
+	}
+	return tls.Listen("tcp", s.Listen, &tls.Config{
+		MinVersion:   tls.VersionTLS12,
+		Certificates: []tls.Certificate{pair},
+		NextProtos:   []string{"http/1.1"},
+	})
+}
--- /dev/null
+++ b/front/instance/providers.go
@@ -0,0 +1,121 @@
+package instance
+
+import (
+	"crypto/tls"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// operatorHeaderTimeout is how long an operator's request header may take.
+const operatorHeaderTimeout = 5 * time.Second
+
+// Name is an instance's unique name, new for every process.
+type Name string
+
+// newName returns a name that shows the failure domain.
+func newName(s *Settings) Name {
+	return Name(s.FailureDomain + "-" + uuid.NewString())
+}
+
+func newLog(s *Settings, w io.Writer) (*logrus.Logger, error) {
+	return telemetry.NewLog(s.Log, w)
+}
+
+func newPlatform(s *Settings) *platform.Client {
+	return platform.NewClient(platform.Settings{
+		URL:     s.Platform.URL,
+		Timeout: s.Platform.Timeout.Std(),
+	})
+}
+
+// peerTLS is the TLS configuration between instances; nil for plain TCP.
+type peerTLS *tls.Config
+
+func newPeerTLS(s *Settings) (peerTLS, error) {
+	return peer.LoadTLS(peer.Files{
+		Certificate: s.Peers.Certificate,
+		PrivateKey:  s.Peers.PrivateKey,
+		Authority:   s.Peers.Authority,
+	})
+}
+
+func newPeerServer(c peerTLS, log *logrus.Logger) *peer.Server {
+	return peer.NewServer(c, log)
+}
+
+func newPeerClient(s *Settings, c peerTLS) *peer.Client {
+	return peer.NewClient(c, s.Peers.DialTimeout.Std())
+}
+
+func newCallerSettings(s *Settings) caller.ServerSettings {
+	return caller.ServerSettings{
+		HeaderTimeout:  s.Callers.HeaderTimeout.Std(),
+		MaxHeaderBytes: int(s.Callers.MaxHeader.Bytes()),
+	}
+}
+
+// place says where the instance runs.
+func place(s *Settings, n Name) generation.Place {
+	return generation.Place{Instance: string(n), Region: s.Region, FailureDomain: s.FailureDomain}
+}
+
+func newMeters(m *telemetry.Metrics) (*configuration.Meters, error) {
+	return configuration.NewMeters(m.Meter)
+}
+
+func newWatcher(s *Settings, n Name, store configuration.Store, c *peer.Client, srv *peer.Server, log *logrus.Logger, m *configuration.Meters) *configuration.Watcher {
+	settings := configuration.DefaultSettings(s.Environment, place(s, n), s.Peers.Listen, s.Platform.Region)
+	w := configuration.NewWatcher(settings, store, c, noPeers{}, log, m)
+	w.Register(srv)
+	return w
+}
+
+func newKeyring(source configuration.Source) *configuration.Keyring {
+	return configuration.NewKeyring(source, configuration.RefuseStale)
+}
+
+func newEndpointClient() *endpoint.Client {
+	return endpoint.NewClient(endpoint.Settings{}, ignoreOutcomes{})
+}
+
+func newForward(c *endpoint.Client) *caller.Forward {
+	return &caller.Forward{Sender: c}
+}
+
+// newChain puts the stages around the forwarding of a request.
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys) caller.Handler {
+	return caller.Chain(f, &caller.Routes{Source: source}, keys)
+}
+
+func newEntriesPage(s *Settings, source configuration.Source) http.Handler {
+	return &caller.EntriesPage{Snapshots: source, Source: onlySelf{s}}
+}
+
+// newComponents lists the work that goes on in the background.
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client) []Component {
+	return []Component{w, k, c}
+}
+
+// newOperators returns the server of the operators' pages.
+func newOperators(m *telemetry.Metrics, source configuration.Source) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Page)
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !source.Current().Ready {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
+}
--- /dev/null
+++ b/front/instance/wire.go
@@ -0,0 +1,59 @@
+//go:build wireinject
+
+package instance
+
+import (
+	"io"
+
+	"github.com/google/wire"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+)
+
+// Build assembles an instance that logs to w.
+func Build(s *Settings, w io.Writer) (*Instance, error) {
+	wire.Build(
+		New,
+		newName,
+		newLog,
+		wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)),
+		telemetry.NewMetrics,
+		platformSet,
+		peerSet,
+		configurationSet,
+		callerSet,
+		newOperators,
+		newComponents,
+	)
+	return nil, nil
+}
+
+var platformSet = wire.NewSet(
+	newPlatform,
+	wire.Bind(new(platform.Service), new(*platform.Client)),
+	wire.Bind(new(configuration.Store), new(*platform.Client)),
+)
+
+var peerSet = wire.NewSet(newPeerTLS, newPeerServer, newPeerClient)
+
+var configurationSet = wire.NewSet(
+	newMeters,
+	newWatcher,
+	newKeyring,
+	wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
+)
+
+var callerSet = wire.NewSet(
+	caller.NewKeys,
+	caller.NewMetrics,
+	caller.NewServer,
+	newCallerSettings,
+	newEndpointClient,
+	newForward,
+	newChain,
+	newEntriesPage,
+)
