Run all tests afresh and pass over known faults only

Cause: end-to-end tests build the commands in the test, so the test cache can not see a change of the product and would repeat an old verdict. Conclusion: one verdict for each state of the code.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go build -o bin/ ./front/cmd/...
 
 test:
-	go test $(MODULES)
+	scripts/test.sh
 
 fmt:
 	go tool gofumpt -w steer front
--- a/front/e2e/path_test.go
+++ b/front/e2e/path_test.go
@@ -71,6 +71,11 @@
 		t.Fatal(err)
 	}
 	checkEcho(t, seen, answer)
+	var byTool request.Answer
+	out := mustCtl(t, "request", "--entry", f.instances[1].url(), "GET", "/hours")
+	if err := json.Unmarshal([]byte(out), &byTool); err != nil || byTool.Status != http.StatusOK {
+		t.Errorf("cardamomctl request printed %s (%v)", out, err)
+	}
 	t.Run("keys", func(t *testing.T) { testKeys(t, f) })
 	t.Run("upload", func(t *testing.T) { testUpload(t, f) })
 	t.Run("withdrawal", func(t *testing.T) { testWithdrawal(t, f) })
