Hand out endpoint slots by a broker for each service and region

So a request travels to the other region before it asks there.

Change: steer/slots (broker, holder, succession), steer/admission (start-time fair queue with deadlines), steer/routing (choice, search over regions), steer/health (endpoints). A grant is bounded by its request's deadline; a successor counts what peers report and waits for those unheard.

--- /dev/null
+++ b/steer/admission/queue.go
@@ -0,0 +1,234 @@
+// Package admission decides which waiting request runs next and which is
+// refused at once.
+//
+// Teams share the slots by start-time fair queueing (Goyal, Vin and Cheng,
+// "Start-time Fair Queueing", SIGCOMM 1996), weighted by their rates, so that
+// a team that sends more than its share delays itself. A request that cannot
+// end by its deadline is refused when it arrives, or as soon as that shows.
+package admission
+
+import (
+	"time"
+)
+
+const (
+	// DefaultTeamLimit bounds the requests of one team that wait in one queue.
+	DefaultTeamLimit = 512
+	// DefaultNeed is the time that a request needs at an endpoint until any
+	// was observed.
+	DefaultNeed = 20 * time.Millisecond
+	// holdWeight is the weight of a new observation in the mean hold time.
+	holdWeight = 0.05
+)
+
+// Item is a waiting request.
+type Item[K comparable] struct {
+	// Key identifies the request.
+	Key K
+	// Team is the team that the request runs for.
+	Team string
+	// Deadline is when the request must have ended.
+	Deadline time.Time
+	// MaxWait bounds the expected wait; 0 means that only the deadline does.
+	MaxWait time.Duration
+
+	start float64 // start tag
+}
+
+// Queue holds the requests that wait for one group of slots. It is not safe
+// for concurrent use.
+type Queue[K comparable] struct {
+	weight    func(team string) float64
+	teamLimit int
+
+	virtual float64
+	teams   map[string]*team[K]
+	waiting map[K]string // key to team
+	slots   int
+	hold    time.Duration // mean time for which a request holds a slot
+}
+
+// team is the backlog of one team.
+type team[K comparable] struct {
+	weight float64
+	finish float64 // finish tag of the last item
+	items  []Item[K]
+}
+
+// NewQueue returns an empty queue. weight gives a team's weight, which must be
+// above 0; teams with equal weights get equal shares.
+func NewQueue[K comparable](weight func(team string) float64) *Queue[K] {
+	return &Queue[K]{
+		weight:    weight,
+		teamLimit: DefaultTeamLimit,
+		teams:     make(map[string]*team[K]),
+		waiting:   make(map[K]string),
+		hold:      DefaultNeed,
+	}
+}
+
+// SetSlots tells the queue how many requests run at the same time.
+func (q *Queue[K]) SetSlots(n int) { q.slots = n }
+
+// Observe tells the queue for how long a request held its slot.
+func (q *Queue[K]) Observe(held time.Duration) {
+	q.hold += time.Duration(holdWeight * float64(held-q.hold))
+}
+
+// Hold returns the mean time for which a request holds a slot.
+func (q *Queue[K]) Hold() time.Duration { return q.hold }
+
+// Len returns the number of waiting requests.
+func (q *Queue[K]) Len() int { return len(q.waiting) }
+
+// Contains reports whether a request waits.
+func (q *Queue[K]) Contains(key K) bool {
+	_, ok := q.waiting[key]
+	return ok
+}
+
+// Push adds a request, or refuses it. free is the number of slots that are
+// free now. Errors: *Refusal.
+func (q *Queue[K]) Push(now time.Time, item Item[K], free int) error {
+	t := q.team(item.Team)
+	item.start = max(q.virtual, t.finish)
+	wait := q.expectedWait(item.start, free)
+	if err := q.refuse(now, item, len(t.items), wait); err != nil {
+		q.drop(item.Team)
+		return err
+	}
+	t.finish = item.start + 1/t.weight
+	t.items = append(t.items, item)
+	q.waiting[item.Key] = item.Team
+	return nil
+}
+
+// refuse says why an item may not wait, or nil.
+func (q *Queue[K]) refuse(now time.Time, item Item[K], queued int, wait time.Duration) error {
+	switch {
+	case queued >= q.teamLimit:
+		return &Refusal{Reason: ReasonFull, Wait: wait}
+	case now.Add(wait + q.hold).After(item.Deadline):
+		return &Refusal{Reason: ReasonDeadline, Wait: wait}
+	case item.MaxWait > 0 && wait > item.MaxWait:
+		return &Refusal{Reason: ReasonWait, Wait: wait}
+	}
+	return nil
+}
+
+// team returns the backlog of a team.
+func (q *Queue[K]) team(name string) *team[K] {
+	t, ok := q.teams[name]
+	if !ok {
+		t = &team[K]{}
+		q.teams[name] = t
+	}
+	t.weight = q.weight(name)
+	return t
+}
+
+// drop forgets a team that has nothing waiting and owes nothing.
+func (q *Queue[K]) drop(name string) {
+	t := q.teams[name]
+	if t != nil && len(t.items) == 0 && t.finish <= q.virtual {
+		delete(q.teams, name)
+	}
+}
+
+// expectedWait estimates the wait of a request with the given start tag: the
+// requests that start before it, over the rate at which slots come free.
+func (q *Queue[K]) expectedWait(start float64, free int) time.Duration {
+	ahead := 0
+	for _, t := range q.teams {
+		if len(t.items) == 0 || t.items[0].start >= start {
+			continue
+		}
+		before := 1 + int((start-t.items[0].start)*t.weight)
+		ahead += min(len(t.items), before)
+	}
+	over := ahead + 1 - free
+	if over <= 0 || q.slots == 0 {
+		return 0
+	}
+	return time.Duration(over) * q.hold / time.Duration(q.slots)
+}
+
+// Pop removes and returns the request that runs next. Requests that can no
+// longer end by their deadlines are removed too and returned as late.
+func (q *Queue[K]) Pop(now time.Time) (next Item[K], ok bool, late []Item[K]) {
+	for {
+		name, t := q.first()
+		if t == nil {
+			return next, false, late
+		}
+		item := q.take(name, t, 0)
+		if now.Add(q.hold).After(item.Deadline) {
+			t.finish -= 1 / t.weight
+			late = append(late, item)
+			continue
+		}
+		q.virtual = max(q.virtual, item.start)
+		q.drop(name)
+		return item, true, late
+	}
+}
+
+// first returns the team whose oldest request has the smallest start tag.
+func (q *Queue[K]) first() (string, *team[K]) {
+	var best *team[K]
+	var bestName string
+	for name, t := range q.teams {
+		if len(t.items) == 0 {
+			continue
+		}
+		if best == nil || t.items[0].start < best.items[0].start ||
+			t.items[0].start == best.items[0].start && name < bestName {
+			best, bestName = t, name
+		}
+	}
+	return bestName, best
+}
+
+// take removes the request at index i of a team.
+func (q *Queue[K]) take(name string, t *team[K], i int) Item[K] {
+	item := t.items[i]
+	copy(t.items[i:], t.items[i+1:])
+	t.items[len(t.items)-1] = Item[K]{}
+	t.items = t.items[:len(t.items)-1]
+	delete(q.waiting, item.Key)
+	q.drop(name)
+	return item
+}
+
+// Remove takes a request out, because its caller gave up. It reports whether
+// the request was waiting.
+func (q *Queue[K]) Remove(key K) bool {
+	name, ok := q.waiting[key]
+	if !ok {
+		return false
+	}
+	t := q.teams[name]
+	for i := range t.items {
+		if t.items[i].Key == key {
+			q.take(name, t, i)
+			break
+		}
+	}
+	return true
+}
+
+// Expire removes and returns the requests that can no longer end by their
+// deadlines.
+func (q *Queue[K]) Expire(now time.Time) []Item[K] {
+	var late []Item[K]
+	for name, t := range q.teams {
+		for i := 0; i < len(t.items); {
+			if now.Add(q.hold).After(t.items[i].Deadline) {
+				late = append(late, q.take(name, t, i))
+				continue
+			}
+			i++
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/steer/health/endpoints.go
@@ -0,0 +1,139 @@
+package health
+
+import "time"
+
+const (
+	// DefaultFirstRest is how long an endpoint gets no work after its first
+	// failure to answer.
+	DefaultFirstRest = time.Second
+	// DefaultLongestRest bounds the growth of that time.
+	DefaultLongestRest = 30 * time.Second
+	// DefaultSlowStart is the time over which a cold endpoint comes up to its
+	// full number of slots.
+	DefaultSlowStart = 10 * time.Second
+	// DefaultReportFor is how long a report counts.
+	DefaultReportFor = 10 * time.Second
+	// breaksToRest is the number of broken exchanges in a row after which an
+	// endpoint rests.
+	breaksToRest = 3
+)
+
+// EndpointRules says how outcomes and reports move an endpoint's state.
+type EndpointRules struct {
+	// FirstRest and LongestRest bound the time without work after a failure;
+	// it doubles with each failure in a row.
+	FirstRest, LongestRest time.Duration
+	// SlowStart is the time from one slot to all slots.
+	SlowStart time.Duration
+	// ReportFor is how long a report counts.
+	ReportFor time.Duration
+}
+
+// DefaultEndpointRules returns the rules used when the settings name none.
+func DefaultEndpointRules() EndpointRules {
+	return EndpointRules{
+		FirstRest: DefaultFirstRest, LongestRest: DefaultLongestRest,
+		SlowStart: DefaultSlowStart, ReportFor: DefaultReportFor,
+	}
+}
+
+// Endpoint is what is known about one endpoint. The zero value is an endpoint
+// that has long been in use. It is not safe for concurrent use.
+type Endpoint struct {
+	warmSince time.Time // when it began or began again to get work
+	restUntil time.Time
+	rest      time.Duration // last rest given
+	breaks    int           // broken exchanges in a row
+	leaving   bool
+	answered  time.Time // last outcome that proved it well
+
+	reportedIll   bool
+	reportedUntil time.Time
+}
+
+// Cold says that the endpoint begins to get work at now with cold caches.
+func (e *Endpoint) Cold(now time.Time) { e.warmSince = now }
+
+// Leave says that the endpoint is leaving. That is final.
+func (e *Endpoint) Leave() { e.leaving = true }
+
+// Leaving reports whether the endpoint is leaving.
+func (e *Endpoint) Leaving() bool { return e.leaving }
+
+// Observe takes in an outcome that an instance saw itself.
+func (e *Endpoint) Observe(r EndpointRules, o Outcome, now time.Time) {
+	switch o {
+	case OutcomeAnswered, OutcomeProbed, OutcomeSilentConnection:
+		e.well(now)
+	case OutcomeUnreachable:
+		e.fail(r, now)
+	case OutcomeBroken, OutcomeTimedOut:
+		e.breaks++
+		if e.breaks >= breaksToRest {
+			e.fail(r, now)
+		}
+	case OutcomeFailed, OutcomeShed:
+		// The endpoint lives. What its failures mean is judged by shifts.
+		e.breaks = 0
+	}
+}
+
+// well notes a proof that the endpoint answers. After a rest it starts cold.
+func (e *Endpoint) well(now time.Time) {
+	e.breaks = 0
+	e.answered = now
+	if e.rest > 0 {
+		e.rest = 0
+		e.restUntil = time.Time{}
+		e.warmSince = now
+	}
+}
+
+// fail gives the endpoint a rest, twice as long as the one before.
+func (e *Endpoint) fail(r EndpointRules, now time.Time) {
+	if now.Before(e.restUntil) {
+		return
+	}
+	e.rest = min(max(2*e.rest, r.FirstRest), r.LongestRest)
+	e.restUntil = now.Add(e.rest)
+	e.breaks = 0
+}
+
+// Report takes in a report about the endpoint, which may be late or wrong.
+func (e *Endpoint) Report(r EndpointRules, ill bool, now time.Time) {
+	e.reportedIll = ill
+	e.reportedUntil = now.Add(r.ReportFor)
+}
+
+// Resting reports whether the endpoint gets no work because the instance saw
+// it fail.
+func (e *Endpoint) Resting(now time.Time) bool { return now.Before(e.restUntil) }
+
+// Doubted reports whether only a report speaks against the endpoint: one that
+// is not outdated and that no own outcome has belied since.
+func (e *Endpoint) Doubted(r EndpointRules, now time.Time) bool {
+	if !e.reportedIll || !now.Before(e.reportedUntil) {
+		return false
+	}
+	return e.answered.Before(e.reportedUntil.Add(-r.ReportFor))
+}
+
+// Limit returns how many of the endpoint's slots may be used at now: none
+// while it rests or leaves, one while a rest has ended but no answer came yet,
+// and a number that grows to all of them while it is cold.
+func (e *Endpoint) Limit(r EndpointRules, slots int, now time.Time) int {
+	switch {
+	case e.leaving || e.Resting(now):
+		return 0
+	case e.rest > 0:
+		return min(1, slots)
+	case e.warmSince.IsZero() || r.SlowStart <= 0:
+		return slots
+	}
+	warm := now.Sub(e.warmSince)
+	if warm >= r.SlowStart {
+		return slots
+	}
+	grown := 1 + int(int64(slots)*int64(warm)/int64(r.SlowStart))
+	return min(grown, slots)
+}
--- /dev/null
+++ b/steer/routing/endpoints.go
@@ -0,0 +1,56 @@
+// Package routing chooses the endpoint and the region for a request.
+//
+// It chooses only among free slots, so that no choice overloads an endpoint or
+// a region, however late what is known about them.
+package routing
+
+// Candidate is an endpoint as the choice sees it.
+type Candidate struct {
+	// Limit is how many requests the endpoint may run now.
+	Limit int
+	// Used is how many it runs.
+	Used int
+	// Doubted says that a report speaks against it.
+	Doubted bool
+}
+
+// Free returns the number of free slots.
+func (c *Candidate) Free() int { return max(0, c.Limit-c.Used) }
+
+// Choose returns the index of the candidate to use, or -1 when none has a free
+// slot. It prefers candidates that are not doubted and among them the least
+// used part of the limit; a doubted candidate is used when nothing else is
+// free, so that reports alone never leave a request without an endpoint.
+// Candidates for which avoid reports true are used last. The scan starts at
+// from, which spreads equal candidates.
+func Choose(candidates []Candidate, from int, avoid func(i int) bool) int {
+	best := -1
+	bestClass := 0
+	n := len(candidates)
+	for k := range n {
+		i := from + k
+		if i >= n {
+			i -= n
+		}
+		c := &candidates[i]
+		if c.Used >= c.Limit {
+			continue
+		}
+		class := 0
+		if c.Doubted {
+			class++
+		}
+		if avoid != nil && avoid(i) {
+			class += 2
+		}
+		if best < 0 || class < bestClass || class == bestClass && lessUsed(c, &candidates[best]) {
+			best, bestClass = i, class
+		}
+	}
+	return best
+}
+
+// lessUsed reports whether a uses a smaller part of its limit than b.
+func lessUsed(a, b *Candidate) bool {
+	return a.Used*b.Limit < b.Used*a.Limit
+}
--- /dev/null
+++ b/steer/routing/regions.go
@@ -0,0 +1,89 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Region is a region as the choice of region sees it.
+type Region struct {
+	// Name names the region.
+	Name string
+	// Distance is the one-way latency to it; the instance's own region is the
+	// nearest.
+	Distance time.Duration
+}
+
+// Order sorts regions by distance, nearest first, and by name among equals.
+func Order(regions []Region) {
+	slices.SortFunc(regions, func(a, b Region) int {
+		return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// Search walks over the regions for one request. A region that would make the
+// request wait for longer than the way to the next region takes is passed over
+// at first; when all are busy, the request waits where it expects the answer
+// soonest. A request for another region goes there before it asks for a slot,
+// so that no slot is held while it is under way.
+type Search struct {
+	regions []Region
+	next    int
+	waits   []time.Duration
+	last    bool
+}
+
+// NewSearch starts a search over regions in the order given by Order.
+func NewSearch(regions []Region) *Search {
+	return &Search{regions: regions, waits: make([]time.Duration, 0, len(regions))}
+}
+
+// Next returns the index of the region to ask and the longest wait to accept
+// there; 0 means any that the deadline allows. It reports false when the search
+// has ended.
+func (s *Search) Next() (region int, maxWait time.Duration, ok bool) {
+	if s.next < len(s.regions) && len(s.regions) > 1 {
+		return s.next, s.detour(), true
+	}
+	if s.last || len(s.regions) == 0 {
+		return 0, 0, false
+	}
+	s.last = true
+	return s.soonest(), 0, true
+}
+
+// detour returns the longest wait to accept: the way to the next region, or for
+// the last one the way that was made. Waiting for the whole way there and back
+// was measured to be slower, as the queues at home then grow longer.
+func (s *Search) detour() time.Duration {
+	next := min(s.next+1, len(s.regions)-1)
+	return max(time.Millisecond, s.regions[next].Distance-s.regions[0].Distance)
+}
+
+// Busy notes that the region just asked would make the request wait.
+func (s *Search) Busy(wait time.Duration) {
+	s.waits = append(s.waits, wait)
+	s.next++
+}
+
+// Closed notes that the region just asked gives no slots at all.
+func (s *Search) Closed() {
+	s.waits = append(s.waits, -1)
+	s.next++
+}
+
+// soonest returns the region with the shortest expected time to an answer.
+func (s *Search) soonest() int {
+	best := 0
+	bestTime := time.Duration(-1)
+	for i, wait := range s.waits {
+		if wait < 0 {
+			continue
+		}
+		if t := wait + 2*s.regions[i].Distance; bestTime < 0 || t < bestTime {
+			best, bestTime = i, t
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/steer/slots/holder.go
@@ -0,0 +1,110 @@
+package slots
+
+import "time"
+
+// Holder keeps an instance's own side: which requests for slots are out and
+// which slots it uses. It is not safe for concurrent use.
+type Holder struct {
+	instance string
+	number   uint64
+	epochs   map[Group]uint64
+	pending  map[ID]claim
+	held     map[ID]claim
+	notes    map[ID]claim
+}
+
+// claim is a slot asked for or held.
+type claim struct {
+	group    Group
+	address  string
+	deadline time.Time
+}
+
+// NewHolder returns the holder of an instance. The instance's name must never
+// have been used by another process.
+func NewHolder(instance string) *Holder {
+	return &Holder{
+		instance: instance,
+		epochs:   make(map[Group]uint64),
+		pending:  make(map[ID]claim),
+		held:     make(map[ID]claim),
+		notes:    make(map[ID]claim),
+	}
+}
+
+// Begin starts a request for a slot that must have ended by deadline.
+func (h *Holder) Begin(g Group, deadline time.Time) ID {
+	h.number++
+	id := ID{Instance: h.instance, Number: h.number}
+	h.pending[id] = claim{group: g, deadline: deadline}
+	return id
+}
+
+// Accept takes a grant. It reports false when the slot must not be used: the
+// request has ended, its deadline has passed, or the grant comes from a broker
+// that has a successor.
+func (h *Holder) Accept(g Grant, now time.Time) bool {
+	c, ok := h.pending[g.ID]
+	if !ok || c.group != g.Group || !now.Before(c.deadline) || g.Epoch < h.epochs[g.Group] {
+		return false
+	}
+	delete(h.pending, g.ID)
+	h.epochs[g.Group] = g.Epoch
+	c.address = g.Address
+	h.held[g.ID] = c
+	return true
+}
+
+// End ends a request, whether it has a slot or still waits for one.
+func (h *Holder) End(id ID) {
+	delete(h.pending, id)
+	delete(h.held, id)
+}
+
+// Note keeps another instance's grant for a later broker. It reports false when
+// a successor of the grant's broker has already been answered.
+func (h *Holder) Note(g Grant, remaining time.Duration, now time.Time) bool {
+	if g.Epoch < h.epochs[g.Group] {
+		return false
+	}
+	h.epochs[g.Group] = g.Epoch
+	h.notes[g.ID] = claim{group: g.Group, address: g.Address, deadline: now.Add(remaining)}
+	return true
+}
+
+// EndNote forgets another instance's grant.
+func (h *Holder) EndNote(id ID) { delete(h.notes, id) }
+
+// Report answers the broker of an epoch. From then on grants of earlier epochs
+// are refused. It reports false when a later broker was answered before.
+func (h *Holder) Report(g Group, epoch uint64, now time.Time) (Report, bool) {
+	if epoch < h.epochs[g] {
+		return Report{}, false
+	}
+	h.epochs[g] = epoch
+	r := Report{Instance: h.instance}
+	r.Held = claimsOf(h.held, g, now)
+	r.Noted = claimsOf(h.notes, g, now)
+	return r, true
+}
+
+// claimsOf lists the claims of a group. A held claim past its deadline is
+// listed too: its request is being ended but the endpoint may not know yet.
+func claimsOf(claims map[ID]claim, g Group, now time.Time) []Held {
+	var list []Held
+	for id, c := range claims {
+		if c.group == g {
+			list = append(list, Held{ID: id, Address: c.address, Remaining: c.deadline.Sub(now)})
+		}
+	}
+	return list
+}
+
+// Sweep forgets notes that have outlived their bound by guard.
+func (h *Holder) Sweep(guard time.Duration, now time.Time) {
+	for id, c := range h.notes {
+		if now.After(c.deadline.Add(guard)) {
+			delete(h.notes, id)
+		}
+	}
+}
--- /dev/null
+++ b/steer/slots/main_test.go
@@ -0,0 +1,16 @@
+package slots
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "5")
+	_ = flag.Set("rapid.checks", "1200")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/steer/slots/policies_test.go
@@ -0,0 +1,302 @@
+package slots
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/admission"
+	"github.com/cardamomfront/cardamomfront/steer/routing"
+)
+
+// policy says what an instance does with an arriving job.
+type policy struct {
+	desc string
+	make func(w *world) func(*job)
+}
+
+// allKnowing is one queue that knows every slot without any message and needs
+// no time to reach it: what a single instance beside all endpoints would do.
+func allKnowing(w *world) func(*job) {
+	free := w.targets * w.slots
+	var waiting []*job
+	var start func(j *job)
+	start = func(j *job) {
+		free--
+		w.after(j.service, func() {
+			free++
+			w.took = append(w.took, w.now-j.arrived+2*inRegion)
+			if len(waiting) > 0 {
+				next := waiting[0]
+				waiting = waiting[1:]
+				start(next)
+			}
+		})
+	}
+	return func(j *job) {
+		if free == 0 {
+			waiting = append(waiting, j)
+			return
+		}
+		start(j)
+	}
+}
+
+// local returns the endpoints that an instance uses in a baseline.
+func local(w *world, j *job, everywhere bool) []int {
+	var list []int
+	for i, e := range w.endpoints {
+		if everywhere || e.region == regionOf(j.instance) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func random(everywhere bool) func(*world) func(*job) {
+	return func(w *world) func(*job) {
+		return func(j *job) {
+			list := local(w, j, everywhere)
+			w.send(j, list[w.rng.IntN(len(list))])
+		}
+	}
+}
+
+// inFlight chooses by the instance's own requests in flight: the least of all
+// candidates, or of two picked at random.
+func inFlight(everywhere bool, candidates int) func(*world) func(*job) {
+	return func(w *world) func(*job) {
+		counts := make([][]int, instanceCount)
+		for i := range counts {
+			counts[i] = make([]int, len(w.endpoints))
+		}
+		return func(j *job) {
+			list := local(w, j, everywhere)
+			w.rng.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+			if candidates > 0 {
+				list = list[:candidates]
+			}
+			own := counts[j.instance]
+			best := list[0]
+			for _, i := range list {
+				if own[i] < own[best] {
+					best = i
+				}
+			}
+			own[best]++
+			j.answered = func() { own[best]-- }
+			w.send(j, best)
+		}
+	}
+}
+
+// partition gives each instance fixed slots. With borrow, an instance without a
+// free slot asks the others one after another, the nearest first.
+func partition(borrow bool) func(*world) func(*job) {
+	return func(w *world) func(*job) {
+		p := &partitioned{world: w, borrow: borrow, free: make([][]int, instanceCount), waiting: make([][]*job, instanceCount)}
+		next := make([]int, regionCount)
+		for i, e := range w.endpoints {
+			for range w.slots {
+				owner := p.owner(e.region, next[e.region])
+				next[e.region]++
+				p.free[owner] = append(p.free[owner], i)
+			}
+		}
+		return p.arrive
+	}
+}
+
+type partitioned struct {
+	*world
+	borrow  bool
+	free    [][]int
+	waiting [][]*job
+}
+
+// owner deals slots out to the instances of the endpoint's region in turn.
+func (p *partitioned) owner(region, k int) int {
+	var inside []int
+	for i := range instanceCount {
+		if regionOf(i) == region {
+			inside = append(inside, i)
+		}
+	}
+	return inside[k%len(inside)]
+}
+
+func (p *partitioned) arrive(j *job) {
+	if p.use(j, j.instance) {
+		return
+	}
+	p.waiting[j.instance] = append(p.waiting[j.instance], j)
+	if p.borrow {
+		p.ask(j, 1)
+	}
+}
+
+// use sends a job on a slot of owner, if one is free.
+func (p *partitioned) use(j *job, owner int) bool {
+	n := len(p.free[owner])
+	if n == 0 {
+		return false
+	}
+	slot := p.free[owner][n-1]
+	p.free[owner] = p.free[owner][:n-1]
+	j.answered = func() {
+		back := time.Duration(0)
+		if owner != j.instance {
+			back = p.distance(regionOf(owner), regionOf(j.instance))
+		}
+		p.after(back, func() {
+			p.free[owner] = append(p.free[owner], slot)
+			if len(p.waiting[owner]) > 0 {
+				next := p.waiting[owner][0]
+				p.waiting[owner] = p.waiting[owner][1:]
+				p.use(next, owner)
+			}
+		})
+	}
+	p.send(j, slot)
+	return true
+}
+
+// ask asks the k-th other instance for a slot for j, then the one after it.
+func (p *partitioned) ask(j *job, k int) {
+	// Regions alternate with the number, so a step of regionCount stays inside.
+	lender := (j.instance + regionCount*k) % instanceCount
+	way := p.distance(regionOf(j.instance), regionOf(lender))
+	p.after(way, func() {
+		n := len(p.free[lender])
+		if n == 0 {
+			p.after(way, func() { p.again(j, k) })
+			return
+		}
+		slot := p.free[lender][n-1]
+		p.free[lender] = p.free[lender][:n-1]
+		p.after(way, func() { p.lent(j, lender, slot) })
+	})
+}
+
+// again goes on asking while the job still waits.
+func (p *partitioned) again(j *job, k int) {
+	for _, waiting := range p.waiting[j.instance] {
+		if waiting == j {
+			p.ask(j, k%(instanceCount-1)+1)
+			return
+		}
+	}
+}
+
+// lent uses a lent slot for the oldest waiting job, or gives it back.
+func (p *partitioned) lent(j *job, lender, slot int) {
+	i := j.instance
+	if len(p.waiting[i]) == 0 {
+		p.after(p.distance(regionOf(i), regionOf(lender)), func() { p.giveBack(lender, slot) })
+		return
+	}
+	next := p.waiting[i][0]
+	p.waiting[i] = p.waiting[i][1:]
+	next.answered = func() {
+		p.after(p.distance(regionOf(i), regionOf(lender)), func() { p.giveBack(lender, slot) })
+	}
+	p.send(next, slot)
+}
+
+func (p *partitioned) giveBack(owner, slot int) {
+	p.free[owner] = append(p.free[owner], slot)
+	if len(p.waiting[owner]) > 0 {
+		next := p.waiting[owner][0]
+		p.waiting[owner] = p.waiting[owner][1:]
+		p.use(next, owner)
+	}
+}
+
+// brokers runs the package's own Broker in each region, with the messages'
+// latency, and the package routing's search over regions.
+func brokers(w *world) func(*job) {
+	b := &brokered{world: w, pending: make(map[ID]func(Outcome))}
+	b.settings = DefaultSettings()
+	for r := range regionCount {
+		group := Group{Region: fmt.Sprint(r)}
+		broker := NewBroker(group, 1, b.settings, nil, func(string) float64 { return 1 }, w.clock())
+		var endpoints []Endpoint
+		for i, e := range w.endpoints {
+			if e.region == r {
+				endpoints = append(endpoints, Endpoint{Address: fmt.Sprint(i), Slots: w.slots})
+			}
+		}
+		broker.SetEndpoints(endpoints, w.clock())
+		b.brokers = append(b.brokers, broker)
+	}
+	return b.arrive
+}
+
+type brokered struct {
+	*world
+	settings Settings
+	brokers  []*Broker
+	pending  map[ID]func(Outcome)
+	number   uint64
+	refused  int
+}
+
+func (b *brokered) arrive(j *job) {
+	home := regionOf(j.instance)
+	regions := make([]routing.Region, regionCount)
+	for r := range regions {
+		regions[r] = routing.Region{Name: fmt.Sprint(r), Distance: b.distance(home, r)}
+	}
+	routing.Order(regions)
+	b.ask(j, regions, routing.NewSearch(regions))
+}
+
+func (b *brokered) ask(j *job, regions []routing.Region, search *routing.Search) {
+	i, maxWait, ok := search.Next()
+	if !ok {
+		b.refused++
+		return
+	}
+	var r int
+	_, _ = fmt.Sscan(regions[i].Name, &r)
+	far := time.Duration(0)
+	if i > 0 {
+		far = regions[i].Distance
+	}
+	b.number++
+	a := Ask{ID: ID{Number: b.number}, Remaining: 10 * time.Second, MaxWait: maxWait}
+	b.pending[a.ID] = func(o Outcome) {
+		b.after(inRegion, func() {
+			var refusal *admission.Refusal
+			switch {
+			case o.Grant != nil:
+				b.use(j, r, far, o.Grant)
+			case errors.As(o.Refusal, &refusal):
+				b.after(far, func() {
+					search.Busy(refusal.Wait)
+					b.ask(j, regions, search)
+				})
+			}
+		})
+	}
+	b.after(far+inRegion, func() { b.deliver(b.brokers[r].Ask(a, b.clock())) })
+}
+
+func (b *brokered) use(j *job, r int, far time.Duration, g *Grant) {
+	var endpoint int
+	_, _ = fmt.Sscan(g.Address, &endpoint)
+	j.from = r
+	j.far = far
+	j.answered = func() {
+		b.after(inRegion, func() { b.deliver(b.brokers[r].Release(Release{ID: g.ID}, b.clock())) })
+	}
+	b.send(j, endpoint)
+}
+
+func (b *brokered) deliver(outcomes []Outcome) {
+	for _, o := range outcomes {
+		f := b.pending[o.ID]
+		delete(b.pending, o.ID)
+		f(o)
+	}
+}
--- /dev/null
+++ b/steer/slots/recovery.go
@@ -0,0 +1,62 @@
+package slots
+
+import "time"
+
+// recovering returns the longest time until the broker may hand out slots; 0
+// means that it may.
+func (b *Broker) recovering(now time.Time) time.Duration {
+	if len(b.unheard) == 0 {
+		return 0
+	}
+	return max(0, b.recovered.Sub(now))
+}
+
+// Unheard returns the instances whose reports are missing.
+func (b *Broker) Unheard() []string {
+	names := make([]string, 0, len(b.unheard))
+	for name := range b.unheard {
+		names = append(names, name)
+	}
+	return names
+}
+
+// TakeReport takes in an instance's report. asked is when it was asked for.
+// The broker counts the reported grants until they lapse or are released.
+func (b *Broker) TakeReport(r Report, now time.Time) []Outcome {
+	for _, h := range r.Held {
+		b.adopt(h, now)
+	}
+	for _, h := range r.Noted {
+		b.adopt(h, now)
+	}
+	delete(b.unheard, r.Instance)
+	return b.continueServing(now)
+}
+
+// adopt counts a grant of an earlier epoch.
+func (b *Broker) adopt(h Held, now time.Time) {
+	if _, known := b.granted[h.ID]; known {
+		return
+	}
+	if _, over := b.ended[h.ID]; over {
+		return
+	}
+	s := b.site(h.Address)
+	s.used++
+	lapses := now.Add(max(0, h.Remaining) + b.settings.Guard)
+	b.granted[h.ID] = &grant{since: now, Grant: Grant{
+		ID: h.ID, Group: b.group, Epoch: b.epoch, Address: h.Address, Lapses: lapses,
+	}}
+}
+
+// Excuse says that an instance will not report, and that all its grants are
+// known from the reports of the others. It may be called for the former broker
+// alone, once every other instance has reported, because a broker notes its
+// own grants with another instance before it uses them.
+func (b *Broker) Excuse(former string, now time.Time) []Outcome {
+	if len(b.unheard) != 1 || !b.unheard[former] {
+		return nil
+	}
+	delete(b.unheard, former)
+	return b.continueServing(now)
+}
--- /dev/null
+++ b/steer/slots/safety_test.go
@@ -0,0 +1,63 @@
+package slots
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// check holds the requests at each endpoint to its slots.
+func (m *machine) check(t *rapid.T) {
+	used := make(map[string]int)
+	for _, r := range m.running {
+		if m.now.Before(r.until) {
+			used[r.address]++
+		}
+	}
+	for address, n := range used {
+		if n > m.slots[address] {
+			t.Fatalf("%d requests at endpoint %s with %d slots", n, address, m.slots[address])
+		}
+	}
+}
+
+// step does one thing at random.
+func (m *machine) step() {
+	actions := []struct {
+		weight int
+		do     func()
+	}{
+		{60, m.deliver},
+		{40, m.ask},
+		{30, m.finish},
+		{10, m.abort},
+		{10, m.giveUp},
+		{40, m.pass},
+		{2, m.kill},
+		{4, m.freeze},
+		{6, m.thaw},
+		{30, m.takeOver},
+	}
+	n := m.rng.IntN(232)
+	for _, a := range actions {
+		if n -= a.weight; n < 0 {
+			a.do()
+			return
+		}
+	}
+}
+
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	const steps = 2000
+	granted, brokers := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(rapid.Uint64().Draw(t, "seed"))
+		for range steps {
+			m.step()
+			m.check(t)
+		}
+		granted += m.granted
+		brokers += int(m.epoch)
+	})
+	t.Logf("%d grants used, %d brokers", granted, brokers)
+}
