Prove fair queueing under bursts and goodput under overload

Cause: one team at five times its rate must not cost another team inside its rate more than 1 % of its answers, and goodput at 3 times the capacity must stay at 90 % of that at capacity.

Ruled out: plain start-time fair queueing.

Change: a team below its share may run ahead by 12 requests or by 250 ms of its rate.

--- /dev/null
+++ b/steer/admission/load_test.go
@@ -0,0 +1,213 @@
+package admission
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	loadSlots    = 15
+	loadService  = 50 * time.Millisecond // mean
+	loadDeadline = time.Second
+	loadTime     = 60 * time.Second
+	// callerRetries is how often a caller comes back after a refusal.
+	callerRetries = 3
+)
+
+// Kano's teams: three large ones and five wards, in requests a second.
+var teamRates = map[string]float64{
+	"imams-office": 120, "mosque-central": 100, "ward-committee-union": 80,
+	"ward-01": 6, "ward-02": 6, "ward-03": 4, "ward-04": 3, "ward-05": 2,
+}
+
+// load is an event loop with one queue and its slots.
+type load struct {
+	now    time.Time
+	rng    *rand.Rand
+	queue  *Queue[int]
+	free   int
+	events loadEvents
+	jobs   []loadJob
+	counts map[string]*teamCount
+	serial int
+}
+
+type loadJob struct {
+	team     string
+	deadline time.Time
+	retries  int
+}
+
+// teamCount counts a team's requests that did not come from retries, and the
+// answers in time, from retries too.
+type teamCount struct{ sent, inTime int }
+
+type loadEvent struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type loadEvents []loadEvent
+
+func (e loadEvents) Len() int { return len(e) }
+func (e loadEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial
+}
+func (e loadEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *loadEvents) Push(x any)   { *e = append(*e, x.(loadEvent)) }
+func (e *loadEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (l *load) after(d time.Duration, run func()) {
+	l.serial++
+	heap.Push(&l.events, loadEvent{l.now.Add(d), l.serial, run})
+}
+
+// newLoad returns a load whose teams send their rates times scale of the
+// capacity, and burst times that for one of them.
+func newLoad(seed uint64, scale float64, bursting string, burst float64) *load {
+	l := &load{
+		now: start, rng: rand.New(rand.NewPCG(seed, 2)), free: loadSlots,
+		queue:  NewQueue[int](func(team string) float64 { return teamRates[team] }),
+		counts: make(map[string]*teamCount),
+	}
+	l.queue.SetSlots(loadSlots)
+	sum := 0.0
+	for _, r := range teamRates {
+		sum += r
+	}
+	capacity := loadSlots / loadService.Seconds()
+	for _, team := range sortedTeams() {
+		l.counts[team] = &teamCount{}
+		rate := teamRates[team] / sum * capacity * scale
+		if team == bursting {
+			rate *= burst
+		}
+		l.arrivals(team, rate)
+	}
+	return l
+}
+
+func sortedTeams() []string {
+	return []string{
+		"imams-office", "mosque-central", "ward-01", "ward-02", "ward-03", "ward-04", "ward-05",
+		"ward-committee-union",
+	}
+}
+
+// arrivals lets a team send until the load ends.
+func (l *load) arrivals(team string, rate float64) {
+	gap := time.Duration(l.rng.ExpFloat64() / rate * float64(time.Second))
+	if l.now.Add(gap).After(start.Add(loadTime)) {
+		return
+	}
+	l.after(gap, func() {
+		l.counts[team].sent++
+		l.arrive(loadJob{team: team, deadline: l.now.Add(loadDeadline)})
+		l.arrivals(team, rate)
+	})
+}
+
+func (l *load) arrive(j loadJob) {
+	key := len(l.jobs)
+	l.jobs = append(l.jobs, j)
+	err := l.queue.Push(l.now, Item[int]{Key: key, Team: j.team, Deadline: j.deadline}, l.free)
+	if err != nil {
+		l.again(j, err.(*Refusal).Wait)
+		return
+	}
+	l.serve()
+}
+
+// again lets a caller come back with a fresh deadline.
+func (l *load) again(j loadJob, wait time.Duration) {
+	if j.retries >= callerRetries {
+		return
+	}
+	l.after(wait, func() {
+		l.arrive(loadJob{team: j.team, deadline: l.now.Add(loadDeadline), retries: j.retries + 1})
+	})
+}
+
+func (l *load) serve() {
+	for l.free > 0 {
+		item, ok, late := l.queue.Pop(l.now)
+		for _, x := range late {
+			l.again(l.jobs[x.Key], l.queue.Hold())
+		}
+		if !ok {
+			return
+		}
+		l.free--
+		held := time.Duration(l.rng.ExpFloat64() * float64(loadService))
+		j := l.jobs[item.Key]
+		l.after(held, func() {
+			l.free++
+			l.queue.Observe(held)
+			if !l.now.After(j.deadline) {
+				l.counts[j.team].inTime++
+			}
+			l.serve()
+		})
+	}
+}
+
+func (l *load) run() {
+	for len(l.events) > 0 {
+		e := heap.Pop(&l.events).(loadEvent)
+		l.now = e.at
+		e.run()
+	}
+}
+
+func (l *load) goodput() int {
+	n := 0
+	for _, c := range l.counts {
+		n += c.inTime
+	}
+	return n
+}
+
+// TestBurstingTeamHurtsOnlyItself lets one team send five times its rate, with
+// its callers coming back after refusals: every other team keeps 99 % in time.
+func TestBurstingTeamHurtsOnlyItself(t *testing.T) {
+	const inTime = 0.99
+	for _, bursting := range []string{"imams-office", "ward-committee-union", "ward-01"} {
+		for seed := range uint64(3) {
+			l := newLoad(seed+1, 0.85, bursting, 5)
+			l.run()
+			for _, team := range sortedTeams() {
+				c := l.counts[team]
+				part := float64(c.inTime) / float64(c.sent)
+				t.Logf("seed %d, %s bursts: %s has %.4f of %d in time", seed+1, bursting, team, part, c.sent)
+				if team != bursting && part < inTime {
+					t.Errorf("seed %d, %s bursts: %s has %.4f in time, want %.2f", seed+1, bursting, team, part, inTime)
+				}
+			}
+		}
+	}
+}
+
+// TestGoodputUnderOverload compares the answers in time at 3 times the capacity
+// with those at the capacity. Callers come back after refusals.
+func TestGoodputUnderOverload(t *testing.T) {
+	const atLeast = 0.9
+	for seed := range uint64(3) {
+		full := newLoad(seed+1, 1, "", 1)
+		full.run()
+		over := newLoad(seed+1, 3, "", 1)
+		over.run()
+		ratio := float64(over.goodput()) / float64(full.goodput())
+		t.Logf("seed %d: %d in time at capacity, %d at 3 times, ratio %.3f", seed+1, full.goodput(), over.goodput(), ratio)
+		if ratio < atLeast {
+			t.Errorf("seed %d: goodput ratio %.3f, want %.1f", seed+1, ratio, atLeast)
+		}
+	}
+}
--- a/steer/admission/queue.go
+++ b/steer/admission/queue.go
@@ -2,7 +2,8 @@
 // refused at once.
 //
 // Teams share the slots by start-time fair queueing (Goyal, Vin and Cheng,
-// "Start-time Fair Queueing", SIGCOMM 1996), weighted by their rates, so that
+// "Start-time Fair Queueing", SIGCOMM 1996), weighted by their rates and with a
+// small credit for bursts, so that
 // a team that sends more than its share delays itself. A request that cannot
 // end by its deadline is refused when it arrives, or as soon as that shows.
 package admission
@@ -17,6 +18,11 @@
 	// DefaultNeed is the time that a request needs at an endpoint until any
 	// was observed.
 	DefaultNeed = 20 * time.Millisecond
+	// creditRequests and creditTime bound how far a team that was below its
+	// share may run ahead of the others: the larger of that many requests and
+	// of its requests in that time.
+	creditRequests = 12
+	creditTime     = 250 * time.Millisecond
 	// holdWeight is the weight of a new observation in the mean hold time.
 	holdWeight = 0.05
 )
@@ -55,8 +61,16 @@
 	items  []Item[K]
 }
 
-// NewQueue returns an empty queue. weight gives a team's weight, which must be
-// above 0; teams with equal weights get equal shares.
+// credit returns how far, in virtual time, the team's start tags may lie behind
+// the others'. Without it a small team that sends two requests at once waits
+// for the second as long as it takes to earn one at its rate.
+func (t *team[K]) credit() float64 {
+	return max(creditRequests, t.weight*creditTime.Seconds()) / t.weight
+}
+
+// NewQueue returns an empty queue. weight gives a team's weight, its rate in
+// requests a second, which must be above 0; teams with equal weights get equal
+// shares.
 func NewQueue[K comparable](weight func(team string) float64) *Queue[K] {
 	return &Queue[K]{
 		weight:    weight,
@@ -91,7 +105,7 @@
 // free now. Errors: *Refusal.
 func (q *Queue[K]) Push(now time.Time, item Item[K], free int) error {
 	t := q.team(item.Team)
-	item.start = max(q.virtual, t.finish)
+	item.start = max(q.virtual-t.credit(), t.finish)
 	wait := q.expectedWait(item.start, free)
 	if err := q.refuse(now, item, len(t.items), wait); err != nil {
 		q.drop(item.Team)
@@ -130,7 +144,7 @@
 // drop forgets a team that has nothing waiting and owes nothing.
 func (q *Queue[K]) drop(name string) {
 	t := q.teams[name]
-	if t != nil && len(t.items) == 0 && t.finish <= q.virtual {
+	if t != nil && len(t.items) == 0 && t.finish <= q.virtual-t.credit() {
 		delete(q.teams, name)
 	}
 }
