--- a/front/platform/client_test.go
+++ b/front/platform/client_test.go
@@ -17,7 +17,7 @@
 // callTimeout bounds a call in these tests; only a frozen call reaches it.
 const callTimeout = 300 * time.Millisecond
 
-func newClient(t *testing.T, handler http.Handler) *platform.Client {
+func newClient(t testing.TB, handler http.Handler) *platform.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -215,6 +215,17 @@
 	}
 }
 
+func TestGetTakesNoOtherRow(t *testing.T) {
+	for _, body := range []string{`{"key":"b","version":1}`, `{"key":"a"}`, `{}`, `null`} {
+		client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		if row, err := client.Get(context.Background(), "a"); err == nil {
+			t.Errorf("answer %s was taken for row %+v", body, row)
+		}
+	}
+}
+
 func TestWriteLargerThanTheLimitIsNotSent(t *testing.T) {
 	store := standin.NewStore()
 	server := httptest.NewServer(store.Handler())
--- /dev/null
+++ b/front/platform/fuzz_test.go
@@ -0,0 +1,63 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+// FuzzAnswers gives the client whatever status, entity tag and body: it must
+// not claim a write that it can't name, nor that a 2xx or 5xx answer without
+// its word had no effect.
+func FuzzAnswers(f *testing.F) {
+	f.Add(200, `"3"`, `{"versions":[1,2]}`)
+	f.Add(204, `"1"`, ``)
+	f.Add(412, ``, `{"reason":"x","conflict":{"key":"a","expected":0,"actual":{"key":"a","version":2,"value":"eA=="}}}`)
+	f.Add(503, ``, `{"noEffect":true}`)
+	f.Add(500, ``, `null`)
+	var status int
+	var tag, body string
+	client := newClient(f, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header()["Etag"] = []string{tag}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	f.Fuzz(func(t *testing.T, s int, e, b string) {
+		if s < 200 || s > 599 {
+			return
+		}
+		status, tag, body = s, e, b
+		for _, writes := range [][]platform.Write{{{Key: "a"}}, {{Key: "a"}, {Key: "b"}}} {
+			versions, err := client.Commit(context.Background(), writes)
+			checkFuzzed(t, s, writes, versions, err)
+		}
+		_, _ = client.Scan(context.Background(), "a")
+		_, _ = client.Get(context.Background(), "a")
+	})
+}
+
+func checkFuzzed(t *testing.T, status int, writes []platform.Write, versions []uint64, err error) {
+	t.Helper()
+	var conflict *platform.ConflictError
+	var failure *platform.Error
+	switch {
+	case err == nil:
+		if status >= 300 || len(versions) != len(writes) {
+			t.Fatalf("status %d taken for success with versions %v", status, versions)
+		}
+	case errors.As(err, &conflict):
+		if status != http.StatusConflict && status != http.StatusPreconditionFailed {
+			t.Fatalf("status %d taken for a conflict", status)
+		}
+	case errors.As(err, &failure):
+		if failure.Effect == platform.EffectNone && status < 400 {
+			t.Fatalf("status %d taken for no effect: %v", status, err)
+		}
+	default:
+		t.Fatalf("error of another kind: %v", err)
+	}
+}
--- a/front/platform/table.go
+++ b/front/platform/table.go
@@ -18,7 +18,10 @@
 	headerIfNoneMatch = "If-None-Match"
 )
 
-var errVersionCount = errors.New("answer has another number of versions than the transaction has writes")
+var (
+	errVersionCount = errors.New("answer has another number of versions than the transaction has writes")
+	errOtherRow     = errors.New("answer is not the row that was asked for")
+)
 
 // EntityTag writes a row's version as a strong entity tag (RFC 9110, 8.8.3).
 func EntityTag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
@@ -83,6 +86,9 @@
 	if err := q.decode(r, &row); err != nil {
 		return Row{}, err
 	}
+	if row.Key != key || row.Version == 0 {
+		return Row{}, &Error{Op: q.op, Effect: EffectNone, Status: r.status, Err: errOtherRow}
+	}
 	return row, nil
 }
 
