--- a/front/endpoint/standin/endpoint.go
+++ b/front/endpoint/standin/endpoint.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
 // Paths that are the stand-in's own; every other path is the service.
@@ -21,10 +24,9 @@
 // Headers that the stand-in reads and writes.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderRequestID      = "Cardamomfront-Request-Id"
-	// HeaderVerdict with the value "not-run" is an endpoint's explicit word
-	// that it did not start a request.
-	HeaderVerdict = "Cardamomfront-Verdict"
+	// HeaderRequestID is the caller's name for a request, the same however
+	// often it is sent.
+	HeaderRequestID = "X-Request-Id"
 	// HeaderEndpoint and HeaderVersion say who answers.
 	HeaderEndpoint = "Cardamomfront-Standin-Endpoint"
 	HeaderVersion  = "Cardamomfront-Standin-Version"
@@ -79,9 +81,10 @@
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderEndpoint, e.settings.Name)
 	w.Header().Set(HeaderVersion, e.settings.Version)
+	w.Header().Set(endpoint.HeaderExchange, r.Header.Get(endpoint.HeaderExchange))
 	plan, admitted := e.begin(r)
 	if !admitted {
-		w.Header().Set(HeaderVerdict, "not-run")
+		w.Header().Set(endpoint.HeaderVerdict, verdict.NotRun.String())
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
