Let keyed bookings run at most once and retry failed requests in the chain

Cause: attempt records and the retry decisions had no place in a request's way.

Attempts: a request with an idempotency key on a route that is not idempotent is claimed first. A repeat is answered with the recorded answer, with 409 and may-have-run while the first may be running, with 409 and ran when the answer was too long to record, with 422 when the key belongs to another request. With the store silent it is refused as not-run; other requests go on. A claimed request no longer ends because its caller goes away: a caller that lost its connection and repeats is the very case that keys are for, and a request that is cancelled half-way can only be answered with may-have-run. Deadline and key withdrawal still end it.

Retries: around the sending stage; a request's verdict is the worst of its attempts.

Idempotency keys are now read by steer/attempt. Logs carry the field prefix, metric names have dots, as elsewhere.

--- /dev/null
+++ b/front/caller/attempts_test.go
@@ -0,0 +1,270 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/retry"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// bookingIndex returns a document with routes that are and are not idempotent.
+func bookingIndex(t testing.TB) *document.Index {
+	t.Helper()
+	doc, err := document.Decode("test.yaml", []byte(`environment: test
+teams:
+  - {name: ward-01, rate: 10/s, burst: 10, keys: [{id: a, digest: "`+document.KeyDigest(testKey)+`"}]}
+regions: [{name: kano, failureDomains: [kano-a]}]
+services:
+  - name: ledger
+    serving: v1
+    versions: [{name: v1, endpoints: [{address: "127.0.0.1:9001", failureDomain: kano-a, slots: 3}]}]
+routes:
+  - {name: book, path: /book, methods: [POST], service: ledger, timeout: 5s}
+  - {name: put, path: /put, methods: [GET, PUT], service: ledger, idempotent: true, timeout: 5s}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return document.Compile(doc)
+}
+
+// bookings is a server with attempts and retries over a stand-in store.
+type bookings struct {
+	server *Server
+	store  *standin.Store
+	sent   int
+	// answer is what the next sends return; the last one stays.
+	answers []senderFunc
+	// bodies are the bodies that were sent.
+	bodies []string
+}
+
+func (b *bookings) send(ctx context.Context, r *endpoint.Request) (*endpoint.Answer, error) {
+	b.sent++
+	if r.HTTP.Body != nil {
+		body, _ := io.ReadAll(r.HTTP.Body)
+		b.bodies = append(b.bodies, string(body))
+	}
+	answer := b.answers[0]
+	if len(b.answers) > 1 {
+		b.answers = b.answers[1:]
+	}
+	return answer(ctx, r)
+}
+
+// newBookings starts a server; the answers are those of successive sends.
+func newBookings(t *testing.T, answers ...senderFunc) (*bookings, func()) {
+	t.Helper()
+	b := &bookings{store: standin.NewStore(), answers: answers}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder, err := attempts.New(attempts.DefaultSettings(), b.store, "kano", "kano-1", metrics.Meter, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	retries, err := NewRetries(retry.DefaultPolicy(), retry.BudgetSettings{Ratio: retry.DefaultRatio, Burst: retry.DefaultBurst}, metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := NewMetrics(metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := &fakeSource{}
+	source.follow(bookingIndex(t), false)
+	keys := NewKeys(configuration.NewKeyring(source, configuration.RefuseStale))
+	chain := Chain(&Forward{Sender: senderFunc(b.send)}, &Routes{Source: source}, keys, &Attempts{Claimer: recorder}, retries)
+	b.server = NewServer(ServerSettings{}, chain, http.NotFoundHandler(), m, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = recorder.Run(ctx)
+		close(ended)
+	}()
+	time.Sleep(time.Second) // the recorder reads its epoch
+	return b, func() {
+		cancel()
+		<-ended
+	}
+}
+
+// call makes one request with an idempotency key, none when it is empty.
+func (b *bookings) call(ctx context.Context, method, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body)).WithContext(ctx)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	if key != "" {
+		r.Header.Set(HeaderIdempotencyKey, key)
+	}
+	w := httptest.NewRecorder()
+	b.server.ServeHTTP(w, r)
+	time.Sleep(2 * time.Second) // outcomes are written
+	return w
+}
+
+func answerText(text string) senderFunc {
+	return func(context.Context, *endpoint.Request) (*endpoint.Answer, error) {
+		header := http.Header{"Content-Type": {"text/plain"}}
+		body := io.NopCloser(bytes.NewReader([]byte(text)))
+		return &endpoint.Answer{Status: http.StatusCreated, Header: header, ContentLength: int64(len(text)), Body: body}, nil
+	}
+}
+
+func answerFailure(reason endpoint.Reason, v verdict.Verdict) senderFunc {
+	return func(context.Context, *endpoint.Request) (*endpoint.Answer, error) {
+		return nil, &endpoint.Error{Reason: reason, Verdict: v}
+	}
+}
+
+// wantAnswer is what a caller gets.
+type wantAnswer struct {
+	status  int
+	verdict verdict.Verdict
+	reason  Reason
+	body    string
+}
+
+func (want wantAnswer) check(t *testing.T, which string, w *httptest.ResponseRecorder) {
+	t.Helper()
+	got := wantAnswer{status: w.Code, reason: Reason(w.Header().Get(HeaderReason))}
+	if got.reason == "" {
+		got.body = w.Body.String()
+	}
+	gotVerdict := w.Header().Get(HeaderVerdict)
+	if got.status != want.status || got.reason != want.reason || got.body != want.body || gotVerdict != want.verdict.String() {
+		t.Errorf("%s: status %d, verdict %s, reason %q, body %.20q, want %+v", which, got.status, gotVerdict, got.reason, got.body, want)
+	}
+}
+
+// TestRepeatedBooking makes the same booking twice.
+func TestRepeatedBooking(t *testing.T) {
+	large := strings.Repeat("x", attempt.MaxAnswer+1)
+	unknown := answerFailure(endpoint.ReasonBroken, verdict.MayHaveRun)
+	done := wantAnswer{201, verdict.Ran, "", "booked"}
+	tests := []struct {
+		desc    string
+		key     string
+		answers []senderFunc
+		first   wantAnswer
+		second  wantAnswer
+		sent    int
+	}{
+		{"answered", "k", []senderFunc{answerText("booked")}, done, done, 1},
+		{"answered, without a key", "", []senderFunc{answerText("booked")}, done, done, 2},
+		{
+			"answered at length", "k",
+			[]senderFunc{answerText(large)},
+			wantAnswer{201, verdict.Ran, "", large},
+			wantAnswer{409, verdict.Ran, ReasonAnswerUnrecorded, ""},
+			1,
+		},
+		{
+			"outcome unknown", "k",
+			[]senderFunc{unknown, answerText("booked")},
+			wantAnswer{502, verdict.MayHaveRun, "connection-broken", ""},
+			wantAnswer{409, verdict.MayHaveRun, ReasonKeyRunning, ""},
+			1,
+		},
+		{
+			"unreachable three times", "k",
+			[]senderFunc{
+				answerFailure(endpoint.ReasonUnreachable, verdict.NotRun), answerFailure(endpoint.ReasonUnreachable, verdict.NotRun),
+				answerFailure(endpoint.ReasonUnreachable, verdict.NotRun), answerText("booked"),
+			},
+			wantAnswer{502, verdict.NotRun, "endpoint-unreachable", ""},
+			done, 4,
+		},
+		{"shed once", "k", []senderFunc{answerFailure(endpoint.ReasonShed, verdict.NotRun), answerText("booked")}, done, done, 2},
+		{
+			"shed once, then unknown", "k",
+			[]senderFunc{answerFailure(endpoint.ReasonShed, verdict.NotRun), unknown, answerText("booked")},
+			wantAnswer{502, verdict.MayHaveRun, "connection-broken", ""},
+			wantAnswer{409, verdict.MayHaveRun, ReasonKeyRunning, ""},
+			2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, stop := newBookings(t, tt.answers...)
+				defer stop()
+				tt.first.check(t, "first", b.call(context.Background(), "POST", "/book", tt.key, "mats"))
+				tt.second.check(t, "second", b.call(context.Background(), "POST", "/book", tt.key, "mats"))
+				if b.sent != tt.sent {
+					t.Errorf("sent %d times, want %d", b.sent, tt.sent)
+				}
+			})
+		})
+	}
+}
+
+// TestKeyOfAnotherBooking uses one key for two bookings.
+func TestKeyOfAnotherBooking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, answerText("booked"))
+		defer stop()
+		b.call(context.Background(), "POST", "/book?mats=1", "k", "")
+		w := b.call(context.Background(), "POST", "/book?mats=2", "k", "")
+		wantAnswer{422, verdict.NotRun, ReasonKeyReused, ""}.check(t, "second", w)
+	})
+}
+
+// TestSilentStoreRefusesOnlyKeyedBookings takes the store down.
+func TestSilentStoreRefusesOnlyKeyedBookings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, answerText("booked"))
+		defer stop()
+		b.store.SetFaults(standin.Faults{Freeze: true})
+		w := b.call(context.Background(), "POST", "/book", "k", "mats")
+		wantAnswer{503, verdict.NotRun, Reason(attempts.ReasonStoreSilent), ""}.check(t, "with a key", w)
+		w = b.call(context.Background(), "PUT", "/put", "k", "mats")
+		wantAnswer{201, verdict.Ran, "", "booked"}.check(t, "idempotent", w)
+		if b.sent != 1 {
+			t.Errorf("sent %d times, want once", b.sent)
+		}
+	})
+}
+
+// TestCallerThatLeftLearnsTheOutcome lets a caller go away while its booking
+// runs, and repeat it.
+func TestCallerThatLeftLearnsTheOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, func(ctx context.Context, r *endpoint.Request) (*endpoint.Answer, error) {
+			select {
+			case <-time.After(time.Second):
+				return answerText("booked")(ctx, r)
+			case <-ctx.Done():
+				return nil, &endpoint.Error{Reason: endpoint.ReasonCanceled, Verdict: verdict.MayHaveRun, Err: ctx.Err()}
+			}
+		})
+		defer stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		b.call(ctx, "POST", "/book", "k", "mats")
+		w := b.call(context.Background(), "POST", "/book", "k", "mats")
+		wantAnswer{201, verdict.Ran, "", "booked"}.check(t, "repeat", w)
+		if w.Header().Get(HeaderReplayed) != "true" || b.sent != 1 {
+			t.Errorf("sent %d times, want once", b.sent)
+		}
+	})
+}
--- /dev/null
+++ b/front/caller/retries_test.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/retry"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// TestRetries sends one request over endpoints that fail in turn.
+func TestRetries(t *testing.T) {
+	shed := answerFailure(endpoint.ReasonShed, verdict.NotRun)
+	unknown := answerFailure(endpoint.ReasonSilent, verdict.MayHaveRun)
+	ok := answerText("booked")
+	done := wantAnswer{201, verdict.Ran, "", "booked"}
+	long := strings.Repeat("x", maxReplay+1)
+	tests := []struct {
+		desc    string
+		method  string
+		path    string
+		body    string
+		answers []senderFunc
+		want    wantAnswer
+		sent    int
+	}{
+		{"idempotent, outcome unknown", "PUT", "/put", "mats", []senderFunc{unknown, ok}, done, 2},
+		{"idempotent, shed", "PUT", "/put", "mats", []senderFunc{shed, ok}, done, 2},
+		{"not idempotent, shed", "POST", "/book", "mats", []senderFunc{shed, ok}, done, 2},
+		{
+			"not idempotent, outcome unknown", "POST", "/book", "mats",
+			[]senderFunc{unknown, ok},
+			wantAnswer{502, verdict.MayHaveRun, "endpoint-silent", ""},
+			1,
+		},
+		{
+			"unknown once, then shed", "PUT", "/put", "mats",
+			[]senderFunc{unknown, shed},
+			wantAnswer{502, verdict.MayHaveRun, "endpoint-shed", ""},
+			retry.DefaultMaxAttempts,
+		},
+		{
+			"shed with a body too long to hold", "PUT", "/put", long,
+			[]senderFunc{shed, ok},
+			wantAnswer{502, verdict.NotRun, "endpoint-shed", ""},
+			1,
+		},
+		{"no body", "GET", "/put", "", []senderFunc{unknown, ok}, done, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, stop := newBookings(t, tt.answers...)
+				defer stop()
+				tt.want.check(t, "answer", b.call(context.Background(), tt.method, tt.path, "", tt.body))
+				if b.sent != tt.sent {
+					t.Errorf("sent %d times, want %d", b.sent, tt.sent)
+				}
+				for _, body := range b.bodies {
+					if body != tt.body {
+						t.Errorf("sent a body of %d bytes, want %d", len(body), len(tt.body))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestRetriesAreBounded fails every send of many requests: the sends stay
+// within the budget.
+func TestRetriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, answerFailure(endpoint.ReasonUnreachable, verdict.NotRun))
+		defer stop()
+		const requests = 300
+		for range requests {
+			b.call(context.Background(), "GET", "/put", "", "")
+		}
+		if added := b.sent - requests; added == 0 || added >= requests/10 {
+			t.Errorf("%d retries for %d requests, want some and under 10 %%", added, requests)
+		}
+	})
+}
--- a/front/caller/routes.go
+++ b/front/caller/routes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
 // HeaderTimeoutMs is the caller's own deadline for a request, in milliseconds
@@ -16,9 +17,6 @@
 // HeaderIdempotencyKey names a request that must run at most once.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
-// maxIdempotencyKeyBytes bounds a caller's idempotency key, in bytes.
-const maxIdempotencyKeyBytes = 255
-
 // Routes is the stage that finds a request's route and deadline.
 type Routes struct {
 	// Source gives the document in force.
@@ -57,13 +55,11 @@
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	x.Deadline = x.Arrived.Add(timeout)
-	keys := x.Request.Header.Values(HeaderIdempotencyKey)
-	if len(keys) > 1 || len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxIdempotencyKeyBytes) {
+	key, err := attempt.ParseKey(x.Request.Header.Values(HeaderIdempotencyKey))
+	if err != nil {
 		return refuse(http.StatusBadRequest, ReasonBadHeader)
 	}
-	if len(keys) == 1 {
-		x.IdempotencyKey = keys[0]
-	}
+	x.IdempotencyKey = key
 	if x.Request.ContentLength > x.Route.MaxBody.Bytes() {
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
 	}
--- a/front/operator/serve/serve.go
+++ b/front/operator/serve/serve.go
@@ -40,8 +40,8 @@
 	if err != nil {
 		return fmt.Errorf("serve %s: %w", name, err)
 	}
-	log := logrus.WithField("part", "stand-in "+name)
-	log.WithField("address", listener.Addr().String()).Info("listening")
+	log := logrus.WithField("prefix", "stand-in "+name)
+	log.WithField("address", listener.Addr().String()).Info("Listening.")
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
@@ -50,7 +50,7 @@
 		return fmt.Errorf("serve %s: %w", name, err)
 	case <-ctx.Done():
 	}
-	log.Info("stopping")
+	log.Info("Stopping.")
 	limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
 	if err := server.Shutdown(limit); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/front/platform/attempts/atmostonce_test.go
+++ b/front/platform/attempts/atmostonce_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -12,8 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/cardamomfront/cardamomfront/front/platform/standin"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
@@ -303,8 +300,6 @@
 // TestAtMostOnce makes 10,000 attempts while instances are killed, answers of
 // the store and of endpoints are lost, writes arrive late and the store goes
 // silent or refuses.
-func init() { logrus.SetOutput(io.Discard) }
-
 func TestAtMostOnce(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/front/platform/attempts/cleanup.go
+++ b/front/platform/attempts/cleanup.go
@@ -27,7 +27,7 @@
 		}
 		part := rand.IntN(partCount)
 		if err := r.cleanPart(ctx, part); err != nil {
-			r.log.WithError(err).WithField("part of the records", part).Debug("not cleaned")
+			r.log.WithError(err).WithField("records", part).Debug("Part of the records not cleaned.")
 		}
 	}
 }
--- a/front/platform/attempts/dispatch.go
+++ b/front/platform/attempts/dispatch.go
@@ -83,7 +83,7 @@
 		}
 		select {
 		case <-end.C:
-			r.log.WithField("changes", left).Warn("stopped before every outcome was written")
+			r.log.WithField("changes", left).Warn("Stopped before every outcome was written.")
 			return
 		case <-r.nudge:
 		case <-time.After(time.Until(wake)):
@@ -108,6 +108,7 @@
 		unanswered++
 		gone := unanswered >= maxUnanswered || time.Since(firstSent) >= 2*r.settings.CommitTimeout
 		if gone && r.silence.begin(firstSent) {
+			r.log.Warn("Store does not answer.")
 			break
 		}
 	}
@@ -125,7 +126,7 @@
 func (r *Recorder) send(tx *attempt.Transaction) bool {
 	encoded, err := writes(tx.Changes())
 	if err != nil {
-		r.log.WithError(err).Error("record can't be encoded")
+		r.log.WithError(err).Error("Record can't be encoded.")
 		tx.OnRefused()
 		return false
 	}
--- a/front/platform/attempts/epochs.go
+++ b/front/platform/attempts/epochs.go
@@ -74,21 +74,21 @@
 	epoch := uint64(0)
 	if row.Version > 0 {
 		if epoch, err = decodeEpoch(row.Value); err != nil {
-			r.log.WithError(err).Error("epoch can't be read")
+			r.log.WithError(err).Error("Epoch can't be read.")
 			return
 		}
 	}
 	wasSilent := r.silence.silent()
 	r.silence.heard(time.Now())
 	if wasSilent {
-		r.log.Info("store answers again")
+		r.log.Info("Store answers again.")
 		r.wake()
 	}
 	if row.Version > 0 && !r.epochs.observe(epoch, started) {
 		return
 	}
 	if err := r.moveEpoch(ctx, row.Version, epoch+1); err != nil {
-		r.log.WithError(err).Debug("epoch not moved on")
+		r.log.WithError(err).Debug("Epoch not moved on.")
 		return
 	}
 	r.epochs.observe(epoch+1, started)
--- a/front/platform/attempts/fakes_test.go
+++ b/front/platform/attempts/fakes_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
@@ -127,7 +129,9 @@
 // startRecorder runs a recorder until the returned function is called.
 func startRecorder(t *testing.T, settings Settings, table platform.Table, instance string) (*Recorder, func()) {
 	t.Helper()
-	recorder, err := New(settings, table, "kano", instance, noop.NewMeterProvider().Meter("test"))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	recorder, err := New(settings, table, "kano", instance, noop.NewMeterProvider().Meter("test"), log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/front/platform/attempts/metrics.go
+++ b/front/platform/attempts/metrics.go
@@ -24,11 +24,11 @@
 		name        string
 		description string
 	}{
-		{&m.claims, "cardamomfront_attempt_claims", "claims of an idempotency key, by result"},
-		{&m.transactions, "cardamomfront_attempt_transactions", "group commits sent to the table"},
-		{&m.rows, "cardamomfront_attempt_rows", "records in the group commits sent"},
-		{&m.failures, "cardamomfront_attempt_unanswered", "group commits without an answer or refused"},
-		{&m.deleted, "cardamomfront_attempt_deleted", "expired records deleted"},
+		{&m.claims, "cardamomfront.attempts.claims", "Claims of an idempotency key, by result."},
+		{&m.transactions, "cardamomfront.attempts.transactions", "Group commits sent to the table."},
+		{&m.rows, "cardamomfront.attempts.rows", "Records in the group commits sent."},
+		{&m.failures, "cardamomfront.attempts.unanswered", "Group commits without an answer or refused."},
+		{&m.deleted, "cardamomfront.attempts.deleted", "Expired records deleted."},
 	} {
 		made, err := meter.Int64Counter(counter.name, metric.WithDescription(counter.description))
 		if err != nil {
--- a/front/platform/attempts/recorder.go
+++ b/front/platform/attempts/recorder.go
@@ -44,7 +44,7 @@
 
 // New returns a recorder for one environment; instance is the name of this
 // process.
-func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter) (*Recorder, error) {
+func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter, log logrus.FieldLogger) (*Recorder, error) {
 	m, err := newMetrics(meter)
 	if err != nil {
 		return nil, err
@@ -54,7 +54,7 @@
 		table:    table,
 		rows:     rowNames{environment: environment},
 		instance: instance,
-		log:      logrus.WithField("part", "attempts"),
+		log:      log.WithField("prefix", "attempts"),
 		metrics:  m,
 		running:  newRunning(),
 		known:    newKnown(),
--- a/front/platform/attempts/settle.go
+++ b/front/platform/attempts/settle.go
@@ -73,7 +73,7 @@
 	case attempt.ResultTaken:
 		r.running.remove(s.Change.Key)
 		if s.Change.Kind == attempt.KindFinish {
-			r.log.WithField("row", s.Change.Key).Error("an outcome found another record")
+			r.log.WithField("row", s.Change.Key).Error("An outcome found another record.")
 		}
 	case attempt.ResultNotWritten, attempt.ResultUnsettled:
 		r.mu.Lock()
