configuration: the store's word counts before the operators' tool's

Cause: an operator's listener that took any head would let one bad call move an instance to a generation that the store never had. Change: Follow reads the head row first and takes the tool's word only while the store is silent.

--- a/front/platform/configuration/adopt.go
+++ b/front/platform/configuration/adopt.go
@@ -153,8 +153,10 @@
 }
 
 // Follow takes in a head with its document from the operators' tool, which has
-// seen the store accept it. It returns when the instance follows that head or
-// a newer one. Errors: *DigestError, *document.Error, *NotFollowedError.
+// seen the store accept it. The store is read first, and its word counts when
+// it answers; the tool's word counts only while the store is silent. Follow
+// returns when the instance follows that head or a newer one. Errors:
+// *DigestError, *document.Error, *NotFollowedError.
 func (w *Watcher) Follow(ctx context.Context, head generation.Head, content []byte) error {
 	if err := checkDigest(head.Digest, content); err != nil {
 		return err
@@ -162,12 +164,28 @@
 	if _, err := document.Decode(head.Digest, content); err != nil {
 		return err
 	}
-	w.mu.Lock()
-	relation := w.tracker.Offered(head)
-	w.mu.Unlock()
-	w.act(ctx, relation, learned{head: head, content: content})
-	if current := w.Current().Head; current.Compare(head) != generation.Same && current.Generation <= head.Generation {
+	if !w.storeAnswers(ctx) {
+		w.mu.Lock()
+		relation := w.tracker.Offered(head)
+		w.mu.Unlock()
+		w.act(ctx, relation, learned{head: head, content: content})
+	}
+	if current := w.Current().Head; current.Compare(head) == generation.Newer || current.Compare(head) == generation.Forked {
 		return &NotFollowedError{Offered: head, Current: current}
 	}
 	return nil
 }
+
+// storeAnswers reads the head row, takes in the answer and says whether there
+// was one.
+func (w *Watcher) storeAnswers(ctx context.Context) bool {
+	started := time.Now()
+	limited, cancel := context.WithTimeout(ctx, w.settings.Unanswered)
+	defer cancel()
+	row, err := w.store.Get(limited, HeadKey(w.settings.Environment))
+	if err != nil {
+		return false
+	}
+	w.readAnswered(ctx, started, row)
+	return true
+}
--- a/front/platform/configuration/watcher_test.go
+++ b/front/platform/configuration/watcher_test.go
@@ -212,6 +212,11 @@
 		if !errors.As(err, &mismatch) {
 			t.Errorf("content with another digest: %v", err)
 		}
+		forged := generation.Head{Generation: 9, Digest: first.Digest}
+		var refused *NotFollowedError
+		if err := w.Follow(ctx, forged, content); !errors.As(err, &refused) {
+			t.Errorf("a head that the store does not name: %v", err)
+		}
 		other := generation.Head{Generation: 1, Digest: "sha256:other"}
 		if relation := w.tracker.Offered(other); relation != generation.Forked {
 			t.Errorf("relation = %v", relation)
