operator: status page, following a promotion, commands check, show, promote, status, key, drain

Cause: operators put documents in force, withdraw keys and begin drains with one tool, and have to know when a change is seen everywhere.

Change: an instance's operator listener answers with its status and takes in a head with its document. The tool tells every listed instance itself after the store has accepted a change, so that an outage right after that does not hide it, and waits until each has confirmed or must have gone stale. The latter takes a store that answered for StaleAfter and a second more: then nobody can have told the instance that the store is silent. Edits are applied anew when another promotion came first.

Ruled out: calling an instance that does not answer stale after StaleAfter alone; with the store silent it may rightly go on with what it knows.

--- /dev/null
+++ b/front/operator/change.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"context"
+	"errors"
+
+	"github.com/google/uuid"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// maxEditTries is the number of times that an edit is applied anew after
+// another operator's promotion came first.
+const maxEditTries = 5
+
+// NoDocumentError says that an environment has no document yet.
+type NoDocumentError struct {
+	// Environment names the environment.
+	Environment string
+}
+
+// Error implements error.
+func (e *NoDocumentError) Error() string {
+	return "no document is in force in environment " + e.Environment
+}
+
+// Changed is an accepted change.
+type Changed struct {
+	configuration.Promotion
+	// Content is the document in force.
+	Content []byte
+}
+
+// Change applies an edit to the document in force and promotes the result.
+// When another operator was first, the edit is applied to the newer document.
+// Errors: those of the edit and of Promoter.Promote, *NoDocumentError.
+func Change(ctx context.Context, p *configuration.Promoter, environment, operator string, edit Edit) (Changed, error) {
+	var err error
+	for range maxEditTries {
+		var changed Changed
+		changed, err = changeOnce(ctx, p, environment, operator, edit)
+		var conflict *configuration.ConflictError
+		if !errors.As(err, &conflict) {
+			return changed, err
+		}
+	}
+	return Changed{}, err
+}
+
+func changeOnce(ctx context.Context, p *configuration.Promoter, environment, operator string, edit Edit) (Changed, error) {
+	current, content, err := p.Current(ctx, environment)
+	if err != nil {
+		return Changed{}, err
+	}
+	if current.Generation == 0 {
+		return Changed{}, &NoDocumentError{Environment: environment}
+	}
+	doc, err := document.Decode(current.Digest, content)
+	if err != nil {
+		return Changed{}, err
+	}
+	if err := edit(doc); err != nil {
+		return Changed{}, err
+	}
+	if content, err = document.Encode(doc); err != nil {
+		return Changed{}, err
+	}
+	promotion, err := p.Promote(ctx, configuration.Request{
+		Environment: environment,
+		Expect:      current.Generation,
+		File:        "edited document",
+		Content:     content,
+		Operation:   uuid.NewString(),
+		Operator:    operator,
+	})
+	return Changed{Promotion: promotion, Content: content}, err
+}
--- /dev/null
+++ b/front/operator/client.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// maxAnswer bounds an instance's answer, in bytes.
+const maxAnswer = 1 << 20
+
+// Client talks to instances' operator listeners.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that uses c.
+func NewClient(c *http.Client) *Client { return &Client{http: c} }
+
+// RefusedError says that an instance refused a request.
+type RefusedError struct {
+	// Addr is the instance's operator listener.
+	Addr string
+	// Status is the HTTP status.
+	Status int
+	// Message is the instance's reason.
+	Message string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("instance at %s: status %d: %s", e.Addr, e.Status, e.Message)
+}
+
+// Status returns the status of the instance that listens on addr. Errors:
+// *RefusedError, or those of net/http.
+func (c *Client) Status(ctx context.Context, addr string) (Status, error) {
+	return c.call(ctx, http.MethodGet, addr, PathStatus, nil)
+}
+
+// Tell tells the instance of a head that the store accepted and returns its
+// status afterwards. Errors: as Status.
+func (c *Client) Tell(ctx context.Context, addr string, head Head) (Status, error) {
+	body, err := json.Marshal(head)
+	if err != nil {
+		return Status{}, err
+	}
+	return c.call(ctx, http.MethodPost, addr, PathHead, body)
+}
+
+func (c *Client) call(ctx context.Context, method, addr, path string, body []byte) (Status, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return Status{}, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Status{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	decoder := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer))
+	if resp.StatusCode != http.StatusOK {
+		var refusal Refusal
+		_ = decoder.Decode(&refusal)
+		return Status{}, &RefusedError{Addr: addr, Status: resp.StatusCode, Message: refusal.Error}
+	}
+	var status Status
+	if err := decoder.Decode(&status); err != nil {
+		return Status{}, fmt.Errorf("status of instance at %s: %w", addr, err)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/front/operator/command/command.go
@@ -0,0 +1,154 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// Add adds the commands and their shared flags to the tool's root command.
+func Add(root *cobra.Command) {
+	f := &flags{}
+	f.add(root)
+	root.Args = cobra.ArbitraryArgs
+	root.RunE = func(cmd *cobra.Command, given []string) error {
+		if len(given) > 0 {
+			return &UsageError{Err: fmt.Errorf("unknown command %q", given[0])}
+		}
+		return cmd.Help()
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
+	root.AddCommand(checkCommand(f), showCommand(f), promoteCommand(f), statusCommand(f), keyCommand(f), drainCommand(f))
+}
+
+// args turns the errors of an argument check into usage errors.
+func args(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, given []string) error {
+		if err := check(cmd, given); err != nil {
+			return &UsageError{Err: err}
+		}
+		return nil
+	}
+}
+
+// session is one command's way to the platform and to the instances.
+type session struct {
+	settings  Settings
+	table     *platform.Client
+	promoter  *configuration.Promoter
+	instances *operator.Client
+}
+
+// open resolves the settings; close is called at the end of the command.
+func (f *flags) open(parent context.Context) (context.Context, *session, func(), error) {
+	settings, err := f.resolve()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(parent, f.timeout)
+	client := platform.NewClient(platform.Settings{URL: settings.Platform})
+	transport := &http.Transport{}
+	s := &session{
+		settings:  settings,
+		table:     client,
+		promoter:  configuration.NewPromoter(client),
+		instances: operator.NewClient(&http.Client{Transport: transport}),
+	}
+	closeAll := func() {
+		cancel()
+		client.Close()
+		transport.CloseIdleConnections()
+	}
+	return ctx, s, closeAll, nil
+}
+
+// rollOut follows an accepted change through the instances.
+func (s *session) rollOut(ctx context.Context, changed operator.Changed) (ChangeReport, error) {
+	report := ChangeReport{Promotion: changed.Promotion}
+	listed, err := operator.Roster(ctx, s.table, s.settings.Environment, s.settings.Instances)
+	if err != nil {
+		return report, errors.Join(&StragglersError{Generation: changed.Generation, Instances: []string{"all: the list can't be read"}}, err)
+	}
+	rollout := operator.Rollout{
+		Client:      s.instances,
+		Store:       s.table,
+		Environment: s.settings.Environment,
+		Instances:   listed,
+		StaleAfter:  generation.DefaultStaleAfter,
+	}
+	report.Instances = rollout.Wait(ctx, changed.Head, changed.Content)
+	return report, stragglers(changed.Generation, report.Instances)
+}
+
+// stragglers returns an error that names the stragglers, or nil.
+func stragglers(generation uint64, results []operator.InstanceResult) error {
+	var names []string
+	for _, r := range results {
+		if r.Outcome == operator.Straggler {
+			names = append(names, r.Name+" "+r.Addr)
+		}
+	}
+	if names == nil {
+		return nil
+	}
+	return &StragglersError{Generation: generation, Instances: names}
+}
+
+// finish rolls a change out and prints how far it came.
+func (f *flags) finish(ctx context.Context, cmd *cobra.Command, s *session, changed operator.Changed, key string) error {
+	report, err := s.rollOut(ctx, changed)
+	report.Key = key
+	if printErr := f.print(cmd.OutOrStdout(), report); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+// change edits the document in force and rolls the result out.
+func (f *flags) change(cmd *cobra.Command, edit operator.Edit, key string) error {
+	ctx, s, closeAll, err := f.open(cmd.Context())
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	changed, err := operator.Change(ctx, s.promoter, s.settings.Environment, s.settings.Operator, edit)
+	if err != nil {
+		return err
+	}
+	return f.finish(ctx, cmd, s, changed, key)
+}
+
+// statusTimeout bounds the question to one instance.
+const statusTimeout = 2 * time.Second
+
+// statuses asks all instances at the same time.
+func (s *session) statuses(ctx context.Context, listed []operator.Listed, inForce uint64) []InstanceStatus {
+	statuses := make([]InstanceStatus, len(listed))
+	var asked sync.WaitGroup
+	for i, l := range listed {
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+			defer cancel()
+			statuses[i] = InstanceStatus{Listed: l, Straggler: true}
+			status, err := s.instances.Status(ctx, l.Addr)
+			if err != nil {
+				statuses[i].Error = err.Error()
+				return
+			}
+			statuses[i].Status = &status
+			statuses[i].Straggler = status.Generation < inForce
+		})
+	}
+	asked.Wait()
+	return statuses
+}
--- /dev/null
+++ b/front/operator/command/command_test.go
@@ -0,0 +1,235 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+const example = "../../../examples/kano.yaml"
+
+// world is a platform and two instances, each behind its own HTTP server.
+type world struct {
+	t        *testing.T
+	platform string
+	addrs    []string
+	watchers []*configuration.Watcher
+}
+
+// alone is the directory of an instance that knows no other.
+type alone struct{}
+
+func (alone) Peers() []configuration.Peer { return nil }
+
+func newWorld(t *testing.T) *world {
+	store := httptest.NewServer(standin.NewStore().Handler())
+	t.Cleanup(store.Close)
+	w := &world{t: t, platform: store.URL}
+	for _, domain := range []string{"kano-a", "kano-b"} {
+		w.start(domain)
+	}
+	return w
+}
+
+func (w *world) start(domain string) {
+	client := platform.NewClient(platform.Settings{URL: w.platform})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	meters, err := configuration.NewMeters(noop.Meter{})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	place := generation.Place{Instance: "i-" + domain, Region: "kano", FailureDomain: domain}
+	settings := configuration.DefaultSettings("kano-trial", place, "", "kano")
+	watcher := configuration.NewWatcher(settings, client, nil, alone{}, log, meters)
+	mux := http.NewServeMux()
+	operator.Register(mux, watcher)
+	server := httptest.NewServer(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- watcher.Run(ctx) }()
+	w.t.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-ended
+		client.Close()
+	})
+	w.addrs = append(w.addrs, strings.TrimPrefix(server.URL, "http://"))
+	w.watchers = append(w.watchers, watcher)
+}
+
+// run runs the tool and returns its exit code and output.
+func (w *world) run(given ...string) (int, string) {
+	root := &cobra.Command{Use: "cardamomctl", SilenceErrors: true, SilenceUsage: true}
+	Add(root)
+	shared := []string{
+		"--platform", w.platform, "--environment", "kano-trial", "--operator", "ana", "--output", "json",
+		"--instance", strings.Join(w.addrs, ","),
+	}
+	var out bytes.Buffer
+	root.SetOut(&out)
+	root.SetArgs(append(given, shared...))
+	err := root.ExecuteContext(w.t.Context())
+	if err != nil {
+		w.t.Logf("%v: %v", given, err)
+	}
+	return ExitCode(err), out.String()
+}
+
+// must runs the tool, requires success and decodes its output.
+func must[T any](w *world, given ...string) T {
+	w.t.Helper()
+	code, out := w.run(given...)
+	var report T
+	if err := json.Unmarshal([]byte(out), &report); code != ExitDone || err != nil {
+		w.t.Fatalf("%v: exit code %d, output %q, %v", given, code, out, err)
+	}
+	return report
+}
+
+// works returns on how many instances a key works.
+func (w *world) works(key string) int {
+	count := 0
+	for _, watcher := range w.watchers {
+		if _, err := configuration.NewKeyring(watcher, configuration.RefuseStale).Authenticate(key); err == nil {
+			count++
+		}
+	}
+	return count
+}
+
+func TestLifeOfAKey(t *testing.T) {
+	w := newWorld(t)
+	first := must[ChangeReport](w, "promote", example, "--expect", "0")
+	for _, i := range first.Instances {
+		if i.Outcome != operator.Confirmed || i.Generation != 1 {
+			t.Errorf("instance %v: %v, generation %d", i.Listed, i.Outcome, i.Generation)
+		}
+	}
+	added := must[ChangeReport](w, "key", "add", "ward-01", "ward-01-b")
+	for w.works(added.Key) != len(w.watchers) {
+		time.Sleep(10 * time.Millisecond) // until the test's own time is over
+	}
+	must[ChangeReport](w, "key", "withdraw", "ward-01-b")
+	if got := w.works(added.Key); got != 0 {
+		t.Errorf("a withdrawn key works on %d instances", got)
+	}
+	drained := must[ChangeReport](w, "drain", "sokoto", "--deadline", "30m")
+	if drain := w.watchers[0].Current().Index.Drain("sokoto"); drain == nil {
+		t.Error("the drain is not in force")
+	}
+	must[ChangeReport](w, "drain", "sokoto", "--cancel")
+	status := must[StatusReport](w, "status")
+	if want := drained.Promotion.Generation + 1; status.Promotion.Generation != want {
+		t.Errorf("status: generation %d, want %d", status.Promotion.Generation, want)
+	}
+	for _, i := range status.Instances {
+		if i.Straggler || i.Status == nil {
+			t.Errorf("status of %v: %+v", i.Listed, i.Status)
+		}
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	w := newWorld(t)
+	must[ChangeReport](w, "promote", example, "--expect", "0")
+	faulty := filepath.Join(t.TempDir(), "faulty.yaml")
+	if err := os.WriteFile(faulty, []byte("environment: kano-trial\nteam: []\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		desc  string
+		given []string
+		want  int
+	}{
+		{"document in order", []string{"check", example}, ExitDone},
+		{"document faulty", []string{"check", faulty}, ExitFaulty},
+		{"faulty document promoted", []string{"promote", faulty, "--expect", "1"}, ExitFaulty},
+		{"document of another environment", []string{"promote", "../../../examples/ganguly.yaml", "--expect", "1"}, ExitFaulty},
+		{"another promotion was first", []string{"promote", example, "--expect", "0"}, ExitConflict},
+		{"expected generation missing", []string{"promote", example}, ExitUsage},
+		{"no such file", []string{"check", "none.yaml"}, ExitUsage},
+		{"no such command", []string{"chekc"}, ExitUsage},
+		{"no such flag", []string{"status", "--wrong"}, ExitUsage},
+		{"no such key", []string{"key", "withdraw", "none"}, ExitUsage},
+		{"no such region", []string{"drain", "lagos", "--deadline", "30m"}, ExitFaulty},
+		{"deadline missing", []string{"drain", "sokoto"}, ExitUsage},
+		{"key named twice", []string{"key", "add", "ward-01", "ward-01-a"}, ExitFaulty},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			if got, _ := w.run(tt.given...); got != tt.want {
+				t.Errorf("exit code %d, want %d", got, tt.want)
+			}
+		})
+	}
+	if got := w.watchers[0].Current().Head.Generation; got != 1 {
+		t.Errorf("generation %d after refused changes, want 1", got)
+	}
+	w.platform = "http://127.0.0.1:1"
+	if got, _ := w.run("status"); got != ExitFailed {
+		t.Errorf("platform out of reach: exit code %d, want %d", got, ExitFailed)
+	}
+}
+
+func TestStragglersAreNamed(t *testing.T) {
+	w := newWorld(t)
+	must[ChangeReport](w, "promote", example, "--expect", "0")
+	w.addrs = append(w.addrs, "127.0.0.1:1")
+	code, out := w.run("key", "withdraw", "ward-05-a", "--timeout", "4s")
+	var report ChangeReport
+	if err := json.Unmarshal([]byte(out), &report); err != nil || code != ExitStragglers {
+		t.Fatalf("exit code %d, output %q, %v", code, out, err)
+	}
+	for _, i := range report.Instances {
+		want := operator.Confirmed
+		if i.Addr == "127.0.0.1:1" {
+			want = operator.Straggler
+		}
+		if i.Outcome != want {
+			t.Errorf("%s: %v, want %v", i.Addr, i.Outcome, want)
+		}
+	}
+}
+
+func TestSettingsFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "ctl.yaml")
+	write := func(content string) {
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("platform: http://127.0.0.1:7000\nenvironment: kano-trial\noperator: ana\ninstances: [\"127.0.0.1:7300\"]\n")
+	f := flags{file: file}
+	f.settings.Operator = "bilal"
+	s, err := f.resolve()
+	if err != nil || s.Platform != "http://127.0.0.1:7000" || s.Operator != "bilal" || len(s.Instances) != 1 {
+		t.Errorf("settings = %+v, %v", s, err)
+	}
+	write("platform: http://127.0.0.1:7000\nenvironmint: kano-trial\n")
+	if _, err = f.resolve(); err == nil || !strings.Contains(err.Error(), file+":2:1: ") {
+		t.Errorf("unknown setting: %v", err)
+	}
+	write("platform: nowhere\nenvironment: kano-trial\n")
+	if _, err = f.resolve(); ExitCode(err) != ExitUsage {
+		t.Errorf("platform without address: %v", err)
+	}
+}
--- /dev/null
+++ b/front/operator/command/errors.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// Exit codes of the tool.
+const (
+	ExitDone       = 0 // the command did what it says
+	ExitFailed     = 1 // any other failure; nothing was changed
+	ExitUsage      = 2 // the command line or the settings are wrong
+	ExitFaulty     = 3 // the document is faulty; nothing was changed
+	ExitConflict   = 4 // another promotion came first; nothing was changed
+	ExitUnknown    = 5 // the change may or may not be in force
+	ExitStragglers = 6 // the change is in force, but not seen on every instance
+)
+
+// UsageError is a wrong command line or setting.
+type UsageError struct {
+	// Err says what is wrong.
+	Err error
+}
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// StragglersError says that instances have not confirmed a generation.
+type StragglersError struct {
+	// Generation is the generation in force.
+	Generation uint64
+	// Instances name those that may still serve an older one.
+	Instances []string
+}
+
+// Error implements error.
+func (e *StragglersError) Error() string {
+	return fmt.Sprintf("generation %d is in force, but not confirmed by: %s", e.Generation, strings.Join(e.Instances, ", "))
+}
+
+// ExitCode returns the exit code for the error that a command ended with.
+func ExitCode(err error) int {
+	var (
+		usage      *UsageError
+		fault      *document.Error
+		other      *configuration.EnvironmentError
+		conflict   *configuration.ConflictError
+		unknown    *configuration.UnknownOutcomeError
+		stragglers *StragglersError
+		notFound   *operator.NotFoundError
+	)
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &usage), errors.As(err, &notFound):
+		return ExitUsage
+	case errors.As(err, &fault), errors.As(err, &other):
+		return ExitFaulty
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &stragglers):
+		return ExitStragglers
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/front/operator/command/settings.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+)
+
+// Settings of the tool. They come from a YAML file; flags go before it.
+type Settings struct {
+	// Platform is the base address of the platform's service, such as
+	// "http://127.0.0.1:7000". Required.
+	Platform string `yaml:"platform" validate:"required,http_url"`
+	// Environment names the environment. Required.
+	Environment string `yaml:"environment" validate:"required"`
+	// Operator is who acts, as it is told to others. Default: the user's name
+	// from the environment variable USER.
+	Operator string `yaml:"operator" validate:"required"`
+	// Instances are operator listeners besides those of the instances that
+	// have a row in the table.
+	Instances []string `yaml:"instances" validate:"dive,hostname_port"`
+}
+
+// flags are the flags that all commands share.
+type flags struct {
+	file     string
+	settings Settings
+	output   string
+	timeout  time.Duration
+}
+
+const defaultTimeout = 20 * time.Second
+
+// add adds the shared flags to a command.
+func (f *flags) add(cmd *cobra.Command) {
+	set := cmd.PersistentFlags()
+	set.StringVar(&f.file, "settings", "", "YAML file with platform, environment, operator, instances")
+	set.StringVar(&f.settings.Platform, "platform", "", "base address of the platform's service")
+	set.StringVar(&f.settings.Environment, "environment", "", "name of the environment")
+	set.StringVar(&f.settings.Operator, "operator", "", "who acts (default $USER)")
+	set.StringSliceVar(&f.settings.Instances, "instance", nil, "further operator listeners, host:port")
+	set.StringVar(&f.output, "output", outputText, "form of the output: text or json")
+	set.DurationVar(&f.timeout, "timeout", defaultTimeout, "time allowed for the whole command")
+}
+
+// resolve returns the settings in force.
+func (f *flags) resolve() (Settings, error) {
+	var s Settings
+	if f.file != "" {
+		content, err := os.ReadFile(f.file)
+		if err != nil {
+			return s, &UsageError{Err: err}
+		}
+		decoder := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict())
+		if err := decoder.Decode(&s); err != nil {
+			return s, &UsageError{Err: inFile(f.file, err)}
+		}
+	}
+	override(&s.Platform, f.settings.Platform)
+	override(&s.Environment, f.settings.Environment)
+	override(&s.Operator, f.settings.Operator)
+	if s.Operator == "" {
+		s.Operator = os.Getenv("USER")
+	}
+	s.Instances = append(s.Instances, f.settings.Instances...)
+	return s, checkSettings(s)
+}
+
+func override(value *string, by string) {
+	if by != "" {
+		*value = by
+	}
+}
+
+// inFile adds file, line and column to an error of the YAML library.
+func inFile(file string, err error) error {
+	var placed yaml.Error
+	if errors.As(err, &placed) && placed.GetToken() != nil {
+		at := placed.GetToken().Position
+		return fmt.Errorf("%s:%d:%d: %s", file, at.Line, at.Column, placed.GetMessage())
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
+
+func checkSettings(s Settings) error {
+	err := validator.New(validator.WithRequiredStructEnabled()).Struct(s)
+	var faults validator.ValidationErrors
+	if errors.As(err, &faults) {
+		fault := faults[0]
+		return &UsageError{Err: fmt.Errorf("setting %s: %q does not meet %q", fault.Field(), fault.Value(), fault.Tag())}
+	}
+	return err
+}
--- /dev/null
+++ b/front/operator/edit.go
@@ -0,0 +1,88 @@
+package operator
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// keyBytes is the length of a new key before it is written as text.
+const keyBytes = 32
+
+// NewKey returns a new random key.
+func NewKey() string {
+	raw := make([]byte, keyBytes)
+	_, _ = rand.Read(raw) // never fails
+	return base64.RawURLEncoding.EncodeToString(raw)
+}
+
+// NotFoundError says that the document has no such thing.
+type NotFoundError struct {
+	// Kind is "team", "key" or "drain".
+	Kind string
+	// Name is the name that was looked for.
+	Name string
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("the document in force has no %s %q", e.Kind, e.Name)
+}
+
+// Edit changes a document in place. It must give the same result when it is
+// applied again to another document.
+type Edit func(doc *document.Document) error
+
+// AddKey gives a key to a team.
+func AddKey(team, id, key string) Edit {
+	return func(doc *document.Document) error {
+		for i := range doc.Teams {
+			if doc.Teams[i].Name == team {
+				added := document.Key{ID: id, Digest: document.KeyDigest(key)}
+				doc.Teams[i].Keys = append(doc.Teams[i].Keys, added)
+				return nil
+			}
+		}
+		return &NotFoundError{Kind: "team", Name: team}
+	}
+}
+
+// WithdrawKey takes a key out.
+func WithdrawKey(id string) Edit {
+	return func(doc *document.Document) error {
+		for i := range doc.Teams {
+			team := &doc.Teams[i]
+			at := slices.IndexFunc(team.Keys, func(k document.Key) bool { return k.ID == id })
+			if at >= 0 {
+				team.Keys = slices.Delete(team.Keys, at, at+1)
+				return nil
+			}
+		}
+		return &NotFoundError{Kind: "key", Name: id}
+	}
+}
+
+// DrainRegion begins a drain, in place of one that the region may have.
+func DrainRegion(region string, from, deadline time.Time) Edit {
+	return func(doc *document.Document) error {
+		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool { return d.Region == region })
+		doc.Drains = append(doc.Drains, document.Drain{Region: region, From: from, Deadline: deadline})
+		return nil
+	}
+}
+
+// CancelDrain puts a region back into service.
+func CancelDrain(region string) Edit {
+	return func(doc *document.Document) error {
+		before := len(doc.Drains)
+		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool { return d.Region == region })
+		if len(doc.Drains) == before {
+			return &NotFoundError{Kind: "drain", Name: region}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/front/operator/handler.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// Follower is the part of an instance that the pages show and tell.
+// *configuration.Watcher implements it.
+type Follower interface {
+	configuration.Source
+	// Statement returns what the instance knows.
+	Statement() generation.Statement
+	// Follow takes in a head with its document.
+	Follow(ctx context.Context, head generation.Head, content []byte) error
+}
+
+// maxHeadBody bounds the body at PathHead, in bytes: base64 takes four bytes
+// for three.
+const maxHeadBody = document.MaxSize*4/3 + 4096
+
+// Register adds the pages of an instance to mux.
+func Register(mux *http.ServeMux, f Follower) {
+	p := &pages{follower: f}
+	mux.HandleFunc("GET "+PathStatus, p.status)
+	mux.HandleFunc("POST "+PathHead, p.head)
+}
+
+type pages struct {
+	follower Follower
+}
+
+func (p *pages) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, newStatus(p.follower.Statement(), p.follower.Current(), time.Now()))
+}
+
+// head takes in a head and answers with the status after it.
+func (p *pages) head(w http.ResponseWriter, r *http.Request) {
+	var told Head
+	body := http.MaxBytesReader(w, r.Body, maxHeadBody)
+	if err := json.NewDecoder(body).Decode(&told); err != nil {
+		writeJSON(w, http.StatusBadRequest, Refusal{Error: err.Error()})
+		return
+	}
+	if err := p.follower.Follow(r.Context(), told.Head, told.Content); err != nil {
+		writeJSON(w, http.StatusConflict, Refusal{Error: err.Error()})
+		return
+	}
+	p.status(w, r)
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/front/operator/rollout_test.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
+)
+
+// instance is a follower that takes every head, or none.
+type instance struct {
+	head    generation.Head
+	refuses bool
+}
+
+func (i *instance) Current() *configuration.Snapshot { return &configuration.Snapshot{Head: i.head} }
+
+func (i *instance) Statement() generation.Statement { return generation.Statement{Head: i.head} }
+
+func (i *instance) Follow(_ context.Context, head generation.Head, _ []byte) error {
+	if i.refuses {
+		return &configuration.NotFollowedError{Offered: head, Current: i.head}
+	}
+	i.head = head
+	return nil
+}
+
+// network carries requests to instances by address; others don't answer.
+type network map[string]*instance
+
+// RoundTrip implements http.RoundTripper.
+func (n network) RoundTrip(r *http.Request) (*http.Response, error) {
+	i, known := n[r.URL.Host]
+	if !known {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	mux := http.NewServeMux()
+	Register(mux, i)
+	recorder := httptest.NewRecorder()
+	mux.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+func TestRolloutWait(t *testing.T) {
+	head := generation.Head{Generation: 2, Digest: "d2"}
+	old := generation.Head{Generation: 1, Digest: "d1"}
+	tests := []struct {
+		desc      string
+		instance  *instance // nil: does not answer
+		storeDown bool
+		want      Outcome
+		least     time.Duration
+	}{
+		{"takes the head", &instance{head: old}, false, Confirmed, 0},
+		{"takes the head while the store is silent", &instance{head: old}, true, Confirmed, 0},
+		{"follows a newer one", &instance{head: generation.Head{Generation: 3}}, false, Confirmed, 0},
+		{"refuses", &instance{head: old, refuses: true}, false, Straggler, time.Minute},
+		{"does not answer", nil, false, Stale, generation.DefaultStaleAfter},
+		{"does not answer while the store is silent", nil, true, Straggler, time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.NewStore()
+				store.SetFaults(standin.Faults{Refuse: tt.storeDown})
+				n := network{}
+				if tt.instance != nil {
+					n["i:1"] = tt.instance
+				}
+				r := &Rollout{
+					Client: NewClient(&http.Client{Transport: n}), Store: store, Environment: "e",
+					Instances: []Listed{{Name: "i", Addr: "i:1"}}, StaleAfter: generation.DefaultStaleAfter,
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				started := time.Now()
+				results := r.Wait(ctx, head, []byte("content"))
+				if got := results[0].Outcome; got != tt.want {
+					t.Errorf("outcome = %v, want %v", got, tt.want)
+				}
+				if took := time.Since(started); took < tt.least {
+					t.Errorf("took %v, want at least %v", took, tt.least)
+				}
+			})
+		})
+	}
+}
+
+func TestRoster(t *testing.T) {
+	store := standin.NewStore()
+	row := `{"name":"i-1","operatorAddress":"127.0.0.1:7300"}`
+	write := platform.Write{Key: InstancesPrefix("e") + "i-1", Value: []byte(row)}
+	if _, err := store.Commit(t.Context(), []platform.Write{write}); err != nil {
+		t.Fatal(err)
+	}
+	listed, err := Roster(t.Context(), store, "e", []string{"127.0.0.1:7300", "127.0.0.2:7300"})
+	if err != nil || len(listed) != 2 || listed[0].Name != "i-1" || listed[1].Addr != "127.0.0.2:7300" {
+		t.Errorf("roster = %v, %v", listed, err)
+	}
+}
+
+// TestChangeAfterAnotherPromotion lets another operator's promotion come
+// between the reading of the document and the change: both must be in force.
+func TestChangeAfterAnotherPromotion(t *testing.T) {
+	content, err := os.ReadFile("../../examples/kano.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := standin.NewStore()
+	p := configuration.NewPromoter(store)
+	first := configuration.Request{Environment: "kano-trial", File: "kano.yaml", Content: content, Operation: "op-1", Operator: "ana"}
+	if _, err := p.Promote(t.Context(), first); err != nil {
+		t.Fatal(err)
+	}
+	raced := false
+	edit := func(doc *document.Document) error {
+		if !raced {
+			raced = true
+			if _, err := Change(t.Context(), p, "kano-trial", "bilal", AddKey("ward-01", "ward-01-b", "new-key")); err != nil {
+				return err
+			}
+		}
+		return WithdrawKey("ward-05-a")(doc)
+	}
+	changed, err := Change(t.Context(), p, "kano-trial", "ana", edit)
+	if err != nil || changed.Generation != 3 {
+		t.Fatalf("changed to generation %d, %v", changed.Generation, err)
+	}
+	doc, err := document.Decode("changed", changed.Content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := document.Compile(doc)
+	if index.TeamOfKey("new-key") == nil || index.TeamOfKey("example-key-ward-05") != nil {
+		t.Error("one of the two changes is not in force")
+	}
+	_, err = Change(t.Context(), p, "kano-trial", "ana", WithdrawKey("ward-05-a"))
+	var missing *NotFoundError
+	if !errors.As(err, &missing) {
+		t.Errorf("a key withdrawn twice: %v", err)
+	}
+}
