Measure wrongful refusals; concentrate small teams, return loans, hand over tokens

Change: a team's burst has as many holders as it has parts of 8 tokens, and the callers of a small team begin at one home. A small borrowed part goes back with its unspent tokens as soon as it has served; a lender that can't give what one request needs says how long it would take; a gift's tokens follow the row. Membership renews every 0.7 s with a lease of 2 s, as witnesses make a short lease harmless when the table is slow.

NextTry has only a table test.

--- a/steer/entry/entry.go
+++ b/steer/entry/entry.go
@@ -46,6 +46,10 @@
 	// RatePerHome is the rate in requests a second for which a large team gets
 	// one home more.
 	RatePerHome float64
+	// RatePerFirst is the rate in requests a second for which the callers of a
+	// team are spread over one home more. Those of a small team all begin at
+	// the same home.
+	RatePerFirst float64
 	// Spares is the number of further instances in an answer.
 	Spares int
 }
@@ -53,7 +57,7 @@
 // DefaultSettings returns the settings that instances use unless told
 // otherwise.
 func DefaultSettings() Settings {
-	return Settings{Homes: 2, RatePerHome: 100, Spares: 2}
+	return Settings{Homes: 2, RatePerHome: 100, RatePerFirst: 10, Spares: 2}
 }
 
 // count returns how many homes the team gets in a region.
@@ -61,6 +65,11 @@
 	return max(s.Homes, int(math.Ceil(t.Rate/s.RatePerHome)))
 }
 
+// firsts returns over how many of the homes the team's callers are spread.
+func (s Settings) firsts(t Team, homes int) int {
+	return min(homes, max(1, int(math.Ceil(t.Rate/s.RatePerFirst))))
+}
+
 // Homes returns the team's homes in a region, best first, in as many failure
 // domains as there are. A region without instances has none.
 func Homes(t Team, region string, instances []Instance, s Settings) []Instance {
@@ -90,18 +99,14 @@
 }
 
 // Answer returns the instances that a caller should try, in that order. The
-// homes of its region come first, beginning at a place that depends on the
-// caller, so that a team's callers spread over them. A few spares follow, the
+// homes of its region come first; those over which the team's callers are
+// spread begin at a place that depends on the caller. A few spares follow, the
 // first of them in another region.
 func Answer(t Team, region, caller string, instances []Instance, s Settings) []Ranked {
 	homes := Homes(t, region, instances, s)
 	answer := make([]Ranked, 0, len(homes)+s.Spares)
-	start := 0
-	if len(homes) > 0 {
-		start = int(score(t.Name, caller) % uint64(len(homes)))
-	}
-	for i := range homes {
-		answer = append(answer, Ranked{Instance: homes[(start+i)%len(homes)], Home: true})
+	for _, home := range rotate(homes, s.firsts(t, len(homes)), score(t.Name, caller)) {
+		answer = append(answer, Ranked{Instance: home, Home: true})
 	}
 	for _, spare := range spares(t, region, instances, homes, s.Spares) {
 		answer = append(answer, Ranked{Instance: spare})
@@ -109,6 +114,15 @@
 	return answer
 }
 
+// rotate returns the homes with the first n of them turned by turn.
+func rotate(homes []Instance, n int, turn uint64) []Instance {
+	if n == 0 {
+		return homes
+	}
+	start := int(turn % uint64(n))
+	return slices.Concat(homes[start:n], homes[:start], homes[n:])
+}
+
 // spares returns up to n instances that are not homes: the best of another
 // region, then the best of the caller's region, then others.
 func spares(t Team, region string, instances, homes []Instance, n int) []Instance {
--- a/steer/entry/entry_test.go
+++ b/steer/entry/entry_test.go
@@ -91,7 +91,7 @@
 	first := make(map[string]int)
 	const callers = 3000
 	for c := range callers {
-		first[Answer(Team{Name: "ward-01", Rate: 5}, "kano", fmt.Sprint(c), all, DefaultSettings())[0].Name]++
+		first[Answer(Team{Name: "ward-01", Rate: 50}, "kano", fmt.Sprint(c), all, DefaultSettings())[0].Name]++
 	}
 	for name, n := range first {
 		if n < callers/4 {
@@ -103,7 +103,7 @@
 	count := func(instances []Instance) int {
 		n := 0
 		for team := range 500 {
-			if slices.Contains(names(Homes(Team{Name: fmt.Sprint(team)}, "kano", instances, Settings{Homes: 1, RatePerHome: 100})), "i0") {
+			if slices.Contains(names(Homes(Team{Name: fmt.Sprint(team)}, "kano", instances, Settings{Homes: 1, RatePerHome: 100, RatePerFirst: 10})), "i0") {
 				n++
 			}
 		}
--- a/steer/limit/bucket.go
+++ b/steer/limit/bucket.go
@@ -16,6 +16,8 @@
 	last    time.Time
 	demand  demand
 	loans   loanBook
+	gift    Gift   // set aside and not settled
+	gains   []gain // parts that may still be followed by their tokens
 }
 
 // NewBucket returns a bucket without a part and without tokens.
@@ -83,12 +85,10 @@
 }
 
 func (b *Bucket) refusal() Decision {
-	rate := b.rate()
-	if rate <= 0 || b.size() < 1 {
+	if b.rate() <= 0 || b.size() < 1 {
 		return Decision{Reason: ReasonNoPart}
 	}
-	wait := time.Duration((1 - b.tokens) / rate * float64(time.Second))
-	return Decision{Reason: ReasonRate, RetryAfter: wait}
+	return Decision{Reason: ReasonRate, RetryAfter: b.gainTime(1 - b.tokens)}
 }
 
 // Demand returns the smoothed demand in requests a second.
@@ -104,29 +104,6 @@
 	b.clip()
 }
 
-// Observe takes in the instance's units as read from the row at version. What
-// it gained starts without tokens.
-func (b *Bucket) Observe(now time.Time, version uint64, owned share.Units) {
-	b.advance(now)
-	b.account.Observe(version, owned)
-	b.clip()
-}
-
-// Reserve sets units aside for a gift that is written on the condition that
-// the row still has the returned version. It reports whether it could.
-func (b *Bucket) Reserve(now time.Time, units share.Units) (version uint64, ok bool) {
-	b.advance(now)
-	ok = b.account.Reserve(units)
-	b.clip()
-	return b.account.Version(), ok
-}
-
-// Release takes back a gift that certainly was not written.
-func (b *Bucket) Release(now time.Time) {
-	b.advance(now)
-	b.account.Release()
-}
-
 // Giveable returns the units that could be given away.
 func (b *Bucket) Giveable(now time.Time) share.Units {
 	b.advance(now)
@@ -139,4 +116,6 @@
 	b.account.Reset()
 	b.tokens = 0
 	b.loans = newLoanBook()
+	b.gift = Gift{}
+	b.gains = nil
 }
--- /dev/null
+++ b/steer/limit/gift.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// gainLife is how long after a gain its tokens may still follow.
+const gainLife = 10 * time.Second
+
+// Gift is a part that is set aside to be given to others for good.
+type Gift struct {
+	// Version is the version of the row on which the write is conditional.
+	Version uint64
+	// Units is the size of the part.
+	Units share.Units
+	// Tokens were debited with it.
+	Tokens float64
+}
+
+// TokensFor returns the tokens that go with units of the gift.
+func (g Gift) TokensFor(units share.Units) float64 {
+	return g.Tokens * float64(units) / float64(g.Units)
+}
+
+// Handover tells an instance that a row now gives it a part, and brings the
+// part's tokens.
+type Handover struct {
+	// Team names the team.
+	Team string `json:"team"`
+	// To names the member that gains.
+	To string `json:"to"`
+	// Version is the version of the row as committed.
+	Version uint64 `json:"version"`
+	// Owned is what the row gives to the member in all.
+	Owned share.Units `json:"owned"`
+	// Units is what it gained.
+	Units share.Units `json:"units"`
+	// Tokens were debited by the giver.
+	Tokens float64 `json:"tokens"`
+}
+
+// gain is a part that came without tokens. Versions above after, up to
+// version, may have brought it.
+type gain struct {
+	after   uint64
+	version uint64
+	units   share.Units
+	at      time.Time
+	taken   []uint64 // versions whose tokens came
+}
+
+// Observe takes in the instance's units as read from the row at version. What
+// it gained starts without tokens.
+func (b *Bucket) Observe(now time.Time, version uint64, owned share.Units) {
+	b.advance(now)
+	before, after := b.account.Owned(), b.account.Version()
+	b.account.Observe(version, owned)
+	b.clip()
+	b.gains = slices.DeleteFunc(b.gains, func(g gain) bool { return now.Sub(g.at) > gainLife })
+	if version > after && owned > before {
+		b.gains = append(b.gains, gain{after: after, version: version, units: owned - before, at: now})
+	}
+}
+
+// Reserve sets units aside for a gift, with their part of the tokens. One gift
+// at a time can be set aside. It reports whether it could.
+func (b *Bucket) Reserve(now time.Time, units share.Units) (Gift, bool) {
+	b.advance(now)
+	usable := b.account.Usable()
+	if !b.account.Reserve(units) {
+		return Gift{}, false
+	}
+	tokens := b.tokens * math.Min(1, float64(units)/float64(usable))
+	b.tokens -= tokens
+	b.gains = nil
+	b.gift = Gift{Version: b.account.Version(), Units: units, Tokens: tokens}
+	return b.gift, true
+}
+
+// Release takes back a gift that certainly was not written. It does nothing
+// when the gift is settled already.
+func (b *Bucket) Release(now time.Time, g Gift) {
+	b.advance(now)
+	if b.account.Reserved() == 0 || b.gift != g {
+		return
+	}
+	b.account.Release()
+	b.tokens = math.Min(b.size(), b.tokens+b.gift.Tokens)
+	b.gift = Gift{}
+}
+
+// Accept takes in a part and its tokens. What the part has gained since it came
+// is taken off them, so that a late message brings no more than a timely one.
+// A repeated message, or one that does not match a gain, brings no tokens.
+func (b *Bucket) Accept(now time.Time, h Handover) {
+	b.Observe(now, h.Version, h.Owned)
+	i := slices.IndexFunc(b.gains, func(g gain) bool { return g.after < h.Version && h.Version <= g.version })
+	if i < 0 {
+		return
+	}
+	g := &b.gains[i]
+	if slices.Contains(g.taken, h.Version) || h.Units > g.units {
+		return
+	}
+	g.taken = append(g.taken, h.Version)
+	g.units -= h.Units
+	gained := b.quota.Rate * part(h.Units) * now.Sub(g.at).Seconds()
+	tokens := math.Min(h.Tokens, b.quota.Burst*part(h.Units)) - gained
+	b.tokens = math.Min(b.size(), b.tokens+math.Max(0, tokens))
+}
--- /dev/null
+++ b/steer/limit/lenders.go
@@ -0,0 +1,71 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// Lender is an instance that could lend a part of a team's quota.
+type Lender struct {
+	// Instance names the member.
+	Instance string
+	// Near says that it runs in the borrower's region.
+	Near bool
+	// Spare is what it holds above its own demand, in units.
+	Spare share.Units
+}
+
+// maxLenders is how many instances a borrower asks, one after another, for one
+// loan.
+const maxLenders = 6
+
+// Lenders returns the instances to ask for a loan, in that order: those near
+// by first, and among them those with the most to spare.
+func Lenders(candidates []Lender) []Lender {
+	chosen := slices.DeleteFunc(slices.Clone(candidates), func(l Lender) bool { return l.Spare <= 0 })
+	slices.SortFunc(chosen, func(a, b Lender) int {
+		if a.Near != b.Near {
+			if a.Near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Spare, a.Spare), strings.Compare(a.Instance, b.Instance))
+	})
+	return chosen[:min(maxLenders, len(chosen))]
+}
+
+// NextLenders returns whom to ask next when requests still wait after a loan.
+// A lender that gave all it was asked for begins a new round, since more
+// requests have come meanwhile; otherwise the rest of the round is asked.
+func NextLenders(all, rest []Lender, asked LoanRequest, loan Loan) []Lender {
+	if loan.Units > 0 && loan.Tokens >= asked.Tokens {
+		return all
+	}
+	return rest
+}
+
+// MaxWait is how long a request may wait for a loan or for the next token.
+const MaxWait = 250 * time.Millisecond
+
+// NextTry returns how long a request should wait before it tries again after a
+// refusal, given a lender's hint (0 is none) and what is left of its patience.
+func NextTry(d Decision, hint, patience time.Duration) (time.Duration, bool) {
+	wait := d.RetryAfter
+	if hint > 0 && (wait == 0 || hint < wait) {
+		wait = hint
+	}
+	wait = max(wait, shortestWait)
+	return wait, d.Reason != ReasonUnknownTeam && wait <= patience && (d.RetryAfter > 0 || hint > 0)
+}
+
+// shortestWait keeps requests from trying again without pause.
+const shortestWait = 5 * time.Millisecond
+
+// LoanPause is how long an instance that found nothing to borrow refuses at
+// once, so that a team above its rate costs few messages.
+const LoanPause = 50 * time.Millisecond
--- /dev/null
+++ b/steer/limit/lenders_test.go
@@ -0,0 +1,49 @@
+package limit
+
+import (
+	"testing"
+	"time"
+)
+
+func TestNextTry(t *testing.T) {
+	tests := []struct {
+		desc     string
+		decision Decision
+		hint     time.Duration
+		patience time.Duration
+		wait     time.Duration
+		ok       bool
+	}{
+		{"own token soon", Decision{Reason: ReasonRate, RetryAfter: 80 * time.Millisecond}, 0, MaxWait, 80 * time.Millisecond, true},
+		{"lender sooner", Decision{Reason: ReasonRate, RetryAfter: time.Second}, 30 * time.Millisecond, MaxWait, 30 * time.Millisecond, true},
+		{"no part, lender soon", Decision{Reason: ReasonNoPart}, 30 * time.Millisecond, MaxWait, 30 * time.Millisecond, true},
+		{"no hint at all", Decision{Reason: ReasonNoPart}, 0, MaxWait, shortestWait, false},
+		{"too late", Decision{Reason: ReasonRate, RetryAfter: 80 * time.Millisecond}, 0, 50 * time.Millisecond, 80 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			wait, ok := NextTry(tt.decision, tt.hint, tt.patience)
+			if wait != tt.wait || ok != tt.ok {
+				t.Errorf("wait %v, %v; want %v, %v", wait, ok, tt.wait, tt.ok)
+			}
+		})
+	}
+}
+
+func TestLendersNearByFirst(t *testing.T) {
+	got := Lenders([]Lender{
+		{Instance: "far-rich", Spare: 5000},
+		{Instance: "near-poor", Near: true, Spare: 10},
+		{Instance: "near-rich", Near: true, Spare: 400},
+		{Instance: "empty", Near: true},
+	})
+	want := []string{"near-rich", "near-poor", "far-rich"}
+	if len(got) != len(want) {
+		t.Fatalf("lenders %v", got)
+	}
+	for i, l := range got {
+		if l.Instance != want[i] {
+			t.Errorf("lenders %v, want %v", got, want)
+		}
+	}
+}
--- a/steer/limit/limiter.go
+++ b/steer/limit/limiter.go
@@ -164,15 +164,21 @@
 }
 
 // Reserve sets units of a team aside for a gift that is written on the
-// condition that the row still has the returned version.
-func (l *Limiter) Reserve(now time.Time, team string, units share.Units) (version uint64, ok bool) {
-	l.with(team, func(b *Bucket) { version, ok = b.Reserve(now, units) })
-	return version, ok
+// condition that the row still has the gift's version. It reports whether it
+// could.
+func (l *Limiter) Reserve(now time.Time, team string, units share.Units) (g Gift, ok bool) {
+	l.with(team, func(b *Bucket) { g, ok = b.Reserve(now, units) })
+	return g, ok
+}
+
+// Accept takes in a part and its tokens from the instance that gave it.
+func (l *Limiter) Accept(now time.Time, h Handover) {
+	l.with(h.Team, func(b *Bucket) { b.Accept(now, h) })
 }
 
 // Release takes back a gift that certainly was not written.
-func (l *Limiter) Release(now time.Time, team string) {
-	l.with(team, func(b *Bucket) { b.Release(now) })
+func (l *Limiter) Release(now time.Time, team string, g Gift) {
+	l.with(team, func(b *Bucket) { b.Release(now, g) })
 }
 
 // Giveable returns the units of a team that could be given away.
@@ -199,6 +205,18 @@
 	l.with(team, func(b *Bucket) { b.Receive(now, loan) })
 }
 
+// GiveBack ends a loan taken that is of no further use, and returns the message
+// to the lender when there is one to send.
+func (l *Limiter) GiveBack(now time.Time, id, team string) (r Return, ok bool) {
+	l.with(team, func(b *Bucket) { r, ok = b.GiveBack(now, id, team) })
+	return r, ok
+}
+
+// TakeBack takes in a loan that was given back.
+func (l *Limiter) TakeBack(now time.Time, r Return) {
+	l.with(r.Team, func(b *Bucket) { b.TakeBack(now, r) })
+}
+
 // TeamDemand is the demand for one team at this instance.
 type TeamDemand struct {
 	// Team names the team.
--- a/steer/limit/loan.go
+++ b/steer/limit/loan.go
@@ -15,7 +15,13 @@
 	loanGuard = 20 * time.Millisecond
 	// lenderHorizon is the time for which a lender keeps tokens for its own
 	// demand.
-	lenderHorizon = 250 * time.Millisecond
+	lenderHorizon = 50 * time.Millisecond
+	// borrowAhead is the time for which a borrower asks tokens for its demand.
+	borrowAhead = 250 * time.Millisecond
+	// keepPart is the size of a borrowed part, in tokens, from which on it is
+	// kept until its end. A smaller one goes back as soon as it has served,
+	// since a small team's tokens must not lie about in splinters.
+	keepPart = 8.0
 )
 
 // LoanRequest asks an instance for a part of a team's rate and burst.
@@ -24,7 +30,10 @@
 	ID string `json:"id"`
 	// Team names the team.
 	Team string `json:"team"`
-	// Tokens is how many tokens the borrower is short of.
+	// Need is how many tokens the borrower lacks for one request; with fewer
+	// it could admit none.
+	Need float64 `json:"need"`
+	// Tokens is how many tokens the borrower would like, at least Need.
 	Tokens float64 `json:"tokens"`
 	// Units is the part that the borrower lacks for its demand.
 	Units share.Units `json:"units"`
@@ -40,6 +49,9 @@
 	Units share.Units `json:"units"`
 	// Life is how long the lender leaves the part alone from now on.
 	Life time.Duration `json:"life"`
+	// Wait is how long the lender needs until it has what was needed, when it
+	// grants nothing; 0 when it can't say.
+	Wait time.Duration `json:"wait"`
 }
 
 // loanBook remembers the requests in flight and the loans given, so that a
@@ -68,7 +80,8 @@
 	return LoanRequest{
 		ID:     id,
 		Team:   team,
-		Tokens: math.Max(1, float64(waiting)-b.tokens) + b.demand.rate(now)*lenderHorizon.Seconds(),
+		Need:   1 - math.Min(b.tokens, 1),
+		Tokens: math.Max(1, float64(waiting)-b.tokens) + b.demand.rate(now)*borrowAhead.Seconds(),
 		Units:  share.Units(math.Max(0, math.Min(short, float64(share.Whole)))),
 	}
 }
@@ -83,6 +96,9 @@
 		g.loan.Life = g.end.Sub(now)
 		return g.loan
 	}
+	if lack := r.Need - b.spareTokens(now); lack > 0 {
+		return Loan{ID: r.ID, Wait: b.gainTime(lack)}
+	}
 	life := min(loanLife, until.Sub(now))
 	units := b.lendable(now, r)
 	if life <= loanGuard || units <= 0 {
@@ -108,6 +124,14 @@
 	return max(0, min(max(units, carrier), b.account.Giveable()))
 }
 
+// gainTime returns how long the bucket needs to gain tokens, 0 for never.
+func (b *Bucket) gainTime(tokens float64) time.Duration {
+	if b.rate() <= 0 {
+		return 0
+	}
+	return time.Duration(tokens / b.rate() * float64(time.Second))
+}
+
 // spareTokens returns the tokens that the lender's own demand does not need
 // within its horizon.
 func (b *Bucket) spareTokens(now time.Time) float64 {
@@ -140,6 +164,39 @@
 	b.tokens = math.Min(b.size(), b.tokens+loan.Tokens)
 }
 
+// Return gives a loan back before its end.
+type Return struct {
+	// ID is that of the loan.
+	ID string `json:"id"`
+	// Team names the team.
+	Team string `json:"team"`
+	// Tokens are those that the borrower has no room for without the part.
+	Tokens float64 `json:"tokens"`
+}
+
+// GiveBack ends a loan taken, at time now. The borrower debits what it gives
+// back before the message leaves. It reports whether there is anything to send:
+// a part that is large enough to be of use until its end is kept.
+func (b *Bucket) GiveBack(now time.Time, id, team string) (Return, bool) {
+	b.advance(now)
+	if b.quota.Burst*part(b.account.Borrowed(id)) >= keepPart || !b.account.EndBorrowed(id) {
+		return Return{}, false
+	}
+	extra := math.Max(0, b.tokens-b.size())
+	b.tokens -= extra
+	return Return{ID: id, Team: team, Tokens: extra}, true
+}
+
+// TakeBack takes in a loan that was given back. A repeated message, or one
+// after the loan's end, changes nothing.
+func (b *Bucket) TakeBack(now time.Time, r Return) {
+	b.advance(now)
+	if !b.account.EndLent(r.ID) {
+		return
+	}
+	b.tokens = math.Min(b.size(), b.tokens+r.Tokens)
+}
+
 // forget drops what is too old to matter.
 func (l *loanBook) forget(now time.Time) {
 	for id, asked := range l.asked {
--- a/steer/limit/quota.go
+++ b/steer/limit/quota.go
@@ -12,7 +12,11 @@
 // of Turner, "New Directions in Communications" (1986).
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
 
 // Quota is what a team may use over all instances.
 type Quota struct {
@@ -22,6 +26,15 @@
 	Burst float64
 }
 
+// minPart is the smallest part in tokens that an instance should hold.
+const minPart = 8.0
+
+// Resource returns what a division of the team's quota divides: a small burst
+// has few holders, so that it does not lie about in splinters.
+func (q Quota) Resource() share.Resource {
+	return share.Resource{Rate: q.Rate, Holders: max(1, int(q.Burst/minPart))}
+}
+
 // Reason says why a request was not admitted.
 type Reason string
 
--- /dev/null
+++ b/steer/limit/refusals_test.go
@@ -0,0 +1,114 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+// warmUp is the time after which shares have followed the demand.
+const warmUp = 60 * time.Second
+
+// evictAfter is the longest time from a death to the table's eviction: the
+// lease as seen by others, and one round of reads before and after it.
+func evictAfter() time.Duration {
+	s := membership.DefaultSettings()
+	return s.Lease + s.Guard + 2*s.Heartbeat
+}
+
+// measure lets the model run for d and returns what was counted meanwhile.
+func (m *model) measure(t *testing.T, desc string, d time.Duration) tally {
+	t.Helper()
+	for _, r := range m.result {
+		*r = tally{}
+	}
+	m.writes, m.asks = 0, 0
+	m.run(m.now + d)
+	var sum tally
+	for _, tm := range m.teams {
+		r := m.result[tm.name]
+		r.endWindow()
+		sum.offered += r.offered
+		sum.refused += r.refused
+		sum.static += r.static
+		t.Logf("%s: %-9s wrongful %.2f%%, static split %.2f%%, of %d", desc, tm.name, r.wrongful(), r.split(), r.offered)
+	}
+	t.Logf("%s: all       wrongful %.3f%%, static split %.2f%%, of %d; row writes %.2f/s, loans asked %.2f/s", desc,
+		sum.wrongful(), sum.split(), sum.offered, float64(m.writes)/d.Seconds(), float64(m.asks)/d.Seconds())
+	return sum
+}
+
+func TestStillDemandIsNeverRefused(t *testing.T) {
+	for _, n := range []int{8, 10} {
+		m := newModel(n, 1, eightTeams())
+		m.run(warmUp)
+		if sum := m.measure(t, fmt.Sprint(n), 5*time.Minute); sum.refused > 0 {
+			t.Errorf("%d instances: %d wrongful refusals, want none", n, sum.refused)
+		}
+	}
+}
+
+func TestSmallestTeamIsServedLikeTheLargest(t *testing.T) {
+	for _, n := range []int{8, 10} {
+		m := newModel(n, 1, burstyTeams())
+		m.run(warmUp)
+		m.measure(t, fmt.Sprint(n), 5*time.Minute)
+		smallest, largest := m.result["smallest"].wrongful(), m.result["large-1"].wrongful()
+		if smallest > largest+1 {
+			t.Errorf("%d instances: smallest %.2f%%, largest %.2f%%, want at most one point more", n, smallest, largest)
+		}
+	}
+}
+
+func TestRefusalsAfterADeath(t *testing.T) {
+	for _, n := range []int{8, 10} {
+		for dead := range n {
+			m := newModel(n, 1, eightTeams())
+			m.run(warmUp)
+			m.kill(m.fronts[dead], evictAfter())
+			if sum := m.measure(t, fmt.Sprintf("%d, %s dies", n, m.fronts[dead].Name), 30*time.Second); sum.wrongful() > 2 {
+				t.Errorf("%d instances, %s dies: %.2f%%, want at most 2%%", n, m.fronts[dead].Name, sum.wrongful())
+			}
+		}
+	}
+}
+
+func TestPlannedLeavesRefuseNothing(t *testing.T) {
+	m := newModel(10, 1, eightTeams())
+	m.run(warmUp)
+	for i := range 6 {
+		m.after(time.Duration(i)*10*time.Second, func() { m.leave(m.fronts[i]) })
+	}
+	if sum := m.measure(t, "six leave", 90*time.Second); sum.refused > 0 {
+		t.Errorf("%d wrongful refusals, want none", sum.refused)
+	}
+}
+
+func TestAnHourWithoutTheTable(t *testing.T) {
+	m := newModel(10, 1, eightTeams())
+	m.run(warmUp)
+	m.noStore = true
+	if sum := m.measure(t, "table down", time.Hour); sum.wrongful() > 1 {
+		t.Errorf("%.2f%%, want at most 1%%", sum.wrongful())
+	}
+}
+
+func TestHomesAgainstAnyInstance(t *testing.T) {
+	var sums [2]tally
+	var asks [2]int
+	for i, anyFront := range []bool{false, true} {
+		m := newModel(10, 1, burstyTeams())
+		m.anyFront = anyFront
+		m.run(warmUp)
+		sums[i] = m.measure(t, fmt.Sprintf("any instance: %v", anyFront), 5*time.Minute)
+		asks[i] = m.asks
+	}
+	if sums[0].refused > sums[1].refused || asks[0] >= asks[1] {
+		t.Errorf("homes: %d wrongful, %d loans; any instance: %d, %d", sums[0].refused, asks[0], sums[1].refused, asks[1])
+	}
+	if sums[1].refused >= sums[1].static {
+		t.Errorf("shares: %d wrongful, static split: %d", sums[1].refused, sums[1].static)
+	}
+}
--- a/steer/limit/safety_test.go
+++ b/steer/limit/safety_test.go
@@ -28,6 +28,8 @@
 	gifts    []gift
 	requests []LoanRequest
 	loans    []Loan
+	returns  []Return
+	hands    []handover
 	inHand   []admitted
 
 	// tokens is the bucket of the whole team: if it ever lacks a token, some
@@ -54,9 +56,17 @@
 }
 
 type gift struct {
-	from    *instance
-	version uint64
-	moves   []share.Move
+	from, to *instance
+	epoch    uint64
+	written  bool
+	gift     Gift
+	moves    []share.Move
+}
+
+type handover struct {
+	to    *instance
+	epoch uint64
+	msg   Handover
 }
 
 type admitted struct {
@@ -117,6 +127,31 @@
 	}
 }
 
+// refuse answers a gift's write with a conflict, which proves that it was not
+// written; the holder reads the row first or afterwards.
+func (f *fleet) refuse(g gift) {
+	if g.from.epoch != g.epoch || g.written {
+		return
+	}
+	if f.now%2 == 0 {
+		f.take(f.readRow(g.from))
+	}
+	g.from.limiter.Release(f.clock(g.from), team, g.gift)
+}
+
+// hand sends the tokens of a gift that was just written.
+func (f *fleet) hand(to *instance, g Gift) {
+	f.hands = append(f.hands, handover{to: to, epoch: to.epoch, msg: Handover{
+		Team: team, To: f.member(to), Version: f.version, Owned: f.row.Of(f.member(to)), Units: g.Units, Tokens: g.Tokens,
+	}})
+}
+
+func (f *fleet) accept(h handover) {
+	if h.to.epoch == h.epoch {
+		h.to.limiter.Accept(f.clock(h.to), h.msg)
+	}
+}
+
 func (f *fleet) receive(n *instance, loan Loan, borrowed *int) {
 	before := n.limiter.tokens(f.clock(n))
 	n.limiter.Receive(f.clock(n), team, loan)
@@ -180,23 +215,34 @@
 			"give": func(t *rapid.T) {
 				n, to := node(t), node(t)
 				units := share.Units(rapid.IntRange(1, 4000).Draw(t, "units"))
-				if version, ok := n.limiter.Reserve(f.clock(n), team, units); ok {
-					f.gifts = append(f.gifts, gift{from: n, version: version, moves: []share.Move{{From: f.member(n), To: f.member(to), Units: units}}})
+				if g, ok := n.limiter.Reserve(f.clock(n), team, units); ok {
+					f.gifts = append(f.gifts, gift{from: n, epoch: n.epoch, gift: g, to: to, moves: []share.Move{{From: f.member(n), To: f.member(to), Units: units}}})
 				}
 			},
 			"gift is written": func(t *rapid.T) {
-				g := drawFrom(t, f.gifts, "gift")
-				if g.version != f.version {
+				if len(f.gifts) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(f.gifts)-1).Draw(t, "gift")
+				g := f.gifts[i]
+				if g.gift.Version != f.version {
+					f.refuse(g)
 					return
 				}
 				f.write(g.moves)
+				f.gifts[i].written = true
+				if rapid.Bool().Draw(t, "evicted or answered") {
+					f.take(f.readRow(g.from))
+				}
+				f.hand(g.to, g.gift)
 			},
 			"gift with a lost answer": func(t *rapid.T) {
 				n, to := node(t), node(t)
 				f.reads = append(f.reads, f.readRow(n))
 				units := share.Units(rapid.IntRange(1000, 6000).Draw(t, "units"))
-				if version, ok := n.limiter.Reserve(f.clock(n), team, units); ok && version == f.version {
+				if g, ok := n.limiter.Reserve(f.clock(n), team, units); ok && g.Version == f.version {
 					f.write([]share.Move{{From: f.member(n), To: f.member(to), Units: units}})
+					f.hand(to, g)
 				}
 				f.take(f.readRow(to))
 			},
@@ -262,6 +308,24 @@
 					f.receive(node(t), f.loans[len(f.loans)-1], &borrowed)
 				}
 			},
+			"loan goes back": func(t *rapid.T) {
+				if len(f.loans) > 0 {
+					n := node(t)
+					if r, ok := n.limiter.GiveBack(f.clock(n), f.loans[len(f.loans)-1].ID, team); ok {
+						f.returns = append(f.returns, r)
+					}
+				}
+			},
+			"return comes": func(t *rapid.T) {
+				n := node(t)
+				n.limiter.TakeBack(f.clock(n), drawFrom(t, f.returns, "return"))
+			},
+			"last handover comes": func(*rapid.T) {
+				if len(f.hands) > 0 {
+					f.accept(f.hands[len(f.hands)-1])
+				}
+			},
+			"handover comes": func(t *rapid.T) { f.accept(drawFrom(t, f.hands, "handover")) },
 			"loan comes": func(t *rapid.T) {
 				f.receive(node(t), drawFrom(t, f.loans, "loan"), &borrowed)
 			},
--- a/steer/membership/settings.go
+++ b/steer/membership/settings.go
@@ -38,10 +38,10 @@
 // otherwise.
 func DefaultSettings() Settings {
 	return Settings{
-		Heartbeat:    time.Second,
-		Lease:        3 * time.Second,
-		Guard:        300 * time.Millisecond,
-		WitnessLease: 2 * time.Second,
+		Heartbeat:    700 * time.Millisecond,
+		Lease:        2 * time.Second,
+		Guard:        200 * time.Millisecond,
+		WitnessLease: 1500 * time.Millisecond,
 		LongLease:    2 * time.Hour,
 		Witnesses:    5,
 	}
--- a/steer/membership/watch_test.go
+++ b/steer/membership/watch_test.go
@@ -15,7 +15,7 @@
 }
 
 func TestWatchSilence(t *testing.T) {
-	s := DefaultSettings()
+	s := Settings{Heartbeat: time.Second, Lease: 3 * time.Second, Guard: 300 * time.Millisecond}
 	start := time.Unix(1000, 0)
 	tests := []struct {
 		desc   string
--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -89,6 +89,34 @@
 	a.borrowed = append(a.borrowed, loan{id: id, units: units, end: end})
 }
 
+// Borrowed returns the units of a loan taken, 0 when there is none of that id.
+func (a *Account) Borrowed(id string) Units {
+	if i := indexOf(a.borrowed, id); i >= 0 {
+		return a.borrowed[i].units
+	}
+	return 0
+}
+
+// EndLent ends a loan given before its time. It reports whether it was there.
+func (a *Account) EndLent(id string) bool { return end(&a.lent, id) }
+
+// EndBorrowed ends a loan taken before its time. It reports whether it was
+// there.
+func (a *Account) EndBorrowed(id string) bool { return end(&a.borrowed, id) }
+
+func end(loans *[]loan, id string) bool {
+	i := indexOf(*loans, id)
+	if i < 0 {
+		return false
+	}
+	*loans = slices.Delete(*loans, i, i+1)
+	return true
+}
+
+func indexOf(loans []loan, id string) int {
+	return slices.IndexFunc(loans, func(l loan) bool { return l.id == id })
+}
+
 // NextExpiry returns the end of the loan that ends first, or false when there
 // is none.
 func (a *Account) NextExpiry() (time.Time, bool) {
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -37,7 +37,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		claimants := drawClaimants(t)
 		rate := rapid.Float64Range(1, 200).Draw(t, "rate")
-		targets := Targets(rate, claimants)
+		targets := Targets(Resource{Rate: rate, Holders: 10}, Division{}, claimants)
 		var d Division
 		d, err := d.Apply(Hand(d, "", Whole, claimants, targets))
 		if err != nil {
@@ -54,7 +54,7 @@
 			}
 		}
 		for _, c := range claimants {
-			after, err := d.Apply(Gift(d, c.Instance, claimants, Targets(rate, drawClaimantsLike(t, claimants)), 1))
+			after, err := d.Apply(Gift(d, c.Instance, claimants, Targets(Resource{Rate: rate, Holders: 10}, d, drawClaimantsLike(t, claimants)), 1))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/steer/share/targets.go
+++ b/steer/share/targets.go
@@ -19,21 +19,34 @@
 	Home bool
 }
 
-// Targets returns how many units each claimant should hold of a resource that
-// gives rate requests a second, in the order of the claimants. Demand is met
-// first; what is left goes half by demand and half to the homes of the
-// regions that the demand comes from, so that a second home can step in.
-func Targets(rate float64, claimants []Claimant) []Units {
+// Resource is what a division divides.
+type Resource struct {
+	// Rate is in requests a second.
+	Rate float64
+	// Holders is how many instances may hold a part at most.
+	Holders int
+}
+
+// stickiness is how much more weight an instance has that holds a part, when
+// there are more claimants than holders.
+const stickiness = 1.5
+
+// Targets returns how many units each claimant should hold, in the order of
+// the claimants. Demand is met first; what is left goes half by demand and
+// half to the homes of the regions that the demand comes from, so that a
+// second home can step in. When that makes too many holders, those with the
+// least go without.
+func Targets(r Resource, current Division, claimants []Claimant) []Units {
 	weights := make([]float64, len(claimants))
 	total := 0.0
 	for _, c := range claimants {
 		total += c.Demand
 	}
 	met := 1.0
-	if total > rate {
-		met = rate / total
+	if total > r.Rate {
+		met = r.Rate / total
 	}
-	left := rate - total*met
+	left := r.Rate - total*met
 	for i, c := range claimants {
 		weights[i] = c.Demand * met
 		if total > 0 {
@@ -45,9 +58,29 @@
 		spread = left
 	}
 	addHomes(weights, claimants, spread, total)
+	keepLargest(weights, r.Holders, current, claimants)
 	return round(weights)
 }
 
+// keepLargest sets all weights but the largest to 0.
+func keepLargest(weights []float64, holders int, current Division, claimants []Claimant) {
+	order := make([]int, len(weights))
+	value := make([]float64, len(weights))
+	for i := range weights {
+		order[i] = i
+		value[i] = weights[i]
+		if current.Of(claimants[i].Instance) > 0 {
+			value[i] *= stickiness
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(value[b], value[a]), strings.Compare(claimants[a].Instance, claimants[b].Instance))
+	})
+	for _, i := range order[min(max(holders, 1), len(order)):] {
+		weights[i] = 0
+	}
+}
+
 // addHomes spreads extra over the homes, by the demand of their regions.
 func addHomes(weights []float64, claimants []Claimant, extra, total float64) {
 	demand := make(map[string]float64)
@@ -124,6 +157,10 @@
 	return moves
 }
 
+// GiftSlack is the difference from its target, in units, that a holder leaves
+// alone.
+const GiftSlack Units = 800
+
 // Gift returns the moves by which a holder gives away what it has above its
 // target. Differences below slack units are left alone, so that noise in the
 // demand moves nothing.
