--- a/steer/shift/config.go
+++ b/steer/shift/config.go
@@ -136,19 +136,28 @@
 // checkStages checks the order of the caps and the time that the holds take.
 func (c *Config) checkStages(fault func(field, problem string) error) error {
 	last := Share(0)
-	needed := c.Guard
+	needed := time.Duration(0)
 	for _, s := range c.Stages {
 		if s.Cap <= last || s.Cap > Whole {
 			return fault("stages", "caps must rise and stay within 100%")
 		}
 		last = s.Cap
-		needed += max(s.Hold, c.WarmUp)
+		needed += s.Hold
 	}
 	if last != Whole {
 		return fault("stages", "the last cap must be 100%")
 	}
 	if c.Start.Add(needed).After(c.Deadline) {
-		return fault("deadline", "leaves no time for the stages' holds and the guard")
+		return fault("deadline", "leaves no time for the stages' holds")
 	}
 	return nil
 }
+
+// least returns the least time that the stages from index on take.
+func (c *Config) least(index int) time.Duration {
+	sum := time.Duration(0)
+	for _, s := range c.Stages[min(index, len(c.Stages)):] {
+		sum += max(s.Hold, c.WarmUp)
+	}
+	return sum
+}
--- a/steer/shift/controller.go
+++ b/steer/shift/controller.go
@@ -22,24 +22,17 @@
 // by many goroutines and take no common lock.
 type Controller struct {
 	cfg       Config
-	self      string
 	began     time.Time
 	epochs    epochs
 	collector *collector
 	plan      atomic.Pointer[plan]
 	picked    atomic.Uint64
 
-	mu    sync.Mutex
-	judge *judge
-	// view is the highest outcome known; row is the table's record.
-	view, row  Record
-	rowVersion uint64
-	// rowChanged and storeHeard are when the row last changed and when the
-	// store last answered.
-	rowChanged, storeHeard time.Time
-	listed                 []string
-	sources                map[string]*source
-	sequence               uint64
+	mu sync.Mutex
+	follower
+	judge    *judge
+	sources  map[string]*source
+	sequence uint64
 	// peerTallies is the evidence of all peers; fleet judges it with the own.
 	peerTallies map[Scope]*Tally
 	fleet       map[Scope]*detector
@@ -63,7 +56,7 @@
 	}
 	c := &Controller{
 		cfg:         cfg,
-		self:        self,
+		follower:    newFollower(self, &cfg.Tuning),
 		began:       now,
 		epochs:      newEpochs(cfg.Start, cfg.Deadline.Add(cfg.Watch)),
 		collector:   newCollector(),
@@ -111,15 +104,7 @@
 func (c *Controller) SeeRow(now time.Time, row Record, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeHeard = now
-	if c.rowChanged.IsZero() {
-		c.rowChanged = now
-	}
-	if version > c.rowVersion {
-		c.row = row
-		c.rowVersion = version
-		c.rowChanged = now
-	}
+	c.seeRow(now, row, version)
 	c.adopt(now, row)
 	c.steer(now)
 }
@@ -171,10 +156,9 @@
 
 // adopt moves the view up to r if r stands higher.
 func (c *Controller) adopt(now time.Time, r Record) {
-	if !r.above(&c.view) {
+	if !c.rise(r) {
 		return
 	}
-	c.view = r
 	clear(c.progress)
 	c.pickedAtStep = c.picked.Load()
 	c.pickedAtLast = c.pickedAtStep
@@ -183,36 +167,7 @@
 
 // takeBack moves the view to taken back.
 func (c *Controller) takeBack(now time.Time, cause Cause, scope Scope, detail string) {
-	r := c.view
-	r.Phase = TakenBack
-	r.Since = now
-	r.Reason = Reason{Cause: cause, Scope: scope, Instance: c.self, Detail: detail}
-	c.adopt(now, r)
-}
-
-// inTouch reports whether the store or most of the fleet was heard lately.
-func (c *Controller) inTouch(now time.Time) bool {
-	if c.recent(now, c.storeHeard) {
-		return true
-	}
-	heard := 0
-	for _, name := range c.listed {
-		if name == c.self || c.heardFrom(now, name) {
-			heard++
-		}
-	}
-	return 2*heard > len(c.listed)
-}
-
-// heardFrom reports whether the peer was heard lately.
-func (c *Controller) heardFrom(now time.Time, name string) bool {
-	from := c.sources[name]
-	return from != nil && c.recent(now, from.heard)
-}
-
-// recent reports whether t lies within the contact limit.
-func (c *Controller) recent(now, t time.Time) bool {
-	return !t.IsZero() && now.Sub(t) <= c.cfg.ContactLimit
+	c.adopt(now, c.takenBack(now, cause, scope, detail))
 }
 
 // deadline is when this instance acts on the deadline: early enough that it is
@@ -223,14 +178,7 @@
 // that is out of touch serves the old version but leaves the outcome open: the
 // fleet may have completed without it.
 func (c *Controller) checkDeadline(now time.Time) {
-	if c.view.Settled() || !c.inTouch(now) {
-		return
-	}
-	last := c.deadline()
-	if c.row.Holder == c.self {
-		last = c.cfg.Deadline.Add(-c.cfg.Guard)
-	}
-	if now.Before(last) {
+	if !c.overdue(now, c.cfg.Deadline) {
 		return
 	}
 	c.takeBack(now, CauseDeadline, Scope{}, "not complete by the deadline")
@@ -270,8 +218,8 @@
 	if c.judge.suspicion.on {
 		return true
 	}
-	for _, from := range c.sources {
-		if from.summary.Suspect && c.recent(now, from.heard) {
+	for name, from := range c.sources {
+		if from.summary.Suspect && c.heardFrom(now, name) {
 			return true
 		}
 	}
--- a/steer/shift/controller_test.go
+++ b/steer/shift/controller_test.go
@@ -84,7 +84,7 @@
 	for _, c := range rest {
 		c.SetListed(names)
 	}
-	held := holder.propose(holder.next(now))
+	held := holder.write(holder.next(now))
 	// The frozen instance's callers find the others.
 	f.controllers = rest
 	f.controllers = append(f.controllers, rest[0])
--- a/steer/shift/detector.go
+++ b/steer/shift/detector.go
@@ -7,9 +7,9 @@
 
 const (
 	// minEpoch is the shortest time between two starts of a detector.
-	minEpoch = 10 * time.Second
+	minEpoch = 2 * time.Second
 	// maxEpochs bounds the starts over a whole shift.
-	maxEpochs = 128
+	maxEpochs = 512
 )
 
 // detector finds the moment from which a Tally grows.
--- /dev/null
+++ b/steer/shift/drain.go
@@ -0,0 +1,248 @@
+package shift
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// drainSteps is the number of equal parts in which a region's traffic moves.
+	drainSteps = 20
+	// maxParts bounds one step, since all that moves at once meets cold caches.
+	maxParts = drainSteps / 4
+)
+
+// DrainConfig describes the drain of a region.
+type DrainConfig struct {
+	// Name names the drain's record.
+	Name string
+	// Region is the region to be emptied.
+	Region string
+	// From is when traffic begins to move.
+	From time.Time
+	// Deadline is when the region must be empty or the drain taken back.
+	Deadline time.Time
+	// Settle is the least time between two steps, in which the receivers'
+	// caches fill and their headroom is measured anew.
+	Settle time.Duration
+	// Fill is the part of the measured headroom that one step may take.
+	Fill float64
+	Tuning
+}
+
+const (
+	// DefaultSettle is the usual time between two steps of a drain.
+	DefaultSettle = 10 * time.Second
+	// DefaultFill is the usual part of the headroom that one step may take.
+	DefaultFill = 0.5
+)
+
+// Room is what a drain has to fit into, as measured now. Amounts of one kind
+// have one unit.
+type Room struct {
+	// Demand is the traffic that the region still gets.
+	Demand float64
+	// Spare is what the other regions can take on in addition.
+	Spare float64
+	// LinkDemand is the bytes a second that moving all of Demand adds to the
+	// links to the other regions, and LinkSpare what these have left.
+	LinkDemand, LinkSpare float64
+	// Measured is when Room was measured; a zero Room is none.
+	Measured time.Time
+}
+
+// Drain carries the drain of a region at one instance. It shares a shift's rules
+// on who advances, the deadline and finality; its stage counts the parts moved.
+type Drain struct {
+	cfg DrainConfig
+
+	mu sync.Mutex
+	follower
+	room  Room
+	moved atomic.Pointer[Meter]
+}
+
+// NewDrain returns the drain of a region at the instance self.
+func NewDrain(cfg DrainConfig, self string) *Drain {
+	d := &Drain{cfg: cfg}
+	d.moved.Store(NewMeter(0))
+	d.follower = newFollower(self, &d.cfg.Tuning)
+	return d
+}
+
+// Config returns the drain's description.
+func (d *Drain) Config() DrainConfig { return d.cfg }
+
+// SetListed tells which instances the platform lists as live.
+func (d *Drain) SetListed(names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = names
+}
+
+// SetRoom takes a measurement of the room elsewhere.
+func (d *Drain) SetRoom(r Room) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.room = r
+}
+
+// SeeRow takes the table's record as read at now.
+func (d *Drain) SeeRow(now time.Time, row Record, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeRow(now, row, version)
+	d.rise(row)
+	d.steer()
+}
+
+// SeePeer takes the record as a peer knows it.
+func (d *Drain) SeePeer(now time.Time, name string, r Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard[name] = now
+	d.rise(r)
+	d.steer()
+}
+
+// Tick acts on the time.
+func (d *Drain) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.overdue(now, d.cfg.Deadline) {
+		cause := CauseDeadline
+		if d.blocked(now) != nil {
+			cause = CauseHeadroom
+		}
+		detail := fmt.Sprintf("%s of the region's traffic had moved by the deadline", d.movedShare())
+		d.rise(d.takenBack(now, cause, Scope{}, detail))
+	}
+	d.steer()
+}
+
+// Leaves reports whether the next request that would go to the region has to go
+// elsewhere. It takes no lock.
+func (d *Drain) Leaves() bool { return d.moved.Load().Next() }
+
+// steer keeps the meter at the share that moves.
+func (d *Drain) steer() {
+	if share := d.movedShare(); d.moved.Load().Share() != share {
+		d.moved.Store(NewMeter(share))
+	}
+}
+
+// movedShare returns the share of the region's requests that go elsewhere.
+func (d *Drain) movedShare() Share {
+	switch d.view.Phase {
+	case Running:
+		return Share(min(d.view.Stage, drainSteps)) * Whole / drainSteps
+	case Watching, Done:
+		return Whole
+	default:
+		return 0
+	}
+}
+
+// Propose returns the write that this instance should try at now.
+func (d *Drain) Propose(now time.Time) (Proposal, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Before(d.cfg.From) && d.view.Phase != TakenBack {
+		return Proposal{}, false
+	}
+	return d.proposal(now, func() (Record, bool) {
+		return d.next(now), len(d.waits(now)) == 0
+	})
+}
+
+// next returns the record after the present one. A step takes as many parts as
+// there is room for.
+func (d *Drain) next(now time.Time) Record {
+	r := d.row
+	r.Since = now
+	switch {
+	case r.Phase == Pending:
+		r.Phase = Running
+	case r.Phase == Running && r.Stage < drainSteps:
+		r.Stage += d.parts()
+	case r.Phase == Running:
+		r.Phase = Watching
+	default:
+		r.Phase = Done
+	}
+	return r
+}
+
+// parts returns how many parts of the region's traffic fit into the room now.
+func (d *Drain) parts() int {
+	left := drainSteps - d.view.Stage
+	parts := float64(left)
+	if d.room.Demand > 0 {
+		parts = min(parts, float64(left)*d.cfg.Fill*d.room.Spare/d.room.Demand)
+	}
+	if d.room.LinkDemand > 0 {
+		parts = min(parts, float64(left)*d.cfg.Fill*d.room.LinkSpare/d.room.LinkDemand)
+	}
+	return max(min(int(parts), maxParts), 0)
+}
+
+// waits returns what the next step waits for.
+func (d *Drain) waits(now time.Time) []Wait {
+	switch {
+	case d.view.Settled():
+		return nil
+	case now.Before(d.cfg.From):
+		return []Wait{{WaitStart, "starts at " + d.cfg.From.UTC().Format(time.RFC3339)}}
+	case d.view.Phase == Running:
+		all := d.waitsForStore(now)
+		if left := d.cfg.Settle - now.Sub(d.view.Since); left > 0 {
+			all = append(all, Wait{WaitHold, fmt.Sprintf("lasts %s longer", left.Round(time.Second))})
+		}
+		return append(all, d.blocked(now)...)
+	default:
+		return d.waitsForStore(now)
+	}
+}
+
+// blocked says what keeps traffic from moving; nothing when all has moved.
+func (d *Drain) blocked(now time.Time) []Wait {
+	if d.view.Stage >= drainSteps {
+		return nil
+	}
+	if !d.recent(now, d.room.Measured) {
+		return []Wait{{WaitHeadroom, "the other regions' headroom is not known"}}
+	}
+	if d.parts() == 0 {
+		return []Wait{{WaitHeadroom, "the other regions or the links to them have no headroom"}}
+	}
+	return nil
+}
+
+// DrainStatus is a drain as one instance sees it.
+type DrainStatus struct {
+	Name     string    `json:"name"`
+	Region   string    `json:"region"`
+	Instance string    `json:"instance"`
+	Deadline time.Time `json:"deadline"`
+	Record   Record    `json:"record"`
+	// Moved is the share of the region's requests that go elsewhere.
+	Moved Share  `json:"moved"`
+	Waits []Wait `json:"waits"`
+}
+
+// Status returns the drain's state at now.
+func (d *Drain) Status(now time.Time) DrainStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return DrainStatus{
+		Name:     d.cfg.Name,
+		Region:   d.cfg.Region,
+		Instance: d.self,
+		Deadline: d.cfg.Deadline,
+		Record:   d.view,
+		Moved:    d.movedShare(),
+		Waits:    d.waits(now),
+	}
+}
--- /dev/null
+++ b/steer/shift/drain_test.go
@@ -0,0 +1,90 @@
+package shift
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drained is a region being emptied into others.
+type drained struct {
+	drain              *Drain
+	row                Record
+	version            uint64
+	demand, capacity   float64 // of the region, and of the others to spare
+	linkUse, linkSpare float64
+}
+
+func drainConfig() DrainConfig {
+	return DrainConfig{
+		Name: "drain-kaduna", Region: "kaduna",
+		From: epoch.Add(10 * time.Second), Deadline: epoch.Add(10 * time.Minute),
+		Settle: DefaultSettle, Fill: DefaultFill, Tuning: DefaultTuning(),
+	}
+}
+
+// moved is the part of the region's traffic that goes elsewhere.
+func (d *drained) moved() float64 {
+	return float64(d.drain.Status(epoch).Moved) / float64(Whole)
+}
+
+// second lets a second pass; measured says whether headroom is measured.
+func (d *drained) second(now time.Time, measured bool) {
+	if measured {
+		m := d.moved()
+		d.drain.SetRoom(Room{
+			Demand: d.demand * (1 - m), Spare: d.capacity - d.demand*m,
+			LinkDemand: d.linkUse * (1 - m), LinkSpare: d.linkSpare - d.linkUse*m,
+			Measured: now,
+		})
+	}
+	d.drain.Tick(now)
+	d.drain.SeeRow(now, d.row, d.version)
+	if p, ok := d.drain.Propose(now); ok && p.Expected == d.version {
+		d.row = p.Record
+		d.version++
+		d.drain.SeeRow(now, d.row, d.version)
+	}
+}
+
+// TestDrainOverloadsNobody checks that what moves never exceeds the others' room
+// or the links', and that the drain is done or taken back by its deadline.
+func TestDrainOverloadsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := drainConfig()
+		d := &drained{
+			drain:     NewDrain(cfg, "i0"),
+			demand:    rapid.Float64Range(0, 1000).Draw(t, "demand"),
+			capacity:  rapid.Float64Range(0, 2000).Draw(t, "capacity"),
+			linkUse:   rapid.Float64Range(0, 100).Draw(t, "link use"),
+			linkSpare: rapid.Float64Range(0, 200).Draw(t, "link spare"),
+		}
+		for now := epoch; now.Before(cfg.Deadline); now = now.Add(time.Second) {
+			d.second(now, true)
+			if d.demand*d.moved() > d.capacity || d.linkUse*d.moved() > d.linkSpare {
+				t.Fatalf("%.0f%% moved: more than there is room for", 100*d.moved())
+			}
+		}
+		if !d.row.Settled() {
+			t.Fatalf("%v at the deadline", d.row.Phase)
+		}
+		if 2*d.demand < d.capacity && 2*d.linkUse < d.linkSpare && d.row.Phase != Done {
+			t.Fatalf("%v although there is room for twice the traffic", d.row.Phase)
+		}
+	})
+}
+
+func TestDrainWithoutMeasurementsIsTakenBack(t *testing.T) {
+	d := &drained{drain: NewDrain(drainConfig(), "i0"), demand: 100, capacity: 110}
+	end := drainConfig().Deadline
+	for now := epoch; now.Before(end); now = now.Add(time.Second) {
+		d.second(now, now.Before(epoch.Add(12*time.Second)))
+	}
+	if d.row.Phase != TakenBack || d.row.Reason.Cause != CauseHeadroom {
+		t.Errorf("ends %v (%s), want taken back for lack of known headroom", d.row.Phase, d.row.Reason.Cause)
+	}
+	if d.moved() != 0 {
+		t.Errorf("%.0f%% still moved", 100*d.moved())
+	}
+}
--- a/steer/shift/evidence.go
+++ b/steer/shift/evidence.go
@@ -136,8 +136,8 @@
 	if c.blind {
 		return true
 	}
-	for _, from := range c.sources {
-		if from.summary.Blind && c.recent(now, from.heard) {
+	for name, from := range c.sources {
+		if from.summary.Blind && c.heardFrom(now, name) {
 			return true
 		}
 	}
--- a/steer/shift/record.go
+++ b/steer/shift/record.go
@@ -58,6 +58,9 @@
 	CauseLoad Cause = "load"
 	// CauseDeadline means that the shift was not complete in time.
 	CauseDeadline Cause = "deadline"
+	// CauseHeadroom means that a drain's traffic found no room elsewhere by
+	// its deadline.
+	CauseHeadroom Cause = "headroom"
 )
 
 // Reason says why a shift was taken back.
--- a/steer/shift/status.go
+++ b/steer/shift/status.go
@@ -31,6 +31,8 @@
 	InTouch bool `json:"inTouch"`
 	// Waits says what the next step waits for.
 	Waits []Wait `json:"waits"`
+	// Late says that the shift can no longer be complete by its deadline.
+	Late bool `json:"late"`
 	// Routes holds the present stage's outcomes over the fleet.
 	Routes []Progress `json:"routes"`
 	// Scopes holds the evidence since the instance started.
@@ -53,6 +55,7 @@
 		Share:    c.share(now),
 		InTouch:  c.inTouch(now),
 		Waits:    c.waits(now),
+		Late:     c.late(now),
 	}
 	progress := c.fleetProgress()
 	for _, route := range sortedKeys(progress) {
@@ -66,6 +69,22 @@
 	return s
 }
 
+// late reports whether the stages that remain end after the deadline's guard.
+func (c *Controller) late(now time.Time) bool {
+	if c.view.Settled() {
+		return false
+	}
+	begin := c.view.Since
+	if c.view.Phase == Pending {
+		begin = c.cfg.Start
+	}
+	end := begin.Add(c.cfg.least(c.view.Stage))
+	if end.Before(now) {
+		end = now
+	}
+	return end.After(c.cfg.Deadline.Add(-c.cfg.Guard))
+}
+
 // scopeStatus returns the fleet's evidence in one scope.
 func (c *Controller) scopeStatus(scope Scope, limit float64) ScopeStatus {
 	tally := c.fleetTally(scope)
--- a/steer/shift/summary.go
+++ b/steer/shift/summary.go
@@ -57,7 +57,6 @@
 // source is a peer as its last summary shows it.
 type source struct {
 	summary Summary
-	heard   time.Time
 	// logs are the evidence already added to the fleet's.
 	logs map[Scope]Tally
 }
@@ -116,7 +115,7 @@
 		c.addPeerEvidence(from, st)
 	}
 	from.summary = s
-	from.heard = now
+	c.heard[s.Instance] = now
 	c.adopt(now, s.Record)
 	c.steer(now)
 }
--- a/steer/shift/transition.go
+++ b/steer/shift/transition.go
@@ -20,6 +20,7 @@
 	WaitCompare   WaitKind = "comparison"
 	WaitInstances WaitKind = "instances"
 	WaitStore     WaitKind = "store"
+	WaitHeadroom  WaitKind = "headroom"
 )
 
 // Wait is one thing that a shift waits for before its next step.
@@ -29,63 +30,18 @@
 	Detail string `json:"detail"`
 }
 
-// Proposal is a write of the record that should be tried now.
-type Proposal struct {
-	// Record is the new content.
-	Record Record
-	// Expected is the version that the row must still have; 0 means that it
-	// must not exist.
-	Expected uint64
-	// Step says that the record's phase or stage changes, as opposed to its
-	// holder or renewal.
-	Step bool
-}
-
 // Propose returns the write that this instance should try at now. A write with
 // an outdated version fails, so an instance that was frozen while another took
 // over changes nothing.
 func (c *Controller) Propose(now time.Time) (Proposal, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.recent(now, c.storeHeard) {
-		return Proposal{}, false
-	}
-	if c.view.Phase == TakenBack && c.row.Phase != TakenBack {
-		return c.propose(c.view), true
-	}
-	if c.row.Phase >= Done || now.Before(c.cfg.Start) {
-		return Proposal{}, false
-	}
-	if c.row.Holder != c.self {
-		return c.claim(now)
-	}
-	if len(c.waits(now)) == 0 {
-		return c.propose(c.next(now)), true
-	}
-	if now.Sub(c.rowChanged) >= c.cfg.HolderLease/3 {
-		return c.propose(c.row), true
-	}
-	return Proposal{}, false
-}
-
-// claim proposes to take over a record that nobody advances.
-func (c *Controller) claim(now time.Time) (Proposal, bool) {
-	if c.rowVersion > 0 && now.Sub(c.rowChanged) < c.cfg.HolderLease {
+	if now.Before(c.cfg.Start) && c.view.Phase != TakenBack {
 		return Proposal{}, false
 	}
-	r := c.row
-	if c.rowVersion == 0 {
-		r.Since = now
-	}
-	return c.propose(r), true
-}
-
-// propose builds the write of r by this instance.
-func (c *Controller) propose(r Record) Proposal {
-	step := c.rowVersion == 0 || !r.sameStep(&c.row)
-	r.Holder = c.self
-	r.Renewal = c.row.Renewal + 1
-	return Proposal{Record: r, Expected: c.rowVersion, Step: step}
+	return c.proposal(now, func() (Record, bool) {
+		return c.next(now), len(c.waits(now)) == 0
+	})
 }
 
 // next returns the record after the present one.
@@ -128,17 +84,6 @@
 	}
 }
 
-// waitsForStore says whether the table is out of reach or behind.
-func (c *Controller) waitsForStore(now time.Time) []Wait {
-	if !c.recent(now, c.storeHeard) {
-		return []Wait{{WaitStore, "the platform's table does not answer"}}
-	}
-	if !c.view.sameStep(&c.row) {
-		return []Wait{{WaitStore, "the platform's table has not yet the latest step"}}
-	}
-	return nil
-}
-
 // waitsForTime says how long the step still has to last.
 func (c *Controller) waitsForTime(now time.Time, kind WaitKind, least time.Duration) []Wait {
 	left := least - now.Sub(c.view.Since)
@@ -197,7 +142,7 @@
 		if name == c.self {
 			continue
 		}
-		if !c.heardFrom(now, name) || !c.sources[name].summary.Record.sameStep(&c.view) {
+		if !c.heardFrom(now, name) || c.sources[name] == nil || !c.sources[name].summary.Record.sameStep(&c.view) {
 			all = append(all, Wait{WaitInstances, "instance " + name + " has not confirmed the last stage"})
 		}
 	}
