--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 generate-check:
 	go tool wire diff ./front/...
+
+demo: build
+	scripts/demo.sh
--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomfront/cardamomfront/front/operator/command"
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
 )
@@ -23,9 +24,9 @@
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 1
+		return command.ExitCode(err)
 	}
-	return 0
+	return command.ExitDone
 }
 
 // root returns the command with all its subcommands.
@@ -36,6 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	command.Add(cmd)
 	cmd.AddCommand(request.Command(), serve.Command())
 	return cmd
 }
--- a/front/cmd/cardamomfront/main.go
+++ b/front/cmd/cardamomfront/main.go
@@ -43,8 +43,8 @@
 				return err
 			}
 			if checkOnly {
-				cmd.Printf("%s: ok\n", file)
-				return nil
+				_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
+				return err
 			}
 			return run(cmd.Context(), settings)
 		},
--- a/front/e2e/fleet_test.go
+++ b/front/e2e/fleet_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -10,8 +9,6 @@
 	"testing"
 	"text/template"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -112,15 +109,11 @@
 func (f *fleet) promote(t *testing.T, o documentOptions, expected int) {
 	t.Helper()
 	file := f.writeDocument(t, o)
-	content, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	promoter := configuration.NewPromoter(platform.NewClient(platform.Settings{URL: "http://" + f.platform}))
-	r := configuration.Request{Environment: environment, Expect: uint64(expected), File: file, Content: content, Operator: "test"}
-	if _, err := promoter.Promote(context.Background(), r); err != nil {
-		t.Fatal(err)
+	args := []string{"promote", file, "--expect", fmt.Sprint(expected), "--platform", "http://" + f.platform, "--environment", environment, "--operator", "e2e"}
+	for _, i := range f.instances {
+		args = append(args, "--instance", i.Operators)
 	}
+	mustCtl(t, args...)
 }
 
 // documentOptions is what differs between documents of the test fleet.
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
@@ -109,12 +110,13 @@
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, source configuration.Source) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher) *http.Server {
 	mux := http.NewServeMux()
+	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !source.Current().Ready {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
+		if !w.Current().Ready {
+			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
