--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go build -o bin/ ./front/cmd/...
 
 test:
-	go test $(MODULES)
+	scripts/test.sh
 
 fmt:
 	go tool gofumpt -w steer front
@@ -34,3 +34,6 @@
 
 generate-check:
 	go tool wire diff ./front/...
+
+demo: build
+	scripts/demo.sh
