configuration: a withdrawn key can't come back with an older file

Cause: key withdraw edits the document in force; an operator who then promotes his own older file, with the right expected generation, would bring the withdrawn key back into force. The head row's version makes check and write one. Ruled out: a list in the document (the older file lacks it) and in the head row (read by each instance every second).

--- a/front/operator/change.go
+++ b/front/operator/change.go
@@ -60,7 +60,8 @@
 	if err != nil {
 		return Changed{}, err
 	}
-	if err := edit(doc); err != nil {
+	withdrawn, err := edit(doc)
+	if err != nil {
 		return Changed{}, err
 	}
 	if content, err = document.Encode(doc); err != nil {
@@ -73,6 +74,7 @@
 		Content:     content,
 		Operation:   uuid.NewString(),
 		Operator:    operator,
+		Withdrawn:   withdrawn,
 	})
 	return Changed{Promotion: promotion, Content: content}, err
 }
--- a/front/operator/command/errors.go
+++ b/front/operator/command/errors.go
@@ -52,6 +52,7 @@
 		usage      *UsageError
 		fault      *document.Error
 		other      *configuration.EnvironmentError
+		withdrawn  *configuration.WithdrawnError
 		conflict   *configuration.ConflictError
 		unknown    *configuration.UnknownOutcomeError
 		stragglers *StragglersError
@@ -62,7 +63,7 @@
 		return ExitDone
 	case errors.As(err, &usage), errors.As(err, &notFound):
 		return ExitUsage
-	case errors.As(err, &fault), errors.As(err, &other):
+	case errors.As(err, &fault), errors.As(err, &other), errors.As(err, &withdrawn):
 		return ExitFaulty
 	case errors.As(err, &conflict):
 		return ExitConflict
--- a/front/operator/edit.go
+++ b/front/operator/edit.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -33,56 +34,57 @@
 	return fmt.Sprintf("the document in force has no %s %q", e.Kind, e.Name)
 }
 
-// Edit changes a document in place. It must give the same result when it is
-// applied again to another document.
-type Edit func(doc *document.Document) error
+// Edit changes a document in place and returns the keys that it withdraws. It
+// may be applied again to another document.
+type Edit func(doc *document.Document) ([]configuration.WithdrawnKey, error)
 
 // AddKey gives a key to a team.
 func AddKey(team, id, key string) Edit {
-	return func(doc *document.Document) error {
+	return func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		for i := range doc.Teams {
 			if doc.Teams[i].Name == team {
 				added := document.Key{ID: id, Digest: document.KeyDigest(key)}
 				doc.Teams[i].Keys = append(doc.Teams[i].Keys, added)
-				return nil
+				return nil, nil
 			}
 		}
-		return &NotFoundError{Kind: "team", Name: team}
+		return nil, &NotFoundError{Kind: "team", Name: team}
 	}
 }
 
-// WithdrawKey takes a key out.
+// WithdrawKey takes a key out for good.
 func WithdrawKey(id string) Edit {
-	return func(doc *document.Document) error {
+	return func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		for i := range doc.Teams {
 			team := &doc.Teams[i]
 			at := slices.IndexFunc(team.Keys, func(k document.Key) bool { return k.ID == id })
 			if at >= 0 {
+				gone := configuration.WithdrawnKey{ID: id, Digest: team.Keys[at].Digest}
 				team.Keys = slices.Delete(team.Keys, at, at+1)
-				return nil
+				return []configuration.WithdrawnKey{gone}, nil
 			}
 		}
-		return &NotFoundError{Kind: "key", Name: id}
+		return nil, &NotFoundError{Kind: "key", Name: id}
 	}
 }
 
 // DrainRegion begins a drain, in place of one that the region may have.
 func DrainRegion(region string, from, deadline time.Time) Edit {
-	return func(doc *document.Document) error {
+	return func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool { return d.Region == region })
 		doc.Drains = append(doc.Drains, document.Drain{Region: region, From: from, Deadline: deadline})
-		return nil
+		return nil, nil
 	}
 }
 
 // CancelDrain puts a region back into service.
 func CancelDrain(region string) Edit {
-	return func(doc *document.Document) error {
+	return func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		before := len(doc.Drains)
 		doc.Drains = slices.DeleteFunc(doc.Drains, func(d document.Drain) bool { return d.Region == region })
 		if len(doc.Drains) == before {
-			return &NotFoundError{Kind: "drain", Name: region}
+			return nil, &NotFoundError{Kind: "drain", Name: region}
 		}
-		return nil
+		return nil, nil
 	}
 }
--- a/front/operator/rollout.go
+++ b/front/operator/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -80,9 +81,12 @@
 	result := InstanceResult{Listed: listed, Outcome: Straggler}
 	for {
 		status, err := r.tell(ctx, listed, told)
-		if err == nil {
+		if err == nil && status.Generation >= told.Head.Generation {
 			return InstanceResult{Listed: listed, Outcome: Confirmed, Generation: status.Generation}
 		}
+		if err == nil {
+			err = &RefusedError{Addr: listed.Addr, Status: http.StatusOK, Message: "still follows an older generation"}
+		}
 		result.Error = err.Error()
 		var refused *RefusedError
 		if !errors.As(err, &refused) && watched.answeredFor() > r.StaleAfter+staleGuard {
--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -124,11 +124,11 @@
 		t.Fatal(err)
 	}
 	raced := false
-	edit := func(doc *document.Document) error {
+	edit := func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		if !raced {
 			raced = true
 			if _, err := Change(t.Context(), p, "kano-trial", "bilal", AddKey("ward-01", "ward-01-b", "new-key")); err != nil {
-				return err
+				return nil, err
 			}
 		}
 		return WithdrawKey("ward-05-a")(doc)
@@ -145,6 +145,11 @@
 	if index.TeamOfKey("new-key") == nil || index.TeamOfKey("example-key-ward-05") != nil {
 		t.Error("one of the two changes is not in force")
 	}
+	first.Expect, first.Operation = 3, "op-2"
+	var withdrawn *configuration.WithdrawnError
+	if _, err = p.Promote(t.Context(), first); !errors.As(err, &withdrawn) || withdrawn.Key.ID != "ward-05-a" {
+		t.Errorf("an old file with a withdrawn key: %v", err)
+	}
 	_, err = Change(t.Context(), p, "kano-trial", "ana", WithdrawKey("ward-05-a"))
 	var missing *NotFoundError
 	if !errors.As(err, &missing) {
--- a/front/platform/configuration/promote.go
+++ b/front/platform/configuration/promote.go
@@ -34,6 +34,8 @@
 	Operation string
 	// Operator is who asks, as it is told to others.
 	Operator string
+	// Withdrawn are keys that no later document may bring back.
+	Withdrawn []WithdrawnKey
 }
 
 // ConflictError says that another promotion came first. Nothing was changed.
@@ -114,8 +116,8 @@
 }
 
 // Promote checks a document and puts it in force. It tries until ctx ends.
-// Errors: *document.Error, *EnvironmentError and *ConflictError change
-// nothing; *UnknownOutcomeError may have; *platform.Error changed nothing.
+// Errors: *document.Error, *EnvironmentError, *WithdrawnError and
+// *ConflictError change nothing; *UnknownOutcomeError may have; *platform.Error changed nothing.
 func (p *Promoter) Promote(ctx context.Context, r Request) (Promotion, error) {
 	doc, err := document.Decode(r.File, r.Content)
 	if err != nil {
@@ -128,10 +130,9 @@
 	if err != nil {
 		return Promotion{}, err
 	}
-	a := &attempt{store: p.store, request: r, digest: digest}
+	a := &attempt{store: p.store, request: r, digest: digest, doc: doc}
 	promotion, err := retry(ctx, func() (Promotion, error) { return a.once(ctx) })
-	var conflict *ConflictError
-	if err != nil && a.uncertain && !errors.As(err, &conflict) {
+	if err != nil && a.uncertain && !a.settled {
 		return Promotion{}, &UnknownOutcomeError{Operation: r.Operation, Err: err}
 	}
 	return promotion, err
@@ -166,16 +167,19 @@
 	store   Store
 	request Request
 	digest  string
+	doc     *document.Document
 	// uncertain says that a write was sent whose outcome is unknown.
 	uncertain bool
+	// settled says that the head row and its history showed that no write
+	// took effect.
+	settled bool
 }
 
 // once reads the head row, settles whether an earlier try took effect, and
 // else writes. Sending the same write again is safe: it names the row version
 // that it replaces, so that at most one of them takes effect.
 func (a *attempt) once(ctx context.Context) (Promotion, error) {
-	key := HeadKey(a.request.Environment)
-	row, err := a.store.Get(ctx, key)
+	row, err := a.store.Get(ctx, HeadKey(a.request.Environment))
 	if err != nil {
 		return Promotion{}, err
 	}
@@ -187,14 +191,35 @@
 		return done, nil
 	}
 	if head.Generation != a.request.Expect {
+		a.settled = head.Generation <= a.request.Expect+maxHistory
 		return Promotion{}, backoff.Permanent(&ConflictError{Expected: a.request.Expect, Winner: head.Promotion})
 	}
+	// The head row's version, read before, makes this check and the write one:
+	// a key withdrawn in between moves that row.
+	err = checkWithdrawn(ctx, a.store, a.doc)
+	var withdrawn *WithdrawnError
+	if errors.As(err, &withdrawn) {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	if err != nil {
+		return Promotion{}, err
+	}
+	return a.write(ctx, row, head)
+}
+
+// write moves the head row on and records the withdrawn keys with it.
+func (a *attempt) write(ctx context.Context, row platform.Row, head HeadRow) (Promotion, error) {
 	next := head.next(a.digest, a.request.Operation, a.request.Operator)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Promotion{}, backoff.Permanent(err)
 	}
-	_, err = a.store.Commit(ctx, []platform.Write{{Key: key, Expected: row.Version, Value: value}})
+	writes, err := withdrawnWrites(a.request.Environment, a.request.Withdrawn)
+	if err != nil {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	writes = append(writes, platform.Write{Key: HeadKey(a.request.Environment), Expected: row.Version, Value: value})
+	_, err = a.store.Commit(ctx, writes)
 	if err == nil {
 		return next.Promotion, nil
 	}
--- /dev/null
+++ b/front/platform/configuration/withdrawn.go
@@ -0,0 +1,75 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// WithdrawnKey is a key that was withdrawn for good. It has a row of its own,
+// written together with the head row, so that no later document, such as one
+// from an old file, can bring the key back.
+type WithdrawnKey struct {
+	// ID is the name that the key had.
+	ID string `json:"id"`
+	// Digest is the key's digest.
+	Digest string `json:"digest"`
+}
+
+// WithdrawnError says that a document holds a key that was withdrawn. Nothing
+// was changed.
+type WithdrawnError struct {
+	// Team is the team that would get the key.
+	Team string
+	// Key is the key as it was withdrawn.
+	Key WithdrawnKey
+}
+
+// Error implements error.
+func (e *WithdrawnError) Error() string {
+	return fmt.Sprintf("team %q has key %s, which was withdrawn as %q", e.Team, e.Key.Digest, e.Key.ID)
+}
+
+// withdrawnPrefix returns the start of the keys of an environment's rows of
+// withdrawn keys.
+func withdrawnPrefix(environment string) string { return environment + "/withdrawn/" }
+
+// checkWithdrawn refuses a document that holds a withdrawn key.
+func checkWithdrawn(ctx context.Context, table platform.Table, doc *document.Document) error {
+	rows, err := table.Scan(ctx, withdrawnPrefix(doc.Environment))
+	if err != nil {
+		return err
+	}
+	withdrawn := make(map[string]WithdrawnKey, len(rows))
+	for _, row := range rows {
+		var key WithdrawnKey
+		if err := json.Unmarshal(row.Value, &key); err != nil {
+			return fmt.Errorf("row %s: %w", row.Key, err)
+		}
+		withdrawn[key.Digest] = key
+	}
+	for _, team := range doc.Teams {
+		for _, key := range team.Keys {
+			if gone, found := withdrawn[key.Digest]; found {
+				return &WithdrawnError{Team: team.Name, Key: gone}
+			}
+		}
+	}
+	return nil
+}
+
+// withdrawnWrites returns the writes that record withdrawn keys.
+func withdrawnWrites(environment string, keys []WithdrawnKey) ([]platform.Write, error) {
+	writes := make([]platform.Write, 0, len(keys))
+	for _, key := range keys {
+		value, err := json.Marshal(key)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, platform.Write{Key: withdrawnPrefix(environment) + key.Digest, Value: value})
+	}
+	return writes, nil
+}
