Measure the cost of each role by cardamomctl capacity

Ruled out: benchmarks in test files (they are not in the hands of operators and print no fit). Change: front/operator/capacity measures processor time, heap and bytes at three or more sizes for each role and fits a line.

--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomfront/cardamomfront/front/operator/capacity"
 	"github.com/cardamomfront/cardamomfront/front/operator/command"
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
@@ -38,6 +39,6 @@
 		SilenceErrors: true,
 	}
 	command.Add(cmd)
-	cmd.AddCommand(request.Command(), serve.Command())
+	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command())
 	return cmd
 }
