--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -14,9 +14,11 @@
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
+	"github.com/cardamomfront/cardamomfront/steer/retry"
 )
 
 // operatorHeaderTimeout is how long an operator's request header may take.
@@ -96,8 +98,17 @@
 }
 
 // newChain puts the stages around the forwarding of a request.
-func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys) caller.Handler {
-	return caller.Chain(f, &caller.Routes{Source: source}, keys)
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries) caller.Handler {
+	return caller.Chain(f, &caller.Routes{Source: source}, keys, &caller.Attempts{Claimer: records}, retries)
+}
+
+func newAttempts(s *Settings, n Name, table platform.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
+	return attempts.New(attempts.DefaultSettings(), table, s.Environment, string(n), m.Meter, log)
+}
+
+func newRetries(m *telemetry.Metrics) (*caller.Retries, error) {
+	budget := retry.BudgetSettings{Ratio: retry.DefaultRatio, Burst: retry.DefaultBurst}
+	return caller.NewRetries(retry.DefaultPolicy(), budget, m)
 }
 
 func newEntriesPage(s *Settings, source configuration.Source) http.Handler {
@@ -105,8 +116,8 @@
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client) []Component {
-	return []Component{w, k, c}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder) []Component {
+	return []Component{w, k, c, records}
 }
 
 // newOperators returns the server of the operators' pages.
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -54,6 +54,8 @@
 	newCallerSettings,
 	newEndpointClient,
 	newForward,
+	newAttempts,
+	newRetries,
 	newChain,
 	newEntriesPage,
 )
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -45,7 +45,15 @@
 	watcher := newWatcher(s, name, platformClient, peerClient, server, logger, meters)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
-	handler := newChain(forward, watcher, keys)
+	recorder, err := newAttempts(s, name, platformClient, metrics, logger)
+	if err != nil {
+		return nil, err
+	}
+	retries, err := newRetries(metrics)
+	if err != nil {
+		return nil, err
+	}
+	handler := newChain(forward, watcher, keys, recorder, retries)
 	httpHandler := newEntriesPage(s, watcher)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
@@ -53,7 +61,7 @@
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
 	httpServer := newOperators(metrics, watcher)
-	v := newComponents(watcher, keys, client)
+	v := newComponents(watcher, keys, client, recorder)
 	instance := New(s, callerServer, server, httpServer, v, logger)
 	return instance, nil
 }
@@ -75,6 +83,8 @@
 var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
 	newEndpointClient,
 	newForward,
+	newAttempts,
+	newRetries,
 	newChain,
 	newEntriesPage,
 )
