--- a/front/instance/settings.go
+++ b/front/instance/settings.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -141,16 +142,24 @@
 // fields and missing units are errors. Errors: *SettingsError.
 func DecodeSettings(file string, content []byte) (*Settings, error) {
 	s := DefaultSettings()
-	check := yaml.Validator(validator.New(validator.WithRequiredStructEnabled()))
-	err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict(), check)
+	check := validator.New(validator.WithRequiredStructEnabled())
+	err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict(), yaml.Validator(check))
 	if err != nil {
 		return nil, settingsError(file, err)
 	}
+	// The decoder does not check what an empty file or section leaves unset.
+	if err := check.Struct(&s); err != nil {
+		return nil, settingsError(file, err)
+	}
 	return &s, nil
 }
 
 // settingsError gives a decoder's error its place in the file.
 func settingsError(file string, err error) *SettingsError {
+	var unit *document.Error
+	if errors.As(err, &unit) {
+		return &SettingsError{File: file, Line: unit.Line, Column: unit.Column, Message: unit.Message}
+	}
 	placed, ok := err.(yaml.Error) //nolint:errorlint // the decoder returns it unwrapped
 	if !ok {
 		return &SettingsError{File: file, Message: err.Error()}
--- /dev/null
+++ b/front/instance/settings_test.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodSettings = `environment: kano-trial
+region: kano
+failureDomain: kano-a
+callers:
+  listen: 127.0.0.11:8080
+  url: http://127.0.0.11:8080
+peers:
+  listen: 127.0.0.11:7080
+operators:
+  listen: 127.0.0.11:9080
+platform:
+  url: http://127.0.0.1:7000
+  region: kano
+stop:
+  announce: 10s
+`
+
+func TestDecodeSettings(t *testing.T) {
+	s, err := DecodeSettings("good.yaml", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Stop.Announce.Std() != 10*time.Second || s.Stop.Drain.Std() != defaultDrain {
+		t.Errorf("stop = %+v, want 10s and the default", s.Stop)
+	}
+	if s.Peers.DialTimeout.Std() != defaultDialTimeout || s.Callers.MaxHeader.Bytes() != defaultMaxHeader {
+		t.Errorf("defaults are missing: %+v %+v", s.Peers, s.Callers)
+	}
+}
+
+func TestFaultySettings(t *testing.T) {
+	tests := []struct {
+		desc     string
+		old, new string
+		line     int
+		message  string
+	}{
+		{"unknown field", "region: kano\nfail", "region: kano\nzone: x\nfail", 3, "zone"},
+		{"missing unit", "announce: 10s", "announce: 10", 15, "no unit"},
+		{"unknown unit", "announce: 10s", "announce: 10 parsecs", 15, "duration"},
+		{"no address", "listen: 127.0.0.11:7080", "listen: here", 8, "hostname_port"},
+		{"no URL", "url: http://127.0.0.1:7000", "url: 127.0.0.1:7000", 12, "http_url"},
+		{"certificate without key", "listen: 127.0.0.11:7080", "listen: 127.0.0.11:7080\n  certificate: c.pem", 0, "PrivateKey"},
+		{"required field left out", "failureDomain: kano-a\n", "", 0, "FailureDomain"},
+		{"field given twice", "region: kano\nfail", "region: kano\nregion: kaduna\nfail", 3, "region"},
+		{"no YAML", "environment: kano-trial", "environment: [", 1, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			content := strings.Replace(goodSettings, tt.old, tt.new, 1)
+			if content == goodSettings {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := DecodeSettings("bad.yaml", []byte(content))
+			var fault *SettingsError
+			if !errors.As(err, &fault) {
+				t.Fatalf("error = %v, want *SettingsError", err)
+			}
+			if tt.line != 0 && fault.Line != tt.line || !strings.Contains(fault.Error(), tt.message) {
+				t.Errorf("error %q at line %d, want %q at line %d", fault, fault.Line, tt.message, tt.line)
+			}
+		})
+	}
+}
+
+func FuzzDecodeSettings(f *testing.F) {
+	f.Add([]byte(goodSettings))
+	f.Add([]byte("environment: [\n"))
+	f.Add([]byte("stop: {announce: 1e99h}"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		s, err := DecodeSettings("fuzz.yaml", content)
+		var fault *SettingsError
+		if err != nil && !errors.As(err, &fault) {
+			t.Fatalf("error %T is no *SettingsError", err)
+		}
+		if err == nil && (s.Environment == "" || s.Platform.URL == "") {
+			t.Fatalf("required fields are empty: %+v", s)
+		}
+	})
+}
