End the store's silence by a write where outcomes wait

Cause: a store that answers reads and no writes was taken for sound every 250 ms, and each time claims waited in vain.

While outcomes wait, which they do after any claim that stayed unsettled, the store must take some of them before claims are made again. TestStoreWithoutWritesStaysSilent: 600 claims in a minute all refused in no time. Before: claim 1 refused after 50 ms (mutation: outcomes not tried); read taken for enough beside the write: claim 38 after 5 ms.

--- a/front/platform/attempts/epochs.go
+++ b/front/platform/attempts/epochs.go
@@ -78,11 +78,8 @@
 			return
 		}
 	}
-	wasSilent := r.silence.silent()
-	r.silence.heard(time.Now())
-	if wasSilent {
-		r.log.Info("Store answers again.")
-		r.wake()
+	if r.silence.silent() {
+		r.endSilence()
 	}
 	if row.Version > 0 && !r.epochs.observe(epoch, started) {
 		return
@@ -94,6 +91,23 @@
 	r.epochs.observe(epoch+1, started)
 }
 
+// endSilence ends the silence after an answered read. Where outcomes wait, the
+// store must take some of them first: it may answer reads and no writes.
+func (r *Recorder) endSilence() {
+	r.mu.Lock()
+	outcomes := r.group.NextOutcomes()
+	r.mu.Unlock()
+	if outcomes == nil {
+		r.silence.heard(time.Now())
+	} else {
+		r.carryOut(outcomes)
+	}
+	if !r.silence.silent() {
+		r.log.Info("Store answers again.")
+		r.wake()
+	}
+}
+
 // moveEpoch writes the next epoch. Another instance may have been faster, and
 // an answer may be lost; the next read tells.
 func (r *Recorder) moveEpoch(ctx context.Context, version, epoch uint64) error {
--- a/front/platform/attempts/recorder_test.go
+++ b/front/platform/attempts/recorder_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// TestStoreWithoutWritesStaysSilent lets the store answer reads and swallow
+// writes for a minute: after the first claim, claims are refused at once.
+func TestStoreWithoutWritesStaysSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newRemoteTable(standin.NewStore(), time.Millisecond, 1, shares{})
+		recorder, stop := startRecorder(t, DefaultSettings(), table, "kano-1")
+		defer stop()
+		ready(recorder)
+		table.setFaults(shares{swallowed: 100})
+		_, err := recorder.Begin(context.Background(), booking("first"))
+		if reasonOf(err) != ReasonStoreSilent {
+			t.Fatalf("first claim: %v, want %s", err, ReasonStoreSilent)
+		}
+		for i := range 600 {
+			start := time.Now()
+			_, err := recorder.Begin(context.Background(), booking(fmt.Sprint(i)))
+			if reasonOf(err) != ReasonStoreSilent || time.Since(start) != 0 {
+				t.Fatalf("claim %d: %v after %v, want %s at once", i, err, time.Since(start), ReasonStoreSilent)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		table.setFaults(shares{})
+		time.Sleep(2 * time.Second)
+		if _, err := recorder.Begin(context.Background(), booking("first")); err != nil {
+			t.Fatalf("after the silence: %v", err)
+		}
+	})
+}
+
 // TestGivenUpClaimIsReleased ends a caller's time while its claim is on its
 // way, and repeats it at another instance.
 func TestGivenUpClaimIsReleased(t *testing.T) {
--- a/steer/attempt/group.go
+++ b/steer/attempt/group.go
@@ -146,6 +146,21 @@
 	return g.take(), time.Time{}
 }
 
+// NextOutcomes returns the outcomes of a transaction that waits for nothing,
+// and counts it as under way; none when no outcome waits. It serves to try
+// whether a store that was silent takes writes again.
+func (g *Group) NextOutcomes() []*Change {
+	if len(g.releases)+len(g.finishes) == 0 {
+		return nil
+	}
+	claims := g.claims
+	g.claims = nil
+	changes := g.take()
+	g.claims = claims
+	g.inFlight++
+	return changes
+}
+
 // Ended notes that a transaction is no longer under way.
 func (g *Group) Ended() { g.inFlight-- }
 
