Count the outcomes of the last minute by team, route and reason

Cause: an operator who asks why a team's requests are refused needs recent counts; the metrics count since the start. Ruled out: keeping single requests (unbounded under a burst). Change: caller.Recent, in shards, bounded by what the document names.

--- a/front/caller/metrics.go
+++ b/front/caller/metrics.go
@@ -17,6 +17,9 @@
 	refusals metric.Int64Counter
 	cuts     metric.Int64Counter
 	duration metric.Float64Histogram
+
+	// Recent holds the outcomes of the last minute, for explanations.
+	Recent *Recent
 }
 
 // NewMetrics returns the instruments of this package.
@@ -33,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Metrics{answers: answers, refusals: refusals, cuts: cuts, duration: duration}, nil
+	return &Metrics{answers: answers, refusals: refusals, cuts: cuts, duration: duration, Recent: NewRecent()}, nil
 }
 
 // record counts an ended exchange.
@@ -41,18 +44,24 @@
 	ctx := context.Background()
 	team := attribute.String("team", x.Team)
 	m.duration.Record(ctx, time.Since(x.Arrived).Seconds(), metric.WithAttributes(team))
+	key := recentKey{team: x.Team}
+	if x.Route != nil {
+		key.route = x.Route.Name
+	}
 	if err == nil {
-		m.answers.Add(ctx, 1, metric.WithAttributes(team, attribute.String("route", x.Route.Name)))
+		m.Recent.add(time.Now(), key)
+		m.answers.Add(ctx, 1, metric.WithAttributes(team, attribute.String("route", key.route)))
 		return
 	}
-	reason := ReasonInternal
+	key.reason = ReasonInternal
 	outcome := x.Verdict
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
-		reason = refusal.Reason
+		key.reason = refusal.Reason
 		outcome = refusal.Verdict
 	}
-	attrs := metric.WithAttributes(team, attribute.String("reason", string(reason)), attribute.String("verdict", outcome.String()))
+	m.Recent.add(time.Now(), key)
+	attrs := metric.WithAttributes(team, attribute.String("reason", string(key.reason)), attribute.String("verdict", outcome.String()))
 	if x.Writer.Written() && x.Writer.Header().Get(HeaderReason) == "" {
 		m.cuts.Add(ctx, 1, attrs)
 		return
--- /dev/null
+++ b/front/caller/recent.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Recent outcomes are counted in slots of time; a window is as many slots.
+const (
+	recentSlot   = 10 * time.Second
+	recentSlots  = 7
+	recentShards = 16
+)
+
+// RecentWindow is the time over which Recent counts, at least.
+const RecentWindow = (recentSlots - 1) * recentSlot
+
+// Recent counts the outcomes of the last minute by team, route and reason, in
+// shards each under its own lock. It is bounded by what the document names.
+type Recent struct {
+	shards [recentShards]recentShard
+}
+
+type recentShard struct {
+	mu     sync.Mutex
+	counts map[recentKey]*recentCount
+}
+
+// recentKey names one kind of outcome; an empty reason is an answer.
+type recentKey struct {
+	team   string
+	route  string
+	reason Reason
+}
+
+// recentCount counts one kind of outcome by slot of time.
+type recentCount struct {
+	slots [recentSlots]uint64
+	// newest is the number of the newest slot, counted from the zero time.
+	newest int64
+	last   time.Time
+}
+
+// NewRecent returns a counter without outcomes.
+func NewRecent() *Recent {
+	r := &Recent{}
+	for i := range r.shards {
+		r.shards[i].counts = make(map[recentKey]*recentCount)
+	}
+	return r
+}
+
+// slotOf returns the number of the slot that t is in.
+func slotOf(t time.Time) int64 { return t.UnixNano() / int64(recentSlot) }
+
+// add counts one outcome at now.
+func (r *Recent) add(now time.Time, key recentKey) {
+	s := &r.shards[xxhash.Sum64String(key.team)%recentShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.counts[key]
+	if !ok {
+		c = &recentCount{newest: slotOf(now)}
+		s.counts[key] = c
+	}
+	c.advance(slotOf(now))
+	c.slots[c.newest%recentSlots]++
+	c.last = now
+}
+
+// advance empties the slots that have come round since the newest one.
+func (c *recentCount) advance(slot int64) {
+	for steps := 0; c.newest < slot && steps < recentSlots; steps++ {
+		c.newest++
+		c.slots[c.newest%recentSlots] = 0
+	}
+	c.newest = max(c.newest, slot)
+}
+
+// sum returns the count of the window that ends at slot.
+func (c *recentCount) sum(slot int64) uint64 {
+	c.advance(slot)
+	var n uint64
+	for _, count := range c.slots {
+		n += count
+	}
+	return n
+}
+
+// RecentOutcome is the count of one kind of outcome.
+type RecentOutcome struct {
+	// Team is the team, empty for requests without a known key.
+	Team string `json:"team,omitempty"`
+	// Route is the route, empty for requests that matched none.
+	Route string `json:"route,omitempty"`
+	// Reason is the reason of a refusal, empty for an endpoint's answer.
+	Reason Reason `json:"reason,omitempty"`
+	// Count is the number in the window.
+	Count uint64 `json:"count"`
+	// Last is when the last one ended.
+	Last time.Time `json:"last"`
+}
+
+// Outcomes returns the outcomes of the window that ends at now, of one team or
+// route; empty names mean all. The most frequent come first.
+func (r *Recent) Outcomes(now time.Time, team, route string) []RecentOutcome {
+	var all []RecentOutcome
+	for i := range r.shards {
+		all = append(all, r.shards[i].outcomes(now, team, route)...)
+	}
+	slices.SortFunc(all, func(a, b RecentOutcome) int {
+		return cmp.Or(
+			cmp.Compare(b.Count, a.Count),
+			cmp.Compare(a.Team, b.Team),
+			cmp.Compare(a.Route, b.Route),
+			cmp.Compare(a.Reason, b.Reason),
+		)
+	})
+	return all
+}
+
+// outcomes returns a shard's outcomes and forgets those that have passed.
+func (s *recentShard) outcomes(now time.Time, team, route string) []RecentOutcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []RecentOutcome
+	for key, c := range s.counts {
+		n := c.sum(slotOf(now))
+		if n == 0 {
+			delete(s.counts, key)
+			continue
+		}
+		if team != "" && key.team != team || route != "" && key.route != route {
+			continue
+		}
+		found = append(found, RecentOutcome{Team: key.team, Route: key.route, Reason: key.reason, Count: n, Last: c.last})
+	}
+	return found
+}
