Add front/platform/shifts; harden the judging of shifts

Faults found in the first judging, and their cure: - Bresenham's rule fell into step with alternating routes: a share of 25% sent only one of two routes, and the stage waited for outcomes of the other until the deadline. Each request's cost now has a jitter under an eighth; the caps' bounds stay exact. Without it: '2 routes, share 25%: route 0 got 0 of 200'. - Three local drifts of 5 nats were strikes for ever; by Page's bound several false ones an hour on each route. Drifts are now of the fleet, of 7.5 nats against an upper bound of the old rate, and strikes count for 10 minutes. Outcomes are compared only with those sent under the same share.

Mutations, each restored: spans mixed -> '38 of 40 good versions finished'; strikes never count -> '960 requests met the fault'; the store ignores versions -> 'the frozen holder's write ended with <nil>'; records not read -> 'a new instance knows the reason {}'; no deadline -> 'the record ends running'; no reports -> the last stage is never confirmed, taken back at the deadline; every renewal a step -> events repeat; renewal at every look -> '94 writes in 60 s'.

--- /dev/null
+++ b/front/platform/shifts/convert.go
@@ -0,0 +1,56 @@
+package shifts
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// drainPrefix begins the names of drains' records. The names of shifts can not
+// contain its colon.
+const drainPrefix = "drain:"
+
+// shiftConfig returns the description of a shift of the document.
+func shiftConfig(s *document.Shift, serving string, tuning shift.Tuning) shift.Config {
+	cfg := shift.Config{
+		Name:     s.Name,
+		Service:  s.Service,
+		From:     serving,
+		To:       s.To,
+		Start:    s.Start,
+		Deadline: s.Deadline,
+		Watch:    s.Watch.Std(),
+		Tuning:   tuning,
+	}
+	for _, stage := range s.Stages {
+		cfg.Stages = append(cfg.Stages, shift.Stage{Cap: shift.Share(stage.Cap), Hold: stage.Hold.Std()})
+	}
+	return cfg
+}
+
+// drainConfig returns the description of a drain of the document. A later drain
+// of the same region is another drain.
+func drainConfig(d *document.Drain, tuning shift.Tuning) shift.DrainConfig {
+	return shift.DrainConfig{
+		Name:     drainPrefix + d.Region + "@" + d.From.UTC().Format(time.RFC3339),
+		Region:   d.Region,
+		From:     d.From,
+		Deadline: d.Deadline,
+		Settle:   shift.DefaultSettle,
+		Fill:     shift.DefaultFill,
+		Tuning:   tuning,
+	}
+}
+
+// rowPrefix is the prefix of the keys of all records.
+func rowPrefix(environment string) string { return environment + "/shifts/" }
+
+// rowKey is the key of a record.
+func rowKey(environment, name string) string { return rowPrefix(environment) + name }
+
+// nameOf returns the name in a record's key.
+func nameOf(environment, key string) string {
+	return strings.TrimPrefix(key, rowPrefix(environment))
+}
--- /dev/null
+++ b/front/platform/shifts/event.go
@@ -0,0 +1,65 @@
+package shifts
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// Kind is the kind of movement that an event or a record is about.
+type Kind string
+
+const (
+	// KindShift is a shift of a service to another version.
+	KindShift Kind = "shift"
+	// KindDrain is a drain of a region.
+	KindDrain Kind = "drain"
+)
+
+// Event is one step of a movement, as kept in the platform's table.
+type Event struct {
+	// At is when the step was taken, by the writer's clock.
+	At time.Time `json:"at"`
+	// Kind says what moves.
+	Kind Kind `json:"kind"`
+	// Name names the shift or the drain.
+	Name string `json:"name"`
+	// Subject is the service or the region.
+	Subject string `json:"subject"`
+	// Record is the movement's record after the step.
+	Record shift.Record `json:"record"`
+}
+
+// eventPrefix is the prefix of the keys of all events.
+func eventPrefix(environment string) string { return environment + "/events/" }
+
+// eventKey orders events by time.
+func eventKey(environment string, e *Event) string {
+	return fmt.Sprintf("%s%020d-%s", eventPrefix(environment), e.At.UnixNano(), e.Name)
+}
+
+// writes returns the transaction of a proposal: the record and, for a step, its
+// event.
+func (m *Manager) writes(now time.Time, mv *movement, p shift.Proposal) ([]platform.Write, error) {
+	record, err := json.Marshal(p.Record)
+	if err != nil {
+		return nil, fmt.Errorf("encode record of %s: %w", mv.name, err)
+	}
+	all := []platform.Write{{
+		Key:      rowKey(m.settings.Environment, mv.name),
+		Expected: p.Expected,
+		Value:    record,
+	}}
+	if !p.Step {
+		return all, nil
+	}
+	event := &Event{At: now.UTC(), Kind: mv.kind, Name: mv.name, Subject: mv.subject, Record: p.Record}
+	content, err := json.Marshal(event)
+	if err != nil {
+		return nil, fmt.Errorf("encode event of %s: %w", mv.name, err)
+	}
+	return append(all, platform.Write{Key: eventKey(m.settings.Environment, event), Value: content}), nil
+}
--- /dev/null
+++ b/front/platform/shifts/exchange.go
@@ -0,0 +1,98 @@
+package shifts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// methodReport is the method that takes another instance's report.
+const methodReport = "shifts.report"
+
+// maxReports is the number of reports on their way at the same time.
+const maxReports = 32
+
+// DrainReport is what one instance knows of a drain.
+type DrainReport struct {
+	// Name names the drain.
+	Name string `json:"name"`
+	// Record is its outcome as the sender knows it.
+	Record shift.Record `json:"record"`
+}
+
+// Report is what one instance tells another about all movements.
+type Report struct {
+	// Instance is the sender.
+	Instance string `json:"instance"`
+	// Shifts holds the evidence on shifts.
+	Shifts []shift.Summary `json:"shifts"`
+	// Drains holds the outcomes of drains.
+	Drains []DrainReport `json:"drains"`
+}
+
+// Register makes the manager take the reports that reach server.
+func (m *Manager) Register(server *peer.Server) { server.Handle(methodReport, m.receive) }
+
+// receive takes another instance's report.
+func (m *Manager) receive(_ context.Context, params json.RawMessage) (any, error) {
+	var r Report
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, fmt.Errorf("decode report: %w", err)
+	}
+	now := time.Now()
+	movements := m.set.Load().movements
+	for _, summary := range r.Shifts {
+		if mv := movements[summary.Shift]; mv != nil && mv.shift != nil {
+			mv.shift.SeePeer(now, summary)
+		}
+	}
+	for _, d := range r.Drains {
+		if mv := movements[d.Name]; mv != nil && mv.drain != nil {
+			mv.drain.SeePeer(now, r.Instance, d.Record)
+		}
+	}
+	return struct{}{}, nil
+}
+
+// own returns this instance's report; false when there is nothing to tell.
+func (m *Manager) own() (Report, bool) {
+	r := Report{Instance: m.settings.Instance}
+	movements := m.set.Load().movements
+	for _, mv := range movements {
+		if mv.shift != nil {
+			r.Shifts = append(r.Shifts, mv.shift.Summary(time.Now()))
+			continue
+		}
+		r.Drains = append(r.Drains, DrainReport{Name: mv.name, Record: mv.drain.View()})
+	}
+	return r, len(movements) > 0
+}
+
+// report tells all other instances. A report that does not arrive is made good
+// by the next one.
+func (m *Manager) report(ctx context.Context) {
+	r, any := m.own()
+	if !any {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(maxReports)
+	for _, p := range m.directory.Peers() {
+		group.Go(func() error {
+			if err := m.peers.Call(ctx, p.Addr, methodReport, r, nil); err != nil {
+				m.metrics.unreported(ctx)
+				m.log.WithError(err).WithField("peer", p.Name).Debug("report did not arrive")
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
--- /dev/null
+++ b/front/platform/shifts/fleet_test.go
@@ -0,0 +1,275 @@
+package shifts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+const testDocument = `environment: kano-trial
+teams:
+  - {name: ward-01, rate: 40/s, burst: 120, keys: [{id: ward-01-a, digest: "sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"}]}
+regions:
+  - {name: kano, failureDomains: [kano-a, kano-b]}
+  - {name: kaduna, failureDomains: [kaduna-a, kaduna-b]}
+services:
+  - name: tracker
+    versions:
+      - {name: v1, endpoints: [{address: "127.0.0.1:9001", failureDomain: kano-a, slots: 3}, {address: "127.0.0.1:9003", failureDomain: kaduna-a, slots: 3}]}
+      - {name: v2, endpoints: [{address: "127.0.0.1:9002", failureDomain: kano-a, slots: 3}]}
+    serving: v1
+routes:
+  - {name: read, path: /read/, methods: [GET], service: tracker, idempotent: true}
+  - {name: book, path: /book/, methods: [POST], service: tracker}
+shifts:
+  - name: tracker-v2
+    service: tracker
+    to: v2
+    start: 2000-01-01T00:00:05Z
+    deadline: 2000-01-01T00:03:00Z
+    stages: [{cap: 5%, hold: 15s}, {cap: 25%, hold: 15s}, {cap: 100%, hold: 5s}]
+    watch: 30s
+drains:
+  - {region: kaduna, from: 2000-01-01T00:00:05Z, deadline: 2000-01-01T00:05:00Z}
+`
+
+// fixedSource gives one document.
+type fixedSource struct{ snapshot configuration.Snapshot }
+
+func (f *fixedSource) Current() *configuration.Snapshot { return &f.snapshot }
+
+// gate is one instance's way to the table, which can freeze.
+type gate struct {
+	platform.Table
+	mu     sync.Mutex
+	frozen chan struct{}
+	held   error // of the last commit that was held up
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.frozen = make(chan struct{})
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.frozen)
+	g.frozen = nil
+}
+
+// Commit waits while the instance is frozen; then the write goes on its way.
+func (g *gate) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	g.mu.Lock()
+	frozen := g.frozen
+	g.mu.Unlock()
+	if frozen == nil {
+		return g.Table.Commit(ctx, writes)
+	}
+	<-frozen
+	versions, err := g.Table.Commit(context.Background(), writes)
+	g.mu.Lock()
+	g.held = err
+	g.mu.Unlock()
+	return versions, err
+}
+
+// room is a fixed headroom.
+type room struct{}
+
+func (room) Room(string) shift.Room {
+	return shift.Room{Demand: 10, Spare: 100, LinkDemand: 1, LinkSpare: 100, Measured: time.Now()}
+}
+
+// instance is one manager with its traffic.
+type instance struct {
+	*Manager
+	gate   *gate
+	fleet  *fleet
+	name   string
+	cancel context.CancelFunc
+	cut    bool
+	fresh  uint64 // requests given to the new version
+}
+
+// fleet is a number of instances over one store.
+type fleet struct {
+	store     *standin.Store
+	index     *document.Index
+	began     time.Time
+	instances []*instance
+	born      int
+	// failsFrom is when the new version begins to fail; zero: never.
+	failsFrom time.Duration
+	wait      sync.WaitGroup
+}
+
+func newFleet(t *testing.T, instances int) *fleet {
+	t.Helper()
+	doc, err := document.Decode("test.yaml", []byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{store: standin.NewStore(), index: document.Compile(doc), began: time.Now()}
+	for range instances {
+		f.start(t)
+	}
+	return f
+}
+
+// start adds an instance that knows nothing.
+func (f *fleet) start(t *testing.T) *instance {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	meters, err := NewMeters(noop.NewMeterProvider().Meter("test"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.born++
+	i := &instance{name: fmt.Sprintf("i%d", f.born), fleet: f, gate: &gate{Table: f.store}}
+	source := &fixedSource{configuration.Snapshot{Index: f.index}}
+	i.Manager = NewManager(Settings{Environment: "kano-trial", Instance: i.name, Tuning: shift.DefaultTuning()}, Dependencies{
+		Table: i.gate, Source: source, Peers: i, Directory: i, Headroom: room{}, Log: log, Meters: meters,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	i.cancel = cancel
+	f.instances = append(f.instances, i)
+	f.wait.Go(func() { _ = i.Run(ctx) })
+	f.wait.Go(func() { i.traffic(ctx) })
+	return i
+}
+
+// stop ends an instance for good.
+func (f *fleet) stop(i *instance) {
+	i.cancel()
+	var rest []*instance
+	for _, other := range f.instances {
+		if other != i {
+			rest = append(rest, other)
+		}
+	}
+	f.instances = rest
+}
+
+// stopAll ends the fleet.
+func (f *fleet) stopAll() {
+	for _, i := range f.instances {
+		i.cancel()
+	}
+	f.wait.Wait()
+}
+
+// Peers implements configuration.Directory.
+func (i *instance) Peers() []configuration.Peer {
+	var all []configuration.Peer
+	for _, other := range i.fleet.instances {
+		if other != i {
+			all = append(all, configuration.Peer{Name: other.name, Addr: other.name})
+		}
+	}
+	return all
+}
+
+var errCut = errors.New("cut off")
+
+// Call implements peer.Caller.
+func (i *instance) Call(ctx context.Context, addr, _ string, params, _ any) error {
+	content, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	for _, other := range i.fleet.instances {
+		if other.name == addr && !other.cut && !i.cut {
+			_, err = other.receive(ctx, content)
+			return err
+		}
+	}
+	return errCut
+}
+
+// traffic sends requests through the instance.
+func (i *instance) traffic(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(20 * time.Millisecond)
+		o := Outcome{Service: "tracker", Route: "read", FailureDomain: "kano-a", Latency: 20 * time.Millisecond}
+		if n%2 == 0 {
+			o.Route = "book"
+		}
+		o.Version = i.Choose(i.fleet.index, "tracker", time.Now())
+		if o.Version == "v2" {
+			i.fresh++
+			bad := i.fleet.failsFrom > 0 && time.Since(i.fleet.began) > i.fleet.failsFrom
+			o.Failed = bad && o.Route == "book" && i.fresh%3 == 0
+		}
+		i.Record(o)
+	}
+}
+
+// record returns the table's record of the shift.
+func (f *fleet) record(t *testing.T) shift.Record {
+	t.Helper()
+	faults := f.store.Faults()
+	f.store.SetFaults(standin.Faults{})
+	defer f.store.SetFaults(faults)
+	row, err := f.store.Get(t.Context(), rowKey("kano-trial", "tracker-v2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := decodeRecord(row)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// events returns the shift's steps as recorded.
+func (f *fleet) events(t *testing.T, kind Kind) []string {
+	t.Helper()
+	rows, err := f.store.Scan(t.Context(), eventPrefix("kano-trial"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var steps []string
+	for _, row := range rows {
+		var e Event
+		if err := json.Unmarshal(row.Value, &e); err != nil {
+			t.Fatal(err)
+		}
+		if e.Kind == kind {
+			steps = append(steps, fmt.Sprintf("%s %d", e.Record.Phase, e.Record.Stage))
+		}
+	}
+	return steps
+}
+
+// bubble runs a test of a fleet in virtual time.
+func bubble(t *testing.T, instances int, f func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, instances)
+		defer fl.stopAll()
+		f(t, fl)
+	})
+}
+
+// sleep lets virtual time pass and waits until all is quiet.
+func sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
--- /dev/null
+++ b/front/platform/shifts/manager.go
@@ -0,0 +1,157 @@
+package shifts
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+const (
+	// tickPeriod is the time between two looks at the outcomes.
+	tickPeriod = 250 * time.Millisecond
+	// readPeriod is the time between two reads of the records.
+	readPeriod = time.Second
+	// exchangePeriod is the time between two reports to the other instances.
+	exchangePeriod = time.Second
+	// callTimeout bounds one call to the table.
+	callTimeout = 2 * time.Second
+	// reportTimeout bounds one report to another instance.
+	reportTimeout = 800 * time.Millisecond
+)
+
+// Settings are what a manager has to know.
+type Settings struct {
+	// Environment names the environment.
+	Environment string
+	// Instance is this instance's name, new for every process.
+	Instance string
+	// Tuning holds the settings of judging and timing.
+	Tuning shift.Tuning
+}
+
+// Source gives the document in force. configuration.Watcher implements it.
+type Source interface {
+	// Current returns what is known now.
+	Current() *configuration.Snapshot
+}
+
+// Headroom says what room there is for the traffic of a region elsewhere.
+type Headroom interface {
+	// Room returns the room for the region's traffic, with the time at which
+	// it was measured; a zero Room when nothing is known.
+	Room(region string) shift.Room
+}
+
+// Manager carries the shifts and drains of the document in force. Choose, Record
+// and Leaves may be called by many goroutines.
+type Manager struct {
+	settings  Settings
+	table     platform.Table
+	source    Source
+	peers     peer.Caller
+	directory configuration.Directory
+	headroom  Headroom
+	log       logrus.FieldLogger
+	metrics   *metrics
+
+	set atomic.Pointer[set]
+	// urgent asks for a report and for a look at the table at once.
+	urgentReport, urgentLook chan struct{}
+}
+
+// Dependencies are what a manager works with.
+type Dependencies struct {
+	Table     platform.Table
+	Source    Source
+	Peers     peer.Caller
+	Directory configuration.Directory
+	// Headroom may be nil: then drains wait and are taken back.
+	Headroom Headroom
+	Log      logrus.FieldLogger
+	Meters   *Meters
+}
+
+// NewManager returns a manager that knows no document yet.
+func NewManager(s Settings, d Dependencies) *Manager {
+	m := &Manager{
+		settings:     s,
+		table:        d.Table,
+		source:       d.Source,
+		peers:        d.Peers,
+		directory:    d.Directory,
+		headroom:     d.Headroom,
+		log:          d.Log.WithField("prefix", "shifts"),
+		metrics:      d.Meters.metrics,
+		urgentReport: make(chan struct{}, 1),
+		urgentLook:   make(chan struct{}, 1),
+	}
+	m.set.Store(&set{})
+	return m
+}
+
+// Run carries the movements until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, tickPeriod, nil, m.tick) })
+	group.Go(func() error { return every(ctx, readPeriod, m.urgentLook, m.look) })
+	group.Go(func() error { return every(ctx, exchangePeriod, m.urgentReport, m.report) })
+	return group.Wait()
+}
+
+// every calls f at once, in each period and whenever urgent asks, until ctx
+// ends.
+func every(ctx context.Context, period time.Duration, urgent <-chan struct{}, f func(context.Context)) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-urgent:
+		}
+	}
+}
+
+// tick follows the document and judges the outcomes since the last tick.
+func (m *Manager) tick(context.Context) {
+	m.follow()
+	now := time.Now()
+	listed := m.listed()
+	for _, mv := range m.set.Load().movements {
+		mv.SetListed(listed)
+		if mv.drain != nil && m.headroom != nil {
+			mv.drain.SetRoom(m.headroom.Room(mv.subject))
+		}
+		if mv.tick(now) {
+			signal(m.urgentReport)
+			signal(m.urgentLook)
+		}
+	}
+}
+
+// listed returns the names of all live instances, this one included.
+func (m *Manager) listed() []string {
+	names := []string{m.settings.Instance}
+	for _, p := range m.directory.Peers() {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// signal asks on c, unless somebody has already.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/front/platform/shifts/path.go
@@ -0,0 +1,96 @@
+package shifts
+
+import (
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// Chooser says which version of a service gets a request. Manager implements
+// it.
+type Chooser interface {
+	// Choose returns the version for a request to the service that arrives
+	// at now, by the document behind index. It is called once for a request:
+	// retries go to the same version or to the one that serves.
+	Choose(index *document.Index, service string, now time.Time) string
+}
+
+// Outcome is the end of one request at an endpoint.
+type Outcome struct {
+	// Service and Version say what the endpoint runs.
+	Service, Version string
+	// Route names the request's route.
+	Route string
+	// FailureDomain is the endpoint's.
+	FailureDomain string
+	// Latency is the time from choosing the version to the outcome.
+	Latency time.Duration
+	// Failed says that the endpoint failed: it broke off, gave no answer in
+	// time, or answered with a server error. A request that the caller gave
+	// up, or that the endpoint shed, is no outcome.
+	Failed bool
+}
+
+// Recorder takes the outcomes of requests. Manager implements it.
+type Recorder interface {
+	// Record takes one outcome.
+	Record(o Outcome)
+}
+
+// Drainer says which requests leave a region. Manager implements it.
+type Drainer interface {
+	// Leaves reports whether the next request that would go to the region
+	// must go elsewhere. It is called once for such a request.
+	Leaves(region string) bool
+}
+
+var (
+	_ Chooser  = (*Manager)(nil)
+	_ Recorder = (*Manager)(nil)
+	_ Drainer  = (*Manager)(nil)
+)
+
+// Choose implements Chooser. The version is always one of the document's: a
+// shift that the document does not list, or lists differently, is not applied.
+func (m *Manager) Choose(index *document.Index, service string, now time.Time) string {
+	s := index.Service(service)
+	if s == nil {
+		return ""
+	}
+	c := m.set.Load().services[service]
+	listed := index.Shift(service)
+	if c == nil || listed == nil || listed.Name != c.Name() || listed.To != c.To() {
+		return s.Serving
+	}
+	if c.Choose(now) {
+		return listed.To
+	}
+	return s.Serving
+}
+
+// Record implements Recorder.
+func (m *Manager) Record(o Outcome) {
+	c := m.set.Load().services[o.Service]
+	if c == nil {
+		return
+	}
+	fresh := o.Version == c.To()
+	if !fresh && o.Version != c.From() {
+		return
+	}
+	c.Record(shift.Outcome{
+		Route:   o.Route,
+		Domain:  o.FailureDomain,
+		New:     fresh,
+		Failed:  o.Failed,
+		Sent:    time.Now().Add(-o.Latency),
+		Latency: o.Latency,
+	})
+}
+
+// Leaves implements Drainer.
+func (m *Manager) Leaves(region string) bool {
+	d := m.set.Load().regions[region]
+	return d != nil && d.Leaves()
+}
--- /dev/null
+++ b/front/platform/shifts/status.go
@@ -0,0 +1,46 @@
+package shifts
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// StatusPath is where the operators' listener serves the status.
+const StatusPath = "/shifts"
+
+// Status is the state of all movements as one instance sees them.
+type Status struct {
+	// Instance is the instance that answers.
+	Instance string `json:"instance"`
+	// Shifts and Drains are in the order of their names.
+	Shifts []shift.Status      `json:"shifts"`
+	Drains []shift.DrainStatus `json:"drains"`
+}
+
+// Status returns the state at now.
+func (m *Manager) Status(now time.Time) Status {
+	s := Status{Instance: m.settings.Instance}
+	for _, mv := range m.set.Load().movements {
+		if mv.shift != nil {
+			s.Shifts = append(s.Shifts, mv.shift.Status(now))
+			continue
+		}
+		s.Drains = append(s.Drains, mv.drain.Status(now))
+	}
+	slices.SortFunc(s.Shifts, func(a, b shift.Status) int { return strings.Compare(a.Shift, b.Shift) })
+	slices.SortFunc(s.Drains, func(a, b shift.DrainStatus) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+// ServeHTTP serves the status as JSON on the operators' listener.
+func (m *Manager) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(m.Status(time.Now())); err != nil {
+		m.log.WithError(err).Debug("status can't be sent")
+	}
+}
--- /dev/null
+++ b/front/platform/shifts/table.go
@@ -0,0 +1,125 @@
+package shifts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// look reads all records and tries the writes that are due.
+func (m *Manager) look(ctx context.Context) {
+	movements := m.set.Load().movements
+	if len(movements) == 0 {
+		return
+	}
+	rows, began, ok := m.read(ctx)
+	if !ok {
+		return
+	}
+	for _, mv := range movements {
+		row := rows[mv.name]
+		record, err := decodeRecord(row)
+		if err != nil {
+			m.log.WithError(err).WithField("movement", mv.name).Error("record can't be read")
+			continue
+		}
+		mv.SeeRow(began, record, row.Version)
+		m.advance(ctx, mv)
+	}
+}
+
+// read returns the rows of all records by name, and when the read began: the
+// rows were in force at some time after that.
+func (m *Manager) read(ctx context.Context) (map[string]platform.Row, time.Time, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	began := time.Now()
+	rows, err := m.table.Scan(ctx, rowPrefix(m.settings.Environment))
+	if err != nil {
+		m.metrics.unanswered(ctx, "scan")
+		m.log.WithError(err).Debug("records can't be read")
+		return nil, began, false
+	}
+	byName := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		byName[nameOf(m.settings.Environment, row.Key)] = row
+	}
+	return byName, began, true
+}
+
+// decodeRecord returns the record in a row; a missing row holds a pending one.
+func decodeRecord(row platform.Row) (shift.Record, error) {
+	var r shift.Record
+	if row.Version == 0 {
+		return r, nil
+	}
+	err := json.Unmarshal(row.Value, &r)
+	return r, err
+}
+
+// advance tries the write that is due for a movement, if any. A write whose
+// answer is lost is recognised by the next read.
+func (m *Manager) advance(ctx context.Context, mv *movement) {
+	now := time.Now()
+	p, due := mv.Propose(now)
+	if !due {
+		return
+	}
+	writes, err := m.writes(now, mv, p)
+	if err != nil {
+		m.log.WithError(err).Error("record can't be written")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	versions, err := m.table.Commit(ctx, writes)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		mv.SeeRow(now, p.Record, versions[0])
+		m.tell(ctx, mv, p)
+	case errors.As(err, &conflict):
+		m.metrics.conflict(ctx, mv.kind)
+		m.seeActual(now, mv, conflict.Actual)
+	default:
+		m.metrics.unanswered(ctx, "commit")
+		m.log.WithError(err).WithField("movement", mv.name).Warn("write of a record got no answer")
+	}
+}
+
+// seeActual takes the record that another instance wrote in the meantime.
+func (m *Manager) seeActual(now time.Time, mv *movement, actual platform.Row) {
+	if actual.Key != rowKey(m.settings.Environment, mv.name) {
+		return
+	}
+	if record, err := decodeRecord(actual); err == nil {
+		mv.SeeRow(now, record, actual.Version)
+	}
+}
+
+// tell counts and logs a step that was recorded, and passes it on at once.
+func (m *Manager) tell(ctx context.Context, mv *movement, p shift.Proposal) {
+	if !p.Step {
+		return
+	}
+	signal(m.urgentReport)
+	m.metrics.step(ctx, mv.kind, p.Record)
+	entry := m.log.WithFields(logrus.Fields{
+		"kind":     mv.kind,
+		"movement": mv.name,
+		"subject":  mv.subject,
+		"phase":    p.Record.Phase.String(),
+		"stage":    p.Record.Stage,
+	})
+	if p.Record.Phase == shift.TakenBack {
+		entry.WithField("reason", p.Record.Reason.Detail).Warn("movement taken back")
+		return
+	}
+	entry.Info("movement advanced")
+}
--- a/steer/shift/collector.go
+++ b/steer/shift/collector.go
@@ -27,6 +27,8 @@
 	New bool
 	// Failed says that the endpoint failed or gave no answer in time.
 	Failed bool
+	// Sent is when the request's version was chosen.
+	Sent time.Time
 	// Latency is the time from sending to the answer.
 	Latency time.Duration
 }
@@ -68,6 +70,8 @@
 type cellKey struct {
 	route, domain string
 	fresh         bool
+	// span counts the changes of the share before the requests were sent.
+	span uint64
 }
 
 // cell counts outcomes of one version on one route in one failure domain.
@@ -95,8 +99,8 @@
 
 // record counts one outcome. Latencies of failures are not counted: a failure
 // may be fast.
-func (c *collector) record(o *Outcome) {
-	key := cellKey{route: o.Route, domain: o.Domain, fresh: o.New}
+func (c *collector) record(o *Outcome, span uint64) {
+	key := cellKey{route: o.Route, domain: o.Domain, fresh: o.New, span: span}
 	shard := &c.shards[maphash.Comparable(c.seed, key)%collectorShards]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
@@ -147,5 +151,9 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(k.route, o.route), cmp.Compare(k.domain, o.domain))
+	return cmp.Or(
+		cmp.Compare(k.span, o.span),
+		cmp.Compare(k.route, o.route),
+		cmp.Compare(k.domain, o.domain),
+	)
 }
--- a/steer/shift/controller.go
+++ b/steer/shift/controller.go
@@ -16,6 +16,18 @@
 	// until is when the plan lapses: an instance that was paused must look
 	// again before it sends to the new version. Zero means never.
 	until time.Time
+	// span counts the changes of the share so far, the last at since.
+	span  uint64
+	since time.Time
+}
+
+// spanOf returns the span in which a request was sent. Requests from before the
+// last change are taken together.
+func (p *plan) spanOf(sent time.Time) uint64 {
+	if sent.Before(p.since) {
+		return p.span - 1
+	}
+	return p.span
 }
 
 // Controller carries one shift at one instance. Choose and Record may be called
@@ -23,6 +35,7 @@
 type Controller struct {
 	cfg       Config
 	began     time.Time
+	seed      uint64
 	epochs    epochs
 	collector *collector
 	plan      atomic.Pointer[plan]
@@ -35,6 +48,8 @@
 	sequence uint64
 	// peerTallies is the evidence of all peers; fleet judges it with the own.
 	peerTallies map[Scope]*Tally
+	peerDrifts  map[Scope]*float64
+	drifts      map[Scope]*drift
 	fleet       map[Scope]*detector
 	ordered     scopeOrder
 	progress    map[string]*Progress
@@ -58,22 +73,34 @@
 		cfg:         cfg,
 		follower:    newFollower(self, &cfg.Tuning),
 		began:       now,
+		seed:        seedOf(self, cfg.Name),
 		epochs:      newEpochs(cfg.Start, cfg.Deadline.Add(cfg.Watch)),
 		collector:   newCollector(),
 		judge:       newJudge(),
 		sources:     make(map[string]*source),
 		peerTallies: make(map[Scope]*Tally),
+		peerDrifts:  make(map[Scope]*float64),
+		drifts:      make(map[Scope]*drift),
 		fleet:       make(map[Scope]*detector),
 		progress:    make(map[string]*Progress),
 		lastNew:     now,
 	}
-	c.plan.Store(&plan{meter: NewMeter(0)})
+	c.plan.Store(&plan{meter: NewMeter(0, c.seed), span: 1, since: now})
 	return c, nil
 }
 
 // Config returns the shift's description.
 func (c *Controller) Config() Config { return c.cfg }
 
+// Name returns the shift's name.
+func (c *Controller) Name() string { return c.cfg.Name }
+
+// From returns the version that served before.
+func (c *Controller) From() string { return c.cfg.From }
+
+// To returns the new version.
+func (c *Controller) To() string { return c.cfg.To }
+
 // Choose reports whether a request that arrives now goes to the new version.
 // A request is dealt once: its retries go to the version chosen for it or to
 // the old one.
@@ -90,7 +117,7 @@
 }
 
 // Record takes the outcome of a request to either version.
-func (c *Controller) Record(o Outcome) { c.collector.record(&o) }
+func (c *Controller) Record(o Outcome) { c.collector.record(&o, c.plan.Load().spanOf(o.Sent)) }
 
 // SetListed tells which instances the platform lists as live, this one
 // included.
@@ -236,15 +263,17 @@
 func (c *Controller) steer(now time.Time) {
 	share := c.share(now)
 	present := c.plan.Load()
-	next := &plan{meter: present.meter}
+	next := &plan{meter: present.meter, span: present.span, since: present.since}
 	if present.meter.Share() != share {
-		next.meter = NewMeter(share)
+		next.meter = NewMeter(share, c.seed)
+		next.span++
+		next.since = now
 	}
 	if share > c.warmShare {
 		c.judge.warmUntil = now.Add(c.cfg.WarmUp)
 		c.warmShare = share
 	}
-	c.judge.watchDrifts(share > suspectShare && c.view.Phase != Done)
+	c.judge.drifting = share > suspectShare && c.view.Phase != Done
 	if c.view.Phase == Running || c.view.Phase == Watching {
 		next.until = now.Add(c.cfg.ContactLimit)
 	}
--- a/steer/shift/drain.go
+++ b/steer/shift/drain.go
@@ -67,7 +67,7 @@
 // NewDrain returns the drain of a region at the instance self.
 func NewDrain(cfg DrainConfig, self string) *Drain {
 	d := &Drain{cfg: cfg}
-	d.moved.Store(NewMeter(0))
+	d.moved.Store(NewMeter(0, seedOf(self, cfg.Name)))
 	d.follower = newFollower(self, &d.cfg.Tuning)
 	return d
 }
@@ -129,7 +129,7 @@
 // steer keeps the meter at the share that moves.
 func (d *Drain) steer() {
 	if share := d.movedShare(); d.moved.Load().Share() != share {
-		d.moved.Store(NewMeter(share))
+		d.moved.Store(NewMeter(share, seedOf(d.self, d.cfg.Name)))
 	}
 }
 
@@ -232,6 +232,13 @@
 	Waits []Wait `json:"waits"`
 }
 
+// View returns the outcome as this instance knows it.
+func (d *Drain) View() Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
 // Status returns the drain's state at now.
 func (d *Drain) Status(now time.Time) DrainStatus {
 	d.mu.Lock()
--- a/steer/shift/evidence.go
+++ b/steer/shift/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -38,7 +39,7 @@
 
 // scopes returns all scopes with evidence, here or at peers, in a fixed order.
 func (c *Controller) scopes() []Scope {
-	tallies := len(c.judge.tallies) + len(c.peerTallies)
+	tallies := len(c.judge.tallies) + len(c.peerTallies) + len(c.judge.drifts)
 	if tallies == c.ordered.tallies {
 		return c.ordered.scopes
 	}
@@ -49,6 +50,9 @@
 	for scope := range c.peerTallies {
 		all[scope] = true
 	}
+	for scope := range c.judge.drifts {
+		all[scope] = true
+	}
 	c.ordered = scopeOrder{tallies: tallies, scopes: sortedScopes(all)}
 	return c.ordered.scopes
 }
@@ -62,8 +66,8 @@
 	}
 	started := c.epochs.started(now)
 	scopes := c.scopes()
-	limit := c.threshold(len(scopes))
-	for _, scope := range scopes {
+	strongest, where := c.threshold(len(scopes)), -1
+	for i, scope := range scopes {
 		fleet := c.fleetTally(scope)
 		summed := entry(c.fleet, scope)
 		summed.advance(&fleet.Logs, started)
@@ -71,36 +75,97 @@
 		if tally := c.judge.tallies[scope]; tally != nil {
 			own.advance(&tally.Logs, started)
 		}
-		if max(own.log(), summed.log()) >= limit {
-			c.takeBack(now, scope.cause(), scope, describe(scope, fleet))
-			return
+		if found := max(own.log(), summed.log()); found >= strongest {
+			strongest, where = found, i
 		}
 	}
+	if where >= 0 {
+		scope := scopes[where]
+		c.takeBack(now, scope.cause(), scope, describe(scope, c.fleetTally(scope)))
+		return
+	}
+	c.checkDrift(now)
 	c.checkStrikes(now)
 }
 
+// fleetDrift returns the log likelihood ratio of a drift over the fleet.
+func (c *Controller) fleetDrift(scope Scope) float64 {
+	sum := 0.0
+	if own := c.judge.drifts[scope]; own != nil {
+		sum = *own
+	}
+	if peers := c.peerDrifts[scope]; peers != nil {
+		sum += *peers
+	}
+	return sum
+}
+
+// checkDrift begins a suspicion when the new version drifts, and ends one that
+// has run its course.
+func (c *Controller) checkDrift(now time.Time) {
+	suspicion := &c.judge.suspicion
+	strongest, where := 0.0, Scope{}
+	for _, scope := range c.scopes() {
+		d := entry(c.drifts, scope)
+		if !c.judge.drifting {
+			d.rest(c.fleetDrift(scope))
+			continue
+		}
+		d.advance(c.fleetDrift(scope))
+		if d.sum > strongest {
+			strongest, where = d.sum, scope
+		}
+	}
+	if strongest >= driftLimit && !suspicion.on {
+		tally := c.fleetTally(where)
+		suspicion.begin(now, where, &tally, entry(c.judge.baselines, where).counts)
+	}
+	if suspicion.on {
+		tally := c.fleetTally(suspicion.scope)
+		suspicion.review(now, &tally)
+	}
+}
+
 // checkStrikes takes the shift back if suspicions passed without proof too
-// often.
+// often over the fleet.
 func (c *Controller) checkStrikes(now time.Time) {
-	total := make(map[Scope]int)
-	for scope, n := range c.judge.suspicion.strikes {
-		total[scope] += n
+	all := make(map[Scope][]time.Time)
+	for scope := range c.judge.suspicion.strikes {
+		all[scope] = c.judge.suspicion.recent(now, scope)
 	}
 	for _, from := range c.sources {
 		for _, s := range from.summary.Strikes {
-			total[s.Scope] += s.Strikes
+			for _, at := range s.Times {
+				if now.Sub(at) < strikeTime {
+					all[s.Scope] = append(all[s.Scope], at)
+				}
+			}
 		}
 	}
-	for _, scope := range sortedScopes(total) {
-		if total[scope] < maxStrikes {
+	for _, scope := range sortedScopes(all) {
+		spells := countSpells(all[scope])
+		if spells < maxStrikes {
 			continue
 		}
-		detail := fmt.Sprintf("%s: worse in %d spells, only at a share above %s", scope, total[scope], suspectShare)
+		detail := fmt.Sprintf("%s: worse in %d spells, only at a share above %s", scope, spells, suspectShare)
 		c.takeBack(now, CauseLoad, scope, detail)
 		return
 	}
 }
 
+// countSpells counts strikes, of which those close together tell of one spell
+// that several instances saw.
+func countSpells(strikes []time.Time) int {
+	slices.SortFunc(strikes, time.Time.Compare)
+	spells := 0
+	for i, at := range strikes {
+		if i == 0 || at.Sub(strikes[i-1]) >= strikeGap {
+			spells++
+		}
+	}
+	return spells
+}
+
 // describe puts evidence into a sentence.
 func describe(scope Scope, t Tally) string {
 	return fmt.Sprintf("%s: new version %d of %d, old version %d of %d",
--- a/steer/shift/meter.go
+++ b/steer/shift/meter.go
@@ -1,24 +1,43 @@
 package shift
 
-import "sync/atomic"
+import (
+	"hash/fnv"
+	"sync/atomic"
+)
 
-// Meter deals out requests to the new version at an exact share.
+// jitterDivisor bounds the jitter of a request's cost to its eighth part.
+const jitterDivisor = 8
+
+// Meter deals out requests to the new version under an exact cap.
+//
+// Every request earns share; a request to the new version costs one and a jitter
+// below an eighth, and is sent once the cost is earned. Of the first n requests
+// at most share*n go to the new version, and of any run of m requests fewer than
+// share*m + 1: the run may begin just before a cost is earned. That one request
+// per instance can not be avoided, or else a share below 1/m would never send
+// any.
 //
-// Request number n goes to the new version when floor(share*n) rises there
-// (Bresenham's rule). Of the first n requests at most share*n go to the new
-// version, and of any run of m requests fewer than share*m + 1: the run may begin
-// just before a rise. That one request per instance can not be avoided without
-// splitting a request, or else a share below 1/m would never send any.
+// The jitter keeps the new version's requests from falling into step with a
+// pattern of the callers': without it, a share of a quarter would send only one
+// of two routes whose requests alternate. It leaves an eighth of the cap unused
+// at worst, and nothing of Whole.
 //
 // A Meter is lock-free and may be used by many goroutines.
 type Meter struct {
 	share Share
-	dealt atomic.Uint64
+	// owed is what is still to be earned, in parts per million of a request.
+	owed atomic.Int64
+	// draws is the state of the jitter's generator.
+	draws atomic.Uint64
 }
 
-// NewMeter returns a meter that has dealt nothing yet.
-func NewMeter(share Share) *Meter {
-	return &Meter{share: min(share, Whole)}
+// NewMeter returns a meter that has dealt nothing yet. The seed should differ
+// between instances.
+func NewMeter(share Share, seed uint64) *Meter {
+	m := &Meter{share: min(share, Whole)}
+	m.draws.Store(seed)
+	m.owed.Store(m.cost())
+	return m
 }
 
 // Share returns the share that the meter keeps to.
@@ -26,8 +45,44 @@
 
 // Next deals out one request and reports whether the new version gets it.
 func (m *Meter) Next() bool {
-	n := (m.dealt.Add(1) - 1) % uint64(Whole)
-	before := n * uint64(m.share) / uint64(Whole)
-	after := (n + 1) * uint64(m.share) / uint64(Whole)
-	return after > before
+	for {
+		owed := m.owed.Load()
+		left := owed - int64(m.share)
+		if left > 0 {
+			if m.owed.CompareAndSwap(owed, left) {
+				return false
+			}
+			continue
+		}
+		if m.owed.CompareAndSwap(owed, left+m.cost()) {
+			return true
+		}
+	}
+}
+
+// cost draws the cost of a request.
+func (m *Meter) cost() int64 {
+	if m.share == Whole {
+		return int64(Whole)
+	}
+	return int64(Whole) + int64(m.draw()%uint64(Whole/jitterDivisor))
+}
+
+// draw returns the next number of the generator SplitMix64 (Steele, Lea, Flood,
+// "Fast Splittable Pseudorandom Number Generators", 2014).
+func (m *Meter) draw() uint64 {
+	z := m.draws.Add(0x9e3779b97f4a7c15)
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// seedOf derives a meter's seed from names.
+func seedOf(names ...string) uint64 {
+	h := fnv.New64a()
+	for _, name := range names {
+		_, _ = h.Write([]byte(name))
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
 }
--- a/steer/shift/summary.go
+++ b/steer/shift/summary.go
@@ -12,12 +12,16 @@
 type ScopeTally struct {
 	Scope Scope `json:"scope"`
 	Tally Tally `json:"tally"`
+	// Drift is the logarithm of the likelihood ratio that the new version
+	// drifted from the old version's rate.
+	Drift float64 `json:"drift"`
 }
 
-// ScopeStrikes counts the suspicions in one scope that ended without proof.
+// ScopeStrikes holds the recent suspicions in one scope that ended without proof.
 type ScopeStrikes struct {
-	Scope   Scope `json:"scope"`
-	Strikes int   `json:"strikes"`
+	Scope Scope `json:"scope"`
+	// Times are their ends.
+	Times []time.Time `json:"times"`
 }
 
 // Progress counts the outcomes on one route since the present stage began.
@@ -58,19 +62,19 @@
 type source struct {
 	summary Summary
 	// logs are the evidence already added to the fleet's.
-	logs map[Scope]Tally
+	logs map[Scope]ScopeTally
 }
 
-// Summary returns the instance's own summary.
-func (c *Controller) Summary() Summary {
+// Summary returns the instance's own summary at now.
+func (c *Controller) Summary(now time.Time) Summary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sequence++
-	return c.summary()
+	return c.summary(now)
 }
 
 // summary builds the instance's own summary. c.mu is held.
-func (c *Controller) summary() Summary {
+func (c *Controller) summary(now time.Time) Summary {
 	s := Summary{
 		Shift:    c.cfg.Name,
 		Instance: c.self,
@@ -85,12 +89,12 @@
 		s.Progress = append(s.Progress, *c.progress[route])
 	}
 	for _, scope := range c.scopes() {
-		if tally := c.judge.tallies[scope]; tally != nil {
-			s.Scopes = append(s.Scopes, ScopeTally{Scope: scope, Tally: *tally})
+		if st, known := c.judge.evidence(scope); known {
+			s.Scopes = append(s.Scopes, st)
 		}
 	}
 	for _, scope := range sortedScopes(c.judge.suspicion.strikes) {
-		s.Strikes = append(s.Strikes, ScopeStrikes{Scope: scope, Strikes: c.judge.suspicion.strikes[scope]})
+		s.Strikes = append(s.Strikes, ScopeStrikes{Scope: scope, Times: c.judge.suspicion.recent(now, scope)})
 	}
 	return s
 }
@@ -105,7 +109,7 @@
 	defer c.mu.Unlock()
 	from := c.sources[s.Instance]
 	if from == nil || !from.summary.Began.Equal(s.Began) {
-		from = &source{logs: make(map[Scope]Tally)}
+		from = &source{logs: make(map[Scope]ScopeTally)}
 		c.sources[s.Instance] = from
 	}
 	if s.Sequence <= from.summary.Sequence {
@@ -124,15 +128,16 @@
 func (c *Controller) addPeerEvidence(from *source, st ScopeTally) {
 	known := from.logs[st.Scope]
 	gain := st.Tally
-	gain.New.N -= known.New.N
-	gain.New.Hits -= known.New.Hits
-	gain.Old.N -= known.Old.N
-	gain.Old.Hits -= known.Old.Hits
+	gain.New.N -= known.Tally.New.N
+	gain.New.Hits -= known.Tally.New.Hits
+	gain.Old.N -= known.Tally.Old.N
+	gain.Old.Hits -= known.Tally.Old.Hits
 	for i := range gain.Logs {
-		gain.Logs[i] -= known.Logs[i]
+		gain.Logs[i] -= known.Tally.Logs[i]
 	}
 	entry(c.peerTallies, st.Scope).Add(&gain)
-	from.logs[st.Scope] = st.Tally
+	*entry(c.peerDrifts, st.Scope) += st.Drift - known.Drift
+	from.logs[st.Scope] = st
 }
 
 // sortedScopes returns the keys of m in a fixed order.
