Add the explanation page and its command

Cause: an operator must learn from one instance why requests are refused and where they go. Change: front/operator/explain: a page on the operators' listener and the command cardamomctl explain ADDRESS. Partial: not yet on the listener; it waits for the endpoints' states.

--- /dev/null
+++ b/front/operator/explain/command.go
@@ -0,0 +1,125 @@
+package explain
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// maxAnswerBytes bounds the page, in bytes.
+const maxAnswerBytes = 8 << 20
+
+// FailedError is a page that an instance did not give.
+type FailedError struct {
+	// Status is the HTTP status line.
+	Status string
+	// Message is what the instance said.
+	Message string
+}
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("instance answered %s: %s", e.Status, e.Message)
+}
+
+// Command returns the command "explain", which asks an instance.
+func Command() *cobra.Command {
+	var team, route string
+	var asJSON bool
+	var timeout time.Duration
+	cmd := &cobra.Command{
+		Use:   "explain ADDRESS",
+		Short: "Say why requests are refused at an instance, and where they go",
+		Long: "Say why requests are refused at an instance, and where they go. ADDRESS is the\n" +
+			"instance's operator listener. docs/OPERATING.md says what to do for each reason.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), timeout)
+			defer cancel()
+			answer, err := ask(ctx, args[0], team, route)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(answer)
+			}
+			return answer.print(cmd.OutOrStdout())
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&team, "team", "", "explain a team's requests")
+	f.StringVar(&route, "route", "", "explain a route's requests")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	f.DurationVar(&timeout, "timeout", 5*time.Second, "how long to wait for the answer")
+	return cmd
+}
+
+// ask gets the page of one instance. Errors: *FailedError, or the network's.
+func ask(ctx context.Context, address, team, route string) (*Answer, error) {
+	query := url.Values{}
+	if team != "" {
+		query.Set("team", team)
+	}
+	if route != "" {
+		query.Set("route", route)
+	}
+	page := url.URL{Scheme: "http", Host: address, Path: Path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, page.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &FailedError{Status: resp.Status, Message: string(body)}
+	}
+	var answer Answer
+	err = json.Unmarshal(body, &answer)
+	return &answer, err
+}
+
+// print writes the answer for a person.
+func (a *Answer) print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "generation\t%d\n", a.Generation)
+	if a.Team != nil {
+		_, _ = fmt.Fprintf(t, "team\t%s: rate %s, burst %d, %d keys\n", a.Team.Name, a.Team.Rate, a.Team.Burst, a.Team.Keys)
+	}
+	if a.Route != nil {
+		a.Route.print(t)
+	}
+	_, _ = fmt.Fprintf(t, "\noutcomes of the last %d s\n", a.WindowSeconds)
+	for _, o := range a.Outcomes {
+		reason := string(o.Reason)
+		if reason == "" {
+			reason = "answered"
+		}
+		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\tlast %s\n", o.Count, reason, o.Team, o.Route, o.Last.Format(time.TimeOnly))
+	}
+	return t.Flush()
+}
+
+// print writes where a route's requests go.
+func (r *Route) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "route\t%s: service %s, version %s\n", r.Name, r.Service, r.Serving)
+	if r.Shift != "" {
+		_, _ = fmt.Fprintf(w, "shift\t%s\n", r.Shift)
+	}
+	for _, e := range r.Endpoints {
+		_, _ = fmt.Fprintf(w, "endpoint\t%s %s in %s: %d slots, %s\n", e.Address, e.Version, e.FailureDomain, e.Slots, e.State)
+	}
+}
--- /dev/null
+++ b/front/operator/explain/page.go
@@ -0,0 +1,155 @@
+// Package explain says why requests of a team or on a route are refused at an
+// instance and where they go.
+package explain
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// Path is the page on an instance's operator listener. Its query names a team
+// or a route.
+const Path = "/explain"
+
+// Answer is the body of the page.
+type Answer struct {
+	// Generation is the generation in force at the instance.
+	Generation uint64 `json:"generation"`
+	// WindowSeconds is the time that Outcomes covers, at least.
+	WindowSeconds int `json:"windowSeconds"`
+	// Team is set when the query names a team.
+	Team *Team `json:"team,omitempty"`
+	// Route is set when the query names a route.
+	Route *Route `json:"route,omitempty"`
+	// Outcomes are recent outcomes, the most frequent first.
+	Outcomes []caller.RecentOutcome `json:"outcomes"`
+}
+
+// Team is what the document says of a team.
+type Team struct {
+	// Name is the team's name.
+	Name string `json:"name"`
+	// Rate is its rate over all instances, with its unit.
+	Rate string `json:"rate"`
+	// Burst is its burst over all instances, in requests.
+	Burst int `json:"burst"`
+	// Keys is the number of keys in force.
+	Keys int `json:"keys"`
+}
+
+// Route is where a route's requests go.
+type Route struct {
+	// Name is the route's name.
+	Name string `json:"name"`
+	// Service is the service that answers.
+	Service string `json:"service"`
+	// Serving is the version that serves while no shift is on.
+	Serving string `json:"serving"`
+	// Shift names the shift on the service, if any.
+	Shift string `json:"shift,omitempty"`
+	// Endpoints are the endpoints of the service's versions.
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// Endpoint is one endpoint as the instance sees it.
+type Endpoint struct {
+	// Address is the endpoint's address.
+	Address string `json:"address"`
+	// Version is the version that it runs.
+	Version string `json:"version"`
+	// FailureDomain is where it runs.
+	FailureDomain string `json:"failureDomain"`
+	// Slots is the number of requests that it runs at once.
+	Slots int `json:"slots"`
+	// State is the instance's view of the endpoint.
+	State string `json:"state"`
+}
+
+// Health says how an instance sees an endpoint.
+type Health interface {
+	// EndpointState describes the endpoint at address in a few words.
+	EndpointState(now time.Time, address string) string
+}
+
+// Page answers explanations at one instance.
+type Page struct {
+	// Snapshots gives the document in force.
+	Snapshots configuration.Source
+	// Recent holds the latest outcomes.
+	Recent *caller.Recent
+	// Health tells the states of endpoints.
+	Health Health
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Page) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	snapshot := p.Snapshots.Current()
+	if !snapshot.Ready {
+		http.Error(w, "no document is in force here yet", http.StatusServiceUnavailable)
+		return
+	}
+	now := time.Now()
+	team, route := r.URL.Query().Get("team"), r.URL.Query().Get("route")
+	answer := Answer{
+		Generation:    snapshot.Head.Generation,
+		WindowSeconds: int(caller.RecentWindow.Seconds()),
+		Outcomes:      p.Recent.Outcomes(now, team, route),
+	}
+	if team != "" {
+		answer.Team = teamOf(snapshot.Index, team)
+	}
+	if route != "" {
+		answer.Route = p.routeOf(snapshot.Index, route, now)
+	}
+	if team != "" && answer.Team == nil || route != "" && answer.Route == nil {
+		http.Error(w, "the document in force has no such team or route", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// teamOf returns a team by its name, or nil.
+func teamOf(index *document.Index, name string) *Team {
+	team := index.TeamNamed(name)
+	if team == nil {
+		return nil
+	}
+	return &Team{Name: team.Name, Rate: team.Rate.String(), Burst: team.Burst, Keys: len(team.Keys)}
+}
+
+// routeOf returns a route by its name, or nil.
+func (p *Page) routeOf(index *document.Index, name string, now time.Time) *Route {
+	for _, r := range index.Document().Routes {
+		if r.Name == name {
+			return p.describe(index, r, now)
+		}
+	}
+	return nil
+}
+
+// describe says where a route's requests go.
+func (p *Page) describe(index *document.Index, r document.Route, now time.Time) *Route {
+	service := index.Service(r.Service)
+	route := &Route{Name: r.Name, Service: service.Name, Serving: service.Serving}
+	if shift := index.Shift(service.Name); shift != nil {
+		route.Shift = shift.Name
+	}
+	for _, version := range service.Versions {
+		for _, e := range version.Endpoints {
+			route.Endpoints = append(route.Endpoints, Endpoint{
+				Address:       e.Address,
+				Version:       version.Name,
+				FailureDomain: e.FailureDomain,
+				Slots:         e.Slots,
+				State:         p.Health.EndpointState(now, e.Address),
+			})
+		}
+	}
+	return route
+}
