Mend a false not-run after an unknown attempt

Cause: when a request's first send ended unknown and its second was refused before it was sent (no endpoint left), the refusal said not-run, although the first may have run. Only failures of endpoints were joined with the earlier verdict; now every failure is.

TestLaterRefusalKeepsTheVerdict, with the old order restored: "verdict may-have-run, error refused: no-endpoint (not-run), want may-have-run".

--- a/front/caller/retries.go
+++ b/front/caller/retries.go
@@ -91,14 +91,18 @@
 		if err == nil {
 			return nil
 		}
+		x.Verdict = x.Verdict.Worse(before)
 		var refusal *Refusal
-		var failure *endpoint.Error
-		if !errors.As(err, &refusal) || !errors.As(err, &failure) {
+		if !errors.As(err, &refusal) {
 			return err
 		}
 		refusal.Verdict = refusal.Verdict.Worse(before)
 		before = refusal.Verdict
 		x.Verdict = refusal.Verdict
+		var failure *endpoint.Error
+		if !errors.As(err, &failure) {
+			return err // not an endpoint's failure: another send helps nothing
+		}
 		if denial := s.decide(x, refusal, body, sent, budget); denial != retry.DenialNone {
 			s.denials.Add(context.Background(), 1, reasonAttribute(string(denial)))
 			return err
--- a/front/caller/retries_test.go
+++ b/front/caller/retries_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/urfave/negroni/v3"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/retry"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
@@ -69,6 +76,45 @@
 	}
 }
 
+// TestLaterRefusalKeepsTheVerdict lets the first send end unknown and the
+// second be refused before it is sent, or fail for a fault of this system: the
+// request may have run all the same.
+func TestLaterRefusalKeepsTheVerdict(t *testing.T) {
+	fault := errors.New("fault")
+	for _, second := range []error{refuse(http.StatusServiceUnavailable, ReasonNoEndpoint), fault} {
+		metrics, err := telemetry.NewMetrics()
+		if err != nil {
+			t.Fatal(err)
+		}
+		retries, err := NewRetries(retry.DefaultPolicy(), retry.BudgetSettings{Ratio: retry.DefaultRatio, Burst: 1}, metrics)
+		if err != nil {
+			t.Fatal(err)
+		}
+		results := []error{sendRefusal(&Exchange{}, &endpoint.Error{Reason: endpoint.ReasonSilent}), second}
+		next := HandlerFunc(func(x *Exchange) error {
+			result := results[0]
+			results = results[1:]
+			return result
+		})
+		index := bookingIndex(t)
+		x := &Exchange{
+			Request:  httptest.NewRequest("GET", "/put", nil),
+			Writer:   &answerRecorder{ResponseWriter: negroni.NewResponseWriter(httptest.NewRecorder()).(ResponseWriter)},
+			Route:    index.Route("GET", "/put"),
+			Deadline: time.Now().Add(time.Hour),
+			Verdict:  verdict.NotRun,
+		}
+		err = retries.Wrap(next).ServeExchange(x)
+		if len(results) != 0 || !errors.Is(err, second) {
+			t.Fatalf("ServeExchange = %v with %d results left, want %v", err, len(results), second)
+		}
+		var refusal *Refusal
+		if x.Verdict != verdict.MayHaveRun || errors.As(err, &refusal) && refusal.Verdict != verdict.MayHaveRun {
+			t.Errorf("verdict %v, error %v, want may-have-run", x.Verdict, err)
+		}
+	}
+}
+
 // TestRetriesAreBounded fails every send of many requests: the sends stay
 // within the budget.
 func TestRetriesAreBounded(t *testing.T) {
