--- a/front/platform/attempts/epochs.go
+++ b/front/platform/attempts/epochs.go
@@ -74,26 +74,40 @@
 	epoch := uint64(0)
 	if row.Version > 0 {
 		if epoch, err = decodeEpoch(row.Value); err != nil {
-			r.log.WithError(err).Error("epoch can't be read")
+			r.log.WithError(err).Error("Epoch can't be read.")
 			return
 		}
 	}
-	wasSilent := r.silence.silent()
-	r.silence.heard(time.Now())
-	if wasSilent {
-		r.log.Info("store answers again")
-		r.wake()
+	if r.silence.silent() {
+		r.endSilence()
 	}
 	if row.Version > 0 && !r.epochs.observe(epoch, started) {
 		return
 	}
 	if err := r.moveEpoch(ctx, row.Version, epoch+1); err != nil {
-		r.log.WithError(err).Debug("epoch not moved on")
+		r.log.WithError(err).Debug("Epoch not moved on.")
 		return
 	}
 	r.epochs.observe(epoch+1, started)
 }
 
+// endSilence ends the silence after an answered read. Where outcomes wait, the
+// store must take some of them first: it may answer reads and no writes.
+func (r *Recorder) endSilence() {
+	r.mu.Lock()
+	outcomes := r.group.NextOutcomes()
+	r.mu.Unlock()
+	if outcomes == nil {
+		r.silence.heard(time.Now())
+	} else {
+		r.carryOut(outcomes)
+	}
+	if !r.silence.silent() {
+		r.log.Info("Store answers again.")
+		r.wake()
+	}
+}
+
 // moveEpoch writes the next epoch. Another instance may have been faster, and
 // an answer may be lost; the next read tells.
 func (r *Recorder) moveEpoch(ctx context.Context, version, epoch uint64) error {
