Run slot brokers between instances, with succession through the table

Cause: the decisions of steer/slots need their messages, rows and rights.

Change: front/broker asks the group's broker over the peers' protocol or is that broker while its member lease lasts; a row for each group names the broker, and its version is the epoch. A leaving broker hands over; an evicted one is succeeded after the other instances have reported. A broker notes its own grants with another instance before it uses them.

Found on the way: an instance may hold grants of the broker before it, which are noted nowhere, so a former broker is excused only after it has reigned for longer than the longest grant; an ended request whose endpoint may still be busy stays in its holder's reports.

Mutation: without the wait for reports TestSuccessorCountsHeldSlots fails.

--- /dev/null
+++ b/front/broker/acquire.go
@@ -0,0 +1,251 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+)
+
+// unavailableWait is when a caller may come back while a group has no broker.
+const unavailableWait = time.Second
+
+// Request is a request for a slot.
+type Request struct {
+	// Group names the slots.
+	Group slots.Group
+	// Team is the team that the request runs for.
+	Team string
+	// Deadline is when the request must have ended.
+	Deadline time.Time
+	// MaxWait bounds the expected wait; 0 means that only Deadline does.
+	MaxWait time.Duration
+	// Avoid lists addresses that an earlier attempt failed at.
+	Avoid []string
+}
+
+// Slot is a slot in use. It must be released once.
+type Slot struct {
+	// Address is the endpoint's.
+	Address string
+	// Until is when the request must have ended, whatever its deadline.
+	Until time.Time
+
+	service *Service
+	id      slots.ID
+	group   slots.Group
+	broker  string // peer address of the broker, "" for this instance
+	deputy  string // peer address of the instance that noted the grant, or ""
+}
+
+// Acquire returns a slot as soon as one is granted. Errors:
+// *admission.Refusal, *UnavailableError, or the context's; the request has
+// certainly not run.
+func (s *Service) Acquire(ctx context.Context, r Request) (*Slot, error) {
+	asked := time.Now()
+	row, address, err := s.broker(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	id := s.begin(r)
+	a := slots.Ask{
+		ID: id, Group: r.Group, Team: r.Team, Remaining: r.Deadline.Sub(asked), MaxWait: r.MaxWait, Avoid: r.Avoid,
+	}
+	own := row.Holder == s.fleet.Name()
+	slot := &Slot{service: s, id: id, group: r.Group}
+	var result askResult
+	if own {
+		result = s.askHere(ctx, a)
+	} else {
+		slot.broker = address
+		if err := s.peers.Call(ctx, address, methodAsk, a, &result); err != nil {
+			slot.abandon()
+			return nil, callError(ctx, r.Group, err)
+		}
+	}
+	if result.Grant == nil {
+		s.end(id)
+		return nil, refusalError(ctx, r.Group, result.Refusal)
+	}
+	return s.use(ctx, slot, result, asked)
+}
+
+// broker returns a group's broker.
+func (s *Service) broker(g slots.Group) (row struct{ Holder string }, address string, err error) {
+	o := s.owners.Load()
+	found, ok := o.rows[g]
+	address, listed := o.addresses[found.Holder]
+	if !ok || !listed {
+		return row, "", &UnavailableError{Group: g, Reason: reasonNoBroker, Wait: unavailableWait}
+	}
+	row.Holder = found.Holder
+	return row, address, nil
+}
+
+// callError says why a broker could not be asked.
+func callError(ctx context.Context, g slots.Group, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return &UnavailableError{Group: g, Reason: reasonNoBroker, Wait: unavailableWait, Err: err}
+}
+
+// refusalError turns a broker's refusal into an error.
+func refusalError(ctx context.Context, g slots.Group, r *askRefusal) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if r == nil {
+		return &UnavailableError{Group: g, Reason: reasonNoBroker, Wait: unavailableWait}
+	}
+	return r.errorOf(g)
+}
+
+// use takes a grant into use. A grant of this instance's own broker is noted
+// with another instance first, so that a successor can learn of it.
+func (s *Service) use(ctx context.Context, slot *Slot, result askResult, asked time.Time) (*Slot, error) {
+	slot.Address = result.Grant.Address
+	slot.Until = asked.Add(result.Bound)
+	if slot.broker == "" {
+		if err := s.note(ctx, slot, *result.Grant); err != nil {
+			slot.abandon()
+			return nil, err
+		}
+	}
+	s.holderMu.Lock()
+	accepted := time.Now().Before(slot.Until) && s.holder.Accept(*result.Grant, time.Now())
+	s.holderMu.Unlock()
+	if !accepted {
+		slot.abandon()
+		return nil, &UnavailableError{Group: slot.group, Reason: reasonEnded, Wait: unavailableWait}
+	}
+	return slot, nil
+}
+
+// note has another instance note a grant. An instance that knows no other has
+// nobody who could succeed it before its grants have lapsed.
+func (s *Service) note(ctx context.Context, slot *Slot, g slots.Grant) error {
+	var last error
+	for _, m := range s.fleet.Members() {
+		if m.Name == s.fleet.Name() {
+			continue
+		}
+		params := noteParams{Grant: g, Remaining: time.Until(slot.Until)}
+		noteCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		last = s.peers.Call(noteCtx, m.PeerAddress, methodNote, params, nil)
+		cancel()
+		if last == nil {
+			slot.deputy = m.PeerAddress
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	if last != nil {
+		return &UnavailableError{Group: slot.group, Reason: reasonNoBroker, Wait: unavailableWait, Err: last}
+	}
+	return nil
+}
+
+func (s *Service) begin(r Request) slots.ID {
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	s.holder.SetInstance(s.fleet.Name())
+	return s.holder.Begin(r.Group, r.Deadline)
+}
+
+func (s *Service) end(id slots.ID) {
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	s.holder.End(id)
+}
+
+func (s *Service) settle(id slots.ID, until time.Time) {
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	s.holder.Settle(id, until)
+}
+
+// Ending says how a request that had a slot ended.
+type Ending struct {
+	// Answered says that the endpoint's whole answer came.
+	Answered bool
+	// Settle is how long the endpoint may still be busy with the request.
+	Settle time.Duration
+	// Lost says that nothing tells the endpoint to stop: the slot stays in use
+	// until its bound.
+	Lost bool
+}
+
+// Release gives the slot back after the request has ended.
+func (s *Slot) Release(e Ending) {
+	switch {
+	case e.Lost:
+		s.service.settle(s.id, s.Until)
+		return
+	case e.Settle > 0:
+		s.service.settle(s.id, time.Now().Add(e.Settle))
+	default:
+		s.service.end(s.id)
+		if s.deputy != "" {
+			s.service.send(s.deputy, methodEndNote, endNoteParams{ID: s.id})
+		}
+	}
+	s.giveBack(releaseParams{
+		Release: slots.Release{ID: s.id, Group: s.group, Settle: e.Settle},
+		Address: s.Address, Answered: e.Answered,
+	})
+}
+
+// abandon gives back a slot that was never used, or a request for one.
+func (s *Slot) abandon() { s.Release(Ending{}) }
+
+// giveBack tells the broker.
+func (s *Slot) giveBack(r releaseParams) {
+	if s.broker != "" {
+		s.service.send(s.broker, methodRelease, r)
+		return
+	}
+	if l := s.service.lead(s.group); l != nil {
+		l.release(r)
+	}
+}
+
+// Observe implements endpoint.Observer: it tells the endpoint's broker of what
+// speaks against an endpoint, and of what clears it.
+func (s *Service) Observe(address string, o health.Outcome, _ time.Duration) {
+	switch o {
+	case health.OutcomeAnswered, health.OutcomeFailed, health.OutcomeShed:
+		return // told when the slot is released
+	case health.OutcomeSilentConnection, health.OutcomeTimedOut, health.OutcomeUnreachable,
+		health.OutcomeBroken, health.OutcomeProbed:
+	}
+	index := s.document()
+	if index == nil {
+		return
+	}
+	for g, endpoints := range groupsOf(index) {
+		for _, e := range endpoints {
+			if e.Address == address {
+				s.tell(g, address, o)
+			}
+		}
+	}
+}
+
+// tell carries an outcome to a group's broker.
+func (s *Service) tell(g slots.Group, address string, o health.Outcome) {
+	row, brokerAddress, err := s.broker(g)
+	if err != nil {
+		return
+	}
+	if row.Holder == s.fleet.Name() {
+		if l := s.lead(g); l != nil {
+			l.observe(address, o)
+		}
+		return
+	}
+	s.send(brokerAddress, methodObserve, observeParams{Group: g, Address: address, Outcome: o})
+}
--- /dev/null
+++ b/front/broker/messages.go
@@ -0,0 +1,130 @@
+package broker
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/admission"
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+)
+
+// Methods between instances.
+const (
+	methodAsk     = "slots.ask"
+	methodRelease = "slots.release"
+	methodReport  = "slots.report"
+	methodNote    = "slots.note"
+	methodEndNote = "slots.endNote"
+	methodObserve = "slots.observe"
+)
+
+// askResult answers methodAsk with a grant or a refusal.
+type askResult struct {
+	Grant *slots.Grant `json:"grant,omitempty"`
+	// Bound is the time from the question until the request must have ended.
+	Bound   time.Duration `json:"bound,omitempty"`
+	Refusal *askRefusal   `json:"refusal,omitempty"`
+}
+
+// askRefusal is a refusal on its way to another instance.
+type askRefusal struct {
+	// Reason is admission's reason, or one of those below.
+	Reason string        `json:"reason"`
+	Wait   time.Duration `json:"wait"`
+}
+
+// Reasons of a broker beside those of package admission.
+const (
+	reasonRecovering = "slots-recovering"
+	reasonNoBroker   = "no-slot-broker"
+	reasonEnded      = "request-ended"
+)
+
+// releaseParams are the parameters of methodRelease.
+type releaseParams struct {
+	slots.Release
+	// Address is the endpoint's, or "" when there was no grant.
+	Address string `json:"address,omitempty"`
+	// Answered says that the endpoint answered.
+	Answered bool `json:"answered,omitempty"`
+}
+
+// reportParams are the parameters of methodReport.
+type reportParams struct {
+	Group slots.Group `json:"group"`
+	Epoch uint64      `json:"epoch"`
+}
+
+// noteParams are the parameters of methodNote.
+type noteParams struct {
+	Grant     slots.Grant   `json:"grant"`
+	Remaining time.Duration `json:"remaining"`
+}
+
+// endNoteParams are the parameters of methodEndNote.
+type endNoteParams struct {
+	ID slots.ID `json:"id"`
+}
+
+// observeParams are the parameters of methodObserve.
+type observeParams struct {
+	Group   slots.Group    `json:"group"`
+	Address string         `json:"address"`
+	Outcome health.Outcome `json:"outcome"`
+}
+
+// UnavailableError says that no broker can be asked for a group's slots, or
+// that it may not hand them out. The request did not run.
+type UnavailableError struct {
+	// Group names the slots.
+	Group slots.Group
+	// Reason is the machine-readable reason.
+	Reason string
+	// Wait is when coming back may help.
+	Wait time.Duration
+	// Err is the cause; it may be nil.
+	Err error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("slots of %s: %s", e.Group, e.Reason)
+	}
+	return fmt.Sprintf("slots of %s: %s: %v", e.Group, e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// refusalOf turns a broker's refusal into its form between instances.
+func refusalOf(err error) *askRefusal {
+	switch e := err.(type) { //nolint:errorlint // brokers return these unwrapped
+	case *admission.Refusal:
+		return &askRefusal{Reason: string(e.Reason), Wait: e.Wait}
+	case *slots.RecoveringError:
+		return &askRefusal{Reason: reasonRecovering, Wait: e.Wait}
+	default:
+		return &askRefusal{Reason: reasonEnded}
+	}
+}
+
+// errorOf turns a refusal from another instance into an error: an
+// *admission.Refusal or an *UnavailableError.
+func (r *askRefusal) errorOf(g slots.Group) error {
+	switch reason := admission.Reason(r.Reason); reason {
+	case admission.ReasonDeadline, admission.ReasonWait, admission.ReasonFull:
+		return &admission.Refusal{Reason: reason, Wait: r.Wait}
+	default:
+		return &UnavailableError{Group: g, Reason: r.Reason, Wait: r.Wait}
+	}
+}
+
+// decode reads a call's parameters.
+func decode[T any](params json.RawMessage) (T, error) {
+	var v T
+	err := json.Unmarshal(params, &v)
+	return v, err
+}
--- /dev/null
+++ b/front/broker/service.go
@@ -0,0 +1,174 @@
+// Package broker gives requests their slots: it asks the instance that hands
+// out a group's slots, or is that instance.
+//
+// The decisions are those of steer/slots. Which instance is a group's broker
+// stands in the platform's table; its right to be so lasts as long as its
+// member lease.
+package broker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+)
+
+const (
+	// scanEvery is the time between two reads of the rows.
+	scanEvery = time.Second
+	// scanTimeout bounds one read or write of the rows.
+	scanTimeout = 2 * time.Second
+	// tickEvery is the time between two looks at what has lapsed.
+	tickEvery = 20 * time.Millisecond
+	// reportEvery is the time between two questions for missing reports.
+	reportEvery = 100 * time.Millisecond
+	// callTimeout bounds a message whose answer nobody waits long for.
+	callTimeout = time.Second
+)
+
+// Fleet tells who the instances are and how long this instance's rights last.
+type Fleet interface {
+	// Name is this instance's unique name. It changes when the instance was
+	// evicted.
+	Name() string
+	// ValidUntil is the end of this instance's member lease, on its own clock.
+	// While it lies ahead, no other instance takes over what this one holds.
+	ValidUntil() time.Time
+	// Members lists the instances by name, this one included. An instance
+	// that was evicted is not listed.
+	Members() []membership.Member
+}
+
+// Rows keeps which instance is the broker of which group. brokers.Rows
+// implements it.
+type Rows interface {
+	// Scan reads all rows.
+	Scan(ctx context.Context) ([]brokers.Row, error)
+	// Claim writes a row if its version is still row.Epoch.
+	Claim(ctx context.Context, row brokers.Row) error
+}
+
+// Document gives the document in force, or nil before the first.
+type Document func() *document.Index
+
+// Service gives requests their slots. It is safe for concurrent use.
+type Service struct {
+	fleet    Fleet
+	rows     Rows
+	document Document
+	peers    peer.Caller
+	log      logrus.FieldLogger
+
+	holderMu sync.Mutex
+	holder   *slots.Holder
+
+	leadsMu sync.RWMutex
+	leads   map[slots.Group]*lead
+
+	owners  atomic.Pointer[ownership]
+	history history
+	leaving atomic.Bool
+
+	messages sync.WaitGroup
+}
+
+// ownership is which instance hands out which group's slots, as last read.
+type ownership struct {
+	rows      map[slots.Group]brokers.Row
+	addresses map[string]string // peer address by instance
+}
+
+// New returns a service that hands out nothing until Run.
+func New(f Fleet, r Rows, d Document, c peer.Caller, log logrus.FieldLogger) *Service {
+	s := &Service{
+		fleet: f, rows: r, document: d, peers: c,
+		log:    log.WithField("prefix", "broker"),
+		holder: slots.NewHolder(f.Name()),
+		leads:  make(map[slots.Group]*lead),
+	}
+	s.owners.Store(&ownership{})
+	return s
+}
+
+// Run keeps up which instance is the broker of which group, and does this
+// instance's part, until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.history.start(time.Now())
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var scanned, asked time.Time
+	for {
+		now := time.Now()
+		if now.Sub(scanned) >= scanEvery {
+			s.scan(ctx)
+			scanned = time.Now()
+		}
+		if now.Sub(asked) >= reportEvery {
+			s.askForReports()
+			asked = now
+		}
+		s.tick(now)
+		select {
+		case <-ctx.Done():
+			s.closeLeads()
+			s.messages.Wait()
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave makes the instance hand its groups to others at the next scans.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
+// tick lets the brokers look at what has lapsed.
+func (s *Service) tick(now time.Time) {
+	for _, l := range s.allLeads() {
+		l.work(l.broker.Tick)
+	}
+	s.holderMu.Lock()
+	defer s.holderMu.Unlock()
+	s.holder.Sweep(slots.DefaultGuard, now)
+}
+
+// lead returns the group's lead if this instance is its broker, or nil.
+func (s *Service) lead(g slots.Group) *lead {
+	s.leadsMu.RLock()
+	defer s.leadsMu.RUnlock()
+	return s.leads[g]
+}
+
+func (s *Service) allLeads() []*lead {
+	s.leadsMu.RLock()
+	defer s.leadsMu.RUnlock()
+	list := make([]*lead, 0, len(s.leads))
+	for _, l := range s.leads {
+		list = append(list, l)
+	}
+	return list
+}
+
+func (s *Service) closeLeads() {
+	for _, l := range s.allLeads() {
+		l.close()
+	}
+}
+
+// send carries a message whose answer is not needed.
+func (s *Service) send(address, method string, params any) {
+	s.messages.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := s.peers.Call(ctx, address, method, params, nil); err != nil {
+			s.log.WithError(err).Debug("Message lost.")
+		}
+	})
+}
--- /dev/null
+++ b/front/broker/service_test.go
@@ -0,0 +1,295 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+)
+
+const testDocument = `
+environment: test
+teams:
+  - {name: ward-01, rate: 6/s, burst: 24}
+regions:
+  - {name: kano, failureDomains: [kano-a]}
+services:
+  - name: tracker
+    versions:
+      - name: v1
+        endpoints:
+          - {address: "127.0.0.1:9001", failureDomain: kano-a, slots: 1}
+          - {address: "127.0.0.1:9002", failureDomain: kano-a, slots: 2}
+    serving: v1
+routes:
+  - {name: read, path: /, methods: [GET], service: tracker, open: true, timeout: 500ms}
+`
+
+var testSlots = map[string]int{"127.0.0.1:9001": 1, "127.0.0.1:9002": 2}
+
+var testGroup = slots.Group{Service: "tracker", Version: "v1", Region: "kano"}
+
+// fakeFleet is a fleet whose members the test names.
+type fakeFleet struct {
+	mu      sync.Mutex
+	members []membership.Member
+}
+
+func (f *fakeFleet) list() []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]membership.Member(nil), f.members...)
+}
+
+func (f *fakeFleet) join(name, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = append(f.members, membership.Member{Record: membership.Record{
+		Name: name, PeerAddress: address, Region: "kano", FailureDomain: "kano-a", State: membership.StateLive,
+	}})
+}
+
+func (f *fakeFleet) evict(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, m := range f.members {
+		if m.Name == name {
+			f.members = append(f.members[:i], f.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// fakeMember is one instance's view of a fake fleet.
+type fakeMember struct {
+	name  string
+	fleet *fakeFleet
+}
+
+func (m *fakeMember) Name() string                 { return m.name }
+func (m *fakeMember) Members() []membership.Member { return m.fleet.list() }
+
+// ValidUntil implements Fleet: a member's right ends with its eviction.
+func (m *fakeMember) ValidUntil() time.Time {
+	for _, x := range m.fleet.list() {
+		if x.Name == m.name {
+			return time.Now().Add(time.Minute)
+		}
+	}
+	return time.Time{}
+}
+
+// node is one running instance of the service.
+type node struct {
+	service *Service
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func (n *node) kill() {
+	n.stop()
+	n.done.Wait()
+}
+
+func startNode(t *testing.T, name string, f *fakeFleet, store *standin.Store) *node {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	doc, err := document.Decode("test.yaml", []byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := document.Compile(doc)
+	client := peer.NewClient(nil, time.Second)
+	srv := peer.NewServer(nil, log)
+	n := &node{service: New(&fakeMember{name, f}, brokers.NewRows(store, "test"), func() *document.Index { return index }, client, log)}
+	n.service.Register(srv)
+	l, err := srv.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.join(name, l.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.done.Go(func() { _ = srv.Serve(ctx, l) })
+	n.done.Go(func() { _ = n.service.Run(ctx) })
+	t.Cleanup(func() {
+		n.kill()
+		client.Close()
+	})
+	return n
+}
+
+// gauge counts the requests at each endpoint.
+type gauge struct {
+	mu   sync.Mutex
+	now  map[string]int
+	over []string
+}
+
+func (g *gauge) enter(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now[address]++
+	if g.now[address] > testSlots[address] {
+		g.over = append(g.over, fmt.Sprintf("%d at %s", g.now[address], address))
+	}
+}
+
+func (g *gauge) leave(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now[address]--
+}
+
+// acquire tries until it has a slot or the context ends.
+func acquire(ctx context.Context, n *node) (*Slot, error) {
+	for {
+		s, err := n.service.Acquire(ctx, Request{Group: testGroup, Team: "ward-01", Deadline: time.Now().Add(500 * time.Millisecond)})
+		if err == nil || ctx.Err() != nil {
+			return s, err
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// load runs requests at a node and holds the endpoints to their slots.
+func load(ctx context.Context, t *testing.T, n *node, g *gauge, requests int) {
+	for range requests {
+		s, err := acquire(ctx, n)
+		if err != nil {
+			t.Errorf("no slot: %v", err)
+			return
+		}
+		g.enter(s.Address)
+		time.Sleep(time.Millisecond)
+		g.leave(s.Address)
+		s.Release(Ending{Answered: true})
+	}
+}
+
+func startNodes(t *testing.T) (*fakeFleet, *standin.Store, []*node) {
+	f, store := &fakeFleet{}, standin.NewStore()
+	var nodes []*node
+	for _, name := range []string{"one", "two", "three"} {
+		nodes = append(nodes, startNode(t, name, f, store))
+	}
+	return f, store, nodes
+}
+
+// holder waits for the group's broker other than not.
+func holder(ctx context.Context, t *testing.T, store *standin.Store, not string) string {
+	rows := brokers.NewRows(store, "test")
+	for {
+		list, err := rows.Scan(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(list) == 1 && list[0].Holder != not {
+			return list[0].Holder
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestFleetKeepsToSlots runs requests at all instances at once and takes the
+// broker away in between, once by its death and once by its leaving.
+func TestFleetKeepsToSlots(t *testing.T) {
+	ctx := testContext(t)
+	f, store, nodes := startNodes(t)
+	byName := map[string]*node{"one": nodes[0], "two": nodes[1], "three": nodes[2]}
+	g := &gauge{now: make(map[string]int)}
+	loadAll := func() {
+		var wg sync.WaitGroup
+		for _, n := range byName {
+			for range 5 {
+				wg.Go(func() { load(ctx, t, n, g, 20) })
+			}
+		}
+		wg.Wait()
+	}
+	loadAll()
+	first := holder(ctx, t, store, "")
+	byName[first].kill()
+	delete(byName, first)
+	f.evict(first)
+	loadAll()
+	second := holder(ctx, t, store, first)
+	byName[second].service.Leave()
+	third := holder(ctx, t, store, second)
+	loadAll()
+	if third == first || third == second {
+		t.Errorf("brokers were %s, %s, %s", first, second, third)
+	}
+	if len(g.over) > 0 {
+		t.Errorf("endpoints over their slots: %v", g.over)
+	}
+}
+
+// TestSuccessorCountsHeldSlots holds every slot while the broker dies: the
+// successor must not hand one out.
+func TestSuccessorCountsHeldSlots(t *testing.T) {
+	ctx := testContext(t)
+	f, store, nodes := startNodes(t)
+	byName := map[string]*node{"one": nodes[0], "two": nodes[1], "three": nodes[2]}
+	if s, err := acquire(ctx, nodes[0]); err != nil {
+		t.Fatal(err)
+	} else {
+		s.Release(Ending{})
+	}
+	first := holder(ctx, t, store, "")
+	var other *node
+	for name, n := range byName {
+		if name != first {
+			other = n
+		}
+	}
+	var held []*Slot
+	for range 3 {
+		s, err := acquire(ctx, other)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, s)
+	}
+	byName[first].kill()
+	f.evict(first)
+	holder(ctx, t, store, first)
+	until := held[len(held)-1].Until
+	s, err := acquire(ctx, other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := time.Now(); !got.After(until) {
+		t.Errorf("a slot was handed out %v before the held ones had lapsed", until.Sub(got))
+	}
+	s.Release(Ending{})
+}
+
+func TestNoBroker(t *testing.T) {
+	f := &fakeFleet{}
+	s := New(&fakeMember{"lone", f}, brokers.NewRows(standin.NewStore(), "test"), func() *document.Index { return nil }, nil, logrus.New())
+	_, err := s.Acquire(t.Context(), Request{Group: testGroup, Deadline: time.Now().Add(time.Second)})
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) || unavailable.Wait <= 0 {
+		t.Errorf("Acquire = %v, want unavailable with a time to come back", err)
+	}
+}
--- a/steer/slots/broker.go
+++ b/steer/slots/broker.go
@@ -75,6 +75,13 @@
 	return b
 }
 
+// Advance raises the epoch of a broker that was not interrupted, and the bound
+// of its grants.
+func (b *Broker) Advance(epoch uint64, longest time.Duration) {
+	b.epoch = epoch
+	b.settings.LongestGrant = max(b.settings.LongestGrant, longest)
+}
+
 // Epoch returns the broker's epoch.
 func (b *Broker) Epoch() uint64 { return b.epoch }
 
--- a/steer/slots/fleet_test.go
+++ b/steer/slots/fleet_test.go
@@ -52,6 +52,7 @@
 	waiting  map[ID]*member
 	epoch    uint64
 	leader   *member
+	leads    time.Time // since when
 	lease    time.Time
 	slots    map[string]int
 	born     int
@@ -84,6 +85,7 @@
 func (m *machine) lead(b *member, unheard []string) {
 	m.epoch++
 	m.leader = b
+	m.leads = m.now
 	m.lease = m.now.Add(testLease)
 	one := func(string) float64 { return 1 }
 	b.broker = NewBroker(m.group, m.epoch, m.settings, unheard, one, m.now)
@@ -203,7 +205,11 @@
 	slices.SortFunc(ids, compareIDs)
 	id := ids[m.rng.IntN(len(ids))]
 	r := m.running[id]
-	r.owner.holder.End(id)
+	if settle > 0 {
+		r.owner.holder.Settle(id, m.now.Add(settle))
+	} else {
+		r.owner.holder.End(id)
+	}
 	if settled := m.now.Add(settle); settled.Before(r.until) {
 		r.until = settled
 	}
@@ -332,6 +338,7 @@
 		return
 	}
 	former := m.leader
+	reign := m.now.Sub(m.leads)
 	var unheard []string
 	for _, x := range m.members {
 		if m.alive(x) || m.now.Sub(x.diedAt) < m.settings.LongestGrant+m.settings.Guard {
@@ -351,7 +358,7 @@
 					return
 				}
 				m.handle(b, func() []Outcome { return b.broker.TakeReport(r, m.now) })
-				m.handle(b, func() []Outcome { return b.broker.Excuse(former.name, m.now) })
+				m.handle(b, func() []Outcome { return b.broker.Excuse(former.name, reign, m.now) })
 			})
 		})
 	}
--- a/steer/slots/holder.go
+++ b/steer/slots/holder.go
@@ -18,6 +18,7 @@
 	group    Group
 	address  string
 	deadline time.Time
+	settling bool // the request has ended, the endpoint may not know yet
 }
 
 // NewHolder returns the holder of an instance. The instance's name must never
@@ -61,6 +62,23 @@
 	delete(h.held, id)
 }
 
+// Settle ends a request whose endpoint may still be busy with it until the
+// given time, or until the grant's bound if that is earlier.
+func (h *Holder) Settle(id ID, until time.Time) {
+	c, ok := h.held[id]
+	if !ok {
+		return
+	}
+	c.settling = true
+	if until.Before(c.deadline) {
+		c.deadline = until
+	}
+	h.held[id] = c
+}
+
+// SetInstance gives the instance another name for its further requests.
+func (h *Holder) SetInstance(name string) { h.instance = name }
+
 // Note keeps another instance's grant for a later broker. It reports false when
 // a successor of the grant's broker has already been answered.
 func (h *Holder) Note(g Grant, remaining time.Duration, now time.Time) bool {
@@ -100,11 +118,17 @@
 	return list
 }
 
-// Sweep forgets notes that have outlived their bound by guard.
+// Sweep forgets notes, and slots that were settling, that have outlived their
+// bound by guard.
 func (h *Holder) Sweep(guard time.Duration, now time.Time) {
 	for id, c := range h.notes {
 		if now.After(c.deadline.Add(guard)) {
 			delete(h.notes, id)
 		}
 	}
+	for id, c := range h.held {
+		if c.settling && now.After(c.deadline.Add(guard)) {
+			delete(h.held, id)
+		}
+	}
 }
--- a/steer/slots/recovery.go
+++ b/steer/slots/recovery.go
@@ -52,9 +52,11 @@
 // Excuse says that an instance will not report, and that all its grants are
 // known from the reports of the others. It may be called for the former broker
 // alone, once every other instance has reported, because a broker notes its
-// own grants with another instance before it uses them.
-func (b *Broker) Excuse(former string, now time.Time) []Outcome {
-	if len(b.unheard) != 1 || !b.unheard[former] {
+// own grants with another instance before it uses them. reign is how long the
+// instance had certainly been the broker: grants that it holds from the broker
+// before it are noted nowhere and must have lapsed.
+func (b *Broker) Excuse(former string, reign time.Duration, now time.Time) []Outcome {
+	if len(b.unheard) != 1 || !b.unheard[former] || reign <= b.settings.LongestGrant+b.settings.Guard {
 		return nil
 	}
 	delete(b.unheard, former)
