broker: hold slots for longer in the succession test

With slots held for 4 s it now fails with the wait taken out (a slot handed out 2.0 s before the held ones had lapsed) and passes with it.

--- a/front/broker/service_test.go
+++ b/front/broker/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
           - {address: "127.0.0.1:9002", failureDomain: kano-a, slots: 2}
     serving: v1
 routes:
-  - {name: read, path: /, methods: [GET], service: tracker, open: true, timeout: 500ms}
+  - {name: read, path: /, methods: [GET], service: tracker, open: true, timeout: TIMEOUT}
 `
 
 var testSlots = map[string]int{"127.0.0.1:9001": 1, "127.0.0.1:9002": 2}
@@ -103,11 +104,11 @@
 	n.done.Wait()
 }
 
-func startNode(t *testing.T, name string, f *fakeFleet, store *standin.Store) *node {
+func startNode(t *testing.T, name string, f *fakeFleet, store *standin.Store, timeout time.Duration) *node {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	doc, err := document.Decode("test.yaml", []byte(testDocument))
+	doc, err := document.Decode("test.yaml", []byte(strings.ReplaceAll(testDocument, "TIMEOUT", timeout.String())))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,9 +156,9 @@
 }
 
 // acquire tries until it has a slot or the context ends.
-func acquire(ctx context.Context, n *node) (*Slot, error) {
+func acquire(ctx context.Context, n *node, timeout time.Duration) (*Slot, error) {
 	for {
-		s, err := n.service.Acquire(ctx, Request{Group: testGroup, Team: "ward-01", Deadline: time.Now().Add(500 * time.Millisecond)})
+		s, err := n.service.Acquire(ctx, Request{Group: testGroup, Team: "ward-01", Deadline: time.Now().Add(timeout)})
 		if err == nil || ctx.Err() != nil {
 			return s, err
 		}
@@ -168,7 +169,7 @@
 // load runs requests at a node and holds the endpoints to their slots.
 func load(ctx context.Context, t *testing.T, n *node, g *gauge, requests int) {
 	for range requests {
-		s, err := acquire(ctx, n)
+		s, err := acquire(ctx, n, time.Second/2)
 		if err != nil {
 			t.Errorf("no slot: %v", err)
 			return
@@ -180,11 +181,11 @@
 	}
 }
 
-func startNodes(t *testing.T) (*fakeFleet, *standin.Store, []*node) {
+func startNodes(t *testing.T, timeout time.Duration) (*fakeFleet, *standin.Store, []*node) {
 	f, store := &fakeFleet{}, standin.NewStore()
 	var nodes []*node
 	for _, name := range []string{"one", "two", "three"} {
-		nodes = append(nodes, startNode(t, name, f, store))
+		nodes = append(nodes, startNode(t, name, f, store, timeout))
 	}
 	return f, store, nodes
 }
@@ -214,7 +215,7 @@
 // broker away in between, once by its death and once by its leaving.
 func TestFleetKeepsToSlots(t *testing.T) {
 	ctx := testContext(t)
-	f, store, nodes := startNodes(t)
+	f, store, nodes := startNodes(t, time.Second/2)
 	byName := map[string]*node{"one": nodes[0], "two": nodes[1], "three": nodes[2]}
 	g := &gauge{now: make(map[string]int)}
 	loadAll := func() {
@@ -247,10 +248,11 @@
 // TestSuccessorCountsHeldSlots holds every slot while the broker dies: the
 // successor must not hand one out.
 func TestSuccessorCountsHeldSlots(t *testing.T) {
+	const held = 4 * time.Second
 	ctx := testContext(t)
-	f, store, nodes := startNodes(t)
+	f, store, nodes := startNodes(t, held)
 	byName := map[string]*node{"one": nodes[0], "two": nodes[1], "three": nodes[2]}
-	if s, err := acquire(ctx, nodes[0]); err != nil {
+	if s, err := acquire(ctx, nodes[0], held); err != nil {
 		t.Fatal(err)
 	} else {
 		s.Release(Ending{})
@@ -262,19 +264,19 @@
 			other = n
 		}
 	}
-	var held []*Slot
+	var inUse []*Slot
 	for range 3 {
-		s, err := acquire(ctx, other)
+		s, err := acquire(ctx, other, held)
 		if err != nil {
 			t.Fatal(err)
 		}
-		held = append(held, s)
+		inUse = append(inUse, s)
 	}
 	byName[first].kill()
 	f.evict(first)
 	holder(ctx, t, store, first)
-	until := held[len(held)-1].Until
-	s, err := acquire(ctx, other)
+	until := inUse[len(inUse)-1].Until
+	s, err := acquire(ctx, other, held)
 	if err != nil {
 		t.Fatal(err)
 	}
