Add the membership keeper: heartbeats, witnesses, evictions

Cause: instances must know who is live or leaving, keep their leases through an outage of the table, and take the rows of dead instances away.

An eviction is one conditional delete; what the holder had is then nobody's. Waits differ at random and grow to twice the heartbeat at most while calls fail.

Found by TestRegionOfTheTableCutOff, which was flaky at first ("i8 in sokoto: lease false"): a round of questions waited a second for a witness that was cut off, so the next round came after the other answers had lapsed. Questions are now asked without waiting for those of the round before.

--- /dev/null
+++ b/front/platform/membership/fleet_test.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+const (
+	peerDelay = 20 * time.Millisecond
+	storeHome = "kano"
+)
+
+// fleet is a number of keepers over one store in a synctest bubble.
+type fleet struct {
+	t     *testing.T
+	store *standin.Store
+	nodes []*node
+	// apart says whether two regions can't reach each other.
+	apart atomic.Pointer[func(a, b string) bool]
+	ended sync.WaitGroup
+	calls atomic.Int64
+}
+
+// node is one instance: its keeper, and its ways to the store and the others.
+type node struct {
+	*Keeper
+	fleet  *fleet
+	region string
+	stop   context.CancelFunc
+	dead   atomic.Bool
+
+	mu     sync.Mutex
+	until  time.Time
+	resets int
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: standin.NewStore()}
+	f.cut(func(string, string) bool { return false })
+	for i := range n {
+		f.start(fmt.Sprintf("i%d", i), []string{"kano", "kaduna", "sokoto"}[i%3])
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		f.ended.Wait()
+	})
+	return f
+}
+
+func (f *fleet) cut(apart func(a, b string) bool) { f.apart.Store(&apart) }
+
+func (f *fleet) start(process, region string) *node {
+	n := &node{fleet: f, region: region}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	meters, err := NewMeters(noop.Meter{})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := Settings{
+		Environment: "trial", Process: process, PeerAddress: process, CallerURL: "http://" + process,
+		Region: region, FailureDomain: region + "-a", Timing: membership.DefaultSettings(),
+	}
+	n.Keeper = NewKeeper(s, &way{Store: f.store, n: n}, n, n, n, log, meters)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.nodes = append(f.nodes, n)
+	f.ended.Go(func() { _ = n.Run(ctx) })
+	return n
+}
+
+// SetLease implements Tenant.
+func (n *node) SetLease(until time.Time, _ uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.until = until
+}
+
+// Reset implements Tenant.
+func (n *node) Reset(time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resets++
+}
+
+// Report implements Reporter.
+func (n *node) Report(time.Time) Report { return Report{} }
+
+func (n *node) resetCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resets
+}
+
+func (n *node) valid() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.until)
+}
+
+// Call implements peer.Caller.
+func (n *node) Call(ctx context.Context, addr, method string, params, result any) error {
+	n.fleet.calls.Add(1)
+	for _, other := range n.fleet.nodes {
+		if other.settings.PeerAddress != addr {
+			continue
+		}
+		if (*n.fleet.apart.Load())(n.region, other.region) || other.dead.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		time.Sleep(peerDelay)
+		return other.serve(ctx, method, params, result)
+	}
+	return &peer.Error{Addr: addr, Method: method}
+}
+
+func (n *node) serve(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	methods := map[string]peer.Method{methodProbe: n.serveProbe, methodPromise: n.servePromise, methodLook: n.serveLook}
+	answer, err := methods[method](ctx, raw)
+	if err != nil || result == nil {
+		return err
+	}
+	time.Sleep(peerDelay)
+	if raw, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// kill ends the process of a node without a word.
+func (n *node) kill() {
+	n.dead.Store(true)
+	n.stop()
+}
+
+// live returns the nodes that were not killed.
+func (f *fleet) live() []*node {
+	var live []*node
+	for _, n := range f.nodes {
+		if !n.dead.Load() {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+// way is the store as one node reaches it.
+type way struct {
+	*standin.Store
+	n *node
+}
+
+func (w *way) blocked(ctx context.Context, op string) error {
+	if !(*w.n.fleet.apart.Load())(w.n.region, storeHome) {
+		return nil
+	}
+	<-ctx.Done()
+	return &platform.Error{Op: op, Err: ctx.Err()}
+}
+
+// Scan implements platform.Table.
+func (w *way) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := w.blocked(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	return w.Store.Scan(ctx, prefix)
+}
+
+// Get implements platform.Table.
+func (w *way) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := w.blocked(ctx, "get"); err != nil {
+		return platform.Row{}, err
+	}
+	return w.Store.Get(ctx, key)
+}
+
+// Commit implements platform.Table.
+func (w *way) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	if err := w.blocked(ctx, "commit"); err != nil {
+		return nil, err
+	}
+	return w.Store.Commit(ctx, writes)
+}
+
+// ListInstances implements platform.Instances.
+func (w *way) ListInstances(ctx context.Context) ([]platform.ListedInstance, error) {
+	if err := w.blocked(ctx, "list"); err != nil {
+		return nil, err
+	}
+	return w.Store.ListInstances(ctx)
+}
--- /dev/null
+++ b/front/platform/membership/keeper.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+// Store is what a Keeper needs of the platform.
+type Store interface {
+	platform.Table
+	platform.Instances
+}
+
+// Tenant is told of the instance's lease: what it holds may be used until then.
+// It is called with the Keeper's lock held and must not call it back.
+type Tenant interface {
+	// SetLease sets the end of the lease on this instance's clock. Another
+	// epoch means that the lease was lost in between.
+	SetLease(until time.Time, epoch uint64)
+	// Reset drops all that was held under a lost lease.
+	Reset(now time.Time)
+}
+
+// Report is what the instance tells about itself in its row.
+type Report struct {
+	// Generation is the configuration in force.
+	Generation uint64
+	// Load is the part of the capacity in use, 0 to 1.
+	Load float64
+	// Demand lists the teams with requests at this instance.
+	Demand []membership.TeamDemand
+}
+
+// Reporter gives the report for the next renewal.
+type Reporter interface {
+	Report(now time.Time) Report
+}
+
+// Keeper is the membership of one instance.
+type Keeper struct {
+	settings Settings
+	store    Store
+	peers    peer.Caller
+	tenant   Tenant
+	reporter Reporter
+	log      logrus.FieldLogger
+	meters   *Meters
+
+	renewing   sync.Mutex     // held during a renewal
+	background sync.WaitGroup // questions to witnesses that are under way
+
+	mu      sync.Mutex
+	epoch   uint64
+	lease   *membership.Lease
+	watch   *membership.Watch
+	witness *membership.Witness
+	state   membership.State
+	gone    bool // the row was taken away for good by this instance
+
+	renewNow chan struct{}
+	lookNow  chan struct{}
+	usable   []string // names of the usable members at the last read
+	changed  chan struct{}
+}
+
+// NewKeeper returns a keeper that is not running.
+func NewKeeper(s Settings, store Store, peers peer.Caller, t Tenant, r Reporter, log logrus.FieldLogger, m *Meters) *Keeper {
+	k := &Keeper{
+		settings: s,
+		store:    store,
+		peers:    peers,
+		tenant:   t,
+		reporter: r,
+		log:      log.WithField("prefix", "membership"),
+		meters:   m,
+		watch:    membership.NewWatch(s.Timing),
+		state:    membership.StateLive,
+		renewNow: make(chan struct{}, 1),
+		lookNow:  make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1),
+	}
+	k.register()
+	return k
+}
+
+// register begins a new epoch under a new name. The lock is held, but in
+// NewKeeper.
+func (k *Keeper) register() {
+	k.epoch++
+	k.tenant.SetLease(time.Time{}, k.epoch)
+	k.tenant.Reset(time.Now())
+	k.lease = membership.NewLease(k.settings.Timing)
+	k.witness = membership.NewWitness(k.name(), k.settings.Timing)
+}
+
+// name returns the member's name in the present epoch.
+func (k *Keeper) name() string {
+	if k.epoch == 1 {
+		return k.settings.Process
+	}
+	return fmt.Sprintf("%s~%d", k.settings.Process, k.epoch)
+}
+
+// Name returns the member's name; it changes when the lease is lost.
+func (k *Keeper) Name() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.name()
+}
+
+// Members returns the members as last read, this instance included once its
+// row has been read.
+func (k *Keeper) Members() []membership.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.watch.Members()
+}
+
+// Changed is signalled when the usable members have changed. It is meant for
+// one receiver.
+func (k *Keeper) Changed() <-chan struct{} { return k.changed }
+
+// Run keeps the row until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer k.background.Wait()
+	group, ctx := errgroup.WithContext(ctx)
+	period := k.settings.Timing.Heartbeat
+	group.Go(func() error { return k.loop(ctx, period, k.renewNow, k.renew) })
+	group.Go(func() error { return k.loop(ctx, period, k.lookNow, k.look) })
+	group.Go(func() error { return k.loop(ctx, listPeriod, nil, k.list) })
+	group.Go(func() error { return k.loop(ctx, k.settings.Timing.WitnessLease/4, nil, k.probe) })
+	return group.Wait()
+}
+
+// loop calls f about once a period, or sooner when woken, until ctx ends.
+func (k *Keeper) loop(ctx context.Context, period time.Duration, wake <-chan struct{}, f func(context.Context) error) error {
+	p := pace{period: period}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-wake:
+		}
+		err := f(ctx)
+		timer.Reset(p.next(err != nil))
+	}
+}
+
+// signal wakes a loop; a loop that is already to wake is left alone.
+func signal(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// tell passes the lease's end to the tenant. The lock is held.
+func (k *Keeper) tell() {
+	if !k.gone {
+		k.tenant.SetLease(k.lease.ValidUntil(), k.epoch)
+	}
+}
--- /dev/null
+++ b/front/platform/membership/keeper_test.go
@@ -0,0 +1,189 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+// settled is the time after which all keepers know each other.
+const settled = 5 * time.Second
+
+// evictedWithin is the longest time from a death to the eviction: the lease as
+// others count it, a read before and after it with their jitter, and messages.
+func evictedWithin() time.Duration {
+	s := membership.DefaultSettings()
+	return s.Lease + s.Guard + 2*time.Duration(float64(s.Heartbeat)*(1+jitter)) + 500*time.Millisecond
+}
+
+func usable(n *node) int {
+	count := 0
+	for _, m := range n.Members() {
+		if m.Usable() {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) wantAll(t *testing.T, desc string, want int) {
+	t.Helper()
+	for _, n := range f.live() {
+		if !n.valid() || usable(n) != want {
+			t.Errorf("%s: %s has a lease: %v, knows %d of %d", desc, n.Name(), n.valid(), usable(n), want)
+		}
+	}
+}
+
+func TestKeepersAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		time.Sleep(settled)
+		f.wantAll(t, "at rest", 10)
+		before, calls := f.store.Counts(), f.calls.Load()
+		const seconds = 60
+		time.Sleep(seconds * time.Second)
+		after := f.store.Counts()
+		writes := float64(after.Writes-before.Writes) / seconds / 10
+		reads := float64(after.Reads-before.Reads) / seconds / 10
+		t.Logf("at rest each instance makes %.2f writes/s and %.2f reads/s, %d messages in all", writes, reads, f.calls.Load()-calls)
+		if writes > 1.6 || reads > 1.9 || f.calls.Load() != calls {
+			t.Errorf("more than one write and one read a heartbeat, a read of the list and no message")
+		}
+	})
+}
+
+func TestDeadInstanceIsEvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		time.Sleep(settled)
+		f.nodes[4].kill()
+		time.Sleep(evictedWithin())
+		f.wantAll(t, "after one death", 9)
+		rows, _ := f.store.Scan(context.Background(), InstancesPrefix("trial"))
+		if len(rows) != 9 {
+			t.Errorf("%d rows are left, want 9", len(rows))
+		}
+		for _, n := range []*node{f.nodes[0], f.nodes[3], f.nodes[6]} { // one region but for one of its four
+			n.kill()
+		}
+		time.Sleep(2 * evictedWithin())
+		f.wantAll(t, "after three more", 6)
+	})
+}
+
+func TestAnHourWithoutTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(settled)
+		f.store.SetFaults(standin.Faults{Freeze: true})
+		for range 3600 {
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				if !n.valid() {
+					t.Fatalf("%s has no lease while the table is silent", n.Name())
+				}
+			}
+		}
+		f.store.SetFaults(standin.Faults{})
+		before := f.store.Counts()
+		const seconds = 5
+		time.Sleep(seconds * time.Second)
+		after := f.store.Counts()
+		f.wantAll(t, "after the outage", 4)
+		perSecond := float64(after.Writes+after.Reads-before.Writes-before.Reads) / seconds / 4
+		t.Logf("just after the outage each instance makes %.2f calls/s", perSecond)
+		if perSecond > 3.5 {
+			t.Errorf("%.2f calls/s, want no more than at rest", perSecond)
+		}
+		for _, n := range f.nodes {
+			if n.Name() != n.settings.Process {
+				t.Errorf("%s lost its lease over the outage", n.Name())
+			}
+		}
+	})
+}
+
+func TestCutRegionLosesItsLeasesAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		time.Sleep(settled)
+		f.cut(func(a, b string) bool { return (a == "kaduna") != (b == "kaduna") })
+		time.Sleep(2 * evictedWithin())
+		for _, n := range f.nodes {
+			if want := n.region != "kaduna"; n.valid() != want {
+				t.Errorf("%s in %s: lease %v, want %v", n.Name(), n.region, n.valid(), want)
+			}
+		}
+		if got := usable(f.nodes[0]); got != 4 {
+			t.Errorf("%d are usable, want 4", got)
+		}
+		time.Sleep(time.Hour)
+		f.cut(func(string, string) bool { return false })
+		time.Sleep(settled)
+		f.wantAll(t, "after the cut", 6)
+		if n := f.nodes[1]; n.Name() != "i1~2" || n.resetCount() != 2 {
+			t.Errorf("%s came back with %d resets, want a new name and one more reset", n.Name(), n.resetCount())
+		}
+	})
+}
+
+func TestRegionOfTheTableCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		time.Sleep(settled)
+		f.cut(func(a, b string) bool { return (a == storeHome) != (b == storeHome) })
+		time.Sleep(10 * time.Minute)
+		for _, n := range f.nodes {
+			if !n.valid() || n.Name() != n.settings.Process {
+				t.Errorf("%s in %s: lease %v", n.Name(), n.region, n.valid())
+			}
+		}
+		if rows, _ := f.store.Scan(context.Background(), InstancesPrefix("trial")); len(rows) != 10 {
+			t.Errorf("%d rows are left, want 10: living instances were evicted", len(rows))
+		}
+	})
+}
+
+func TestLostAnswersCostNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		time.Sleep(settled)
+		for range 20 {
+			f.store.SetFaults(standin.Faults{LoseAnswers: 2})
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				if !n.valid() || n.Name() != n.settings.Process {
+					t.Fatalf("%s: lease %v", n.Name(), n.valid())
+				}
+			}
+		}
+	})
+}
+
+func TestLeavingIsSeenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(settled)
+		n := f.nodes[2]
+		if err := n.Leave(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(lookPause + peerDelay)
+		for _, o := range f.nodes {
+			if usable(o) != 3 {
+				t.Errorf("%s sees %d usable, want 3", o.Name(), usable(o))
+			}
+		}
+		if err := n.Go(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if n.valid() {
+			t.Error("the lease goes on after the row is gone")
+		}
+	})
+}
--- /dev/null
+++ b/front/platform/membership/messages.go
@@ -0,0 +1,168 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+// Methods between instances.
+const (
+	methodProbe   = "membership.probe"
+	methodPromise = "membership.promise"
+	methodLook    = "membership.look"
+)
+
+// Register lets other instances call the keeper through server.
+func (k *Keeper) Register(server *peer.Server) {
+	server.Handle(methodProbe, k.serveProbe)
+	server.Handle(methodPromise, k.servePromise)
+	server.Handle(methodLook, k.serveLook)
+}
+
+func (k *Keeper) serveProbe(_ context.Context, params json.RawMessage) (any, error) {
+	var probe membership.Probe
+	if err := json.Unmarshal(params, &probe); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.witness.Answer(time.Now(), probe), nil
+}
+
+func (k *Keeper) servePromise(_ context.Context, params json.RawMessage) (any, error) {
+	var request membership.PromiseRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.witness.Promise(time.Now(), request), nil
+}
+
+func (k *Keeper) serveLook(context.Context, json.RawMessage) (any, error) {
+	signal(k.lookNow)
+	return nil, nil
+}
+
+// tellOthers makes the other instances read the rows now.
+func (k *Keeper) tellOthers(ctx context.Context) {
+	signal(k.lookNow)
+	k.ask(ctx, k.Peers(), func(ctx context.Context, p configuration.Peer) {
+		_ = k.peers.Call(ctx, p.Addr, methodLook, nil, nil)
+	})
+}
+
+// ask calls f for each peer at the same time and returns when all have ended.
+func (k *Keeper) ask(ctx context.Context, peers []configuration.Peer, f func(context.Context, configuration.Peer)) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, p := range peers {
+		group.Go(func() { f(ctx, p) })
+	}
+	group.Wait()
+}
+
+// Peers implements configuration.Directory: the members that are not silent,
+// without this one.
+func (k *Keeper) Peers() []configuration.Peer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var peers []configuration.Peer
+	for _, m := range k.watch.Members() {
+		if m.Process != k.settings.Process && !m.Silent {
+			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+		}
+	}
+	return peers
+}
+
+// named returns those of the members that have one of the names.
+func (k *Keeper) named(names []string) []configuration.Peer {
+	wanted := make(map[string]bool, len(names))
+	for _, name := range names {
+		wanted[name] = true
+	}
+	var peers []configuration.Peer
+	for _, m := range k.watch.Members() {
+		if wanted[m.Name] {
+			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+		}
+	}
+	return peers
+}
+
+// probe asks the witnesses, unless the table's lease is good for a while. It
+// does not wait for the answers: a witness that is cut off must not keep the
+// next round back.
+func (k *Keeper) probe(ctx context.Context) error {
+	k.mu.Lock()
+	lease, version, holder := k.lease, k.lease.Version(), k.name()
+	fresh := time.Since(lease.Renewed()) < k.settings.Timing.Lease/2
+	witnesses := k.named(lease.Probes())
+	k.mu.Unlock()
+	if version == 0 || fresh {
+		return nil
+	}
+	for _, p := range witnesses {
+		request := membership.Probe{Holder: holder, Version: version, Witness: p.Name}
+		k.background.Go(func() { k.probeOne(ctx, p, request, lease) })
+	}
+	return nil
+}
+
+// probeOne asks one witness and counts from before it asked.
+func (k *Keeper) probeOne(ctx context.Context, p configuration.Peer, request membership.Probe, lease *membership.Lease) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	asked := time.Now()
+	var answer membership.ProbeAnswer
+	err := k.peers.Call(ctx, p.Addr, methodProbe, request, &answer)
+	count(k.meters.probes, err)
+	if err != nil || !answer.Answered {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lease.Heard(p.Name, request.Version, asked)
+	k.tell()
+}
+
+// promises asks a silent holder's witnesses and returns how many promised.
+func (k *Keeper) promises(ctx context.Context, claim membership.Claim) int {
+	if claim.Needed == 0 {
+		return 0
+	}
+	k.mu.Lock()
+	witnesses := k.named(claim.Witnesses)
+	self := k.name()
+	k.mu.Unlock()
+	var promised atomic.Int64
+	k.ask(ctx, witnesses, func(ctx context.Context, p configuration.Peer) {
+		request := membership.PromiseRequest{Holder: claim.Holder, Version: claim.Version, Witness: p.Name}
+		if k.promise(ctx, p, self, request).Promised {
+			promised.Add(1)
+		}
+	})
+	return int(promised.Load())
+}
+
+func (k *Keeper) promise(ctx context.Context, p configuration.Peer, self string, r membership.PromiseRequest) membership.PromiseAnswer {
+	if p.Name == self {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.witness.Promise(time.Now(), r)
+	}
+	var answer membership.PromiseAnswer
+	if err := k.peers.Call(ctx, p.Addr, methodPromise, r, &answer); err != nil {
+		return membership.PromiseAnswer{}
+	}
+	return answer
+}
--- /dev/null
+++ b/front/platform/membership/metrics.go
@@ -0,0 +1,40 @@
+package membership
+
+import (
+	"context"
+	"errors"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Meters counts what a Keeper does.
+type Meters struct {
+	reads     metric.Int64Counter
+	writes    metric.Int64Counter
+	probes    metric.Int64Counter
+	evictions metric.Int64Counter
+	lost      metric.Int64Counter
+}
+
+// NewMeters creates the counters with meter. Errors: those of the meter.
+func NewMeters(meter metric.Meter) (*Meters, error) {
+	reads, err1 := meter.Int64Counter("membership.reads", metric.WithDescription("Reads of the instances' rows and of the list, by outcome."))
+	writes, err2 := meter.Int64Counter("membership.writes", metric.WithDescription("Writes of this instance's row, by outcome."))
+	probes, err3 := meter.Int64Counter("membership.probes", metric.WithDescription("Questions to witnesses, by outcome."))
+	evictions, err4 := meter.Int64Counter("membership.evictions", metric.WithDescription("Rows of silent instances taken away, by outcome."))
+	lost, err5 := meter.Int64Counter("membership.leases_lost", metric.WithDescription("Leases of this instance that others ended."))
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
+		return nil, err
+	}
+	return &Meters{reads: reads, writes: writes, probes: probes, evictions: evictions, lost: lost}, nil
+}
+
+// count adds one to counter under the outcome of a call.
+func count(counter metric.Int64Counter, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
--- a/steer/entry/entry.go
+++ b/steer/entry/entry.go
@@ -22,8 +22,8 @@
 type Instance struct {
 	// Name names the member.
 	Name string
-	// Address is where callers reach it, host:port.
-	Address string
+	// URL is the base address for callers.
+	URL string
 	// Region and FailureDomain say where it runs.
 	Region        string
 	FailureDomain string
--- a/steer/entry/entry_test.go
+++ b/steer/entry/entry_test.go
@@ -12,7 +12,7 @@
 	for i := range 10 {
 		region := regions[i%3]
 		all = append(all, Instance{
-			Name: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Region: region,
+			Name: fmt.Sprintf("i%d", i), URL: fmt.Sprintf("http://10.0.0.%d:80", i), Region: region,
 			FailureDomain: fmt.Sprintf("%s-%d", region, i/3%2),
 		})
 	}
--- a/steer/limit/lenders.go
+++ b/steer/limit/lenders.go
@@ -66,6 +66,15 @@
 // shortestWait keeps requests from trying again without pause.
 const shortestWait = 5 * time.Millisecond
 
-// LoanPause is how long an instance that found nothing to borrow refuses at
-// once, so that a team above its rate costs few messages.
-const LoanPause = 50 * time.Millisecond
+const (
+	// shortestPause and longestPause bound Pause.
+	shortestPause = 50 * time.Millisecond
+	longestPause  = 250 * time.Millisecond
+)
+
+// Pause is how long an instance that found nothing to borrow does not ask
+// again, so that a team above its rate costs few messages. The hint is the
+// shortest time that a lender needs to have something.
+func Pause(hint time.Duration) time.Duration {
+	return min(max(hint, shortestPause), longestPause)
+}
--- a/steer/limit/measure_test.go
+++ b/steer/limit/measure_test.go
@@ -405,7 +405,7 @@
 	if len(lenders) == 0 {
 		waiting := f.asking[t.name]
 		delete(f.asking, t.name)
-		f.rest[t.name] = m.now + LoanPause
+		f.rest[t.name] = m.now + Pause(hint)
 		for _, w := range waiting {
 			m.tryAgain(f, t, w, hint)
 		}
--- a/steer/membership/lease.go
+++ b/steer/membership/lease.go
@@ -33,6 +33,9 @@
 // that probes carry.
 func (l *Lease) Version() uint64 { return l.version }
 
+// Renewed returns when the last committed renewal was sent.
+func (l *Lease) Renewed() time.Time { return l.renewed }
+
 // Unsettled says that the outcome of a renewal is unknown.
 func (l *Lease) Unsettled() bool { return l.unsettled }
 
@@ -51,8 +54,12 @@
 	return slices.Clone(l.pending)
 }
 
-// Committed reports that the renewal sent at asked was committed as version.
+// Committed reports that the renewal sent at asked was committed as version. A
+// version that is known already changes nothing.
 func (l *Lease) Committed(version uint64, asked time.Time) {
+	if version <= l.version || !l.unsettled {
+		return
+	}
 	l.version = version
 	l.renewed = asked
 	l.witnesses = l.pending
--- a/steer/membership/record.go
+++ b/steer/membership/record.go
@@ -32,8 +32,8 @@
 	Process string `json:"process"`
 	// PeerAddress is where other instances reach this one, host:port.
 	PeerAddress string `json:"peerAddress"`
-	// CallerAddress is where callers reach this one, host:port.
-	CallerAddress string `json:"callerAddress"`
+	// CallerURL is the base address for callers.
+	CallerURL string `json:"callerUrl"`
 	// Region and FailureDomain say where the instance runs.
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
--- a/steer/membership/watch.go
+++ b/steer/membership/watch.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// LastRead returns when the last successful read of the rows ended.
+func (w *Watch) LastRead() time.Time { return w.lastRead }
+
 // Members returns the members in the order of their names. While the table is
 // silent it stays as it was at the last read.
 func (w *Watch) Members() []Member {
