--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -11,11 +11,14 @@
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
+	"github.com/cardamomfront/cardamomfront/steer/retry"
 )
 
 // operatorHeaderTimeout is how long an operator's request header may take.
@@ -95,8 +98,17 @@
 }
 
 // newChain puts the stages around the forwarding of a request.
-func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys) caller.Handler {
-	return caller.Chain(f, &caller.Routes{Source: source}, keys)
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries) caller.Handler {
+	return caller.Chain(f, &caller.Routes{Source: source}, keys, &caller.Attempts{Claimer: records}, retries)
+}
+
+func newAttempts(s *Settings, n Name, table platform.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
+	return attempts.New(attempts.DefaultSettings(), table, s.Environment, string(n), m.Meter, log)
+}
+
+func newRetries(m *telemetry.Metrics) (*caller.Retries, error) {
+	budget := retry.BudgetSettings{Ratio: retry.DefaultRatio, Burst: retry.DefaultBurst}
+	return caller.NewRetries(retry.DefaultPolicy(), budget, m)
 }
 
 func newEntriesPage(s *Settings, source configuration.Source) http.Handler {
@@ -104,17 +116,18 @@
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client) []Component {
-	return []Component{w, k, c}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder) []Component {
+	return []Component{w, k, c, records}
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, source configuration.Source) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher) *http.Server {
 	mux := http.NewServeMux()
+	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !source.Current().Ready {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
+	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
+		if !w.Current().Ready {
+			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
--- a/front/platform/attempts/recorder.go
+++ b/front/platform/attempts/recorder.go
@@ -31,6 +31,7 @@
 	log      *logrus.Entry
 	metrics  *metrics
 	running  *running
+	known    *known
 	silence  *silence
 	epochs   *epochs
 	nudge    chan struct{}
@@ -43,7 +44,7 @@
 
 // New returns a recorder for one environment; instance is the name of this
 // process.
-func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter) (*Recorder, error) {
+func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter, log logrus.FieldLogger) (*Recorder, error) {
 	m, err := newMetrics(meter)
 	if err != nil {
 		return nil, err
@@ -53,9 +54,10 @@
 		table:    table,
 		rows:     rowNames{environment: environment},
 		instance: instance,
-		log:      logrus.WithField("part", "attempts"),
+		log:      log.WithField("prefix", "attempts"),
 		metrics:  m,
 		running:  newRunning(),
+		known:    newKnown(),
 		silence:  newSilence(),
 		epochs:   newEpochs(settings.Epoch),
 		nudge:    make(chan struct{}, 1),
@@ -88,8 +90,12 @@
 }
 
 func (r *Recorder) begin(ctx context.Context, q Request) (*Attempt, error) {
-	epoch, known := r.epochs.current(time.Now())
-	if !known || r.silence.silent() {
+	key := r.rows.record(q.Name)
+	if standing, found := r.known.get(key, time.Now()); found {
+		return nil, taken(standing, q.Digest)
+	}
+	epoch, current := r.epochs.current(time.Now())
+	if !current || r.silence.silent() {
 		return nil, &UnavailableError{Reason: ReasonStoreSilent}
 	}
 	record := attempt.Record{
@@ -99,7 +105,6 @@
 		Epoch:   epoch,
 		Request: q.Digest,
 	}
-	key := r.rows.record(q.Name)
 	if standing, added := r.running.add(key, record); !added {
 		return nil, taken(standing, q.Digest)
 	}
--- a/steer/shift/controller.go
+++ b/steer/shift/controller.go
@@ -16,32 +16,40 @@
 	// until is when the plan lapses: an instance that was paused must look
 	// again before it sends to the new version. Zero means never.
 	until time.Time
+	// span counts the changes of the share so far, the last at since.
+	span  uint64
+	since time.Time
+}
+
+// spanOf returns the span in which a request was sent. Requests from before the
+// last change are taken together.
+func (p *plan) spanOf(sent time.Time) uint64 {
+	if sent.Before(p.since) {
+		return p.span - 1
+	}
+	return p.span
 }
 
 // Controller carries one shift at one instance. Choose and Record may be called
 // by many goroutines and take no common lock.
 type Controller struct {
 	cfg       Config
-	self      string
 	began     time.Time
+	seed      uint64
 	epochs    epochs
 	collector *collector
 	plan      atomic.Pointer[plan]
 	picked    atomic.Uint64
 
-	mu    sync.Mutex
-	judge *judge
-	// view is the highest outcome known; row is the table's record.
-	view, row  Record
-	rowVersion uint64
-	// rowChanged and storeHeard are when the row last changed and when the
-	// store last answered.
-	rowChanged, storeHeard time.Time
-	listed                 []string
-	sources                map[string]*source
-	sequence               uint64
+	mu sync.Mutex
+	follower
+	judge    *judge
+	sources  map[string]*source
+	sequence uint64
 	// peerTallies is the evidence of all peers; fleet judges it with the own.
 	peerTallies map[Scope]*Tally
+	peerDrifts  map[Scope]*float64
+	drifts      map[Scope]*drift
 	fleet       map[Scope]*detector
 	ordered     scopeOrder
 	progress    map[string]*Progress
@@ -63,24 +71,36 @@
 	}
 	c := &Controller{
 		cfg:         cfg,
-		self:        self,
+		follower:    newFollower(self, &cfg.Tuning),
 		began:       now,
+		seed:        seedOf(self, cfg.Name),
 		epochs:      newEpochs(cfg.Start, cfg.Deadline.Add(cfg.Watch)),
 		collector:   newCollector(),
 		judge:       newJudge(),
 		sources:     make(map[string]*source),
 		peerTallies: make(map[Scope]*Tally),
+		peerDrifts:  make(map[Scope]*float64),
+		drifts:      make(map[Scope]*drift),
 		fleet:       make(map[Scope]*detector),
 		progress:    make(map[string]*Progress),
 		lastNew:     now,
 	}
-	c.plan.Store(&plan{meter: NewMeter(0)})
+	c.plan.Store(&plan{meter: NewMeter(0, c.seed), span: 1, since: now})
 	return c, nil
 }
 
 // Config returns the shift's description.
 func (c *Controller) Config() Config { return c.cfg }
 
+// Name returns the shift's name.
+func (c *Controller) Name() string { return c.cfg.Name }
+
+// From returns the version that served before.
+func (c *Controller) From() string { return c.cfg.From }
+
+// To returns the new version.
+func (c *Controller) To() string { return c.cfg.To }
+
 // Choose reports whether a request that arrives now goes to the new version.
 // A request is dealt once: its retries go to the version chosen for it or to
 // the old one.
@@ -97,7 +117,7 @@
 }
 
 // Record takes the outcome of a request to either version.
-func (c *Controller) Record(o Outcome) { c.collector.record(&o) }
+func (c *Controller) Record(o Outcome) { c.collector.record(&o, c.plan.Load().spanOf(o.Sent)) }
 
 // SetListed tells which instances the platform lists as live, this one
 // included.
@@ -111,15 +131,7 @@
 func (c *Controller) SeeRow(now time.Time, row Record, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeHeard = now
-	if c.rowChanged.IsZero() {
-		c.rowChanged = now
-	}
-	if version > c.rowVersion {
-		c.row = row
-		c.rowVersion = version
-		c.rowChanged = now
-	}
+	c.seeRow(now, row, version)
 	c.adopt(now, row)
 	c.steer(now)
 }
@@ -171,10 +183,9 @@
 
 // adopt moves the view up to r if r stands higher.
 func (c *Controller) adopt(now time.Time, r Record) {
-	if !r.above(&c.view) {
+	if !c.rise(r) {
 		return
 	}
-	c.view = r
 	clear(c.progress)
 	c.pickedAtStep = c.picked.Load()
 	c.pickedAtLast = c.pickedAtStep
@@ -183,36 +194,7 @@
 
 // takeBack moves the view to taken back.
 func (c *Controller) takeBack(now time.Time, cause Cause, scope Scope, detail string) {
-	r := c.view
-	r.Phase = TakenBack
-	r.Since = now
-	r.Reason = Reason{Cause: cause, Scope: scope, Instance: c.self, Detail: detail}
-	c.adopt(now, r)
-}
-
-// inTouch reports whether the store or most of the fleet was heard lately.
-func (c *Controller) inTouch(now time.Time) bool {
-	if c.recent(now, c.storeHeard) {
-		return true
-	}
-	heard := 0
-	for _, name := range c.listed {
-		if name == c.self || c.heardFrom(now, name) {
-			heard++
-		}
-	}
-	return 2*heard > len(c.listed)
-}
-
-// heardFrom reports whether the peer was heard lately.
-func (c *Controller) heardFrom(now time.Time, name string) bool {
-	from := c.sources[name]
-	return from != nil && c.recent(now, from.heard)
-}
-
-// recent reports whether t lies within the contact limit.
-func (c *Controller) recent(now, t time.Time) bool {
-	return !t.IsZero() && now.Sub(t) <= c.cfg.ContactLimit
+	c.adopt(now, c.takenBack(now, cause, scope, detail))
 }
 
 // deadline is when this instance acts on the deadline: early enough that it is
@@ -223,14 +205,7 @@
 // that is out of touch serves the old version but leaves the outcome open: the
 // fleet may have completed without it.
 func (c *Controller) checkDeadline(now time.Time) {
-	if c.view.Settled() || !c.inTouch(now) {
-		return
-	}
-	last := c.deadline()
-	if c.row.Holder == c.self {
-		last = c.cfg.Deadline.Add(-c.cfg.Guard)
-	}
-	if now.Before(last) {
+	if !c.overdue(now, c.cfg.Deadline) {
 		return
 	}
 	c.takeBack(now, CauseDeadline, Scope{}, "not complete by the deadline")
@@ -270,8 +245,8 @@
 	if c.judge.suspicion.on {
 		return true
 	}
-	for _, from := range c.sources {
-		if from.summary.Suspect && c.recent(now, from.heard) {
+	for name, from := range c.sources {
+		if from.summary.Suspect && c.heardFrom(now, name) {
 			return true
 		}
 	}
@@ -288,15 +263,17 @@
 func (c *Controller) steer(now time.Time) {
 	share := c.share(now)
 	present := c.plan.Load()
-	next := &plan{meter: present.meter}
+	next := &plan{meter: present.meter, span: present.span, since: present.since}
 	if present.meter.Share() != share {
-		next.meter = NewMeter(share)
+		next.meter = NewMeter(share, c.seed)
+		next.span++
+		next.since = now
 	}
 	if share > c.warmShare {
 		c.judge.warmUntil = now.Add(c.cfg.WarmUp)
 		c.warmShare = share
 	}
-	c.judge.watchDrifts(share > suspectShare && c.view.Phase != Done)
+	c.judge.drifting = share > suspectShare && c.view.Phase != Done
 	if c.view.Phase == Running || c.view.Phase == Watching {
 		next.until = now.Add(c.cfg.ContactLimit)
 	}
