Tie observed parts to the lease's epoch

Cause: a read of the rows that began under an earlier lease could bring its parts back after the eviction.

Change: Limiter.Observe and Accept pass over another epoch.

--- a/front/platform/membership/keeper.go
+++ b/front/platform/membership/keeper.go
@@ -117,6 +117,13 @@
 	return k.name()
 }
 
+// Identity returns the member's name and its epoch.
+func (k *Keeper) Identity() (name string, epoch uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.name(), k.epoch
+}
+
 // Members returns the members as last read, this instance included once its
 // row has been read.
 func (k *Keeper) Members() []membership.Member {
--- a/steer/limit/limiter.go
+++ b/steer/limit/limiter.go
@@ -158,9 +158,14 @@
 }
 
 // Observe takes in the instance's part of a team as read from the row at
-// version.
-func (l *Limiter) Observe(now time.Time, team string, version uint64, owned share.Units) {
-	l.with(team, func(b *Bucket) { b.Observe(now, version, owned) })
+// version. What was read under another epoch than the present one is passed
+// over: a late read of an earlier lease must not bring its parts back.
+func (l *Limiter) Observe(now time.Time, epoch uint64, team string, version uint64, owned share.Units) {
+	l.with(team, func(b *Bucket) {
+		if l.lease.Load().epoch == epoch {
+			b.Observe(now, version, owned)
+		}
+	})
 }
 
 // Reserve sets units of a team aside for a gift that is written on the
@@ -171,9 +176,14 @@
 	return g, ok
 }
 
-// Accept takes in a part and its tokens from the instance that gave it.
-func (l *Limiter) Accept(now time.Time, h Handover) {
-	l.with(h.Team, func(b *Bucket) { b.Accept(now, h) })
+// Accept takes in a part and its tokens from the instance that gave it, if it
+// was given under the present epoch.
+func (l *Limiter) Accept(now time.Time, epoch uint64, h Handover) {
+	l.with(h.Team, func(b *Bucket) {
+		if l.lease.Load().epoch == epoch {
+			b.Accept(now, h)
+		}
+	})
 }
 
 // Release takes back a gift that certainly was not written.
--- a/steer/limit/limiter_test.go
+++ b/steer/limit/limiter_test.go
@@ -19,7 +19,7 @@
 	l.SetQuotas(now, quotas)
 	l.SetLease(now.Add(time.Hour), 1)
 	for team := range quotas {
-		l.Observe(now, team, 1, share.Whole)
+		l.Observe(now, 1, team, 1, share.Whole)
 	}
 	return l
 }
@@ -38,7 +38,7 @@
 		{"nothing gained yet", func(*Limiter) {}, 0, team, ReasonRate, 500 * time.Millisecond},
 		{"one gained", func(*Limiter) {}, 500 * time.Millisecond, team, ReasonNone, 0},
 		{"unknown team", func(*Limiter) {}, 0, "nobody", ReasonUnknownTeam, 0},
-		{"no part", func(l *Limiter) { l.Observe(start, team, 2, 0) }, time.Second, team, ReasonNoPart, 0},
+		{"no part", func(l *Limiter) { l.Observe(start, 1, team, 2, 0) }, time.Second, team, ReasonNoPart, 0},
 		{"lease over", func(*Limiter) {}, time.Hour, team, ReasonNoLease, time.Second},
 		{"team gone", func(l *Limiter) { l.SetQuotas(start, nil) }, time.Second, team, ReasonUnknownTeam, 0},
 		{"rate raised", func(l *Limiter) { l.SetQuotas(start, map[string]Quota{team: {Rate: 20, Burst: 40}}) }, 50 * time.Millisecond, team, ReasonNone, 0},
--- a/steer/limit/measure_test.go
+++ b/steer/limit/measure_test.go
@@ -237,7 +237,7 @@
 		claimants := m.claimants(t)
 		targets := share.Targets(t.quota.Resource(), row.division, claimants)
 		m.write(row, share.Hand(row.division, "", row.division.Free(), claimants, targets))
-		f.limiter.Observe(m.clock(), t.name, row.version, row.division.Of(f.Name))
+		f.limiter.Observe(m.clock(), 1, t.name, row.version, row.division.Of(f.Name))
 		m.give(f, t, row, share.Gift(row.division, f.Name, claimants, targets, share.GiftSlack))
 	}
 }
@@ -248,7 +248,7 @@
 	clear(m.answers)
 	for _, t := range m.teams {
 		row := m.rows[t.name]
-		f.limiter.Observe(m.clock(), t.name, row.version, row.division.Of(f.Name))
+		f.limiter.Observe(m.clock(), 1, t.name, row.version, row.division.Of(f.Name))
 		claimants := m.claimants(t)
 		targets := share.Targets(t.quota.Resource(), row.division, claimants)
 		m.give(f, t, row, share.Hand(row.division, f.Name, f.limiter.Giveable(m.clock(), t.name), claimants, targets))
@@ -265,11 +265,11 @@
 		return
 	}
 	m.write(row, moves)
-	f.limiter.Observe(m.clock(), t.name, row.version, row.division.Of(f.Name))
+	f.limiter.Observe(m.clock(), 1, t.name, row.version, row.division.Of(f.Name))
 	for _, move := range moves {
 		o := m.front(move.To)
 		h := Handover{Team: t.name, To: move.To, Version: row.version, Owned: row.division.Of(move.To), Units: move.Units, Tokens: g.TokensFor(move.Units)}
-		m.after(rtt(f, o)/2, func() { o.limiter.Accept(m.clock(), h) })
+		m.after(rtt(f, o)/2, func() { o.limiter.Accept(m.clock(), 1, h) })
 	}
 }
 
--- a/steer/limit/safety_test.go
+++ b/steer/limit/safety_test.go
@@ -98,9 +98,7 @@
 }
 
 func (f *fleet) take(r read) {
-	if r.to.epoch == r.epoch {
-		r.to.limiter.Observe(f.clock(r.to), team, r.version, r.units)
-	}
+	r.to.limiter.Observe(f.clock(r.to), r.epoch, team, r.version, r.units)
 }
 
 func (f *fleet) write(moves []share.Move) {
@@ -147,9 +145,7 @@
 }
 
 func (f *fleet) accept(h handover) {
-	if h.to.epoch == h.epoch {
-		h.to.limiter.Accept(f.clock(h.to), h.msg)
-	}
+	h.to.limiter.Accept(f.clock(h.to), h.epoch, h.msg)
 }
 
 func (f *fleet) receive(n *instance, loan Loan, borrowed *int) {
