Choose the version of each request by the shifts and record its outcome

Two stages: Versions chooses once for a request, Outcomes records each try where it ended. A try that fails on a new version is repeated on the serving one, so that retries never raise the new version's share. The instance runs the manager of shifts and serves its status to operators.

--- a/front/caller/exchange.go
+++ b/front/caller/exchange.go
@@ -38,6 +38,11 @@
 	Team string
 	// IdempotencyKey is the caller's, empty when it sent none.
 	IdempotencyKey string
+	// Version is the version of the route's service that the request goes to;
+	// empty means the serving one.
+	Version string
+	// Endpoint is the endpoint of the latest try, nil before the first.
+	Endpoint *document.Endpoint
 	// Verdict is what is known of the request so far. Stages that send it
 	// keep this up to date.
 	Verdict verdict.Verdict
--- a/front/caller/forward.go
+++ b/front/caller/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -36,14 +37,14 @@
 
 // ServeExchange implements Handler.
 func (f *Forward) ServeExchange(x *Exchange) error {
-	service := x.Index.Service(x.Route.Service)
-	endpoints := x.Index.Version(service.Name, service.Serving).Endpoints
+	endpoints := versionOf(x).Endpoints
 	if len(endpoints) == 0 {
 		refusal := refuse(http.StatusServiceUnavailable, ReasonNoEndpoint)
 		refusal.RetryAfter = noEndpointRetryAfter
 		return refusal
 	}
-	chosen := endpoints[f.next.Add(1)%uint64(len(endpoints))]
+	chosen := &endpoints[f.next.Add(1)%uint64(len(endpoints))]
+	x.Endpoint = chosen
 	answer, err := f.Sender.Send(x.Context(), endpoint.Target{Address: chosen.Address}, &endpoint.Request{
 		HTTP:       x.Request,
 		ID:         x.ID,
@@ -57,6 +58,15 @@
 	return copyAnswer(x, answer)
 }
 
+// versionOf returns the version that the request goes to.
+func versionOf(x *Exchange) *document.Version {
+	service := x.Index.Service(x.Route.Service)
+	if v := x.Index.Version(service.Name, x.Version); v != nil {
+		return v
+	}
+	return x.Index.Version(service.Name, service.Serving)
+}
+
 // sendRefusal turns a failed exchange with an endpoint into a refusal.
 func sendRefusal(x *Exchange, err error) *Refusal {
 	refusal := &Refusal{Verdict: verdict.MayHaveRun, Reason: ReasonEndpointFailed, Status: http.StatusBadGateway, Err: err}
--- /dev/null
+++ b/front/caller/versions.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+)
+
+// Versions chooses the version of the service that a request goes to, once for
+// each request.
+type Versions struct {
+	// Chooser knows the shifts that are on.
+	Chooser shifts.Chooser
+}
+
+// Wrap implements Stage.
+func (s *Versions) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		x.Version = s.Chooser.Choose(x.Index, x.Route.Service, time.Now())
+		return next.ServeExchange(x)
+	})
+}
+
+// Outcomes records how each try of a request ended, by which versions are
+// judged. After a failure of a new version, further tries go to the serving one.
+type Outcomes struct {
+	// Recorder takes the outcomes.
+	Recorder shifts.Recorder
+}
+
+// Wrap implements Stage.
+func (s *Outcomes) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		x.Endpoint = nil
+		began := time.Now()
+		err := next.ServeExchange(x)
+		s.record(x, err, time.Since(began))
+		return err
+	})
+}
+
+// record passes on the outcome of one try, if there was one.
+func (s *Outcomes) record(x *Exchange, err error, latency time.Duration) {
+	if x.Endpoint == nil {
+		return
+	}
+	failed, known := endpointFailed(x, err)
+	if !known {
+		return
+	}
+	s.Recorder.Record(shifts.Outcome{
+		Service:       x.Route.Service,
+		Version:       x.Version,
+		Route:         x.Route.Name,
+		FailureDomain: x.Endpoint.FailureDomain,
+		Latency:       latency,
+		Failed:        failed,
+	})
+	if failed {
+		x.Version = x.Index.Service(x.Route.Service).Serving
+	}
+}
+
+// endpointFailed says whether the endpoint failed the try. It is not known when
+// the try ended for another reason: the caller's, or the endpoint's word that it
+// has no room.
+func endpointFailed(x *Exchange, err error) (failed, known bool) {
+	if err == nil {
+		return x.Writer.Status() >= http.StatusInternalServerError, true
+	}
+	var at *endpoint.Error
+	if errors.As(err, &at) {
+		switch at.Reason {
+		case endpoint.ReasonShed, endpoint.ReasonCanceled, endpoint.ReasonCallerBody, endpoint.ReasonUnsendable:
+			return false, false
+		default:
+			return true, true
+		}
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) && refusal.Reason == ReasonAnswerCut {
+		return true, x.Context().Err() == nil
+	}
+	return false, false
+}
--- /dev/null
+++ b/front/caller/versions_test.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// alwaysNew sends every request to the new version.
+type alwaysNew struct{}
+
+func (alwaysNew) Choose(*document.Index, string, time.Time) string { return "v2" }
+
+// outcomeList keeps outcomes.
+type outcomeList struct{ all []shifts.Outcome }
+
+func (l *outcomeList) Record(o shifts.Outcome) { l.all = append(l.all, o) }
+
+// statusWriter is a ResponseWriter that reports a status.
+type statusWriter struct {
+	ResponseWriter
+	status int
+}
+
+func (w statusWriter) Status() int { return w.status }
+
+func TestOutcomeOfATry(t *testing.T) {
+	tests := []struct {
+		desc          string
+		err           error
+		status        int
+		failed, known bool
+	}{
+		{"answered", nil, http.StatusOK, false, true},
+		{"caller's fault", nil, http.StatusNotFound, false, true},
+		{"server error", nil, http.StatusInternalServerError, true, true},
+		{"broken", &endpoint.Error{Reason: endpoint.ReasonBroken}, 0, true, true},
+		{"too late", &endpoint.Error{Reason: endpoint.ReasonDeadline}, 0, true, true},
+		{"shed", &endpoint.Error{Reason: endpoint.ReasonShed}, 0, false, false},
+		{"caller gone", &endpoint.Error{Reason: endpoint.ReasonCanceled}, 0, false, false},
+		{"answer cut", &Refusal{Reason: ReasonAnswerCut}, http.StatusOK, true, true},
+		{"other", errors.New("fault"), 0, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "/tracker/", nil)
+			x := &Exchange{Request: request, Writer: statusWriter{status: tt.status}}
+			if failed, known := endpointFailed(x, tt.err); failed != tt.failed || known != tt.known {
+				t.Errorf("failed %v, known %v; want %v, %v", failed, known, tt.failed, tt.known)
+			}
+		})
+	}
+}
+
+// TestFailedTryIsRepeatedOnTheOldVersion lets two tries of one request fail.
+func TestFailedTryIsRepeatedOnTheOldVersion(t *testing.T) {
+	index := testIndex(t, true)
+	list := &outcomeList{}
+	failing := HandlerFunc(func(x *Exchange) error {
+		x.Endpoint = &document.Endpoint{FailureDomain: "kano-a"}
+		return &endpoint.Error{Reason: endpoint.ReasonBroken}
+	})
+	twice := HandlerFunc(func(x *Exchange) error {
+		try := Chain(failing, &Outcomes{Recorder: list})
+		return errors.Join(try.ServeExchange(x), try.ServeExchange(x))
+	})
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "/tracker/", nil)
+	x := &Exchange{Request: request, Index: index, Route: index.Route(http.MethodGet, "/tracker/")}
+	if err := Chain(twice, &Versions{Chooser: alwaysNew{}}).ServeExchange(x); err == nil {
+		t.Fatal("the request succeeded")
+	}
+	if len(list.all) != 2 || list.all[0].Version != "v2" || list.all[1].Version != "v1" {
+		t.Errorf("outcomes %+v, want one of v2 and then one of v1", list.all)
+	}
+}
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -16,9 +16,11 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 	"github.com/cardamomfront/cardamomfront/steer/retry"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
 // operatorHeaderTimeout is how long an operator's request header may take.
@@ -98,8 +100,34 @@
 }
 
 // newChain puts the stages around the forwarding of a request.
-func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries) caller.Handler {
-	return caller.Chain(f, &caller.Routes{Source: source}, keys, &caller.Attempts{Claimer: records}, retries)
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries, versions *shifts.Manager) caller.Handler {
+	return caller.Chain(f,
+		&caller.Routes{Source: source},
+		keys,
+		&caller.Attempts{Claimer: records},
+		&caller.Versions{Chooser: versions},
+		retries,
+		&caller.Outcomes{Recorder: versions},
+	)
+}
+
+// newShifts returns the manager of the document's shifts and drains.
+func newShifts(s *Settings, n Name, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
+	meters, err := shifts.NewMeters(m.Meter)
+	if err != nil {
+		return nil, err
+	}
+	settings := shifts.Settings{Environment: s.Environment, Instance: string(n), Tuning: shift.DefaultTuning()}
+	manager := shifts.NewManager(settings, shifts.Dependencies{
+		Table:     table,
+		Source:    source,
+		Peers:     c,
+		Directory: noPeers{},
+		Log:       log,
+		Meters:    meters,
+	})
+	manager.Register(srv)
+	return manager, nil
 }
 
 func newAttempts(s *Settings, n Name, table platform.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
@@ -116,15 +144,16 @@
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder) []Component {
-	return []Component{w, k, c, records}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager) []Component {
+	return []Component{w, k, c, records, versions}
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, w *configuration.Watcher) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager) *http.Server {
 	mux := http.NewServeMux()
 	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
+	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
 		if !w.Current().Ready {
 			http.Error(rw, "not ready", http.StatusServiceUnavailable)
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -26,6 +26,7 @@
 		peerSet,
 		configurationSet,
 		callerSet,
+		newShifts,
 		newOperators,
 		newComponents,
 	)
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -53,15 +53,19 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := newChain(forward, watcher, keys, recorder, retries)
+	manager, err := newShifts(s, name, platformClient, watcher, peerClient, server, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	handler := newChain(forward, watcher, keys, recorder, retries, manager)
 	httpHandler := newEntriesPage(s, watcher)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher)
-	v := newComponents(watcher, keys, client, recorder)
+	httpServer := newOperators(metrics, watcher, manager)
+	v := newComponents(watcher, keys, client, recorder, manager)
 	instance := New(s, callerServer, server, httpServer, v, logger)
 	return instance, nil
 }
