--- a/front/operator/command/command.go
+++ b/front/operator/command/command.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
@@ -28,7 +29,7 @@
 		return cmd.Help()
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
-	root.AddCommand(checkCommand(f), showCommand(f), promoteCommand(f), statusCommand(f), keyCommand(f), drainCommand(f))
+	root.AddCommand(checkCommand(f), showCommand(f), promoteCommand(f), statusCommand(f), keyCommand(f), drainCommand(f), shiftcmd.Command(f.openShifts))
 }
 
 // args turns the errors of an argument check into usage errors.
--- a/front/operator/command/errors.go
+++ b/front/operator/command/errors.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
@@ -19,6 +20,7 @@
 	ExitConflict   = 4 // another promotion came first; nothing was changed
 	ExitUnknown    = 5 // the change may or may not be in force
 	ExitStragglers = 6 // the change is in force, but not seen on every instance
+	ExitTakenBack  = 7 // the watched shift or drain was taken back
 )
 
 // UsageError is a wrong command line or setting.
@@ -57,11 +59,15 @@
 		unknown    *configuration.UnknownOutcomeError
 		stragglers *StragglersError
 		notFound   *operator.NotFoundError
+		noMovement *shiftcmd.UnknownError
+		takenBack  *shiftcmd.TakenBackError
 	)
 	switch {
 	case err == nil:
 		return ExitDone
-	case errors.As(err, &usage), errors.As(err, &notFound):
+	case errors.As(err, &takenBack):
+		return ExitTakenBack
+	case errors.As(err, &usage), errors.As(err, &notFound), errors.As(err, &noMovement):
 		return ExitUsage
 	case errors.As(err, &fault), errors.As(err, &other), errors.As(err, &withdrawn):
 		return ExitFaulty
--- /dev/null
+++ b/front/operator/command/shifts.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"net/http"
+
+	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+)
+
+// openShifts resolves the settings for the commands on shifts.
+func (f *flags) openShifts() (*shiftcmd.Access, func(), error) {
+	settings, err := f.resolve()
+	if err != nil {
+		return nil, nil, err
+	}
+	client := platform.NewClient(platform.Settings{URL: settings.Platform})
+	transport := &http.Transport{}
+	access := &shiftcmd.Access{
+		Table:       client,
+		Environment: settings.Environment,
+		Instances:   settings.Instances,
+		HTTP:        &http.Client{Transport: transport},
+		JSON:        f.output == outputJSON,
+	}
+	closeAll := func() {
+		client.Close()
+		transport.CloseIdleConnections()
+	}
+	return access, closeAll, nil
+}
--- /dev/null
+++ b/front/operator/shiftcmd/text.go
@@ -0,0 +1,103 @@
+package shiftcmd
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// printer writes lines; the writer's errors are the terminal's.
+type printer struct{ w io.Writer }
+
+func (p printer) linef(format string, values ...any) {
+	_, _ = fmt.Fprintf(p.w, format+"\n", values...)
+}
+
+// text writes the report for people.
+func (r *Report) text(w io.Writer) {
+	p := printer{w}
+	if len(r.Movements) == 0 {
+		p.linef("no shift and no drain in %s", r.Environment)
+	}
+	for i := range r.Movements {
+		r.Movements[i].text(p)
+	}
+	for _, s := range r.Silent {
+		p.linef("no answer from %s %s: %s", s.Name, s.Addr, s.Error)
+	}
+}
+
+// text writes one movement.
+func (m *Movement) text(p printer) {
+	p.linef("%s: %s", m.Name, m.headline())
+	if m.Record.Phase == shift.TakenBack {
+		p.linef("  why: %s (decided by %s)", m.Record.Reason.Detail, m.Record.Reason.Instance)
+	}
+	if m.Recorded {
+		p.linef("  advanced by: %s", m.Record.Holder)
+	}
+	s, d := m.told()
+	if s != nil {
+		p.shift(s)
+	}
+	if d != nil {
+		p.linef("  region %s, %s moved, deadline %s", d.Region, d.Moved, stamp(d.Deadline))
+	}
+	for _, wait := range m.waits() {
+		p.linef("  waits for %s: %s", wait.Kind, wait.Detail)
+	}
+	for i := range m.Shifts {
+		p.instance(&m.Shifts[i])
+	}
+	for _, e := range m.Events {
+		p.linef("  %s %s", stamp(e.At), step(&e.Record))
+	}
+}
+
+// headline says where the movement stands.
+func (m *Movement) headline() string {
+	if !m.Recorded {
+		return "not begun"
+	}
+	return fmt.Sprintf("%s since %s", step(&m.Record), stamp(m.Record.Since))
+}
+
+// step names a record's phase and, where it has one, its stage.
+func step(r *shift.Record) string {
+	if r.Phase == shift.Running {
+		return fmt.Sprintf("%s, stage %d", r.Phase, r.Stage+1)
+	}
+	return r.Phase.String()
+}
+
+// shift writes what one instance knows of the whole shift.
+func (p printer) shift(s *shift.Status) {
+	p.linef("  service %s: %s to %s, %d stages, deadline %s", s.Service, s.From, s.To, s.Stages, stamp(s.Deadline))
+	if s.Late {
+		p.linef("  can no longer be complete by the deadline")
+	}
+	for _, r := range s.Routes {
+		p.linef("  route %s in this stage: new version %s, old version %s", r.Route, rate(r.New), rate(r.Old))
+	}
+	for _, e := range s.Scopes {
+		p.linef("  evidence %s: %.1f of %.1f; new version %s, old version %s",
+			e.Scope, e.Evidence, e.Limit, rate(e.New), rate(e.Old))
+	}
+}
+
+// instance writes what one instance does now.
+func (p printer) instance(s *shift.Status) {
+	touch := ""
+	if !s.InTouch {
+		touch = ", out of touch"
+	}
+	p.linef("  %s: %s, gives the new version %s%s", s.Instance, step(&s.Record), s.Share, touch)
+}
+
+// rate writes hits and trials.
+func rate(c shift.Counts) string { return fmt.Sprintf("%d of %d", c.Hits, c.N) }
+
+// stamp writes a time for people.
+func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
--- /dev/null
+++ b/front/platform/shifts/history.go
@@ -0,0 +1,56 @@
+package shifts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+// Recorded is a record with its name.
+type Recorded struct {
+	// Name names the shift or drain.
+	Name string
+	// Record is its state.
+	Record shift.Record
+}
+
+// Records returns all records of an environment by name. Errors: *platform.Error,
+// or that of a row that can't be read.
+func Records(ctx context.Context, table platform.Table, environment string) ([]Recorded, error) {
+	rows, err := table.Scan(ctx, rowPrefix(environment))
+	if err != nil {
+		return nil, err
+	}
+	var all []Recorded
+	for _, row := range rows {
+		record, err := decodeRecord(row)
+		if err != nil {
+			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+		}
+		all = append(all, Recorded{Name: nameOf(environment, row.Key), Record: record})
+	}
+	return all, nil
+}
+
+// Events returns the steps of all movements of an environment, oldest first.
+// Rows of other kinds of event are passed over. Errors: *platform.Error.
+func Events(ctx context.Context, table platform.Table, environment string) ([]Event, error) {
+	rows, err := table.Scan(ctx, eventPrefix(environment))
+	if err != nil {
+		return nil, err
+	}
+	var all []Event
+	for _, row := range rows {
+		var e Event
+		if json.Unmarshal(row.Value, &e) != nil {
+			continue
+		}
+		if e.Kind == KindShift || e.Kind == KindDrain {
+			all = append(all, e)
+		}
+	}
+	return all, nil
+}
