Read short bodies of keyed requests before claiming

Cause: a caller that went away in the middle of a short booking left its key locked, since a part of the body had been sent; and the same key with another body of the same length was taken for a repeat.

Ruled out: reading in the background and giving up at the deadline, which leaves a read behind; the connection's read deadline ends it.

Mutations, restored: no body held (another body gets 201, the first caller is told ran); no read deadline (TestSlowBodyEndsWithTheDeadline hangs).

--- a/front/caller/attempts.go
+++ b/front/caller/attempts.go
@@ -57,9 +57,13 @@
 		if x.IdempotencyKey == "" || x.Idempotent() {
 			return next.ServeExchange(x)
 		}
+		body, err := holdBody(x)
+		if err != nil {
+			return err
+		}
 		claim, err := s.Claimer.Begin(x.Context(), attempts.Request{
 			Name:   attempt.Name{Team: x.Team, Route: x.Route.Name, IdempotencyKey: x.IdempotencyKey},
-			Digest: requestDigest(x.Request),
+			Digest: requestDigest(x.Request, body),
 		})
 		if err != nil {
 			return notClaimed(x, err)
@@ -68,11 +72,12 @@
 	})
 }
 
-// requestDigest tells requests apart that use the same key, without reading
-// their bodies.
-func requestDigest(r *http.Request) string {
+// requestDigest tells requests apart that use the same key. Of a body that is
+// not held it takes the length only.
+func requestDigest(r *http.Request, body []byte) string {
 	hash := sha256.New()
-	_, _ = fmt.Fprintf(hash, "%s %q %q %d", r.Method, r.URL.RequestURI(), r.Header.Get("Content-Type"), r.ContentLength)
+	_, _ = fmt.Fprintf(hash, "%s %q %q %d ", r.Method, r.URL.RequestURI(), r.Header.Get("Content-Type"), r.ContentLength)
+	_, _ = hash.Write(body)
 	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
 
--- a/front/caller/attempts_test.go
+++ b/front/caller/attempts_test.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/urfave/negroni/v3"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
@@ -225,10 +229,60 @@
 		defer stop()
 		b.call(context.Background(), "POST", "/book?mats=1", "k", "")
 		w := b.call(context.Background(), "POST", "/book?mats=2", "k", "")
-		wantAnswer{422, verdict.NotRun, ReasonKeyReused, ""}.check(t, "second", w)
+		wantAnswer{422, verdict.NotRun, ReasonKeyReused, ""}.check(t, "another query", w)
+		b.call(context.Background(), "POST", "/book", "l", "mat 1")
+		w = b.call(context.Background(), "POST", "/book", "l", "mat 2")
+		wantAnswer{422, verdict.NotRun, ReasonKeyReused, ""}.check(t, "another body", w)
 	})
 }
 
+// TestCallerThatLeavesInItsBody lets a caller go away in the middle of a short
+// body, and repeat the booking in full.
+func TestCallerThatLeavesInItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, answerText("booked"))
+		defer stop()
+		r := httptest.NewRequest("POST", "/book", iotest.ErrReader(io.ErrUnexpectedEOF))
+		r.ContentLength = 4
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		r.Header.Set(HeaderIdempotencyKey, "k")
+		w := httptest.NewRecorder()
+		b.server.ServeHTTP(w, r)
+		wantAnswer{400, verdict.NotRun, Reason(endpoint.ReasonCallerBody), ""}.check(t, "first", w)
+		w = b.call(context.Background(), "POST", "/book", "k", "mats")
+		wantAnswer{201, verdict.Ran, "", "booked"}.check(t, "repeat", w)
+		if b.sent != 1 {
+			t.Errorf("sent %d times, want once", b.sent)
+		}
+	})
+}
+
+// TestSlowBodyEndsWithTheDeadline lets a caller send half of a short body over
+// a real connection and then nothing.
+func TestSlowBodyEndsWithTheDeadline(t *testing.T) {
+	x := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		exchange := &Exchange{
+			Request:  r,
+			Writer:   negroni.NewResponseWriter(w).(ResponseWriter),
+			Deadline: time.Now().Add(50 * time.Millisecond),
+		}
+		_, err := holdBody(exchange)
+		x <- err
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: front\r\nContent-Length: 4\r\n\r\nma")
+	var refusal *Refusal
+	if err := <-x; !errors.As(err, &refusal) || refusal.Reason != ReasonDeadline || refusal.Verdict != verdict.NotRun {
+		t.Fatalf("holdBody = %v, want a refusal for the deadline", err)
+	}
+}
+
 // TestSilentStoreRefusesOnlyKeyedBookings takes the store down.
 func TestSilentStoreRefusesOnlyKeyedBookings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
