--- a/front/caller/attempts_test.go
+++ b/front/caller/attempts_test.go
@@ -52,6 +52,7 @@
 // bookings is a server with attempts and retries over a stand-in store.
 type bookings struct {
 	server *Server
+	page   http.Handler
 	store  *standin.Store
 	sent   int
 	// answer is what the next sends return; the last one stays.
@@ -83,6 +84,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	b.page = metrics.Page
 	recorder, err := attempts.New(attempts.DefaultSettings(), b.store, "kano", "kano-1", metrics.Meter, log)
 	if err != nil {
 		t.Fatal(err)
--- a/front/caller/retries_test.go
+++ b/front/caller/retries_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -76,6 +77,29 @@
 	}
 }
 
+// TestRetriesAreCounted looks for each counter on the metrics page.
+func TestRetriesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, stop := newBookings(t, answerFailure(endpoint.ReasonShed, verdict.NotRun), answerFailure(endpoint.ReasonBroken, verdict.MayHaveRun))
+		defer stop()
+		b.call(context.Background(), "POST", "/book", "k", "mats")
+		b.call(context.Background(), "POST", "/book", "k", "mats")
+		w := httptest.NewRecorder()
+		b.page.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		for _, want := range []string{
+			`cardamomfront_caller_retries_total{.*reason="endpoint-shed".*} 1`,
+			`cardamomfront_caller_retry_denials_total{.*reason="outcome-unknown".*} 1`,
+			`cardamomfront_attempts_claims_total{.*result="granted"} 1`,
+			`cardamomfront_attempts_claims_total{.*result="taken"} 1`,
+			`cardamomfront_caller_refusals_total{.*reason="idempotency-key-running".*} 1`,
+		} {
+			if !regexp.MustCompile(want).Match(w.Body.Bytes()) {
+				t.Errorf("no %s on the metrics page", want)
+			}
+		}
+	})
+}
+
 // TestLaterRefusalKeepsTheVerdict lets the first send end unknown and the
 // second be refused before it is sent, or fail for a fault of this system: the
 // request may have run all the same.
