--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -113,6 +113,8 @@
 // TestChangeAfterAnotherPromotion lets another operator's promotion come
 // between the reading of the document and the change: both must be in force.
 func TestChangeAfterAnotherPromotion(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
 	content, err := os.ReadFile("../../examples/kano.yaml")
 	if err != nil {
 		t.Fatal(err)
@@ -120,20 +122,20 @@
 	store := standin.NewStore()
 	p := configuration.NewPromoter(store)
 	first := configuration.Request{Environment: "kano-trial", File: "kano.yaml", Content: content, Operation: "op-1", Operator: "ana"}
-	if _, err := p.Promote(t.Context(), first); err != nil {
+	if _, err := p.Promote(ctx, first); err != nil {
 		t.Fatal(err)
 	}
 	raced := false
 	edit := func(doc *document.Document) ([]configuration.WithdrawnKey, error) {
 		if !raced {
 			raced = true
-			if _, err := Change(t.Context(), p, "kano-trial", "bilal", AddKey("ward-01", "ward-01-b", "new-key")); err != nil {
+			if _, err := Change(ctx, p, "kano-trial", "bilal", AddKey("ward-01", "ward-01-b", "new-key")); err != nil {
 				return nil, err
 			}
 		}
 		return WithdrawKey("ward-05-a")(doc)
 	}
-	changed, err := Change(t.Context(), p, "kano-trial", "ana", edit)
+	changed, err := Change(ctx, p, "kano-trial", "ana", edit)
 	if err != nil || changed.Generation != 3 {
 		t.Fatalf("changed to generation %d, %v", changed.Generation, err)
 	}
@@ -147,10 +149,10 @@
 	}
 	first.Expect, first.Operation = 3, "op-2"
 	var withdrawn *configuration.WithdrawnError
-	if _, err = p.Promote(t.Context(), first); !errors.As(err, &withdrawn) || withdrawn.Key.ID != "ward-05-a" {
+	if _, err = p.Promote(ctx, first); !errors.As(err, &withdrawn) || withdrawn.Key.ID != "ward-05-a" {
 		t.Errorf("an old file with a withdrawn key: %v", err)
 	}
-	_, err = Change(t.Context(), p, "kano-trial", "ana", WithdrawKey("ward-05-a"))
+	_, err = Change(ctx, p, "kano-trial", "ana", WithdrawKey("ward-05-a"))
 	var missing *NotFoundError
 	if !errors.As(err, &missing) {
 		t.Errorf("a key withdrawn twice: %v", err)
