Add the shares agent: divisions in the table, loans between instances

Cause: the limiter's parts must be kept in the table, move with the demand, and come back from the dead, through lost answers and writes that never arrived.

Change: Agent reads the divisions once a second, gives away what it has too much of, takes up parts whose holder's row is proven to be gone, hands over the tokens, and answers loans. A write with an unknown outcome is made again until the row has moved on, and its gift stays aside. The capacity tool follows two changed names of the pure packages.

Not told apart here: Reset at a lost lease (the state machine in limit shows it).

--- a/front/operator/capacity/decisions.go
+++ b/front/operator/capacity/decisions.go
@@ -125,7 +125,7 @@
 	r := membership.Record{
 		Name:          fmt.Sprintf("kano-a-%036d", i),
 		PeerAddress:   "127.0.0.11:7081",
-		CallerAddress: "http://127.0.0.11:7080",
+		CallerURL:     "http://127.0.0.11:7080",
 		Region:        "kano",
 		FailureDomain: "kano-a",
 		State:         membership.StateLive,
@@ -184,7 +184,7 @@
 	l.SetQuotas(now, quotas)
 	l.SetLease(now.Add(time.Hour), 1)
 	for i := range n {
-		l.Observe(now, teamName(i), 1, share.Whole)
+		l.Observe(now, 1, teamName(i), 1, share.Whole)
 	}
 	return l
 }
--- /dev/null
+++ b/front/platform/shares/agent.go
@@ -0,0 +1,259 @@
+package shares
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// Members is what an Agent needs of the membership.
+type Members interface {
+	// Identity returns this member's name and the epoch of its lease.
+	Identity() (name string, epoch uint64)
+	// Members returns the members as last read.
+	Members() []membership.Member
+	// Changed is signalled when the usable members have changed.
+	Changed() <-chan struct{}
+}
+
+// Agent keeps this instance's parts of all teams.
+type Agent struct {
+	settings Settings
+	table    platform.Table
+	peers    peer.Caller
+	members  Members
+	source   configuration.Source
+	limiter  *limit.Limiter
+	log      logrus.FieldLogger
+	meters   *Meters
+
+	background sync.WaitGroup // rounds and messages that are under way
+	spawning   sync.Mutex
+	stopped    bool // Run waits for the background to end
+
+	passing sync.Mutex // held during a pass
+
+	// Used by passes only.
+	digest string // document whose quotas the limiter has
+	epoch  uint64
+	idle   map[string]int // per team, passes that left a free part to others
+
+	mu      sync.Mutex
+	pending map[string]*change // per team, a write with an unknown outcome
+	teams   map[string]teamView
+	rounds  map[string]*round
+	rest    map[string]time.Time // per team, no question for a loan before
+}
+
+// teamView is a team's division as last read.
+type teamView struct {
+	name     string
+	quota    limit.Quota
+	version  uint64
+	division share.Division
+}
+
+// NewAgent returns an agent that is not running.
+func NewAgent(s Settings, table platform.Table, peers peer.Caller, members Members, source configuration.Source, l *limit.Limiter, log logrus.FieldLogger, m *Meters) *Agent {
+	return &Agent{
+		settings: s,
+		table:    table,
+		peers:    peers,
+		members:  members,
+		source:   source,
+		limiter:  l,
+		log:      log.WithField("prefix", "shares"),
+		meters:   m,
+		pending:  make(map[string]*change),
+		idle:     make(map[string]int),
+		teams:    make(map[string]teamView),
+		rounds:   make(map[string]*round),
+		rest:     make(map[string]time.Time),
+	}
+}
+
+// Run reads and moves parts until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-a.members.Changed():
+		}
+		if err := a.pass(ctx); err != nil {
+			failures++
+			a.log.WithError(err).Debug("Divisions were not read.")
+		} else {
+			failures = 0
+		}
+		timer.Reset(a.wait(failures))
+	}
+}
+
+// spawn runs f in the background, unless Run has ended. It reports whether it
+// does.
+func (a *Agent) spawn(f func()) bool {
+	a.spawning.Lock()
+	defer a.spawning.Unlock()
+	if a.stopped {
+		return false
+	}
+	a.background.Go(f)
+	return true
+}
+
+func (a *Agent) stop() {
+	a.spawning.Lock()
+	a.stopped = true
+	a.spawning.Unlock()
+	a.background.Wait()
+}
+
+// wait returns the time to the next pass, longer and more scattered after
+// failures.
+func (a *Agent) wait(failures int) time.Duration {
+	period := float64(a.settings.Period)
+	if failures == 0 {
+		return time.Duration(period * (1 - jitter + 2*jitter*rand.Float64()))
+	}
+	return time.Duration(period * (1 + rand.Float64()*float64(min(failures, slowest-1))))
+}
+
+// pass reads all divisions once and moves what should move.
+func (a *Agent) pass(ctx context.Context) error {
+	a.passing.Lock()
+	defer a.passing.Unlock()
+	quotas := a.applyQuotas()
+	if quotas == nil {
+		return nil
+	}
+	name, epoch := a.members.Identity()
+	a.begin(epoch)
+	views, err := a.read(ctx, quotas)
+	if err != nil {
+		return err
+	}
+	for _, v := range views {
+		if v.version > 0 {
+			a.limiter.Observe(time.Now(), epoch, v.name, v.version, v.division.Of(name))
+		}
+	}
+	if !time.Now().Before(a.limiter.LeaseUntil()) {
+		return nil
+	}
+	a.balance(ctx, views, identity{name: name, epoch: epoch})
+	return nil
+}
+
+// begin drops what was under way in an earlier epoch.
+func (a *Agent) begin(epoch uint64) {
+	if epoch == a.epoch {
+		return
+	}
+	a.epoch = epoch
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.pending)
+}
+
+// Leave gives away all that this instance holds, once the membership says that
+// it is leaving. It returns when nothing is left or ctx ends.
+func (a *Agent) Leave(ctx context.Context) error {
+	for a.limiter.HoldsAny() {
+		if err := a.pass(ctx); err != nil {
+			a.log.WithError(err).Info("Parts were not handed on yet.")
+		}
+		if !sleep(ctx, leavePause) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// identity is this member under one lease.
+type identity struct {
+	name  string
+	epoch uint64
+}
+
+// applyQuotas gives the limiter the teams of the document in force and returns
+// their quotas; nil before there is a document.
+func (a *Agent) applyQuotas() map[string]limit.Quota {
+	snapshot := a.source.Current()
+	if snapshot.Index == nil {
+		return nil
+	}
+	quotas := make(map[string]limit.Quota)
+	for _, t := range snapshot.Index.Document().Teams {
+		quotas[t.Name] = limit.Quota{Rate: float64(t.Rate), Burst: float64(t.Burst)}
+	}
+	if snapshot.Head.Digest != a.digest || a.digest == "" {
+		a.limiter.SetQuotas(time.Now(), quotas)
+		a.digest = snapshot.Head.Digest
+	}
+	return quotas
+}
+
+// read reads the divisions of all teams.
+func (a *Agent) read(ctx context.Context, quotas map[string]limit.Quota) ([]teamView, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, err := a.table.Scan(ctx, Prefix(a.settings.Environment))
+	count(a.meters.reads, outcome(err))
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		found[row.Key] = row
+	}
+	views := make([]teamView, 0, len(quotas))
+	for team, quota := range quotas {
+		row := found[Key(a.settings.Environment, team)]
+		view := teamView{name: team, quota: quota, version: row.Version}
+		if row.Version > 0 {
+			if view.division, err = share.DecodeDivision(row.Value); err != nil {
+				a.log.WithError(err).WithField("team", team).Error("Division can't be read.")
+				continue
+			}
+		}
+		views = append(views, view)
+	}
+	a.keepViews(views)
+	return views, nil
+}
+
+// keepViews keeps the divisions for the choice of lenders.
+func (a *Agent) keepViews(views []teamView) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, v := range views {
+		if v.version >= a.teams[v.name].version {
+			a.teams[v.name] = v
+		}
+	}
+}
+
+// Demand returns the demand of all teams at this instance, for its row.
+func (a *Agent) Demand(now time.Time) []membership.TeamDemand {
+	var demand []membership.TeamDemand
+	for _, d := range a.limiter.Demands(now) {
+		demand = append(demand, membership.TeamDemand{Team: d.Team, Rate: d.Rate})
+	}
+	return demand
+}
--- /dev/null
+++ b/front/platform/shares/agent_test.go
@@ -0,0 +1,184 @@
+package shares
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+func TestPartsFollowTheDemandAndRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(settled)
+		refused := f.offer(f.nodes[1], "large", 30, 90*time.Second)
+		refusedWard := f.offer(f.nodes[2], "ward-01", 3, 90*time.Second)
+		time.Sleep(30 * time.Second)
+		early := refused.Load() + refusedWard.Load()
+		before := f.store.Counts()
+		time.Sleep(60 * time.Second)
+		after := f.store.Counts()
+		if d := f.division("large"); d.Sum() != share.Whole || d.Of("i1") < share.Whole*6/10 {
+			t.Errorf("large is divided as %v, want most at i1", d)
+		}
+		if d := f.division("ward-01"); d.Of("i2") != share.Whole {
+			t.Errorf("ward-01 is divided as %v, want all at i2", d)
+		}
+		if late := refused.Load() + refusedWard.Load() - early; late > 0 {
+			t.Errorf("%d refusals of still demand, want none", late)
+		}
+		writes := float64(after.Writes-before.Writes) / 60 / 4
+		reads := float64(after.Reads-before.Reads) / 60 / 4
+		t.Logf("each instance makes %.2f writes/s and %.2f reads/s, %d refused at first", writes, reads, early)
+		if writes > 1.6 || reads > 3 {
+			t.Errorf("more than a heartbeat's write, and the reads of rows, divisions and list")
+		}
+	})
+}
+
+func TestRateAndBurstThroughFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		f.twice.Store(true)
+		time.Sleep(settled)
+		for _, n := range f.nodes {
+			f.offer(n, "large", 40, 3*time.Minute)
+			f.offer(n, "ward-01", 6, 3*time.Minute)
+		}
+		steps := []func(){
+			func() { f.store.SetFaults(standin.Faults{LoseAnswers: 30}) },
+			func() { f.nodes[0].kill() },
+			func() { f.store.SetFaults(standin.Faults{Down: true}) },
+			func() { f.store.SetFaults(standin.Faults{}) },
+			func() { f.cut(func(a, b string) bool { return a != b }) },
+			func() { f.store.SetFaults(standin.Faults{LoseAnswers: 30}) },
+			func() { f.cut(func(string, string) bool { return false }) },
+			func() { f.nodes[2].kill() },
+			func() { f.store.SetFaults(standin.Faults{Delay: 1200 * time.Millisecond}) },
+			func() { f.store.SetFaults(standin.Faults{}) },
+		}
+		for _, step := range steps {
+			step()
+			time.Sleep(15 * time.Second)
+		}
+		for team, w := range f.counts {
+			f.mu.Lock()
+			t.Logf("%s: %d admitted", team, w.admitted)
+			if w.admitted < int(w.quota.Rate)*60 {
+				t.Errorf("%s: only %d admitted", team, w.admitted)
+			}
+			f.mu.Unlock()
+		}
+	})
+}
+
+func TestPartsOfADeadInstanceComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(settled)
+		f.offer(f.nodes[2], "ward-01", 3, 20*time.Second)
+		time.Sleep(20 * time.Second)
+		f.nodes[2].kill()
+		time.Sleep(7 * time.Second)
+		for _, team := range []string{"large", "ward-01"} {
+			if d := f.division(team); d.Of("i2") != 0 || d.Sum() != share.Whole {
+				t.Errorf("%s is divided as %v, want nothing at i2 and all elsewhere", team, d)
+			}
+		}
+	})
+}
+
+func TestLeavingHandsEverythingOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		time.Sleep(settled)
+		f.offer(f.nodes[2], "ward-01", 3, 20*time.Second)
+		time.Sleep(20 * time.Second)
+		n := f.nodes[2]
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := n.keeper.Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.agent.Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if d := f.division("ward-01"); d.Of("i2") != 0 || d.Sum() != share.Whole {
+			t.Errorf("ward-01 is divided as %v", d)
+		}
+		time.Sleep(peerDelay)
+		heir := f.division("ward-01").Holdings[0].Instance
+		for _, o := range f.nodes {
+			if name, _ := o.keeper.Identity(); name == heir {
+				for i := range 3 {
+					if d := o.limiter.Allow(time.Now(), "ward-01"); !d.Admitted() {
+						t.Errorf("%s has no token for request %d: the tokens did not follow", heir, i)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestAGiftWithALostAnswerIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		time.Sleep(settled)
+		f.offer(f.nodes[0], "large", 30, time.Minute)
+		for range 30 {
+			f.store.SetFaults(standin.Faults{LoseAnswers: 5})
+			time.Sleep(time.Second)
+		}
+		f.store.SetFaults(standin.Faults{})
+		time.Sleep(20 * time.Second)
+		name, _ := f.nodes[0].keeper.Identity()
+		d := f.division("large")
+		if got := f.nodes[0].limiter.Giveable(time.Now(), "large"); got != d.Of(name) || d.Sum() != share.Whole {
+			t.Errorf("%s may use %d of %v", name, got, d)
+		}
+	})
+}
+
+func TestAGiftThatNeverArrivedIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		time.Sleep(settled)
+		for _, n := range f.nodes {
+			n.vanish.Store(3)
+		}
+		f.offer(f.nodes[0], "large", 30, 20*time.Second)
+		time.Sleep(20 * time.Second)
+		f.offer(f.nodes[1], "large", 30, 40*time.Second)
+		time.Sleep(60 * time.Second)
+		for _, n := range f.nodes {
+			name, _ := n.keeper.Identity()
+			d := f.division("large")
+			if got := n.limiter.Giveable(time.Now(), "large"); got != d.Of(name) || d.Sum() != share.Whole || n.vanish.Load() > 2 {
+				t.Errorf("%s may use %d of %v, %d writes were to vanish", name, got, d, n.vanish.Load())
+			}
+		}
+	})
+}
+
+func TestAMemberNotHeardOfKeepsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, func(f *fleet) { f.hide = "i1" })
+		time.Sleep(settled)
+		f.offer(f.nodes[1], "ward-01", 3, 30*time.Second)
+		time.Sleep(time.Second)
+		key := Key(environment, "ward-01")
+		row, _ := f.store.Get(context.Background(), key)
+		value, _ := share.Division{Holdings: []share.Holding{{Instance: "i1", Units: share.Whole}}}.Encode()
+		if _, err := f.store.Commit(context.Background(), []platform.Write{{Key: key, Expected: row.Version, Value: value}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		if d := f.division("ward-01"); d.Of("i1") != share.Whole {
+			t.Errorf("ward-01 is divided as %v, want all at i1 still", d)
+		}
+	})
+}
--- /dev/null
+++ b/front/platform/shares/borrow.go
@@ -0,0 +1,187 @@
+package shares
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cardamomfront/cardamomfront/steer/limit"
+)
+
+// round is one series of questions for a loan of one team. Requests that come
+// meanwhile wait for it too.
+type round struct {
+	waiting []chan limit.Decision
+}
+
+// Admit decides on a request of a team. A request that this instance has no
+// token for waits up to limit.MaxWait for a loan or the next token.
+func (a *Agent) Admit(ctx context.Context, team string) limit.Decision {
+	arrived := time.Now()
+	d := a.limiter.Allow(arrived, team)
+	if d.Admitted() || !worthWaiting(d.Reason) {
+		return d
+	}
+	countTeam(a.meters.waits, team)
+	for {
+		var hint time.Duration
+		d, hint = a.tryLoan(ctx, team, d)
+		if d.Admitted() {
+			return d
+		}
+		wait, ok := limit.NextTry(d, hint, limit.MaxWait-time.Since(arrived))
+		if !ok || !sleep(ctx, wait) {
+			return withHint(d, hint)
+		}
+		if d = a.limiter.TryAgain(time.Now(), team); d.Admitted() || !worthWaiting(d.Reason) {
+			return d
+		}
+	}
+}
+
+// Confirm checks an admitted request again right before it is sent.
+func (a *Agent) Confirm(d limit.Decision) limit.Reason { return a.limiter.Confirm(time.Now(), d) }
+
+func worthWaiting(r limit.Reason) bool { return r == limit.ReasonRate || r == limit.ReasonNoPart }
+
+// withHint tells the caller the shorter of the two waits that are known.
+func withHint(d limit.Decision, hint time.Duration) limit.Decision {
+	if hint > 0 && (d.RetryAfter == 0 || hint < d.RetryAfter) {
+		d.RetryAfter = hint
+	}
+	return d
+}
+
+// sleep waits and reports whether ctx went on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// tryLoan waits for the round of the team, beginning one if there is none. The
+// hint is the time until a new round may begin.
+func (a *Agent) tryLoan(ctx context.Context, team string, d limit.Decision) (limit.Decision, time.Duration) {
+	a.mu.Lock()
+	if rest := time.Until(a.rest[team]); rest > 0 {
+		a.mu.Unlock()
+		return d, rest
+	}
+	answer := make(chan limit.Decision, 1)
+	r := a.rounds[team]
+	if r == nil {
+		r = &round{}
+		if !a.spawn(func() { a.runRound(team, r) }) {
+			a.mu.Unlock()
+			return d, 0
+		}
+		a.rounds[team] = r
+	}
+	r.waiting = append(r.waiting, answer)
+	a.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return d, 0
+	case d = <-answer:
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return d, max(0, time.Until(a.rest[team]))
+	}
+}
+
+// runRound asks the lenders one after another until all that wait are served
+// or nobody has anything.
+func (a *Agent) runRound(team string, r *round) {
+	lenders := a.lenders(team)
+	var hint time.Duration
+	for len(lenders) > 0 {
+		asked, loan := a.askLoan(team, r, lenders[0])
+		done := a.serveWaiting(team, r)
+		if back, ok := a.limiter.GiveBack(time.Now(), asked.ID, team); ok {
+			a.notify(lenders[0].Instance, methodReturn, back)
+		}
+		if done {
+			return
+		}
+		if loan.Wait > 0 && (hint == 0 || loan.Wait < hint) {
+			hint = loan.Wait
+		}
+		lenders = limit.NextLenders(a.lenders(team), lenders[1:], asked, loan)
+	}
+	a.endRound(team, r, hint)
+}
+
+// askLoan asks one lender.
+func (a *Agent) askLoan(team string, r *round, l limit.Lender) (limit.LoanRequest, limit.Loan) {
+	a.mu.Lock()
+	waiting := len(r.waiting)
+	a.mu.Unlock()
+	request, ok := a.limiter.Ask(time.Now(), uuid.NewString(), team, waiting)
+	if !ok {
+		return request, limit.Loan{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loanTimeout)
+	defer cancel()
+	var loan limit.Loan
+	err := a.peers.Call(ctx, a.address(l.Instance), methodLoan, request, &loan)
+	if err != nil {
+		count(a.meters.loans, outcomeFailed)
+		return request, limit.Loan{}
+	}
+	a.limiter.Receive(time.Now(), team, loan)
+	if loan.Units == 0 {
+		count(a.meters.loans, outcomeEmpty)
+	} else {
+		count(a.meters.loans, outcomeOK)
+	}
+	return request, loan
+}
+
+// serveWaiting gives tokens to those that wait, in their order, and reports
+// whether none is left. The round is over then.
+func (a *Agent) serveWaiting(team string, r *round) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(r.waiting) > 0 {
+		d := a.limiter.TryAgain(time.Now(), team)
+		if !d.Admitted() {
+			return false
+		}
+		r.waiting[0] <- d
+		r.waiting = r.waiting[1:]
+	}
+	delete(a.rounds, team)
+	return true
+}
+
+// endRound answers those that still wait and begins a pause.
+func (a *Agent) endRound(team string, r *round, hint time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.rounds, team)
+	a.rest[team] = time.Now().Add(limit.Pause(hint))
+	for _, answer := range r.waiting {
+		answer <- a.limiter.TryAgain(time.Now(), team)
+	}
+}
+
+// lenders returns whom to ask for a loan of a team.
+func (a *Agent) lenders(team string) []limit.Lender {
+	a.mu.Lock()
+	view := a.teams[team]
+	a.mu.Unlock()
+	self, _ := a.members.Identity()
+	var all []limit.Lender
+	for _, m := range a.members.Members() {
+		if m.Name != self && !m.Silent {
+			all = append(all, limit.Lender{Instance: m.Name, Near: m.Region == a.settings.Region, Spare: view.division.Of(m.Name)})
+		}
+	}
+	return limit.Lenders(all)
+}
--- /dev/null
+++ b/front/platform/shares/entries.go
@@ -0,0 +1,36 @@
+package shares
+
+import (
+	"github.com/cardamomfront/cardamomfront/steer/entry"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+)
+
+// usableEntries returns the members that take new work.
+func usableEntries(all []membership.Member) []entry.Instance {
+	var usable []entry.Instance
+	for _, m := range all {
+		if m.Usable() {
+			usable = append(usable, entry.Instance{Name: m.Name, URL: m.CallerURL, Region: m.Region, FailureDomain: m.FailureDomain, Load: m.Load})
+		}
+	}
+	return usable
+}
+
+// entrySettings returns the settings of entry answers of the document in force.
+func (a *Agent) entrySettings() entry.Settings {
+	s := entry.DefaultSettings()
+	if index := a.source.Current().Index; index != nil {
+		s.Homes = index.Document().Entries.Homes
+	}
+	return s
+}
+
+// Entries returns the instances that a caller of a team in a region should try,
+// the best first.
+func (a *Agent) Entries(team, region, caller string) []entry.Ranked {
+	a.mu.Lock()
+	view := a.teams[team]
+	a.mu.Unlock()
+	t := entry.Team{Name: team, Rate: view.quota.Rate}
+	return entry.Answer(t, region, caller, usableEntries(a.members.Members()), a.entrySettings())
+}
--- /dev/null
+++ b/front/platform/shares/fleet_test.go
@@ -0,0 +1,297 @@
+package shares
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+const (
+	environment = "trial"
+	peerDelay   = 5 * time.Millisecond
+	settled     = 8 * time.Second
+)
+
+const testDocument = `environment: trial
+teams:
+  - {name: large, rate: 50/s, burst: 100}
+  - {name: ward-01, rate: 4/s, burst: 8}
+regions: [{name: kano, failureDomains: [kano-a, kano-b]}, {name: kaduna, failureDomains: [kaduna-a]}]
+services: []
+routes: []
+`
+
+// fleet is a number of instances with keeper, agent and limiter over one store.
+type fleet struct {
+	t      *testing.T
+	store  *standin.Store
+	source fixedSource
+	nodes  []*node
+	ended  sync.WaitGroup
+	apart  atomic.Pointer[func(a, b string) bool]
+	twice  atomic.Bool // messages arrive twice
+	hide   string      // a member that i0's agent has not heard of
+
+	mu     sync.Mutex
+	counts map[string]*whole
+}
+
+// whole is the bucket of a whole team. If it lacks a token, some window had
+// more than rate times its length plus the burst.
+type whole struct {
+	quota    limit.Quota
+	tokens   float64
+	at       time.Time
+	admitted int
+}
+
+type fixedSource struct{ snapshot *configuration.Snapshot }
+
+func (s fixedSource) Current() *configuration.Snapshot { return s.snapshot }
+
+// node is one instance.
+type node struct {
+	fleet   *fleet
+	region  string
+	keeper  *members.Keeper
+	agent   *Agent
+	limiter *limit.Limiter
+	methods map[string]peer.Method
+	stop    context.CancelFunc
+	dead    atomic.Bool
+	// vanish is how many commits from now on never arrive, while the node
+	// can't tell.
+	vanish atomic.Int64
+}
+
+// hidden is a membership that has not heard of one member yet.
+type hidden struct {
+	*members.Keeper
+	name string
+}
+
+func (h hidden) Members() []membership.Member {
+	return slices.DeleteFunc(h.Keeper.Members(), func(m membership.Member) bool { return m.Name == h.name })
+}
+
+func newFleet(t *testing.T, n int, options ...func(*fleet)) *fleet {
+	doc, err := document.Decode("trial.yaml", []byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, store: standin.NewStore(), counts: map[string]*whole{}}
+	f.source.snapshot = &configuration.Snapshot{Index: document.Compile(doc), Ready: true}
+	f.cut(func(string, string) bool { return false })
+	for _, option := range options {
+		option(f)
+	}
+	for _, team := range doc.Teams {
+		q := limit.Quota{Rate: float64(team.Rate), Burst: float64(team.Burst)}
+		f.counts[team.Name] = &whole{quota: q, tokens: q.Burst, at: time.Now()}
+	}
+	for i := range n {
+		f.start(fmt.Sprintf("i%d", i), []string{"kano", "kaduna"}[i%2])
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		f.ended.Wait()
+	})
+	return f
+}
+
+func (f *fleet) cut(apart func(a, b string) bool) { f.apart.Store(&apart) }
+
+func (f *fleet) start(process, region string) *node {
+	n := &node{fleet: f, region: region, limiter: limit.NewLimiter(), methods: map[string]peer.Method{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	keeperMeters, err1 := members.NewMeters(noop.Meter{})
+	agentMeters, err2 := NewMeters(noop.Meter{})
+	if err := errors.Join(err1, err2); err != nil {
+		f.t.Fatal(err)
+	}
+	s := members.Settings{
+		Environment: environment, Process: process, PeerAddress: process, CallerURL: "http://" + process,
+		Region: region, FailureDomain: region + "-a", Timing: membership.DefaultSettings(),
+	}
+	way := &way{Store: f.store, n: n}
+	n.keeper = members.NewKeeper(s, way, n, n.limiter, n, log, keeperMeters)
+	settings := Settings{Environment: environment, Region: region, Period: DefaultPeriod}
+	var known Members = n.keeper
+	if process == "i0" {
+		known = hidden{Keeper: n.keeper, name: f.hide}
+	}
+	n.agent = NewAgent(settings, way, n, known, f.source, n.limiter, log, agentMeters)
+	n.keeper.Register(n)
+	n.agent.Register(n)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.nodes = append(f.nodes, n)
+	f.ended.Go(func() { _ = n.keeper.Run(ctx) })
+	f.ended.Go(func() { _ = n.agent.Run(ctx) })
+	return n
+}
+
+// Handle implements the registries of keeper and agent.
+func (n *node) Handle(name string, m peer.Method) { n.methods[name] = m }
+
+// Report implements members.Reporter.
+func (n *node) Report(now time.Time) members.Report {
+	return members.Report{Demand: n.agent.Demand(now)}
+}
+
+// kill ends the process of a node without a word.
+func (n *node) kill() {
+	n.dead.Store(true)
+	n.stop()
+}
+
+// Call implements peer.Caller.
+func (n *node) Call(ctx context.Context, addr, method string, params, result any) error {
+	for _, other := range n.fleet.nodes {
+		if name := other.keeperProcess(); name != addr {
+			continue
+		}
+		if (*n.fleet.apart.Load())(n.region, other.region) || other.dead.Load() || n.dead.Load() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return other.serve(ctx, method, params, result)
+	}
+	return &peer.Error{Addr: addr, Method: method}
+}
+
+func (n *node) keeperProcess() string { return fmt.Sprintf("i%d", n.index()) }
+
+func (n *node) index() int {
+	for i, o := range n.fleet.nodes {
+		if o == n {
+			return i
+		}
+	}
+	return -1
+}
+
+func (n *node) serve(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	time.Sleep(peerDelay)
+	answer, err := n.methods[method](ctx, raw)
+	if n.fleet.twice.Load() {
+		answer, err = n.methods[method](ctx, raw)
+	}
+	if err != nil || result == nil {
+		return err
+	}
+	time.Sleep(peerDelay)
+	if raw, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// way is the store, in Kano, as one node reaches it.
+type way struct {
+	*standin.Store
+	n *node
+}
+
+func (w *way) blocked(ctx context.Context, op string) error {
+	if !(*w.n.fleet.apart.Load())(w.n.region, "kano") {
+		return nil
+	}
+	<-ctx.Done()
+	return &platform.Error{Op: op, Err: ctx.Err()}
+}
+
+// Scan implements platform.Table.
+func (w *way) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := w.blocked(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	return w.Store.Scan(ctx, prefix)
+}
+
+// Commit implements platform.Table.
+func (w *way) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+	if err := w.blocked(ctx, "commit"); err != nil {
+		return nil, err
+	}
+	if strings.HasPrefix(writes[0].Key, Prefix(environment)) && w.n.vanish.Add(-1) >= 0 {
+		return nil, &platform.Error{Op: "commit"}
+	}
+	return w.Store.Commit(ctx, writes)
+}
+
+// division returns a team's division as the table has it.
+func (f *fleet) division(team string) share.Division {
+	row, _ := f.store.Get(context.Background(), Key(environment, team))
+	d, err := share.DecodeDivision(row.Value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
+// count takes an admitted request into the account of its team.
+func (f *fleet) count(team string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.counts[team]
+	now := time.Now()
+	w.tokens = math.Min(w.quota.Burst, w.tokens+w.quota.Rate*now.Sub(w.at).Seconds())
+	w.at = now
+	w.tokens--
+	w.admitted++
+	if w.tokens < -1e-6 {
+		f.t.Errorf("request %d of %s exceeds rate and burst by %.3f", w.admitted, team, -w.tokens)
+	}
+}
+
+// offer sends requests of a team to a node at a rate until d has gone by, and
+// returns how many were refused.
+func (f *fleet) offer(n *node, team string, rate float64, d time.Duration) *atomic.Int64 {
+	refused := new(atomic.Int64)
+	f.ended.Go(func() {
+		end := time.Now().Add(d)
+		var requests sync.WaitGroup
+		for time.Now().Before(end) && !n.dead.Load() {
+			time.Sleep(time.Duration(float64(time.Second) / rate))
+			requests.Go(func() {
+				if n.agent.Admit(context.Background(), team).Admitted() {
+					f.count(team)
+				} else {
+					refused.Add(1)
+				}
+			})
+		}
+		requests.Wait()
+	})
+	return refused
+}
--- /dev/null
+++ b/front/platform/shares/messages.go
@@ -0,0 +1,110 @@
+package shares
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
+	"github.com/cardamomfront/cardamomfront/steer/share"
+)
+
+// Methods between instances.
+const (
+	methodLoan     = "shares.loan"
+	methodReturn   = "shares.return"
+	methodHandover = "shares.handover"
+)
+
+// Registry takes the methods that other instances may call. *peer.Server is one.
+type Registry interface {
+	Handle(name string, m peer.Method)
+}
+
+// Register lets other instances call the agent through server.
+func (a *Agent) Register(server Registry) {
+	server.Handle(methodLoan, a.serveLoan)
+	server.Handle(methodReturn, a.serveReturn)
+	server.Handle(methodHandover, a.serveHandover)
+}
+
+func (a *Agent) serveLoan(_ context.Context, params json.RawMessage) (any, error) {
+	var request limit.LoanRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, err
+	}
+	loan := a.limiter.Lend(time.Now(), request)
+	if loan.Units > 0 {
+		countTeam(a.meters.lent, request.Team)
+	}
+	return loan, nil
+}
+
+func (a *Agent) serveReturn(_ context.Context, params json.RawMessage) (any, error) {
+	var back limit.Return
+	if err := json.Unmarshal(params, &back); err != nil {
+		return nil, err
+	}
+	a.limiter.TakeBack(time.Now(), back)
+	return nil, nil
+}
+
+func (a *Agent) serveHandover(_ context.Context, params json.RawMessage) (any, error) {
+	var h limit.Handover
+	if err := json.Unmarshal(params, &h); err != nil {
+		return nil, err
+	}
+	if name, epoch := a.members.Identity(); h.To == name {
+		a.limiter.Accept(time.Now(), epoch, h)
+	}
+	return nil, nil
+}
+
+// handOver tells those who gained by a written change, and sends them the
+// tokens of the gift.
+func (a *Agent) handOver(c *change, version uint64, self identity) {
+	gained := make(map[string]share.Units)
+	given := make(map[string]share.Units)
+	for _, m := range c.moves {
+		gained[m.To] += m.Units
+		if m.From == self.name {
+			given[m.To] += m.Units
+		}
+	}
+	for to, units := range gained {
+		if to == self.name {
+			continue
+		}
+		h := limit.Handover{Team: c.team, To: to, Version: version, Owned: c.next.Of(to), Units: units}
+		if given[to] > 0 {
+			h.Tokens = c.gift.TokensFor(given[to])
+		}
+		a.notify(to, methodHandover, h)
+	}
+}
+
+// notify sends a message to a member without waiting for an answer.
+func (a *Agent) notify(member, method string, message any) {
+	addr := a.address(member)
+	if addr == "" {
+		return
+	}
+	a.spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+		defer cancel()
+		if err := a.peers.Call(ctx, addr, method, message, nil); err != nil {
+			a.log.WithError(err).WithField("instance", member).Debug("Message was not answered.")
+		}
+	})
+}
+
+// address returns where a member is reached, empty when it is not known.
+func (a *Agent) address(member string) string {
+	for _, m := range a.members.Members() {
+		if m.Name == member {
+			return m.PeerAddress
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/front/platform/shares/metrics.go
@@ -0,0 +1,56 @@
+package shares
+
+import (
+	"context"
+	"errors"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Meters counts what an Agent does.
+type Meters struct {
+	reads   metric.Int64Counter
+	writes  metric.Int64Counter
+	loans   metric.Int64Counter
+	lent    metric.Int64Counter
+	waits   metric.Int64Counter
+	refused metric.Int64Counter
+}
+
+// NewMeters creates the counters with meter. Errors: those of the meter.
+func NewMeters(meter metric.Meter) (*Meters, error) {
+	reads, err1 := meter.Int64Counter("shares.reads", metric.WithDescription("Reads of the divisions, by outcome."))
+	writes, err2 := meter.Int64Counter("shares.writes", metric.WithDescription("Writes of divisions, by outcome."))
+	loans, err3 := meter.Int64Counter("shares.loans_asked", metric.WithDescription("Questions for a loan, by outcome."))
+	lent, err4 := meter.Int64Counter("shares.loans_given", metric.WithDescription("Loans given, by team."))
+	waits, err5 := meter.Int64Counter("shares.waits", metric.WithDescription("Requests that waited for a loan or a token, by team."))
+	refused, err6 := meter.Int64Counter("shares.refusals", metric.WithDescription("Requests over the limit, by team and reason."))
+	if err := errors.Join(err1, err2, err3, err4, err5, err6); err != nil {
+		return nil, err
+	}
+	return &Meters{reads: reads, writes: writes, loans: loans, lent: lent, waits: waits, refused: refused}, nil
+}
+
+// Outcomes of calls.
+const (
+	outcomeOK       = "ok"
+	outcomeFailed   = "failed"
+	outcomeConflict = "conflict"
+	outcomeEmpty    = "empty"
+)
+
+func outcome(err error) string {
+	if err != nil {
+		return outcomeFailed
+	}
+	return outcomeOK
+}
+
+func count(counter metric.Int64Counter, outcome string) {
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+func countTeam(counter metric.Int64Counter, team string) {
+	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("team", team)))
+}
--- /dev/null
+++ b/front/platform/shares/settings.go
@@ -0,0 +1,51 @@
+// Package shares keeps the teams' divisions in the platform's table and lends
+// parts between instances, so that the limiter of each instance may use its
+// part of each team's rate and burst.
+//
+// The decisions are those of steer/share and steer/limit. An Agent reads the
+// divisions about once a second, gives away what it has too much of, takes up
+// what nobody holds any more, and answers the loans that others ask for. Rows
+// are written only when parts move.
+package shares
+
+import "time"
+
+// Settings of an Agent.
+type Settings struct {
+	// Environment names the environment.
+	Environment string
+	// Region is where the instance runs.
+	Region string
+	// Period is the time between two reads of the divisions.
+	Period time.Duration
+}
+
+// DefaultPeriod is the usual time between two reads of the divisions.
+const DefaultPeriod = time.Second
+
+const (
+	// tableTimeout bounds one call to the table.
+	tableTimeout = 1500 * time.Millisecond
+	// loanTimeout bounds one question for a loan.
+	loanTimeout = 400 * time.Millisecond
+	// noticeTimeout bounds a message that needs no answer.
+	noticeTimeout = 2 * time.Second
+	// writesAtOnce is how many rows one pass writes at the same time.
+	writesAtOnce = 4
+	// passesPerTurn is for how many passes a free part is left to the instance
+	// that comes first.
+	passesPerTurn = 2
+	// leavePause is the time between two passes of a leaving instance.
+	leavePause = 200 * time.Millisecond
+	// jitter is the part by which waits differ at random.
+	jitter = 0.1
+	// slowest is how many times longer than usual the wait after failures is
+	// at most.
+	slowest = 3
+)
+
+// Prefix returns the prefix of the keys of all divisions.
+func Prefix(environment string) string { return environment + "/shares/" }
+
+// Key returns the key of a team's division.
+func Key(environment, team string) string { return Prefix(environment) + team }
--- a/steer/limit/limiter.go
+++ b/steer/limit/limiter.go
@@ -197,6 +197,13 @@
 	return units
 }
 
+// HoldsAny says whether the table gives the instance a part of any team.
+func (l *Limiter) HoldsAny() bool {
+	holds := false
+	l.each(func(_ string, b *Bucket) { holds = holds || b.Owned() > 0 })
+	return holds
+}
+
 // Ask returns the request for a loan of a team's part, to be sent at now.
 func (l *Limiter) Ask(now time.Time, id, team string, waiting int) (r LoanRequest, ok bool) {
 	ok = l.with(team, func(b *Bucket) { r = b.Ask(now, id, team, waiting) })
--- a/steer/membership/watch.go
+++ b/steer/membership/watch.go
@@ -140,10 +140,17 @@
 // rank returns the place of self among the usable members that could evict
 // holder.
 func (w *Watch) rank(self, holder string) int {
+	members := slices.DeleteFunc(w.Members(), func(m Member) bool { return m.Name == holder })
+	return Turn(holder, self, members)
+}
+
+// Turn returns the place of self among the usable members for a task, 0 for the
+// first. Members with the same knowledge agree on the order.
+func Turn(task, self string, members []Member) int {
 	place := 0
-	own := score(holder, self)
-	for _, m := range w.Members() {
-		if m.Name != self && m.Name != holder && m.Usable() && score(holder, m.Name) > own {
+	own := score(task, self)
+	for _, m := range members {
+		if m.Name != self && m.Usable() && score(task, m.Name) > own {
 			place++
 		}
 	}
