e2e: bound the wait for the take-back of a bad version

With the recording of outcomes taken out the shift stays running and the test says so after its limit; before, the watch went on until the whole run timed out.

--- a/front/e2e/shift_test.go
+++ b/front/e2e/shift_test.go
@@ -106,7 +106,13 @@
 	bad := f.addEndpoint(t, "bad", "kano-a", "v2", "--fail-after", "5s")
 	f.promote(t, documentOptions{Extra: shiftDocument("{cap: 20%, hold: 5m}, {cap: 100%}")}, 1)
 	steadyTraffic(t, f)
-	out, code := ctl(t, f.shiftArgs("watch", "tracker-v2", "--interval", "200ms")...)
+	eventually(t, "the take-back", func() error {
+		if m := f.movement(t); m.Record.Phase != shift.TakenBack {
+			return fmt.Errorf("the shift is %v", m.Record.Phase)
+		}
+		return nil
+	})
+	out, code := ctl(t, f.shiftArgs("watch", "tracker-v2")...)
 	if code != command.ExitTakenBack || !strings.Contains(out, "errors on route hours") {
 		t.Fatalf("watch ended with %d, want %d and the reason:\n%s", code, command.ExitTakenBack, out)
 	}
