Count the bytes of connections between instances

Cause: the aim bounds a daemon's control traffic at 3 KB/s; nothing counted it. Ruled out: counting messages by size (misses framing and TLS). Change: telemetry.Traffic wraps a connection; the peer server and client use it. Partial: not yet set by the wiring, nor counted towards the platform.

--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -21,6 +22,10 @@
 // which calls run side by side. A connection on which a call ran out of time
 // may have gone silent for good: later calls get a new one.
 type Client struct {
+	// Traffic counts the bytes of connections; nil counts nothing. It is set
+	// before the first call.
+	Traffic *telemetry.Traffic
+
 	tls         *tls.Config
 	dialTimeout time.Duration
 
@@ -110,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, lengthCodec{})
+	stream := jsonrpc2.NewBufferedStream(c.Traffic.Conn(conn), lengthCodec{})
 	l.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noMethods{}, quiet)
 	return l.conn, nil
 }
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -10,10 +10,16 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
 // Server answers the calls of other instances.
 type Server struct {
+	// Traffic counts the bytes of connections; nil counts nothing. It is set
+	// before Serve.
+	Traffic *telemetry.Traffic
+
 	tls *tls.Config
 	log logrus.FieldLogger
 
@@ -74,7 +80,7 @@
 
 // attach serves one accepted connection in the background.
 func (s *Server) attach(ctx context.Context, conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(conn, lengthCodec{})
+	stream := jsonrpc2.NewBufferedStream(s.Traffic.Conn(conn), lengthCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, quiet)
 	s.mu.Lock()
