configuration: keep the history of promotions out of the head row

Change: the history (64 promotions) has its own row, written in the same transaction and read by promoters only. The head row is under 512 bytes after 128 promotions (checked).

--- a/front/platform/configuration/head.go
+++ b/front/platform/configuration/head.go
@@ -8,11 +8,12 @@
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
-// maxHistory is the number of earlier promotions that the head row keeps. A
-// promoter whose answer was lost finds its own among them.
-const maxHistory = 16
+// maxHistory is the number of promotions that the history row keeps. A promoter
+// whose answer was lost finds its own among them.
+const maxHistory = 64
 
-// Promotion is one accepted promotion.
+// Promotion is one accepted promotion. It is the value of the head row, which
+// every instance reads about once a second.
 type Promotion struct {
 	generation.Head
 	// Operation is the unique name of the write.
@@ -21,52 +22,49 @@
 	Operator string `json:"operator"`
 }
 
-// HeadRow is the value of the head row.
-type HeadRow struct {
-	Promotion
-	// History holds the promotions before this one, latest first.
-	History []Promotion `json:"history,omitempty"`
+// history is the value of the history row: the latest promotions, latest
+// first. It is written together with the head row and read by promoters only.
+type history struct {
+	Promotions []Promotion `json:"promotions"`
 }
 
 // HeadKey returns the key of an environment's head row.
 func HeadKey(environment string) string { return environment + "/head" }
 
+// historyKey returns the key of an environment's history row.
+func historyKey(environment string) string { return environment + "/promotions" }
+
 // find returns the promotion with the given operation.
-func (h HeadRow) find(operation string) (Promotion, bool) {
-	if h.Operation == operation {
-		return h.Promotion, true
-	}
-	for _, earlier := range h.History {
-		if earlier.Operation == operation {
-			return earlier, true
+func (h history) find(operation string) (Promotion, bool) {
+	for _, promotion := range h.Promotions {
+		if promotion.Operation == operation {
+			return promotion, true
 		}
 	}
 	return Promotion{}, false
 }
 
-// next returns the row that follows h.
-func (h HeadRow) next(digest, operation, operator string) HeadRow {
-	row := HeadRow{Promotion: Promotion{
-		Head:      generation.Head{Generation: h.Generation + 1, Digest: digest},
-		Operation: operation,
-		Operator:  operator,
-	}}
-	if h.Generation == 0 {
-		return row
-	}
-	row.History = append([]Promotion{h.Promotion}, h.History...)
-	row.History = row.History[:min(len(row.History), maxHistory)]
-	return row
+// with returns the history after one more promotion.
+func (h history) with(p Promotion) history {
+	promotions := append([]Promotion{p}, h.Promotions...)
+	return history{Promotions: promotions[:min(len(promotions), maxHistory)]}
+}
+
+// decodeHead reads a head row. A row that does not exist gives the zero
+// promotion.
+func decodeHead(row platform.Row) (Promotion, error) {
+	var head Promotion
+	err := decodeRow(row, &head)
+	return head, err
 }
 
-// decodeHead reads a head row. A row that does not exist gives the zero head.
-func decodeHead(row platform.Row) (HeadRow, error) {
-	var head HeadRow
+// decodeRow reads a row that may not exist into value.
+func decodeRow(row platform.Row, value any) error {
 	if row.Version == 0 {
-		return head, nil
+		return nil
 	}
-	if err := json.Unmarshal(row.Value, &head); err != nil {
-		return head, fmt.Errorf("head row %s: %w", row.Key, err)
+	if err := json.Unmarshal(row.Value, value); err != nil {
+		return fmt.Errorf("row %s: %w", row.Key, err)
 	}
-	return head, nil
+	return nil
 }
--- a/front/platform/configuration/promote.go
+++ b/front/platform/configuration/promote.go
@@ -12,6 +12,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
 // Store is the part of the platform's service that this package uses.
@@ -113,7 +114,7 @@
 		return Promotion{}, nil, err
 	}
 	content, err := p.store.GetObject(ctx, head.Digest)
-	return head.Promotion, content, err
+	return head, content, err
 }
 
 // Promote checks a document and puts it in force. It tries until ctx ends.
@@ -174,8 +175,7 @@
 	doc     *document.Document
 	// uncertain says that a write was sent whose outcome is unknown.
 	uncertain bool
-	// settled says that the head row and its history showed that no write
-	// took effect.
+	// settled says that the history shows that no write took effect.
 	settled bool
 }
 
@@ -191,12 +191,20 @@
 	if err != nil {
 		return Promotion{}, backoff.Permanent(err)
 	}
-	if done, found := head.find(a.request.Operation); found {
+	past, err := a.store.Get(ctx, historyKey(a.request.Environment))
+	if err != nil {
+		return Promotion{}, err
+	}
+	var h history
+	if err := decodeRow(past, &h); err != nil {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	if done, found := h.find(a.request.Operation); found {
 		return done, nil
 	}
 	if head.Generation != a.request.Expect {
 		a.settled = head.Generation <= a.request.Expect+maxHistory
-		return Promotion{}, backoff.Permanent(&ConflictError{Expected: a.request.Expect, Winner: head.Promotion})
+		return Promotion{}, backoff.Permanent(&ConflictError{Expected: a.request.Expect, Winner: head})
 	}
 	// The head row's version, read before, makes this check and the write one:
 	// a key withdrawn in between moves that row.
@@ -208,24 +216,37 @@
 	if err != nil {
 		return Promotion{}, err
 	}
-	return a.write(ctx, row, head)
+	return a.write(ctx, row, past, h)
 }
 
-// write moves the head row on and records the withdrawn keys with it.
-func (a *attempt) write(ctx context.Context, row platform.Row, head HeadRow) (Promotion, error) {
-	next := head.next(a.digest, a.request.Operation, a.request.Operator)
-	value, err := json.Marshal(next)
+// write moves the head row on and records the promotion and the withdrawn keys
+// with it.
+func (a *attempt) write(ctx context.Context, row, past platform.Row, h history) (Promotion, error) {
+	next := Promotion{
+		Head:      generation.Head{Generation: a.request.Expect + 1, Digest: a.digest},
+		Operation: a.request.Operation,
+		Operator:  a.request.Operator,
+	}
+	writes, err := withdrawnWrites(a.request.Environment, a.request.Withdrawn)
 	if err != nil {
 		return Promotion{}, backoff.Permanent(err)
 	}
-	writes, err := withdrawnWrites(a.request.Environment, a.request.Withdrawn)
+	head, err := json.Marshal(next)
+	if err != nil {
+		return Promotion{}, backoff.Permanent(err)
+	}
+	promotions, err := json.Marshal(h.with(next))
 	if err != nil {
 		return Promotion{}, backoff.Permanent(err)
 	}
-	writes = append(writes, platform.Write{Key: HeadKey(a.request.Environment), Expected: row.Version, Value: value})
+	writes = append(
+		writes,
+		platform.Write{Key: HeadKey(a.request.Environment), Expected: row.Version, Value: head},
+		platform.Write{Key: historyKey(a.request.Environment), Expected: past.Version, Value: promotions},
+	)
 	_, err = a.store.Commit(ctx, writes)
 	if err == nil {
-		return next.Promotion, nil
+		return next, nil
 	}
 	var failure *platform.Error
 	if errors.As(err, &failure) && failure.Effect == platform.EffectUnknown {
--- a/front/platform/configuration/promote_test.go
+++ b/front/platform/configuration/promote_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
@@ -204,3 +205,28 @@
 		}
 	})
 }
+
+// headRowBudget is a sixth of the 3 KB a second that control traffic may take
+// at the aimed-for size; the row is read once a second.
+const headRowBudget = 512 // bytes
+
+func TestRowsStaySmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewStore()
+		p := NewPromoter(store)
+		const promotions = 2 * maxHistory
+		for i := range uint64(promotions) {
+			if _, err := p.Promote(t.Context(), request(t, i, uuid.NewString(), "an-operator-with-a-long-name")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		head, err := store.Get(t.Context(), HeadKey(environment))
+		if err != nil || len(head.Value) > headRowBudget {
+			t.Errorf("head row has %d bytes after %d promotions, want at most %d (%v)", len(head.Value), promotions, headRowBudget, err)
+		}
+		past, err := store.Get(t.Context(), historyKey(environment))
+		if err != nil || len(past.Value) > (maxHistory+1)*headRowBudget {
+			t.Errorf("history row has %d bytes after %d promotions (%v)", len(past.Value), promotions, err)
+		}
+	})
+}
