document: refuse tags and outlive panics of the YAML library

An instance that decodes a promoted document would die. Change: tags are refused like anchors, and a panic below the library's calls becomes an *Error.

--- a/front/platform/configuration/promote_test.go
+++ b/front/platform/configuration/promote_test.go
@@ -225,8 +225,9 @@
 			t.Errorf("head row has %d bytes after %d promotions, want at most %d (%v)", len(head.Value), promotions, headRowBudget, err)
 		}
 		past, err := store.Get(t.Context(), historyKey(environment))
-		if err != nil || len(past.Value) > (maxHistory+1)*headRowBudget {
-			t.Errorf("history row has %d bytes after %d promotions (%v)", len(past.Value), promotions, err)
+		var h history
+		if decodeErr := decodeRow(past, &h); err != nil || decodeErr != nil || len(h.Promotions) != maxHistory {
+			t.Errorf("history has %d promotions, want %d (%v, %v)", len(h.Promotions), maxHistory, err, decodeErr)
 		}
 	})
 }
--- a/steer/document/decode.go
+++ b/steer/document/decode.go
@@ -16,14 +16,10 @@
 // Decode reads and checks a document and fills in its defaults. The file is
 // used in errors only. Errors: *Error, for the first fault.
 func Decode(file string, content []byte) (*Document, error) {
-	root, err := parse(content)
+	root, doc, err := read(content)
 	if err != nil {
 		return nil, inFile(file, err)
 	}
-	doc := &Document{}
-	if err := yaml.NodeToValue(root, doc, yaml.Strict()); err != nil {
-		return nil, inFile(file, err)
-	}
 	doc.fillDefaults()
 	c := &checker{doc: doc, root: root}
 	if err := c.check(); err != nil {
@@ -32,6 +28,22 @@
 	return doc, nil
 }
 
+// read parses and decodes content without checking it. The library panics on
+// some malformed files; an instance must outlive them.
+func read(content []byte) (root ast.Node, doc *Document, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &Error{Message: fmt.Sprintf("the file can't be read as YAML: %v", cause)}
+		}
+	}()
+	if root, err = parse(content); err != nil {
+		return nil, nil, err
+	}
+	doc = &Document{}
+	err = yaml.NodeToValue(root, doc, yaml.Strict())
+	return root, doc, err
+}
+
 // parse returns the root of the only YAML document in content.
 func parse(content []byte) (ast.Node, error) {
 	if len(content) > MaxSize {
@@ -45,10 +57,10 @@
 		return nil, &Error{Message: fmt.Sprintf("there are %d YAML documents; one is expected", countBodies(file))}
 	}
 	root := file.Docs[0].Body
-	finder := &aliasFinder{}
+	finder := &extraFinder{}
 	ast.Walk(finder, root)
 	if finder.found != nil {
-		return nil, nodeError(finder.found, "anchors, aliases and merge keys are not allowed")
+		return nil, nodeError(finder.found, "anchors, aliases, merge keys and tags are not allowed")
 	}
 	return root, nil
 }
@@ -63,18 +75,19 @@
 	return count
 }
 
-// aliasFinder looks for the first node that would refer to another one.
-type aliasFinder struct {
+// extraFinder looks for the first node that refers to another one or changes
+// how one is read.
+type extraFinder struct {
 	found ast.Node
 }
 
 // Visit implements ast.Visitor.
-func (f *aliasFinder) Visit(node ast.Node) ast.Visitor {
+func (f *extraFinder) Visit(node ast.Node) ast.Visitor {
 	if f.found != nil {
 		return nil
 	}
 	switch node.Type() {
-	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType, ast.TagType:
 		f.found = node
 		return nil
 	default:
--- a/steer/document/decode_test.go
+++ b/steer/document/decode_test.go
@@ -29,6 +29,7 @@
 		{"twice the same field", "burst: 120", "burst: 120\n    burst: 9", `mapping key "burst" already defined`, "burst: 9"},
 		{"syntax", "teams:", "teams: [", "", ""},
 		{"anchor", "burst: 120", "burst: &b 120", "anchors", "&b"},
+		{"tag", "[GET, HEAD]", "!list [GET, HEAD]", "tags are not allowed", "!list"},
 		{"rate without unit", "rate: 40/s", "rate: 40", `"40" has no unit`, "rate: 40"},
 		{"quoted rate without unit", "rate: 40/s", `rate: "40"`, `"40" has no unit`, "rate:"},
 		{"rate of an unknown unit", "rate: 40/s", "rate: 40/day", "unknown unit", "40/day"},
