shifts: readiness waits for the records, reports are shorter, tests are free of races

A new instance is ready once it knows how the document's movements stand; before, it served its first second on the old version of a finished shift.

--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -155,7 +155,7 @@
 	mux.Handle("GET /metrics", m.Page)
 	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
-		if !w.Current().Ready {
+		if !w.Current().Ready || !versions.Ready() {
 			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
--- a/front/platform/shifts/fleet_test.go
+++ b/front/platform/shifts/fleet_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +76,13 @@
 	g.frozen = nil
 }
 
+// lastHeld returns how the last commit that was held up ended.
+func (g *gate) lastHeld() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
 // Commit waits while the instance is frozen; then the write goes on its way.
 func (g *gate) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
 	g.mu.Lock()
@@ -104,8 +113,7 @@
 	fleet  *fleet
 	name   string
 	cancel context.CancelFunc
-	cut    bool
-	fresh  uint64 // requests given to the new version
+	fresh  atomic.Uint64 // requests given to the new version
 }
 
 // fleet is a number of instances over one store.
@@ -113,10 +121,12 @@
 	store     *standin.Store
 	index     *document.Index
 	began     time.Time
+	mu        sync.Mutex // guards instances
 	instances []*instance
 	born      int
-	// failsFrom is when the new version begins to fail; zero: never.
-	failsFrom time.Duration
+	// failsFrom is when the new version begins to fail, in nanoseconds since the
+	// start; zero: never.
+	failsFrom atomic.Int64
 	wait      sync.WaitGroup
 }
 
@@ -150,7 +160,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	i.cancel = cancel
-	f.instances = append(f.instances, i)
+	f.set(append(f.members(), i))
 	f.wait.Go(func() { _ = i.Run(ctx) })
 	f.wait.Go(func() { i.traffic(ctx) })
 	return i
@@ -159,18 +169,26 @@
 // stop ends an instance for good.
 func (f *fleet) stop(i *instance) {
 	i.cancel()
-	var rest []*instance
-	for _, other := range f.instances {
-		if other != i {
-			rest = append(rest, other)
-		}
-	}
-	f.instances = rest
+	f.set(slices.DeleteFunc(f.members(), func(other *instance) bool { return other == i }))
+}
+
+// members returns a copy of the instances that live.
+func (f *fleet) members() []*instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.instances)
+}
+
+// set replaces the instances.
+func (f *fleet) set(all []*instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = all
 }
 
 // stopAll ends the fleet.
 func (f *fleet) stopAll() {
-	for _, i := range f.instances {
+	for _, i := range f.members() {
 		i.cancel()
 	}
 	f.wait.Wait()
@@ -179,7 +197,7 @@
 // Peers implements configuration.Directory.
 func (i *instance) Peers() []configuration.Peer {
 	var all []configuration.Peer
-	for _, other := range i.fleet.instances {
+	for _, other := range i.fleet.members() {
 		if other != i {
 			all = append(all, configuration.Peer{Name: other.name, Addr: other.name})
 		}
@@ -187,7 +205,7 @@
 	return all
 }
 
-var errCut = errors.New("cut off")
+var errGone = errors.New("no such instance")
 
 // Call implements peer.Caller.
 func (i *instance) Call(ctx context.Context, addr, _ string, params, _ any) error {
@@ -195,13 +213,13 @@
 	if err != nil {
 		return err
 	}
-	for _, other := range i.fleet.instances {
-		if other.name == addr && !other.cut && !i.cut {
+	for _, other := range i.fleet.members() {
+		if other.name == addr {
 			_, err = other.receive(ctx, content)
 			return err
 		}
 	}
-	return errCut
+	return errGone
 }
 
 // traffic sends requests through the instance.
@@ -214,9 +232,10 @@
 		}
 		o.Version = i.Choose(i.fleet.index, "tracker", time.Now())
 		if o.Version == "v2" {
-			i.fresh++
-			bad := i.fleet.failsFrom > 0 && time.Since(i.fleet.began) > i.fleet.failsFrom
-			o.Failed = bad && o.Route == "book" && i.fresh%3 == 0
+			fresh := i.fresh.Add(1)
+			from := time.Duration(i.fleet.failsFrom.Load())
+			bad := from > 0 && time.Since(i.fleet.began) > from
+			o.Failed = bad && o.Route == "book" && fresh%3 == 0
 		}
 		i.Record(o)
 	}
--- a/front/platform/shifts/manager.go
+++ b/front/platform/shifts/manager.go
@@ -62,7 +62,8 @@
 	log       logrus.FieldLogger
 	metrics   *metrics
 
-	set atomic.Pointer[set]
+	set   atomic.Pointer[set]
+	ready atomic.Bool
 	// urgent asks for a report and for a look at the table at once.
 	urgentReport, urgentLook chan struct{}
 }
--- a/front/platform/shifts/manager_test.go
+++ b/front/platform/shifts/manager_test.go
@@ -20,7 +20,7 @@
 		if got := f.events(t, KindShift); !slices.Equal(got, wholeShift) {
 			t.Errorf("events %v, want %v; the record: %+v", got, wholeShift, f.record(t))
 		}
-		for _, i := range f.instances {
+		for _, i := range f.members() {
 			if got := i.Choose(f.index, "tracker", time.Now()); got != "v2" {
 				t.Errorf("%s serves %s, want v2", i.name, got)
 			}
@@ -32,13 +32,13 @@
 // the fifth second of its traffic on, and then replaces the whole fleet.
 func TestBadVersionIsForgottenByNobody(t *testing.T) {
 	bubble(t, 3, func(t *testing.T, f *fleet) {
-		f.failsFrom = 10 * time.Second
+		f.failsFrom.Store(int64(10 * time.Second))
 		sleep(time.Minute)
 		record := f.record(t)
 		if record.Phase != shift.TakenBack || record.Reason.Scope.Route != "book" {
 			t.Fatalf("the record is %v for %v, want taken back for route book", record.Phase, record.Reason.Scope)
 		}
-		for _, i := range slices.Clone(f.instances) {
+		for _, i := range f.members() {
 			f.stop(i)
 		}
 		sleep(time.Minute)
@@ -48,8 +48,8 @@
 		if status.Record.Reason != record.Reason {
 			t.Errorf("a new instance knows the reason %v, want %v", status.Record.Reason, record.Reason)
 		}
-		if fresh.fresh != 0 {
-			t.Errorf("a new instance sent %d requests to the version that was taken back", fresh.fresh)
+		if n := fresh.fresh.Load(); n != 0 {
+			t.Errorf("a new instance sent %d requests to the version that was taken back", n)
 		}
 		if events := f.events(t, KindShift); events[len(events)-1] != "taken-back 0" {
 			t.Errorf("events %v, want the last to be the take-back", events)
@@ -70,8 +70,8 @@
 		holder.gate.thaw()
 		sleep(time.Second)
 		var conflict *platform.ConflictError
-		if !errors.As(holder.gate.held, &conflict) {
-			t.Errorf("the frozen holder's write ended with %v, want a conflict", holder.gate.held)
+		if held := holder.gate.lastHeld(); !errors.As(held, &conflict) {
+			t.Errorf("the frozen holder's write ended with %v, want a conflict", held)
 		}
 		sleep(3 * time.Minute)
 		if got := f.events(t, KindShift); !slices.Equal(got, wholeShift) {
@@ -84,7 +84,7 @@
 func (f *fleet) holder(t *testing.T) *instance {
 	t.Helper()
 	name := f.record(t).Holder
-	for _, i := range f.instances {
+	for _, i := range f.members() {
 		if i.name == name {
 			return i
 		}
@@ -98,7 +98,7 @@
 		sleep(25 * time.Second)
 		f.store.SetFaults(standin.Faults{Down: true})
 		sleep(155*time.Second + 10*time.Millisecond) // to the deadline
-		for _, i := range f.instances {
+		for _, i := range f.members() {
 			if got := i.Choose(f.index, "tracker", time.Now()); got != "v1" {
 				t.Errorf("%s serves %s at the deadline, want v1", i.name, got)
 			}
@@ -131,7 +131,7 @@
 func TestDrainEmptiesTheRegion(t *testing.T) {
 	bubble(t, 2, func(t *testing.T, f *fleet) {
 		sleep(2 * time.Minute)
-		for _, i := range f.instances {
+		for _, i := range f.members() {
 			if !i.Leaves("kaduna") || i.Leaves("kano") {
 				t.Errorf("%s: requests leave kaduna %v, kano %v", i.name, i.Leaves("kaduna"), i.Leaves("kano"))
 			}
--- a/front/platform/shifts/set.go
+++ b/front/platform/shifts/set.go
@@ -13,6 +13,7 @@
 	SetListed(names []string)
 	SeeRow(now time.Time, row shift.Record, version uint64)
 	Propose(now time.Time) (shift.Proposal, bool)
+	Known() bool
 }
 
 // movement is one shift or drain. Either shift or drain is set.
--- a/front/platform/shifts/status.go
+++ b/front/platform/shifts/status.go
@@ -22,6 +22,25 @@
 	Drains []shift.DrainStatus `json:"drains"`
 }
 
+// Ready reports whether the instance has learnt how the movements of its first
+// document stand. Once ready it stays so.
+func (m *Manager) Ready() bool {
+	if m.ready.Load() {
+		return true
+	}
+	s := m.set.Load()
+	if s.index == nil {
+		return false
+	}
+	for _, mv := range s.movements {
+		if !mv.Known() {
+			return false
+		}
+	}
+	m.ready.Store(true)
+	return true
+}
+
 // Status returns the state at now.
 func (m *Manager) Status(now time.Time) Status {
 	s := Status{Instance: m.settings.Instance}
--- a/steer/shift/controller_test.go
+++ b/steer/shift/controller_test.go
@@ -163,6 +163,26 @@
 	}
 }
 
+// TestEvidenceCutsWithoutAnyone lets the new version fail at an instance that
+// reaches nobody any more.
+func TestEvidenceCutsWithoutAnyone(t *testing.T) {
+	cfg := testConfig()
+	c := newFleet(cfg, 3).controllers[0]
+	now := cfg.Start
+	c.SeeRow(now, Record{Phase: Running, Stage: 2}, 3)
+	for range 8 {
+		now = now.Add(time.Second)
+		for range 100 {
+			fresh := c.Choose(now)
+			c.Record(Outcome{Route: "read", Domain: "kano-a", New: fresh, Failed: fresh, Sent: now})
+		}
+		c.Tick(now)
+	}
+	if c.View().Phase != TakenBack || c.Choose(now) {
+		t.Errorf("the outcome is %v, want taken back", c.View().Phase)
+	}
+}
+
 func TestPausedInstanceLooksAgain(t *testing.T) {
 	cfg := testConfig()
 	c := newFleet(cfg, 1).controllers[0]
--- a/steer/shift/drain.go
+++ b/steer/shift/drain.go
@@ -232,6 +232,14 @@
 	Waits []Wait `json:"waits"`
 }
 
+// Known reports whether the store or a peer has told of the record, so that the
+// instance does not act on ignorance.
+func (d *Drain) Known() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known()
+}
+
 // View returns the outcome as this instance knows it.
 func (d *Drain) View() Record {
 	d.mu.Lock()
--- a/steer/shift/follower.go
+++ b/steer/shift/follower.go
@@ -67,6 +67,9 @@
 	return r
 }
 
+// known reports whether the store or a peer has told of the record.
+func (f *follower) known() bool { return !f.storeHeard.IsZero() || len(f.heard) > 0 }
+
 // recent reports whether t lies within the contact limit.
 func (f *follower) recent(now, t time.Time) bool {
 	return !t.IsZero() && now.Sub(t) <= f.tuning.ContactLimit
--- a/steer/shift/status.go
+++ b/steer/shift/status.go
@@ -97,6 +97,14 @@
 	return s
 }
 
+// Known reports whether the store or a peer has told of the record, so that the
+// instance does not act on ignorance.
+func (c *Controller) Known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known()
+}
+
 // View returns the outcome as this instance knows it.
 func (c *Controller) View() Record {
 	c.mu.Lock()
--- a/steer/shift/summary.go
+++ b/steer/shift/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +18,18 @@
 	Drift float64 `json:"drift"`
 }
 
+// rounded shortens the logarithms for the way to the peers.
+func (st ScopeTally) rounded() ScopeTally {
+	for i, l := range st.Tally.Logs {
+		st.Tally.Logs[i] = shorten(l)
+	}
+	st.Drift = shorten(st.Drift)
+	return st
+}
+
+// shorten rounds to a thousandth of a nat.
+func shorten(l float64) float64 { return math.Round(l*1000) / 1000 }
+
 // ScopeStrikes holds the recent suspicions in one scope that ended without proof.
 type ScopeStrikes struct {
 	Scope Scope `json:"scope"`
@@ -90,7 +103,7 @@
 	}
 	for _, scope := range c.scopes() {
 		if st, known := c.judge.evidence(scope); known {
-			s.Scopes = append(s.Scopes, st)
+			s.Scopes = append(s.Scopes, st.rounded())
 		}
 	}
 	for _, scope := range sortedScopes(c.judge.suspicion.strikes) {
