--- a/steer/shift/baseline_test.go
+++ b/steer/shift/baseline_test.go
@@ -57,5 +57,5 @@
 			return
 		}
 	}
-	r.phase = Done
+	r.phase = Watching
 }
