shifts: measure the headroom for drains from the outcomes of requests

Drains had no source of headroom and would all have been taken back. Each instance now tells its busy slots and bytes by service and failure domain, while a drain is on; room is the worst service's and the fullest link's, and unknown while a listed instance is silent.

Mutations, restored: receivers' use ignored -> 'moved from kaduna 1, want 0'; silent instances ignored -> 'complete without a settled load of i2'; first service only -> 'room {Demand:1 Spare:3', want 1.

--- a/front/caller/versions.go
+++ b/front/caller/versions.go
@@ -42,22 +42,21 @@
 	})
 }
 
-// record passes on the outcome of one try, if there was one.
+// record passes on the outcome of one try, if it reached an endpoint.
 func (s *Outcomes) record(x *Exchange, err error, latency time.Duration) {
 	if x.Endpoint == nil {
 		return
 	}
 	failed, known := endpointFailed(x, err)
-	if !known {
-		return
-	}
 	s.Recorder.Record(shifts.Outcome{
 		Service:       x.Route.Service,
 		Version:       x.Version,
 		Route:         x.Route.Name,
 		FailureDomain: x.Endpoint.FailureDomain,
 		Latency:       latency,
+		Bytes:         int64(x.Writer.Size()) + max(x.Request.ContentLength, 0),
 		Failed:        failed,
+		Unjudged:      !known,
 	})
 	if failed {
 		x.Version = x.Index.Service(x.Route.Service).Serving
--- a/front/caller/versions_test.go
+++ b/front/caller/versions_test.go
@@ -29,6 +29,7 @@
 }
 
 func (w statusWriter) Status() int { return w.status }
+func (w statusWriter) Size() int   { return 0 }
 
 func TestOutcomeOfATry(t *testing.T) {
 	tests := []struct {
@@ -71,7 +72,7 @@
 		return errors.Join(try.ServeExchange(x), try.ServeExchange(x))
 	})
 	request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "/tracker/", nil)
-	x := &Exchange{Request: request, Index: index, Route: index.Route(http.MethodGet, "/tracker/")}
+	x := &Exchange{Request: request, Writer: statusWriter{}, Index: index, Route: index.Route(http.MethodGet, "/tracker/")}
 	if err := Chain(twice, &Versions{Chooser: alwaysNew{}}).ServeExchange(x); err == nil {
 		t.Fatal("the request succeeded")
 	}
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -117,7 +117,13 @@
 	if err != nil {
 		return nil, err
 	}
-	settings := shifts.Settings{Environment: s.Environment, Instance: string(n), Tuning: shift.DefaultTuning()}
+	settings := shifts.Settings{
+		Environment: s.Environment,
+		Instance:    string(n),
+		Region:      s.Region,
+		LinkBytes:   shifts.DefaultLinkBytes,
+		Tuning:      shift.DefaultTuning(),
+	}
 	manager := shifts.NewManager(settings, shifts.Dependencies{
 		Table:     table,
 		Source:    source,
--- a/front/platform/shifts/exchange.go
+++ b/front/platform/shifts/exchange.go
@@ -28,8 +28,13 @@
 
 // Report is what one instance tells another about all movements.
 type Report struct {
-	// Instance is the sender.
+	// Instance is the sender, in Region.
 	Instance string `json:"instance"`
+	Region   string `json:"region"`
+	// Loads are what the sender asks of endpoints, given while a drain is on,
+	// and Measured says that they can be relied on.
+	Loads    []Load `json:"loads,omitempty"`
+	Measured bool   `json:"measured,omitempty"`
 	// Shifts holds the evidence on shifts.
 	Shifts []shift.Summary `json:"shifts"`
 	// Drains holds the outcomes of drains.
@@ -46,6 +51,7 @@
 		return nil, fmt.Errorf("decode report: %w", err)
 	}
 	now := time.Now()
+	m.rooms.put(now, r)
 	movements := m.set.Load().movements
 	for _, summary := range r.Shifts {
 		if mv := movements[summary.Shift]; mv != nil && mv.shift != nil {
@@ -61,23 +67,27 @@
 }
 
 // own returns this instance's report; false when there is nothing to tell.
-func (m *Manager) own() (Report, bool) {
-	r := Report{Instance: m.settings.Instance}
+func (m *Manager) own(now time.Time) (Report, bool) {
+	r := Report{Instance: m.settings.Instance, Region: m.settings.Region}
 	movements := m.set.Load().movements
 	for _, mv := range movements {
 		if mv.shift != nil {
-			r.Shifts = append(r.Shifts, mv.shift.Summary(time.Now()))
+			r.Shifts = append(r.Shifts, mv.shift.Summary(now))
 			continue
 		}
 		r.Drains = append(r.Drains, DrainReport{Name: mv.name, Record: mv.drain.View()})
 	}
+	if len(r.Drains) > 0 {
+		r.Loads, r.Measured = m.loads.measure(now)
+		m.rooms.put(now, r)
+	}
 	return r, len(movements) > 0
 }
 
 // report tells all other instances. A report that does not arrive is made good
 // by the next one.
 func (m *Manager) report(ctx context.Context) {
-	r, any := m.own()
+	r, any := m.own(time.Now())
 	if !any {
 		return
 	}
--- a/front/platform/shifts/fleet_test.go
+++ b/front/platform/shifts/fleet_test.go
@@ -35,7 +35,12 @@
       - {name: v1, endpoints: [{address: "127.0.0.1:9001", failureDomain: kano-a, slots: 3}, {address: "127.0.0.1:9003", failureDomain: kaduna-a, slots: 3}]}
       - {name: v2, endpoints: [{address: "127.0.0.1:9002", failureDomain: kano-a, slots: 3}]}
     serving: v1
+  - name: ledger
+    versions:
+      - {name: v1, endpoints: [{address: "127.0.0.1:9011", failureDomain: kano-a, slots: 3}, {address: "127.0.0.1:9013", failureDomain: kaduna-a, slots: 3}]}
+    serving: v1
 routes:
+  - {name: pay, path: /pay/, methods: [POST], service: ledger}
   - {name: read, path: /read/, methods: [GET], service: tracker, idempotent: true}
   - {name: book, path: /book/, methods: [POST], service: tracker}
 shifts:
@@ -99,13 +104,6 @@
 	return versions, err
 }
 
-// room is a fixed headroom.
-type room struct{}
-
-func (room) Room(string) shift.Room {
-	return shift.Room{Demand: 10, Spare: 100, LinkDemand: 1, LinkSpare: 100, Measured: time.Now()}
-}
-
 // instance is one manager with its traffic.
 type instance struct {
 	*Manager
@@ -127,7 +125,10 @@
 	// failsFrom is when the new version begins to fail, in nanoseconds since the
 	// start; zero: never.
 	failsFrom atomic.Int64
-	wait      sync.WaitGroup
+	// ledgerTime is how long a request of the service ledger takes, in
+	// nanoseconds.
+	ledgerTime atomic.Int64
+	wait       sync.WaitGroup
 }
 
 func newFleet(t *testing.T, instances int) *fleet {
@@ -155,8 +156,11 @@
 	f.born++
 	i := &instance{name: fmt.Sprintf("i%d", f.born), fleet: f, gate: &gate{Table: f.store}}
 	source := &fixedSource{configuration.Snapshot{Index: f.index}}
-	i.Manager = NewManager(Settings{Environment: "kano-trial", Instance: i.name, Tuning: shift.DefaultTuning()}, Dependencies{
-		Table: i.gate, Source: source, Peers: i, Directory: i, Headroom: room{}, Log: log, Meters: meters,
+	settings := Settings{
+		Environment: "kano-trial", Instance: i.name, Region: "kano", LinkBytes: DefaultLinkBytes, Tuning: shift.DefaultTuning(),
+	}
+	i.Manager = NewManager(settings, Dependencies{
+		Table: i.gate, Source: source, Peers: i, Directory: i, Log: log, Meters: meters,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	i.cancel = cancel
@@ -238,7 +242,19 @@
 			o.Failed = bad && o.Route == "book" && fresh%3 == 0
 		}
 		i.Record(o)
+		i.drained()
+	}
+}
+
+// drained sends a request of the second service to kaduna, unless it has to
+// leave. Each occupies a slot for as long as the fleet says.
+func (i *instance) drained() {
+	o := Outcome{Service: "ledger", Route: "pay", Version: "v1", FailureDomain: "kaduna-a"}
+	o.Latency = time.Duration(i.fleet.ledgerTime.Load())
+	if i.Leaves("kaduna") {
+		o.FailureDomain = "kano-a"
 	}
+	i.Record(o)
 }
 
 // record returns the table's record of the shift.
--- a/front/platform/shifts/manager.go
+++ b/front/platform/shifts/manager.go
@@ -33,6 +33,11 @@
 	Environment string
 	// Instance is this instance's name, new for every process.
 	Instance string
+	// Region is this instance's region.
+	Region string
+	// LinkBytes is the capacity of a link between two regions, in bytes a
+	// second each way.
+	LinkBytes float64
 	// Tuning holds the settings of judging and timing.
 	Tuning shift.Tuning
 }
@@ -43,13 +48,6 @@
 	Current() *configuration.Snapshot
 }
 
-// Headroom says what room there is for the traffic of a region elsewhere.
-type Headroom interface {
-	// Room returns the room for the region's traffic, with the time at which
-	// it was measured; a zero Room when nothing is known.
-	Room(region string) shift.Room
-}
-
 // Manager carries the shifts and drains of the document in force. Choose, Record
 // and Leaves may be called by many goroutines.
 type Manager struct {
@@ -58,10 +56,12 @@
 	source    Source
 	peers     peer.Caller
 	directory configuration.Directory
-	headroom  Headroom
 	log       logrus.FieldLogger
 	metrics   *metrics
 
+	loads loadMeter
+	rooms roomTable
+
 	set   atomic.Pointer[set]
 	ready atomic.Bool
 	// urgent asks for a report and for a look at the table at once.
@@ -74,10 +74,8 @@
 	Source    Source
 	Peers     peer.Caller
 	Directory configuration.Directory
-	// Headroom may be nil: then drains wait and are taken back.
-	Headroom Headroom
-	Log      logrus.FieldLogger
-	Meters   *Meters
+	Log       logrus.FieldLogger
+	Meters    *Meters
 }
 
 // NewManager returns a manager that knows no document yet.
@@ -88,7 +86,6 @@
 		source:       d.Source,
 		peers:        d.Peers,
 		directory:    d.Directory,
-		headroom:     d.Headroom,
 		log:          d.Log.WithField("prefix", "shifts"),
 		metrics:      d.Meters.metrics,
 		urgentReport: make(chan struct{}, 1),
@@ -128,10 +125,11 @@
 	m.follow()
 	now := time.Now()
 	listed := m.listed()
-	for _, mv := range m.set.Load().movements {
+	s := m.set.Load()
+	for _, mv := range s.movements {
 		mv.SetListed(listed)
-		if mv.drain != nil && m.headroom != nil {
-			mv.drain.SetRoom(m.headroom.Room(mv.subject))
+		if mv.drain != nil {
+			mv.drain.SetRoom(m.room(now, s.index, listed, mv.subject))
 		}
 		if mv.tick(now) {
 			signal(m.urgentReport)
--- a/front/platform/shifts/manager_test.go
+++ b/front/platform/shifts/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,19 +129,35 @@
 	})
 }
 
-func TestDrainEmptiesTheRegion(t *testing.T) {
-	bubble(t, 2, func(t *testing.T, f *fleet) {
-		sleep(2 * time.Minute)
-		for _, i := range f.members() {
-			if !i.Leaves("kaduna") || i.Leaves("kano") {
-				t.Errorf("%s: requests leave kaduna %v, kano %v", i.name, i.Leaves("kaduna"), i.Leaves("kano"))
-			}
-		}
-		events := f.events(t, KindDrain)
-		if len(events) == 0 || events[len(events)-1] != "done 20" {
-			t.Errorf("events %v, want the last to be done", events)
-		}
-	})
+// TestDrainFollowsTheHeadroom drains a region whose traffic needs one slot at
+// each of two instances, or two at each; the other region has three.
+func TestDrainFollowsTheHeadroom(t *testing.T) {
+	tests := []struct {
+		desc  string
+		takes time.Duration
+		last  string
+		moved float64
+	}{
+		{"room for all", 20 * time.Millisecond, "done 20", 1},
+		{"no room for all", 40 * time.Millisecond, "taken-back", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			bubble(t, 2, func(t *testing.T, f *fleet) {
+				f.ledgerTime.Store(int64(tt.takes))
+				sleep(5*time.Minute + time.Second)
+				for _, i := range f.members() {
+					if got := i.Moved("kaduna"); got != tt.moved || i.Moved("kano") != 0 {
+						t.Errorf("%s: moved from kaduna %v, from kano %v; want %v and 0", i.name, got, i.Moved("kano"), tt.moved)
+					}
+				}
+				events := f.events(t, KindDrain)
+				if len(events) == 0 || !strings.HasPrefix(events[len(events)-1], tt.last) {
+					t.Errorf("events %v, want the last to be %s", events, tt.last)
+				}
+			})
+		})
+	}
 }
 
 // TestWritesAreBounded counts what a shift and a drain ask of the table.
--- a/front/platform/shifts/path.go
+++ b/front/platform/shifts/path.go
@@ -26,10 +26,14 @@
 	FailureDomain string
 	// Latency is the time from choosing the version to the outcome.
 	Latency time.Duration
+	// Bytes is the size of request and answer together.
+	Bytes int64
 	// Failed says that the endpoint failed: it broke off, gave no answer in
-	// time, or answered with a server error. A request that the caller gave
-	// up, or that the endpoint shed, is no outcome.
+	// time, or answered with a server error.
 	Failed bool
+	// Unjudged says that the end tells nothing of the endpoint: the caller
+	// gave up, or the endpoint shed the request. It counts as load only.
+	Unjudged bool
 }
 
 // Recorder takes the outcomes of requests. Manager implements it.
@@ -43,6 +47,9 @@
 	// Leaves reports whether the next request that would go to the region
 	// must go elsewhere. It is called once for such a request.
 	Leaves(region string) bool
+	// Moved returns the part of the region's requests, 0 to 1, that goes
+	// elsewhere, for those who choose by other means than counting.
+	Moved(region string) float64
 }
 
 var (
@@ -71,8 +78,9 @@
 
 // Record implements Recorder.
 func (m *Manager) Record(o Outcome) {
+	m.loads.add(&o)
 	c := m.set.Load().services[o.Service]
-	if c == nil {
+	if c == nil || o.Unjudged {
 		return
 	}
 	fresh := o.Version == c.To()
@@ -94,3 +102,12 @@
 	d := m.set.Load().regions[region]
 	return d != nil && d.Leaves()
 }
+
+// Moved implements Drainer.
+func (m *Manager) Moved(region string) float64 {
+	d := m.set.Load().regions[region]
+	if d == nil {
+		return 0
+	}
+	return float64(d.Moved()) / float64(shift.Whole)
+}
--- /dev/null
+++ b/front/platform/shifts/room_test.go
@@ -0,0 +1,69 @@
+package shifts
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
+)
+
+func TestRoomForARegion(t *testing.T) {
+	doc, err := document.Decode("test.yaml", []byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := document.Compile(doc)
+	const capacity = 1000
+	tests := []struct {
+		desc  string
+		loads []Load
+		want  shift.Room
+	}{
+		{
+			"a free region",
+			[]Load{{Service: "ledger", FailureDomain: "kaduna-a", Slots: 2, Bytes: 100}},
+			shift.Room{Demand: 2, Spare: 3, LinkDemand: 100, LinkSpare: capacity - 100},
+		},
+		{
+			"a busy region",
+			[]Load{{Service: "ledger", FailureDomain: "kaduna-a", Slots: 2}, {Service: "ledger", FailureDomain: "kano-a", Slots: 2.5}},
+			shift.Room{Demand: 2, Spare: 0.5, LinkSpare: capacity},
+		},
+		{
+			"the service with the least room counts",
+			[]Load{
+				{Service: "ledger", FailureDomain: "kaduna-a", Slots: 1},
+				{Service: "tracker", FailureDomain: "kaduna-a", Slots: 1},
+				{Service: "tracker", FailureDomain: "kano-a", Slots: 2},
+			},
+			shift.Room{Demand: 1, Spare: 1, LinkSpare: capacity},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			u := sumUp(index, []source{{region: "kano", loads: tt.loads}})
+			if got := roomFor(index, u, "kaduna", capacity); got != tt.want {
+				t.Errorf("room %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestRoomNeedsEveryInstance(t *testing.T) {
+	now := time.Now()
+	const limit = 10 * time.Second
+	var table roomTable
+	table.put(now, Report{Instance: "i1", Measured: true})
+	table.put(now, Report{Instance: "i2"})
+	if _, complete := table.collect(now, []string{"i1", "i2"}, limit); complete {
+		t.Error("complete without a settled load of i2")
+	}
+	table.put(now, Report{Instance: "i2", Measured: true})
+	if _, complete := table.collect(now, []string{"i1", "i2"}, limit); !complete {
+		t.Error("not complete with both loads")
+	}
+	if _, complete := table.collect(now.Add(limit+time.Second), []string{"i1", "i2"}, limit); complete {
+		t.Error("complete with old loads")
+	}
+}
--- a/steer/shift/drain.go
+++ b/steer/shift/drain.go
@@ -126,6 +126,10 @@
 // elsewhere. It takes no lock.
 func (d *Drain) Leaves() bool { return d.moved.Load().Next() }
 
+// Moved returns the share of the region's requests that go elsewhere. It takes no
+// lock.
+func (d *Drain) Moved() Share { return d.moved.Load().Share() }
+
 // steer keeps the meter at the share that moves.
 func (d *Drain) steer() {
 	if share := d.movedShare(); d.moved.Load().Share() != share {
