Wire limits, membership, shares and entry answers into the instance

Cause: the running instance held no team to its rate, knew no other instance, and told callers to use only itself.

New limits hold as soon as the instance follows the document.

Entries leave out a killed and a stopped instance.

--- a/front/caller/entries.go
+++ b/front/caller/entries.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
-	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
 // EntriesPath is the page that tells a caller which instances to use.
@@ -27,13 +28,26 @@
 	Region string `json:"region"`
 }
 
+// EntryQuery says who asks for instances.
+type EntryQuery struct {
+	// Team is the caller's team, empty for a caller without a key.
+	Team string
+	// Region is the region that the caller named, empty for that of the
+	// instance that answers.
+	Region string
+	// Caller tells callers of a team apart, to spread them.
+	Caller string
+}
+
 // EntrySource ranks the instances that a team's callers use.
 type EntrySource interface {
-	// Entries returns the instances for team, the best first; team is empty
-	// for a caller without a key.
-	Entries(now time.Time, team string) []Entry
+	// Entries returns the instances to use, the best first.
+	Entries(q EntryQuery) []Entry
 }
 
+// regionParameter is the query parameter by which a caller names its region.
+const regionParameter = "region"
+
 // EntriesPage answers which instances a caller is to use.
 type EntriesPage struct {
 	// Snapshots gives the document in force.
@@ -50,15 +64,34 @@
 		return
 	}
 	index := snapshot.Index
-	name := ""
+	query := EntryQuery{Region: knownRegion(index.Document(), r.URL.Query().Get(regionParameter)), Caller: callerHost(r)}
 	if team := index.TeamOfKey(bearerKey(r)); team != nil {
-		name = team.Name
+		query.Team = team.Name
 	}
 	answer := EntriesAnswer{
-		Entries:    p.Source.Entries(time.Now(), name),
+		Entries:    p.Source.Entries(query),
 		LifetimeMs: index.Document().Entries.Lifetime.Std().Milliseconds(),
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
 	_ = json.NewEncoder(w).Encode(answer)
 }
+
+// knownRegion returns name if the document has that region, else "".
+func knownRegion(d *document.Document, name string) string {
+	for _, region := range d.Regions {
+		if region.Name == name {
+			return name
+		}
+	}
+	return ""
+}
+
+// callerHost returns the caller's address without its port.
+func callerHost(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
--- a/front/caller/exchange.go
+++ b/front/caller/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -36,6 +37,9 @@
 	Route *document.Route
 	// Team is the name of the caller's team, empty on a route open to all.
 	Team string
+	// Admission is the decision by which the team's limits let the request
+	// through; zero on a route open to all.
+	Admission limit.Decision
 	// IdempotencyKey is the caller's, empty when it sent none.
 	IdempotencyKey string
 	// Version is the version of the route's service that the request goes to;
--- /dev/null
+++ b/front/caller/limits.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/limit"
+)
+
+// Reasons of the limits.
+const (
+	// ReasonOverRate means that the team's rate and burst are used up.
+	ReasonOverRate Reason = "over-rate"
+	// ReasonNoShare means that the instance has no part of the team's rate and
+	// could borrow none.
+	ReasonNoShare Reason = "no-share"
+	// ReasonNoLease means that the instance can't know whether its parts are
+	// still its own.
+	ReasonNoLease Reason = "no-lease"
+	// ReasonLeaseChanged means that the instance lost its lease between the
+	// admission of the request and its sending.
+	ReasonLeaseChanged Reason = "lease-changed"
+	// ReasonLimitsNotReady means that the instance does not know the team's
+	// limits yet.
+	ReasonLimitsNotReady Reason = "limits-not-ready"
+)
+
+// leaseRetryAfter is when a caller may come back to an instance that has no
+// lease.
+const leaseRetryAfter = time.Second
+
+// fullLoad is the number of requests under way at which an instance calls
+// itself fully loaded.
+const fullLoad = 1000
+
+// Admitter decides on requests of teams.
+type Admitter interface {
+	// Admit takes a token for a request, waiting a little when one may come.
+	Admit(ctx context.Context, team string) limit.Decision
+	// Confirm checks an admitted request right before it is sent.
+	Confirm(d limit.Decision) limit.Reason
+}
+
+// Limits is the stage that holds each team to its rate and burst.
+type Limits struct {
+	admitter Admitter
+	underWay atomic.Int64
+}
+
+// NewLimits returns the stage.
+func NewLimits(a Admitter) *Limits { return &Limits{admitter: a} }
+
+// Load returns the part of the instance's capacity in use, 0 to 1.
+func (s *Limits) Load() float64 { return min(1, float64(s.underWay.Load())/fullLoad) }
+
+// Wrap implements Stage. Requests on routes open to all have no team and pass.
+func (s *Limits) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		s.underWay.Add(1)
+		defer s.underWay.Add(-1)
+		if x.Team == "" {
+			return next.ServeExchange(x)
+		}
+		x.Admission = s.admitter.Admit(x.Context(), x.Team)
+		if !x.Admission.Admitted() {
+			return limitRefusal(x.Admission)
+		}
+		return next.ServeExchange(x)
+	})
+}
+
+// Confirmation returns the stage that checks an admitted request again. It
+// belongs right around the sending: a process that was stopped in between may
+// have lost the part that the request's token came from.
+func (s *Limits) Confirmation() Stage { return confirmation{admitter: s.admitter} }
+
+type confirmation struct{ admitter Admitter }
+
+// Wrap implements Stage.
+func (s confirmation) Wrap(next Handler) Handler {
+	return HandlerFunc(func(x *Exchange) error {
+		if x.Team == "" {
+			return next.ServeExchange(x)
+		}
+		if reason := s.admitter.Confirm(x.Admission); reason != limit.ReasonNone {
+			return limitRefusal(limit.Decision{Reason: reason})
+		}
+		return next.ServeExchange(x)
+	})
+}
+
+// limitRefusal turns a decision against a request into the answer.
+func limitRefusal(d limit.Decision) *Refusal {
+	refusal := refuse(http.StatusServiceUnavailable, ReasonNoLease)
+	refusal.RetryAfter = leaseRetryAfter
+	switch d.Reason {
+	case limit.ReasonRate:
+		refusal.Reason = ReasonOverRate
+	case limit.ReasonNoPart:
+		refusal.Reason = ReasonNoShare
+	case limit.ReasonUnknownTeam:
+		refusal.Reason = ReasonLimitsNotReady
+	case limit.ReasonLeaseChanged:
+		refusal.Reason = ReasonLeaseChanged
+	default:
+		return refusal
+	}
+	if d.RetryAfter > 0 {
+		refusal.RetryAfter = d.RetryAfter
+	}
+	if d.Reason == limit.ReasonRate || d.Reason == limit.ReasonNoPart {
+		refusal.Status = http.StatusTooManyRequests
+	}
+	return refusal
+}
--- a/front/e2e/fleet_test.go
+++ b/front/e2e/fleet_test.go
@@ -122,6 +122,10 @@
 	Timeout string
 	// Extra is appended to the document.
 	Extra string
+	// WardRate and WardBurst are the ward team's limits; empty means 400/s and
+	// 400.
+	WardRate  string
+	WardBurst int
 	// WithoutWard leaves the ward team's key out.
 	WithoutWard bool
 }
@@ -132,6 +136,9 @@
 	if o.Timeout == "" {
 		o.Timeout = "5s"
 	}
+	if o.WardRate == "" {
+		o.WardRate, o.WardBurst = "400/s", 400
+	}
 	return f.write(t, "document.yaml", documentTemplate, struct {
 		documentOptions
 		Environment             string
@@ -208,8 +215,8 @@
     burst: 4000
     keys: [{id: large-1, digest: "{{.LargeDigest}}"}]
   - name: ward-01
-    rate: 400/s
-    burst: 400
+    rate: {{.WardRate}}
+    burst: {{.WardBurst}}
 {{- if not .WithoutWard}}
     keys: [{id: ward-01-a, digest: "{{.WardDigest}}"}]
 {{- end}}
--- /dev/null
+++ b/front/e2e/limits_test.go
@@ -0,0 +1,171 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+)
+
+// The ward's limits in these tests.
+const (
+	slowRate  = 1 // requests a second
+	slowBurst = 12
+)
+
+// ask sends one request of the ward and returns the status and the reason.
+func ask(i *testInstance) (int, string, error) {
+	r, err := http.NewRequest(http.MethodGet, i.url()+"/tracker/1", nil)
+	if err != nil {
+		return 0, "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+keyWard)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Header.Get(caller.HeaderReason), err
+}
+
+// admissions counts answers of endpoints against what the ward may have.
+type admissions struct {
+	start    time.Time
+	admitted atomic.Int64
+	refused  atomic.Int64
+}
+
+// burst sends n requests to each instance at once.
+func (a *admissions) burst(t *testing.T, n int, instances ...*testInstance) {
+	t.Helper()
+	var group sync.WaitGroup
+	for range n {
+		for _, i := range instances {
+			group.Go(func() {
+				status, reason, err := ask(i)
+				switch {
+				case err != nil:
+					t.Errorf("%s: %v", i.url(), err)
+				case status == http.StatusOK:
+					a.admitted.Add(1)
+				case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+					a.refused.Add(1)
+				default:
+					t.Errorf("%s: status %d, reason %q", i.url(), status, reason)
+				}
+			})
+		}
+	}
+	group.Wait()
+}
+
+func (a *admissions) check(t *testing.T, desc string) {
+	t.Helper()
+	allowed := slowBurst + slowRate*time.Since(a.start).Seconds()
+	t.Logf("%s: %d admitted, %d refused, %.1f allowed", desc, a.admitted.Load(), a.refused.Load(), allowed)
+	if float64(a.admitted.Load()) > allowed || a.refused.Load() == 0 {
+		t.Errorf("%s: %d admitted of %.1f allowed, %d refused", desc, a.admitted.Load(), allowed, a.refused.Load())
+	}
+}
+
+// rows returns how many instances have a row in the table.
+func (f *fleet) rows(t *testing.T) int {
+	t.Helper()
+	client := platform.NewClient(platform.Settings{URL: "http://" + f.platform})
+	rows, err := client.Scan(context.Background(), membership.InstancesPrefix(environment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(rows)
+}
+
+// entries returns the base addresses that an instance tells the ward.
+func entries(i *testInstance) ([]string, error) {
+	r, err := http.NewRequest(http.MethodGet, i.url()+caller.EntriesPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+keyWard)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var answer caller.EntriesAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return nil, err
+	}
+	var urls []string
+	for _, e := range answer.Entries {
+		urls = append(urls, e.URL)
+	}
+	return urls, nil
+}
+
+func TestLimitsOverAllInstances(t *testing.T) {
+	f := startFleet(t, 3)
+	f.promote(t, documentOptions{WardRate: fmt.Sprintf("%d/s", slowRate), WardBurst: slowBurst}, 1)
+	a := &admissions{start: time.Now()}
+	a.burst(t, 20, f.instances...)
+	a.check(t, "burst at all instances")
+
+	frozen := f.instances[1]
+	frozen.signal(t, syscall.SIGSTOP)
+	inHand := make(chan struct{})
+	go func() {
+		defer close(inHand)
+		a.burst(t, 10, frozen)
+	}()
+	eventually(t, "eviction of the frozen instance", func() error {
+		if n := f.rows(t); n != 2 {
+			return fmt.Errorf("%d rows", n)
+		}
+		return nil
+	})
+	a.burst(t, 20, f.instances[0], f.instances[2])
+	a.check(t, "with one instance frozen")
+	frozen.signal(t, syscall.SIGCONT)
+	a.burst(t, 20, f.instances...)
+	<-inHand
+	a.check(t, "just after it woke")
+}
+
+func TestEntriesLeaveOutDeadAndLeaving(t *testing.T) {
+	f := startFleet(t, 4)
+	want := func(desc string, asked *testInstance, gone ...*testInstance) {
+		t.Helper()
+		eventually(t, desc, func() error {
+			urls, err := entries(asked)
+			if err != nil {
+				return err
+			}
+			for _, g := range gone {
+				if slices.Contains(urls, g.url()) {
+					return fmt.Errorf("%s is in %s", g.url(), strings.Join(urls, " "))
+				}
+			}
+			if len(urls) != len(f.instances)-len(gone) {
+				return fmt.Errorf("only %s", strings.Join(urls, " "))
+			}
+			return nil
+		})
+	}
+	want("entries of all", f.instances[0])
+	f.instances[1].kill()
+	want("entries without the dead", f.instances[0], f.instances[1])
+	f.instances[2].stop(t)
+	want("entries without the stopped", f.instances[0], f.instances[1], f.instances[2])
+}
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -30,17 +29,19 @@
 	peers      *peer.Server
 	operators  *http.Server
 	components []Component
+	departure  *departure
 	log        logrus.FieldLogger
 }
 
 // New returns an instance that is not running.
-func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, parts []Component, log *logrus.Logger) *Instance {
+func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, parts []Component, d *departure, log *logrus.Logger) *Instance {
 	return &Instance{
 		settings:   s,
 		callers:    c,
 		peers:      p,
 		operators:  o,
 		components: parts,
+		departure:  d,
 		log:        log.WithField("prefix", "instance"),
 	}
 }
@@ -114,17 +115,17 @@
 // the drain time is over.
 func (i *Instance) stop(ctx context.Context) {
 	i.log.Info("Leaving.")
-	announce := i.settings.Stop.Announce.Std()
-	select {
-	case <-time.After(announce):
-	case <-ctx.Done():
-	}
+	announceCtx, announced := context.WithTimeout(ctx, i.settings.Stop.Announce.Std())
+	defer announced()
+	i.departure.announce(announceCtx)
+	<-announceCtx.Done()
 	i.callers.CloseKeptAlive()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
 	defer cancel()
 	if err := i.callers.Shutdown(drainCtx); err != nil {
 		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
 	}
+	i.departure.end(ctx)
 }
 
 // serveHTTP serves until the server is closed.
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -16,6 +16,8 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/shares"
 	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
@@ -80,9 +82,9 @@
 	return configuration.NewMeters(m.Meter)
 }
 
-func newWatcher(s *Settings, n Name, store configuration.Store, c *peer.Client, srv *peer.Server, log *logrus.Logger, m *configuration.Meters) *configuration.Watcher {
+func newWatcher(s *Settings, n Name, store configuration.Store, c *peer.Client, srv *peer.Server, d *directory, log *logrus.Logger, m *configuration.Meters) *configuration.Watcher {
 	settings := configuration.DefaultSettings(s.Environment, place(s, n), s.Peers.Listen, s.Platform.Region)
-	w := configuration.NewWatcher(settings, store, c, noPeers{}, log, m)
+	w := configuration.NewWatcher(settings, store, c, d, log, m)
 	w.Register(srv)
 	return w
 }
@@ -100,19 +102,21 @@
 }
 
 // newChain puts the stages around the forwarding of a request.
-func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries, versions *shifts.Manager) caller.Handler {
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries, versions *shifts.Manager, limits *caller.Limits) caller.Handler {
 	return caller.Chain(f,
 		&caller.Routes{Source: source},
 		keys,
+		limits,
 		&caller.Attempts{Claimer: records},
 		&caller.Versions{Chooser: versions},
 		retries,
+		limits.Confirmation(),
 		&caller.Outcomes{Recorder: versions},
 	)
 }
 
 // newShifts returns the manager of the document's shifts and drains.
-func newShifts(s *Settings, n Name, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
+func newShifts(s *Settings, n Name, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
 	meters, err := shifts.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
@@ -122,7 +126,7 @@
 		Table:     table,
 		Source:    source,
 		Peers:     c,
-		Directory: noPeers{},
+		Directory: d,
 		Log:       log,
 		Meters:    meters,
 	})
@@ -139,23 +143,23 @@
 	return caller.NewRetries(retry.DefaultPolicy(), budget, m)
 }
 
-func newEntriesPage(s *Settings, source configuration.Source) http.Handler {
-	return &caller.EntriesPage{Snapshots: source, Source: onlySelf{s}}
+func newEntriesPage(source configuration.Source, a *shares.Agent) http.Handler {
+	return &caller.EntriesPage{Snapshots: source, Source: entrySource{a}}
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager) []Component {
-	return []Component{w, k, c, records, versions}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager, keeper *membership.Keeper, agent *shares.Agent) []Component {
+	return []Component{w, k, c, records, versions, keeper, agent}
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, agent *shares.Agent) *http.Server {
 	mux := http.NewServeMux()
 	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
 	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
-		if !w.Current().Ready {
+		if !w.Current().Ready || !agent.Ready() {
 			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 )
 
 // Build assembles an instance that logs to w.
@@ -27,6 +28,7 @@
 		configurationSet,
 		callerSet,
 		newShifts,
+		sharingSet,
 		newOperators,
 		newComponents,
 	)
@@ -48,6 +50,16 @@
 	wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
+var sharingSet = wire.NewSet(
+	limit.NewLimiter,
+	newDirectory,
+	newLoad,
+	newKeeper,
+	newAgent,
+	newLimits,
+	newDeparture,
+)
+
 var callerSet = wire.NewSet(
 	caller.NewKeys,
 	caller.NewMetrics,
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/google/wire"
 	"io"
 )
@@ -34,6 +35,7 @@
 		return nil, err
 	}
 	server := newPeerServer(instancePeerTLS, logger)
+	instanceDirectory := newDirectory()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -42,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := newWatcher(s, name, platformClient, peerClient, server, logger, meters)
+	watcher := newWatcher(s, name, platformClient, peerClient, server, instanceDirectory, logger, meters)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
 	recorder, err := newAttempts(s, name, platformClient, metrics, logger)
@@ -53,20 +55,32 @@
 	if err != nil {
 		return nil, err
 	}
-	manager, err := newShifts(s, name, platformClient, watcher, peerClient, server, logger, metrics)
+	manager, err := newShifts(s, name, platformClient, watcher, peerClient, server, instanceDirectory, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
-	handler := newChain(forward, watcher, keys, recorder, retries, manager)
-	httpHandler := newEntriesPage(s, watcher)
+	limiter := limit.NewLimiter()
+	instanceLoad := newLoad()
+	keeper, err := newKeeper(s, name, platformClient, peerClient, server, limiter, watcher, instanceLoad, instanceDirectory, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	agent, err := newAgent(s, platformClient, peerClient, server, keeper, watcher, limiter, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	limits := newLimits(agent, instanceLoad)
+	handler := newChain(forward, watcher, keys, recorder, retries, manager, limits)
+	httpHandler := newEntriesPage(watcher, agent)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher, manager)
-	v := newComponents(watcher, keys, client, recorder, manager)
-	instance := New(s, callerServer, server, httpServer, v, logger)
+	httpServer := newOperators(metrics, watcher, manager, agent)
+	v := newComponents(watcher, keys, client, recorder, manager, keeper, agent)
+	instanceDeparture := newDeparture(keeper, agent, logger)
+	instance := New(s, callerServer, server, httpServer, v, instanceDeparture, logger)
 	return instance, nil
 }
 
@@ -84,6 +98,14 @@
 	newKeyring, wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
+var sharingSet = wire.NewSet(limit.NewLimiter, newDirectory,
+	newLoad,
+	newKeeper,
+	newAgent,
+	newLimits,
+	newDeparture,
+)
+
 var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
 	newEndpointClient,
 	newForward,
--- a/front/platform/membership/renew.go
+++ b/front/platform/membership/renew.go
@@ -98,6 +98,9 @@
 	var failed *platform.Error
 	switch {
 	case err == nil:
+		if k.lease.Version() == 0 {
+			signal(k.lookNow)
+		}
 		k.lease.Committed(versions[0], asked)
 	case errors.As(err, &conflict) && conflict.Actual.Version > write.Expected:
 		k.lease.Observed(conflict.Actual.Version)
--- a/front/platform/shares/agent.go
+++ b/front/platform/shares/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 	"github.com/cardamomfront/cardamomfront/steer/share"
@@ -43,9 +45,12 @@
 
 	passing sync.Mutex // held during a pass
 
+	applying sync.Mutex                     // held while quotas are given to the limiter
+	applied  atomic.Pointer[document.Index] // configuration whose quotas the limiter has
+
 	// Used by passes only.
-	digest string // document whose quotas the limiter has
 	epoch  uint64
+	passes int
 	idle   map[string]int // per team, passes that left a free part to others
 
 	mu      sync.Mutex
@@ -128,6 +133,10 @@
 // failures.
 func (a *Agent) wait(failures int) time.Duration {
 	period := float64(a.settings.Period)
+	a.passes++
+	if failures == 0 && a.passes < startPasses && !a.Ready() {
+		return startPause
+	}
 	if failures == 0 {
 		return time.Duration(period * (1 - jitter + 2*jitter*rand.Float64()))
 	}
@@ -138,13 +147,14 @@
 func (a *Agent) pass(ctx context.Context) error {
 	a.passing.Lock()
 	defer a.passing.Unlock()
-	quotas := a.applyQuotas()
-	if quotas == nil {
+	index := a.source.Current().Index
+	if index == nil {
 		return nil
 	}
+	a.applyQuotas(index)
 	name, epoch := a.members.Identity()
 	a.begin(epoch)
-	views, err := a.read(ctx, quotas)
+	views, err := a.read(ctx, quotasOf(index))
 	if err != nil {
 		return err
 	}
@@ -160,6 +170,23 @@
 	return nil
 }
 
+// Ready says whether this instance can decide on requests: it has a lease, and
+// the rate of each team is divided.
+func (a *Agent) Ready() bool {
+	index := a.source.Current().Index
+	if index == nil || !time.Now().Before(a.limiter.LeaseUntil()) {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range index.Document().Teams {
+		if a.teams[t.Name].division.Sum() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // begin drops what was under way in an earlier epoch.
 func (a *Agent) begin(epoch uint64) {
 	if epoch == a.epoch {
@@ -191,24 +218,29 @@
 	epoch uint64
 }
 
-// applyQuotas gives the limiter the teams of the document in force and returns
-// their quotas; nil before there is a document.
-func (a *Agent) applyQuotas() map[string]limit.Quota {
-	snapshot := a.source.Current()
-	if snapshot.Index == nil {
-		return nil
-	}
+// quotasOf returns the quotas of all teams.
+func quotasOf(index *document.Index) map[string]limit.Quota {
 	quotas := make(map[string]limit.Quota)
-	for _, t := range snapshot.Index.Document().Teams {
+	for _, t := range index.Document().Teams {
 		quotas[t.Name] = limit.Quota{Rate: float64(t.Rate), Burst: float64(t.Burst)}
 	}
-	if snapshot.Head.Digest != a.digest || a.digest == "" {
-		a.limiter.SetQuotas(time.Now(), quotas)
-		a.digest = snapshot.Head.Digest
-	}
 	return quotas
 }
 
+// applyQuotas gives the limiter the teams of the configuration in force, unless
+// it has them.
+func (a *Agent) applyQuotas(index *document.Index) {
+	if index == nil || a.applied.Load() == index {
+		return
+	}
+	a.applying.Lock()
+	defer a.applying.Unlock()
+	if current := a.source.Current().Index; current != a.applied.Load() {
+		a.limiter.SetQuotas(time.Now(), quotasOf(current))
+		a.applied.Store(current)
+	}
+}
+
 // read reads the divisions of all teams.
 func (a *Agent) read(ctx context.Context, quotas map[string]limit.Quota) ([]teamView, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
--- a/front/platform/shares/borrow.go
+++ b/front/platform/shares/borrow.go
@@ -18,6 +18,7 @@
 // Admit decides on a request of a team. A request that this instance has no
 // token for waits up to limit.MaxWait for a loan or the next token.
 func (a *Agent) Admit(ctx context.Context, team string) limit.Decision {
+	a.applyQuotas(a.source.Current().Index)
 	arrived := time.Now()
 	d := a.limiter.Allow(arrived, team)
 	if d.Admitted() || !worthWaiting(d.Reason) {
--- a/front/platform/shares/entries.go
+++ b/front/platform/shares/entries.go
@@ -26,8 +26,11 @@
 }
 
 // Entries returns the instances that a caller of a team in a region should try,
-// the best first.
+// the best first. An empty region is that of this instance.
 func (a *Agent) Entries(team, region, caller string) []entry.Ranked {
+	if region == "" {
+		region = a.settings.Region
+	}
 	a.mu.Lock()
 	view := a.teams[team]
 	a.mu.Unlock()
--- a/front/platform/shares/settings.go
+++ b/front/platform/shares/settings.go
@@ -35,6 +35,10 @@
 	// passesPerTurn is for how many passes a free part is left to the instance
 	// that comes first.
 	passesPerTurn = 2
+	// startPause is the time between two passes until the instance is ready.
+	startPause = 100 * time.Millisecond
+	// startPasses is how many passes may follow so fast.
+	startPasses = 50
 	// leavePause is the time between two passes of a leaving instance.
 	leavePause = 200 * time.Millisecond
 	// jitter is the part by which waits differ at random.
