Make the freeze test tell a missing lease check

Cause: with the lease check taken out the test passed, as the frozen instance's part was too small to exceed the bound.

Change: the holder of the ward's rate is frozen until the others have used what its part would have served.

--- a/front/e2e/limits_test.go
+++ b/front/e2e/limits_test.go
@@ -17,11 +17,13 @@
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/shares"
+	"github.com/cardamomfront/cardamomfront/steer/share"
 )
 
 // The ward's limits in these tests.
 const (
-	slowRate  = 1 // requests a second
+	slowRate  = 2 // requests a second
 	slowBurst = 12
 )
 
@@ -92,6 +94,27 @@
 	return len(rows)
 }
 
+// holder returns the instance that holds the ward's rate.
+func (f *fleet) holder(t *testing.T) *testInstance {
+	t.Helper()
+	client := platform.NewClient(platform.Settings{URL: "http://" + f.platform})
+	row, err := client.Get(context.Background(), shares.Key(environment, "ward-01"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	division, err := share.DecodeDivision(row.Value)
+	if err != nil || len(division.Holdings) == 0 {
+		t.Fatalf("division %v, error %v", division, err)
+	}
+	for _, i := range f.instances {
+		if strings.HasPrefix(division.Holdings[0].Instance, i.FailureDomain) {
+			return i
+		}
+	}
+	t.Fatalf("nobody is %s", division.Holdings[0].Instance)
+	return nil
+}
+
 // entries returns the base addresses that an instance tells the ward.
 func entries(i *testInstance) ([]string, error) {
 	r, err := http.NewRequest(http.MethodGet, i.url()+caller.EntriesPath, nil)
@@ -122,7 +145,8 @@
 	a.burst(t, 20, f.instances...)
 	a.check(t, "burst at all instances")
 
-	frozen := f.instances[1]
+	frozen := f.holder(t)
+	others := slices.DeleteFunc(slices.Clone(f.instances), func(i *testInstance) bool { return i == frozen })
 	frozen.signal(t, syscall.SIGSTOP)
 	inHand := make(chan struct{})
 	go func() {
@@ -135,7 +159,13 @@
 		}
 		return nil
 	})
-	a.burst(t, 20, f.instances[0], f.instances[2])
+	eventually(t, "requests that the frozen instance's part would have served", func() error {
+		a.burst(t, 2, others...)
+		if n := a.admitted.Load(); n < 2*slowBurst {
+			return fmt.Errorf("%d admitted", n)
+		}
+		return nil
+	})
 	a.check(t, "with one instance frozen")
 	frozen.signal(t, syscall.SIGCONT)
 	a.burst(t, 20, f.instances...)
