shifts: know instances by their process

A member that lost its lease is listed under another name than its reports carry; a shift's last stage would have waited for it until the deadline.

--- a/front/platform/shifts/fleet_test.go
+++ b/front/platform/shifts/fleet_test.go
@@ -203,7 +203,8 @@
 	var all []configuration.Peer
 	for _, other := range i.fleet.members() {
 		if other != i {
-			all = append(all, configuration.Peer{Name: other.name, Addr: other.name})
+			// A member that lost its lease once.
+			all = append(all, configuration.Peer{Name: other.name + "~2", Addr: other.name})
 		}
 	}
 	return all
--- a/front/platform/shifts/manager.go
+++ b/front/platform/shifts/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -142,11 +143,18 @@
 func (m *Manager) listed() []string {
 	names := []string{m.settings.Instance}
 	for _, p := range m.directory.Peers() {
-		names = append(names, p.Name)
+		names = append(names, processOf(p.Name))
 	}
 	return names
 }
 
+// processOf returns the process in a member's name. A member that has lost its
+// lease goes on under the same process with an epoch after "~".
+func processOf(member string) string {
+	process, _, _ := strings.Cut(member, "~")
+	return process
+}
+
 // signal asks on c, unless somebody has already.
 func signal(c chan<- struct{}) {
 	select {
