--- a/front/broker/acquire.go
+++ b/front/broker/acquire.go
@@ -162,6 +162,12 @@
 	s.holder.End(id)
 }
 
+// Endpoint returns the endpoint's address.
+func (s *Slot) Endpoint() string { return s.Address }
+
+// Bound returns when the request must have ended.
+func (s *Slot) Bound() time.Time { return s.Until }
+
 func (s *Service) settle(id slots.ID, until time.Time) {
 	s.holderMu.Lock()
 	defer s.holderMu.Unlock()
--- a/front/caller/exchange.go
+++ b/front/caller/exchange.go
@@ -38,6 +38,8 @@
 	Team string
 	// IdempotencyKey is the caller's, empty when it sent none.
 	IdempotencyKey string
+	// Tried lists the addresses of endpoints that earlier attempts failed at.
+	Tried []string
 	// Verdict is what is known of the request so far. Stages that send it
 	// keep this up to date.
 	Verdict verdict.Verdict
--- a/front/caller/forward.go
+++ b/front/caller/forward.go
@@ -6,45 +6,41 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
-	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
-// noEndpointRetryAfter is when a caller may come back while a service has no
-// endpoint.
-const noEndpointRetryAfter = time.Second
-
 // copyBufferBytes is the size of the buffer that an answer streams through.
 const copyBufferBytes = 32 << 10
 
-// Sender sends one request to one endpoint. endpoint.Client implements it.
+// Sender brings a request to an endpoint; *dispatch.Dispatcher implements it.
 type Sender interface {
-	Send(ctx context.Context, t endpoint.Target, r *endpoint.Request) (*endpoint.Answer, error)
+	// Send returns the answer as soon as its header is there. Errors:
+	// *endpoint.Error, *admission.Refusal, *broker.UnavailableError, or the
+	// context's.
+	Send(ctx context.Context, t dispatch.Target, r *endpoint.Request) (*endpoint.Answer, error)
 }
 
 // Forward is the last handler: it sends the request to an endpoint of the
 // route's service and streams the answer back.
 type Forward struct {
-	// Sender sends to endpoints.
+	// Sender brings requests to endpoints.
 	Sender Sender
-
-	next atomic.Uint64
 }
 
 // ServeExchange implements Handler.
 func (f *Forward) ServeExchange(x *Exchange) error {
 	service := x.Index.Service(x.Route.Service)
-	endpoints := x.Index.Version(service.Name, service.Serving).Endpoints
-	if len(endpoints) == 0 {
-		refusal := refuse(http.StatusServiceUnavailable, ReasonNoEndpoint)
-		refusal.RetryAfter = noEndpointRetryAfter
-		return refusal
+	target := dispatch.Target{
+		Index:    x.Index,
+		Service:  service.Name,
+		Version:  service.Serving,
+		Deadline: x.Deadline,
+		Avoid:    x.Tried,
 	}
-	chosen := endpoints[f.next.Add(1)%uint64(len(endpoints))]
-	answer, err := f.Sender.Send(x.Context(), endpoint.Target{Address: chosen.Address}, &endpoint.Request{
+	answer, err := f.Sender.Send(x.Context(), target, &endpoint.Request{
 		HTTP:       x.Request,
 		ID:         x.ID,
 		Team:       x.Team,
@@ -57,28 +53,6 @@
 	return copyAnswer(x, answer)
 }
 
-// sendRefusal turns a failed exchange with an endpoint into a refusal.
-func sendRefusal(x *Exchange, err error) *Refusal {
-	refusal := &Refusal{Verdict: verdict.MayHaveRun, Reason: ReasonEndpointFailed, Status: http.StatusBadGateway, Err: err}
-	var failed *endpoint.Error
-	if errors.As(err, &failed) {
-		refusal.Verdict = failed.Verdict
-		refusal.Reason = Reason(failed.Reason)
-		refusal.RetryAfter = failed.RetryAfter
-	}
-	x.Verdict = refusal.Verdict
-	if errors.Is(err, context.DeadlineExceeded) {
-		refusal.Reason = ReasonDeadline
-		refusal.Status = http.StatusGatewayTimeout
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refusal.Reason = ReasonBodyTooLarge
-		refusal.Status = http.StatusRequestEntityTooLarge
-	}
-	return refusal
-}
-
 // copyAnswer streams an endpoint's answer to the caller. A short answer is an
 // error, which cuts the caller's connection.
 func copyAnswer(x *Exchange, a *endpoint.Answer) error {
--- a/front/caller/stages_test.go
+++ b/front/caller/stages_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
@@ -69,7 +70,7 @@
 // senderFunc is a function that is a Sender.
 type senderFunc func(ctx context.Context, r *endpoint.Request) (*endpoint.Answer, error)
 
-func (f senderFunc) Send(ctx context.Context, _ endpoint.Target, r *endpoint.Request) (*endpoint.Answer, error) {
+func (f senderFunc) Send(ctx context.Context, _ dispatch.Target, r *endpoint.Request) (*endpoint.Answer, error) {
 	return f(ctx, r)
 }
 
--- /dev/null
+++ b/front/dispatch/dispatch_test.go
@@ -0,0 +1,314 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/broker"
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/admission"
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const testDocument = `
+environment: test
+teams: [{name: ward-01, rate: 6/s, burst: 24}]
+regions:
+  - {name: kano, failureDomains: [kano-a]}
+  - {name: kaduna, failureDomains: [kaduna-a]}
+services:
+  - name: tracker
+    versions:
+      - name: v1
+        endpoints:
+          - {address: "127.0.0.1:9001", failureDomain: kano-a, slots: 1}
+          - {address: "127.0.0.1:9002", failureDomain: kaduna-a, slots: 1}
+    serving: v1
+routes: [{name: read, path: /, methods: [GET], service: tracker, open: true, timeout: 5s}]
+drains: [{region: kano, from: 2026-12-04T10:00:00Z, deadline: 2026-12-04T11:00:00Z}]
+`
+
+func testIndex(t *testing.T) *document.Index {
+	t.Helper()
+	doc, err := document.Decode("test.yaml", []byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return document.Compile(doc)
+}
+
+// fakeSlot notes how it was released.
+type fakeSlot struct {
+	address string
+	bound   time.Time
+
+	mu      sync.Mutex
+	endings []broker.Ending
+}
+
+func (s *fakeSlot) Endpoint() string { return s.address }
+func (s *fakeSlot) Bound() time.Time { return s.bound }
+func (s *fakeSlot) Release(e broker.Ending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endings = append(s.endings, e)
+}
+
+func (s *fakeSlot) released() []broker.Ending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endings
+}
+
+// fakeSlots answers by region.
+type fakeSlots struct {
+	slot   *fakeSlot
+	refuse map[string]error
+	asked  []string
+}
+
+func (s *fakeSlots) Acquire(_ context.Context, r broker.Request) (Slot, error) {
+	s.asked = append(s.asked, r.Group.Region)
+	if err := s.refuse[r.Group.Region]; err != nil {
+		return nil, err
+	}
+	return s.slot, nil
+}
+
+// noRelays knows no other instance.
+type noRelays struct{}
+
+func (noRelays) Relay(context.Context, slots.Group, time.Duration, *endpoint.Request) (*endpoint.Answer, bool, error) {
+	return nil, false, nil
+}
+
+type senderFunc func(r *endpoint.Request) (*endpoint.Answer, error)
+
+func (f senderFunc) Send(_ context.Context, _ endpoint.Target, r *endpoint.Request) (*endpoint.Answer, error) {
+	return f(r)
+}
+
+func answer(text string) senderFunc {
+	return func(*endpoint.Request) (*endpoint.Answer, error) {
+		return &endpoint.Answer{Status: http.StatusOK, ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text))}, nil
+	}
+}
+
+func fail(reason endpoint.Reason, v verdict.Verdict) senderFunc {
+	return func(*endpoint.Request) (*endpoint.Answer, error) {
+		return nil, &endpoint.Error{Reason: reason, Verdict: v}
+	}
+}
+
+func testRequest(body io.Reader) *endpoint.Request {
+	return &endpoint.Request{HTTP: httptest.NewRequest(http.MethodPost, "/book", body), ID: "r1", Team: "ward-01"}
+}
+
+func TestEndings(t *testing.T) {
+	tests := []struct {
+		desc string
+		send senderFunc
+		use  func(a *endpoint.Answer)
+		want broker.Ending
+	}{
+		{"whole answer", answer("mats"), func(a *endpoint.Answer) { _, _ = io.ReadAll(a.Body) }, broker.Ending{Answered: true}},
+		{"answer given up", answer("mats"), func(a *endpoint.Answer) { _ = a.Body.Close() }, broker.Ending{Settle: settleTime}},
+		{"shed", fail(endpoint.ReasonShed, verdict.NotRun), nil, broker.Ending{Answered: true}},
+		{"nothing written", fail(endpoint.ReasonUnreachable, verdict.NotRun), nil, broker.Ending{}},
+		{"connection broke", fail(endpoint.ReasonBroken, verdict.MayHaveRun), nil, broker.Ending{Settle: settleTime}},
+		{"caller left", fail(endpoint.ReasonCanceled, verdict.MayHaveRun), nil, broker.Ending{Settle: settleTime}},
+		{"connection silent", fail(endpoint.ReasonSilent, verdict.MayHaveRun), nil, broker.Ending{Lost: true}},
+		{"deadline passed", fail(endpoint.ReasonDeadline, verdict.MayHaveRun), nil, broker.Ending{Lost: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			slot := &fakeSlot{bound: time.Now().Add(time.Minute)}
+			d := &Dispatcher{Region: "kano", Slots: &fakeSlots{slot: slot}, Endpoints: tt.send, Relays: noRelays{}}
+			a, err := d.SendAt(t.Context(), broker.Request{}, testRequest(nil))
+			if tt.use != nil {
+				if err != nil {
+					t.Fatal(err)
+				}
+				tt.use(a)
+				_ = a.Body.Close()
+			}
+			if got := slot.released(); len(got) != 1 || got[0] != tt.want {
+				t.Errorf("released %+v, want once %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestSearchOverRegions(t *testing.T) {
+	busy := &admission.Refusal{Reason: admission.ReasonWait, Wait: time.Second}
+	closed := &broker.UnavailableError{Reason: "no-slot-broker"}
+	tests := []struct {
+		desc   string
+		refuse map[string]error
+		send   senderFunc
+		asked  string
+		failed bool
+	}{
+		{desc: "own region has a slot", send: answer("mats"), asked: "[kano]"},
+		{desc: "own region busy", refuse: map[string]error{"kano": busy}, send: answer("mats"), asked: "[kano kaduna]"},
+		{desc: "own region without a broker", refuse: map[string]error{"kano": closed}, send: answer("mats"), asked: "[kano kaduna]"},
+		{
+			desc: "all busy: waits where it is shortest", refuse: map[string]error{"kano": busy, "kaduna": busy},
+			send: answer("mats"), asked: "[kano kaduna kano]", failed: true,
+		},
+		{desc: "an endpoint's failure ends the search", send: fail(endpoint.ReasonBroken, verdict.MayHaveRun), asked: "[kano]", failed: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			s := &fakeSlots{slot: &fakeSlot{bound: time.Now().Add(time.Minute)}, refuse: tt.refuse}
+			d := &Dispatcher{Region: "kano", Slots: s, Endpoints: tt.send, Relays: noRelays{}}
+			_, err := d.Send(t.Context(), Target{Index: testIndex(t), Service: "tracker", Version: "v1"}, testRequest(nil))
+			if got := fmt.Sprint(s.asked); got != tt.asked || (err != nil) != tt.failed {
+				t.Errorf("asked %s, error %v; want %s", got, err, tt.asked)
+			}
+		})
+	}
+}
+
+// TestDrainMovesRequests asks for the regions of many requests as a drain goes
+// on: the share that leaves grows and never shrinks for one request.
+func TestDrainMovesRequests(t *testing.T) {
+	d := &Dispatcher{Region: "kano"}
+	target := Target{Index: testIndex(t), Service: "tracker", Version: "v1"}
+	from := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	tests := []struct {
+		at       time.Duration
+		min, max int // requests of 1000 that stay
+	}{
+		{-time.Second, 1000, 1000},
+		{12 * time.Minute, 650, 850},
+		{24 * time.Minute, 400, 600},
+		{48 * time.Minute, 0, 0},
+		{2 * time.Hour, 0, 0},
+	}
+	left := make(map[string]bool)
+	for _, tt := range tests {
+		stay := 0
+		for i := range 1000 {
+			id := fmt.Sprint(i)
+			if d.regions(target, id, from.Add(tt.at))[0].Name != "kano" {
+				left[id] = true
+				continue
+			}
+			stay++
+			if left[id] {
+				t.Errorf("request %s came back at %v", id, tt.at)
+			}
+		}
+		if stay < tt.min || stay > tt.max {
+			t.Errorf("at %v %d of 1000 stay, want %d to %d", tt.at, stay, tt.min, tt.max)
+		}
+	}
+}
+
+// ignoreOutcomes is an observer that keeps nothing.
+type ignoreOutcomes struct{}
+
+func (ignoreOutcomes) Observe(string, health.Outcome, time.Duration) {}
+
+// relayPair returns a dispatcher in kano that relays to one in kaduna.
+func relayPair(t *testing.T, far *Dispatcher) *Dispatcher {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	srv := httptest.NewServer(NewRelayServer(far, log))
+	client := endpoint.NewClient(endpoint.Settings{}, ignoreOutcomes{})
+	t.Cleanup(func() {
+		client.Close()
+		srv.Close()
+	})
+	relays := NewRelayClient(client, nil, nil, nil)
+	relays.byRegion["kaduna"] = []string{srv.Listener.Addr().String()}
+	full := map[string]error{"kano": &broker.UnavailableError{Reason: "no-slot-broker"}}
+	return &Dispatcher{Region: "kano", Slots: &fakeSlots{refuse: full}, Relays: relays}
+}
+
+func TestRelay(t *testing.T) {
+	busy := &admission.Refusal{Reason: admission.ReasonWait, Wait: 300 * time.Millisecond}
+	tests := []struct {
+		desc    string
+		refuse  error
+		send    senderFunc
+		verdict verdict.Verdict
+		busy    bool
+		body    string
+	}{
+		{desc: "answered", send: answer("mats"), body: "mats"},
+		{desc: "no slot there", refuse: busy, busy: true},
+		{desc: "endpoint unreachable", send: fail(endpoint.ReasonUnreachable, verdict.NotRun), verdict: verdict.NotRun},
+		{desc: "endpoint broke", send: fail(endpoint.ReasonBroken, verdict.MayHaveRun), verdict: verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			slot := &fakeSlot{bound: time.Now().Add(time.Minute)}
+			far := &Dispatcher{Region: "kaduna", Endpoints: tt.send, Slots: &fakeSlots{slot: slot, refuse: map[string]error{"kaduna": tt.refuse}}}
+			d := relayPair(t, far)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			target := Target{Index: testIndex(t), Service: "tracker", Version: "v1", Deadline: time.Now().Add(time.Minute)}
+			a, err := d.Send(ctx, target, testRequest(nil))
+			var refusal *admission.Refusal
+			var failed *endpoint.Error
+			switch {
+			case tt.body != "":
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got, err := io.ReadAll(a.Body); err != nil || string(got) != tt.body {
+					t.Errorf("answer %q, %v", got, err)
+				}
+			case tt.busy:
+				if !errors.As(err, &refusal) || refusal.Wait != busy.Wait {
+					t.Errorf("error %v, want the other instance's refusal", err)
+				}
+			case !errors.As(err, &failed) || failed.Verdict != tt.verdict:
+				t.Errorf("error %v, want verdict %s", err, tt.verdict)
+			}
+		})
+	}
+}
+
+// TestRelayedAnswerCut cuts the endpoint's answer behind the other instance.
+func TestRelayedAnswerCut(t *testing.T) {
+	cut := func(*endpoint.Request) (*endpoint.Answer, error) {
+		body := io.MultiReader(strings.NewReader("ma"), &brokenReader{})
+		return &endpoint.Answer{Status: http.StatusOK, ContentLength: -1, Body: io.NopCloser(body)}, nil
+	}
+	slot := &fakeSlot{bound: time.Now().Add(time.Minute)}
+	d := relayPair(t, &Dispatcher{Region: "kaduna", Endpoints: senderFunc(cut), Slots: &fakeSlots{slot: slot}})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	target := Target{Index: testIndex(t), Service: "tracker", Version: "v1", Deadline: time.Now().Add(time.Minute)}
+	a, err := d.Send(ctx, target, testRequest(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failed *endpoint.Error
+	if _, err := io.ReadAll(a.Body); !errors.As(err, &failed) || failed.Reason != endpoint.ReasonCut {
+		t.Errorf("body ended with %v, want a visible cut", err)
+	}
+}
+
+type brokenReader struct{}
+
+func (*brokenReader) Read([]byte) (int, error) {
+	return 0, &endpoint.Error{Reason: endpoint.ReasonCut}
+}
--- /dev/null
+++ b/front/dispatch/relayserver.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/broker"
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/steer/admission"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const (
+	// relayHeaderTimeout is how long a relayed request's header may take.
+	relayHeaderTimeout = 5 * time.Second
+	// relayIdleTimeout is how long an idle connection stays open.
+	relayIdleTimeout = 60 * time.Second
+	// relayBuffer is the size of the buffer that an answer streams through, in
+	// bytes.
+	relayBuffer = 32 << 10
+)
+
+// RelayServer takes requests that other instances relay into this region.
+type RelayServer struct {
+	dispatcher *Dispatcher
+	http       *http.Server
+	log        logrus.FieldLogger
+}
+
+// NewRelayServer returns a server that sends with d. Its listener must let in
+// nobody but instances.
+func NewRelayServer(d *Dispatcher, log logrus.FieldLogger) *RelayServer {
+	s := &RelayServer{dispatcher: d, log: log.WithField("prefix", "relay")}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout}
+	return s
+}
+
+// Register makes the address known to other instances.
+func (s *RelayServer) Register(srv *peer.Server, address string) {
+	srv.Handle(methodRelayAddress, func(context.Context, json.RawMessage) (any, error) {
+		return relayAddress{Address: address}, nil
+	})
+}
+
+// Serve answers on l until Shutdown.
+func (s *RelayServer) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown returns when all relayed requests have ended or ctx has.
+func (s *RelayServer) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// ServeHTTP implements http.Handler.
+func (s *RelayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q, err := relayedRequest(r)
+	if err != nil {
+		refuseRelayed(w, &broker.UnavailableError{Reason: "bad-header", Err: err})
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.Deadline)
+	defer cancel()
+	answer, err := s.dispatcher.SendAt(ctx, q, &endpoint.Request{
+		HTTP: r, ID: r.Header.Get(endpoint.HeaderRequestID), Team: q.Team,
+		Idempotent: r.Header.Get(headerIdempotent) == "true",
+	})
+	if err != nil {
+		refuseRelayed(w, err)
+		return
+	}
+	if err := copyRelayed(w, answer, r.Header.Get(endpoint.HeaderExchange)); err != nil {
+		s.log.WithError(err).Debug("Relayed answer cut short.")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// relayedRequest reads what a relayed request is for.
+func relayedRequest(r *http.Request) (broker.Request, error) {
+	left, err1 := strconv.ParseInt(r.Header.Get(endpoint.HeaderDeadline), 10, 64)
+	maxWait, err2 := strconv.ParseInt(r.Header.Get(headerMaxWait), 10, 64)
+	q := broker.Request{
+		Group: slots.Group{
+			Service: r.Header.Get(headerService),
+			Version: r.Header.Get(headerVersion),
+			Region:  r.Header.Get(headerRegion),
+		},
+		Team:     r.Header.Get(endpoint.HeaderTeam),
+		Deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
+		MaxWait:  time.Duration(maxWait) * time.Millisecond,
+	}
+	return q, errors.Join(err1, err2)
+}
+
+// refuseRelayed tells the other instance why its request failed, with the
+// verdict.
+func refuseRelayed(w http.ResponseWriter, err error) {
+	h := w.Header()
+	var refusal *admission.Refusal
+	var unavailable *broker.UnavailableError
+	var failed *endpoint.Error
+	reason, verdictWord := string(endpoint.ReasonDeadline), verdict.NotRun
+	switch {
+	case errors.As(err, &refusal):
+		reason = string(refusal.Reason)
+		h.Set(headerWait, strconv.FormatInt(refusal.Wait.Milliseconds(), 10))
+	case errors.As(err, &unavailable):
+		reason = unavailable.Reason
+		h.Set(headerWait, strconv.FormatInt(unavailable.Wait.Milliseconds(), 10))
+	case errors.As(err, &failed):
+		reason, verdictWord = string(failed.Reason), failed.Verdict
+	}
+	h.Set(endpoint.HeaderRelayFailed, reason)
+	h.Set(endpoint.HeaderVerdict, verdictWord.String())
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// copyRelayed streams an answer to the other instance.
+func copyRelayed(w http.ResponseWriter, a *endpoint.Answer, exchange string) error {
+	defer func() { _ = a.Body.Close() }()
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set(endpoint.HeaderExchange, exchange)
+	if a.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	}
+	w.WriteHeader(a.Status)
+	buf := make([]byte, relayBuffer)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/front/dispatch/release.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/broker"
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const (
+	// settleTime is how long an endpoint may take to end a request whose
+	// connection was closed.
+	settleTime = 250 * time.Millisecond
+	// silenceParts is the part of an idempotent request's time, as a divisor,
+	// after which a silent connection is given up.
+	silenceParts = 3
+	// leastSilence bounds that time from below.
+	leastSilence = 250 * time.Millisecond
+)
+
+// silenceFor returns how long an idempotent request waits on a silent
+// connection, so that time is left for another attempt.
+func silenceFor(left time.Duration) time.Duration {
+	return max(leastSilence, left/silenceParts)
+}
+
+// endingOf says how a failed request leaves its slot. Only what proves that the
+// endpoint is not busy with it frees the slot at once.
+func endingOf(err error) broker.Ending {
+	var failed *endpoint.Error
+	if !errors.As(err, &failed) {
+		return broker.Ending{Lost: true}
+	}
+	switch {
+	case failed.Reason == endpoint.ReasonShed:
+		return broker.Ending{Answered: true}
+	case failed.Verdict == verdict.NotRun:
+		return broker.Ending{}
+	case failed.Reason == endpoint.ReasonSilent, failed.Reason == endpoint.ReasonDeadline:
+		return broker.Ending{Lost: true} // the cancellation may be lost too
+	default:
+		return broker.Ending{Settle: settleTime}
+	}
+}
+
+// slotBody is an answer's body that gives the slot back at its end.
+type slotBody struct {
+	io.ReadCloser
+	slot   Slot
+	cancel context.CancelFunc
+	once   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end(broker.Ending{Answered: true})
+	case err != nil:
+		b.end(endingOf(err))
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *slotBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end(broker.Ending{Settle: settleTime})
+	return err
+}
+
+func (b *slotBody) end(e broker.Ending) {
+	b.once.Do(func() {
+		b.cancel()
+		b.slot.Release(e)
+	})
+}
--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -142,6 +142,20 @@
 	return health.OutcomeAnswered
 }
 
+// relayFailure returns the error that another instance gives in place of an
+// endpoint's answer, or nil.
+func relayFailure(resp *http.Response, address string) *Error {
+	reason := resp.Header.Get(HeaderRelayFailed)
+	if reason == "" {
+		return nil
+	}
+	e := &Error{Reason: Reason(reason), Address: address, Header: resp.Header}
+	if resp.Header.Get(HeaderVerdict) == notRunWord {
+		e.Verdict = notRun
+	}
+	return e
+}
+
 // shed returns the endpoint's own word that it did not run the request, or nil.
 func shed(resp *http.Response, address string, now time.Time) *Error {
 	if resp.StatusCode != http.StatusServiceUnavailable {
--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -49,6 +49,10 @@
 	// Silence bounds the time without progress on the connection; 0 leaves
 	// only the context's deadline.
 	Silence time.Duration
+	// Relayed holds headers for another instance that relays the request; it
+	// is nil when the request goes to an endpoint. Only then is
+	// HeaderRelayFailed believed.
+	Relayed http.Header
 }
 
 // Observer learns how exchanges end. It is called from many goroutines.
--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
@@ -44,6 +45,9 @@
 	Verdict verdict.Verdict
 	// Address is the endpoint's.
 	Address string
+	// Header holds the headers of another instance that failed to relay the
+	// request; it is nil otherwise.
+	Header http.Header
 	// RetryAfter is the endpoint's own word on when to come back, or 0.
 	RetryAfter time.Duration
 	// Err is the cause; it may be nil.
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -36,6 +36,7 @@
 	watch   *silenceWatch
 	body    *callerBody
 	sentAt  time.Time
+	relayed bool
 }
 
 // Send sends r to t and returns the answer as soon as its headers are there.
@@ -91,7 +92,7 @@
 // exchange sends r on cn. It reports again when a new connection may be tried,
 // because nothing was written and the caller's body was not touched.
 func (c *Client) exchange(ctx context.Context, p *pool, cn *conn, t Target, r *Request) (a *Answer, again bool, err error) {
-	x := &exchange{client: c, pool: p, conn: cn, address: t.Address, parent: ctx, sentAt: time.Now()}
+	x := &exchange{client: c, pool: p, conn: cn, address: t.Address, parent: ctx, sentAt: time.Now(), relayed: r.Relayed != nil}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	cn.net.begin(x.sentAt)
 	x.watch = newSilenceWatch(cn.net, r.Silence, x.cancel)
@@ -141,6 +142,10 @@
 		x.abandon()
 		return nil, err
 	}
+	if err := relayFailure(resp, x.address); x.relayed && err != nil {
+		x.discard(resp.Body)
+		return nil, err
+	}
 	if err := shed(resp, x.address, time.Now()); err != nil {
 		x.client.observer.Observe(x.address, health.OutcomeShed, elapsed)
 		x.discard(resp.Body)
--- a/front/endpoint/headers.go
+++ b/front/endpoint/headers.go
@@ -21,6 +21,9 @@
 	// HeaderExchange identifies one exchange. An endpoint that repeats it in
 	// its answer lets a crossed answer be told.
 	HeaderExchange = HeaderPrefix + "Exchange"
+	// HeaderRelayFailed is the reason of a request that another instance
+	// could not bring to an endpoint. HeaderVerdict then holds its verdict.
+	HeaderRelayFailed = HeaderPrefix + "Relay-Failed"
 	// HeaderVerdict is an endpoint's word on whether it ran a request.
 	HeaderVerdict = HeaderPrefix + "Verdict"
 
@@ -76,6 +79,9 @@
 		h.Set(HeaderRequestID, r.ID)
 	}
 	h.Set(HeaderExchange, exchange)
+	for name, values := range r.Relayed {
+		h[name] = values
+	}
 	if !deadline.IsZero() {
 		left := max(0, deadline.Sub(now).Milliseconds())
 		h.Set(HeaderDeadline, strconv.FormatInt(left, 10))
