Bring requests to endpoints by slots, with relays between regions

Cause: the thin forward stage chose endpoints in turn, without regard to slots, regions, drains or what other instances do.

Ruled out: knowing from an instance's own observations which others may hold grants. Now the group's row names the instances that may be given slots, and a broker gives to no other; a successor asks exactly those.

Change: front/dispatch searches regions, waits for a slot, sends, and gives the slot back when the answer has ended; a request for another region is relayed by an instance there over HTTP under the peers' certificates. An ended request frees its slot at once only with proof that the endpoint is not busy with it. Groups move to the first choice in their region, and away from a leaving instance, by a hand-over that names the holders of grants. Drains move a growing share of requests. Instances keep their member lease and are ready once every group has a broker that serves them.

--- a/front/broker/lead.go
+++ b/front/broker/lead.go
@@ -1,9 +1,11 @@
 package broker
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
 )
@@ -11,38 +13,109 @@
 // lead is a group whose slots this instance hands out. Each is a shard with
 // its own lock.
 type lead struct {
+	epoch uint64
 	// right is the end of this instance's right, on its own clock.
 	right func() time.Time
+	// started is when this instance began to hand out the group's slots.
+	started time.Time
 
 	mu      sync.Mutex
 	broker  *slots.Broker
-	longest time.Duration
-	claim   claimed
+	row     brokers.Row // as last read
+	seen    map[string]time.Time
 	waiters map[slots.ID]chan slots.Outcome
 	closed  bool // handed over
+
+	mustNote    bool      // grants of this instance must be noted
+	lastUnnoted time.Time // bound of the last one that was not
+}
+
+// newLead makes the broker of a row's epoch. Before it hands out anything, it
+// hears the instances that may hold grants of earlier epochs.
+func newLead(r brokers.Row, right func() time.Time, weight func(team string) float64) *lead {
+	now := time.Now()
+	settings := slots.DefaultSettings()
+	settings.LongestGrant = max(r.LongestGrant, r.FormerGrant)
+	return &lead{
+		epoch: r.Epoch, right: right, started: now,
+		broker:  slots.NewBroker(r.Group, r.Epoch, settings, r.Unheard, weight, now),
+		seen:    make(map[string]time.Time),
+		waiters: make(map[slots.ID]chan slots.Outcome),
+	}
+}
+
+// update takes in the row as read and the document's endpoints.
+func (l *lead) update(r brokers.Row, endpoints []slots.Endpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.row = r
+	l.broker.SetLongest(r.LongestGrant)
+	l.broker.SetEndpoints(endpoints, time.Now())
 }
 
-// epoch returns the broker's epoch.
-func (l *lead) epoch() uint64 {
+// confirm takes in what was written to the row.
+func (l *lead) confirm(r brokers.Row) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.broker.Epoch()
+	l.row = r
 }
 
-// continues reports whether an epoch follows on this one without another
-// broker in between: the row was written once since, by this instance.
-func (l *lead) continues(epoch uint64) bool {
+// serves reports whether an instance may be given slots: it stands in the
+// group's row, so that a successor knows to ask it.
+func (l *lead) serves(instance string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.closed && epoch == l.broker.Epoch()+1
+	return slices.Contains(l.row.Members, instance)
 }
 
-// advance takes over the next epoch with all that is known.
-func (l *lead) advance(epoch uint64, longest time.Duration) {
+// longest returns the bound of grants that stands in the row.
+func (l *lead) longest() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.broker.Advance(epoch, longest)
-	l.longest = longest
+	return l.row.LongestGrant
+}
+
+// wanted returns the row as it should be now.
+func (l *lead) wanted(row brokers.Row, members []string, longest time.Duration, self string) brokers.Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	row.LongestGrant = max(row.LongestGrant, longest)
+	keep := row.LongestGrant + slots.DefaultGuard
+	for _, name := range members {
+		l.seen[name] = now
+	}
+	row.Members = slices.DeleteFunc(union(row.Members, members), func(name string) bool {
+		at, ok := l.seen[name]
+		if !ok {
+			l.seen[name] = now // known from the row only
+		}
+		return ok && now.Sub(at) > keep
+	})
+	if len(l.broker.Unheard()) == 0 || now.Sub(l.started) > row.FormerGrant+slots.DefaultGuard {
+		row.Unheard = nil
+		row.Excused = ""
+	}
+	l.mustNote = slices.ContainsFunc(members, func(name string) bool {
+		return name != self && slices.Contains(l.row.Members, name)
+	})
+	carried := row.Epoch > 1 && now.Sub(l.started) <= row.FormerGrant+slots.DefaultGuard
+	row.Unnoted = !l.mustNote || carried || now.Before(l.lastUnnoted.Add(slots.DefaultGuard))
+	return row
+}
+
+// mayUseUnnoted reports whether a grant of this instance may be used although
+// no other instance noted it, and takes down that it is.
+func (l *lead) mayUseUnnoted(until time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mustNote || !l.row.Unnoted {
+		return false
+	}
+	if until.After(l.lastUnnoted) {
+		l.lastUnnoted = until
+	}
+	return true
 }
 
 // work runs f on the broker if this instance still has the right, and delivers
@@ -106,6 +179,13 @@
 	})
 }
 
+// holders returns the instances that may hold grants. It is final after close.
+func (l *lead) holders() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broker.Holders()
+}
+
 // close ends the handing out of slots. Waiting requests learn that there is no
 // broker.
 func (l *lead) close() {
--- a/front/caller/forward.go
+++ b/front/caller/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -32,11 +33,11 @@
 
 // ServeExchange implements Handler.
 func (f *Forward) ServeExchange(x *Exchange) error {
-	service := x.Index.Service(x.Route.Service)
+	version := versionOf(x)
 	target := dispatch.Target{
 		Index:    x.Index,
-		Service:  service.Name,
-		Version:  service.Serving,
+		Service:  x.Route.Service,
+		Version:  version.Name,
 		Deadline: x.Deadline,
 		Avoid:    x.Tried,
 	}
@@ -47,12 +48,43 @@
 		Idempotent: x.Idempotent(),
 	})
 	if err != nil {
-		return sendRefusal(x, err)
+		refusal := sendRefusal(x, err)
+		x.Endpoint = endpointAt(version, lastTried(err))
+		return refusal
 	}
+	x.Endpoint = endpointAt(version, answer.Address)
 	x.Verdict = verdict.MayHaveRun
 	return copyAnswer(x, answer)
 }
 
+// versionOf returns the version that the request goes to.
+func versionOf(x *Exchange) *document.Version {
+	service := x.Index.Service(x.Route.Service)
+	if v := x.Index.Version(service.Name, x.Version); v != nil {
+		return v
+	}
+	return x.Index.Version(service.Name, service.Serving)
+}
+
+// lastTried returns the address of the endpoint that failed, or "".
+func lastTried(err error) string {
+	var failed *endpoint.Error
+	if errors.As(err, &failed) {
+		return failed.Address
+	}
+	return ""
+}
+
+// endpointAt returns the version's endpoint with an address, or nil.
+func endpointAt(v *document.Version, address string) *document.Endpoint {
+	for i := range v.Endpoints {
+		if v.Endpoints[i].Address == address {
+			return &v.Endpoints[i]
+		}
+	}
+	return nil
+}
+
 // copyAnswer streams an endpoint's answer to the caller. A short answer is an
 // error, which cuts the caller's connection.
 func copyAnswer(x *Exchange, a *endpoint.Answer) error {
--- a/front/dispatch/relayserver.go
+++ b/front/dispatch/relayserver.go
@@ -121,6 +121,7 @@
 		h.Set(headerWait, strconv.FormatInt(unavailable.Wait.Milliseconds(), 10))
 	case errors.As(err, &failed):
 		reason, verdictWord = string(failed.Reason), failed.Verdict
+		h.Set(endpoint.HeaderRelayEndpoint, failed.Address)
 	}
 	h.Set(endpoint.HeaderRelayFailed, reason)
 	h.Set(endpoint.HeaderVerdict, verdictWord.String())
@@ -135,6 +136,7 @@
 		h[name] = values
 	}
 	h.Set(endpoint.HeaderExchange, exchange)
+	h.Set(endpoint.HeaderRelayEndpoint, a.Address)
 	if a.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
 	}
--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -13,6 +13,8 @@
 // Answer is an endpoint's answer. The caller must read Body to its end or
 // close it.
 type Answer struct {
+	// Address is the address of the endpoint that answered.
+	Address string
 	// Status is the HTTP status code.
 	Status int
 	// Header holds the headers to be passed on.
@@ -150,6 +152,9 @@
 		return nil
 	}
 	e := &Error{Reason: Reason(reason), Address: address, Header: resp.Header}
+	if at := resp.Header.Get(HeaderRelayEndpoint); at != "" {
+		e.Address = at
+	}
 	if resp.Header.Get(HeaderVerdict) == notRunWord {
 		e.Verdict = notRun
 	}
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -152,7 +152,10 @@
 		return nil, err
 	}
 	x.client.observer.Observe(x.address, outcomeOf(resp.StatusCode), elapsed)
-	a := &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	a := &Answer{Address: x.address, Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	if x.relayed {
+		a.Address = resp.Header.Get(HeaderRelayEndpoint)
+	}
 	if resp.Body == http.NoBody {
 		x.finish()
 		return a, nil
--- a/front/endpoint/headers.go
+++ b/front/endpoint/headers.go
@@ -24,6 +24,9 @@
 	// HeaderRelayFailed is the reason of a request that another instance
 	// could not bring to an endpoint. HeaderVerdict then holds its verdict.
 	HeaderRelayFailed = HeaderPrefix + "Relay-Failed"
+	// HeaderRelayEndpoint is the address of the endpoint that a relayed request
+	// was sent to.
+	HeaderRelayEndpoint = HeaderPrefix + "Relay-Endpoint"
 	// HeaderVerdict is an endpoint's word on whether it ran a request.
 	HeaderVerdict = HeaderPrefix + "Verdict"
 
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -12,10 +12,16 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform/membership"
 )
 
+// announceTimeout bounds the time to tell the fleet of a planned stop.
+const announceTimeout = 3 * time.Second
+
 // Component is work that goes on in the background as long as the instance
 // lives.
 type Component interface {
@@ -29,17 +35,23 @@
 	callers    *caller.Server
 	peers      *peer.Server
 	operators  *http.Server
+	relays     *dispatch.RelayServer
+	members    *membership.Keeper
+	brokers    *broker.Service
 	components []Component
 	log        logrus.FieldLogger
 }
 
 // New returns an instance that is not running.
-func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, parts []Component, log *logrus.Logger) *Instance {
+func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, r *dispatch.RelayServer, m *membership.Keeper, b *broker.Service, parts []Component, log *logrus.Logger) *Instance {
 	return &Instance{
 		settings:   s,
 		callers:    c,
 		peers:      p,
 		operators:  o,
+		relays:     r,
+		members:    m,
+		brokers:    b,
 		components: parts,
 		log:        log.WithField("prefix", "instance"),
 	}
@@ -50,6 +62,7 @@
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
+	relays    net.Listener // nil when no requests are relayed
 }
 
 // Run serves until ctx ends and then stops in order: it announces its leaving,
@@ -67,6 +80,9 @@
 	group.Go(func() error { return i.peers.Serve(life, ls.peers) })
 	group.Go(func() error { return serveHTTP(i.operators, ls.operators) })
 	group.Go(func() error { return i.callers.Serve(ls.callers) })
+	if ls.relays != nil {
+		group.Go(func() error { return i.relays.Serve(ls.relays) })
+	}
 	for _, c := range i.components {
 		group.Go(func() error { return c.Run(life) })
 	}
@@ -97,13 +113,18 @@
 	if ls.peers, err = i.peers.Listen(i.settings.Peers.Listen); err != nil {
 		return ls, err
 	}
+	if i.settings.Peers.Relay != "" {
+		if ls.relays, err = i.peers.Listen(i.settings.Peers.Relay); err != nil {
+			return ls, err
+		}
+	}
 	ls.operators, err = net.Listen("tcp", i.settings.Operators.Listen)
 	return ls, err
 }
 
 // close closes the listeners that are open.
 func (ls *listeners) close() {
-	for _, l := range []net.Listener{ls.callers, ls.peers, ls.operators} {
+	for _, l := range []net.Listener{ls.callers, ls.peers, ls.operators, ls.relays} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -114,6 +135,7 @@
 // the drain time is over.
 func (i *Instance) stop(ctx context.Context) {
 	i.log.Info("Leaving.")
+	i.announceLeaving(ctx)
 	announce := i.settings.Stop.Announce.Std()
 	select {
 	case <-time.After(announce):
@@ -122,9 +144,24 @@
 	i.callers.CloseKeptAlive()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
 	defer cancel()
-	if err := i.callers.Shutdown(drainCtx); err != nil {
+	err := errors.Join(i.callers.Shutdown(drainCtx), i.relays.Shutdown(drainCtx))
+	if err != nil {
 		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
 	}
+	if err := i.members.Go(drainCtx); err != nil {
+		i.log.WithError(err).Warn("The instance's row is left to its lease.")
+	}
+}
+
+// announceLeaving tells the fleet that this instance takes no new work and
+// hands its slot groups over.
+func (i *Instance) announceLeaving(ctx context.Context) {
+	i.brokers.Leave()
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if err := i.members.Leave(ctx); err != nil {
+		i.log.WithError(err).Warn("Leaving could not be announced.")
+	}
 }
 
 // serveHTTP serves until the server is closed.
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -9,16 +9,21 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 	"github.com/cardamomfront/cardamomfront/steer/retry"
+	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
 // operatorHeaderTimeout is how long an operator's request header may take.
@@ -89,17 +94,35 @@
 	return configuration.NewKeyring(source, configuration.RefuseStale)
 }
 
-func newEndpointClient() *endpoint.Client {
-	return endpoint.NewClient(endpoint.Settings{}, ignoreOutcomes{})
-}
-
-func newForward(c *endpoint.Client) *caller.Forward {
-	return &caller.Forward{Sender: c}
-}
-
 // newChain puts the stages around the forwarding of a request.
-func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries) caller.Handler {
-	return caller.Chain(f, &caller.Routes{Source: source}, keys, &caller.Attempts{Claimer: records}, retries)
+func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries, versions *shifts.Manager) caller.Handler {
+	return caller.Chain(f,
+		&caller.Routes{Source: source},
+		keys,
+		&caller.Attempts{Claimer: records},
+		&caller.Versions{Chooser: versions},
+		retries,
+		&caller.Outcomes{Recorder: versions},
+	)
+}
+
+// newShifts returns the manager of the document's shifts and drains.
+func newShifts(s *Settings, n Name, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
+	meters, err := shifts.NewMeters(m.Meter)
+	if err != nil {
+		return nil, err
+	}
+	settings := shifts.Settings{Environment: s.Environment, Instance: string(n), Tuning: shift.DefaultTuning()}
+	manager := shifts.NewManager(settings, shifts.Dependencies{
+		Table:     table,
+		Source:    source,
+		Peers:     c,
+		Directory: noPeers{},
+		Log:       log,
+		Meters:    meters,
+	})
+	manager.Register(srv)
+	return manager, nil
 }
 
 func newAttempts(s *Settings, n Name, table platform.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
@@ -116,17 +139,20 @@
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder) []Component {
-	return []Component{w, k, c, records}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager,
+	m *membership.Keeper, b *broker.Service, r *dispatch.RelayClient, s relaySender,
+) []Component {
+	return []Component{w, k, c, records, versions, m, b, r, s.Client}
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, w *configuration.Watcher) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, b *broker.Service) *http.Server {
 	mux := http.NewServeMux()
 	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
+	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
-		if !w.Current().Ready {
+		if !w.Current().Ready || !b.Ready() {
 			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -26,6 +26,7 @@
 		peerSet,
 		configurationSet,
 		callerSet,
+		newShifts,
 		newOperators,
 		newComponents,
 	)
@@ -47,13 +48,24 @@
 	wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
+var dispatchSet = wire.NewSet(
+	newRight,
+	newKeeper,
+	newBroker,
+	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
+	newForward,
+)
+
 var callerSet = wire.NewSet(
 	caller.NewKeys,
 	caller.NewMetrics,
 	caller.NewServer,
 	newCallerSettings,
-	newEndpointClient,
-	newForward,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -20,10 +20,8 @@
 // Build assembles an instance that logs to w.
 func Build(s *Settings, w io.Writer) (*Instance, error) {
 	serverSettings := newCallerSettings(s)
-	client := newEndpointClient()
-	forward := newForward(client)
 	name := newName(s)
-	platformClient := newPlatform(s)
+	client := newPlatform(s)
 	instancePeerTLS, err := newPeerTLS(s)
 	if err != nil {
 		return nil, err
@@ -34,6 +32,7 @@
 		return nil, err
 	}
 	server := newPeerServer(instancePeerTLS, logger)
+	instanceRight := newRight()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -42,10 +41,20 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := newWatcher(s, name, platformClient, peerClient, server, logger, meters)
+	watcher := newWatcher(s, name, client, peerClient, server, logger, meters)
+	keeper, err := newKeeper(s, name, client, peerClient, server, instanceRight, watcher, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	service := newBroker(s, keeper, instanceRight, client, watcher, peerClient, server, logger)
+	endpointClient := newEndpointClient(service)
+	instanceRelaySender := newRelaySender(instancePeerTLS)
+	relayClient := newRelayClient(instanceRelaySender, peerClient, keeper)
+	dispatcher := newDispatcher(s, service, endpointClient, relayClient)
+	forward := newForward(dispatcher)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
-	recorder, err := newAttempts(s, name, platformClient, metrics, logger)
+	recorder, err := newAttempts(s, name, client, metrics, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -53,16 +62,21 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := newChain(forward, watcher, keys, recorder, retries)
+	manager, err := newShifts(s, name, client, watcher, peerClient, server, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	handler := newChain(forward, watcher, keys, recorder, retries, manager)
 	httpHandler := newEntriesPage(s, watcher)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher)
-	v := newComponents(watcher, keys, client, recorder)
-	instance := New(s, callerServer, server, httpServer, v, logger)
+	httpServer := newOperators(metrics, watcher, manager, service)
+	relayServer := newRelayServer(s, dispatcher, server, logger)
+	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, service, relayClient, instanceRelaySender)
+	instance := New(s, callerServer, server, httpServer, relayServer, keeper, service, v, logger)
 	return instance, nil
 }
 
@@ -80,9 +94,20 @@
 	newKeyring, wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
-var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+var dispatchSet = wire.NewSet(
+	newRight,
+	newKeeper,
+	newBroker,
 	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
 	newForward,
+)
+
+var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
