--- a/front/instance/sharing.go
+++ b/front/instance/sharing.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
@@ -66,7 +67,24 @@
 	return limits.Load()
 }
 
-func newKeeper(s *Settings, n Name, store platform.Service, c *peer.Client, srv *peer.Server, l *limit.Limiter, source configuration.Source, busy *load, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*membership.Keeper, error) {
+// tenants are all parts of an instance that use its lease.
+type tenants []membership.Tenant
+
+// SetLease implements membership.Tenant.
+func (t tenants) SetLease(until time.Time, epoch uint64) {
+	for _, one := range t {
+		one.SetLease(until, epoch)
+	}
+}
+
+// Reset implements membership.Tenant.
+func (t tenants) Reset(now time.Time) {
+	for _, one := range t {
+		one.Reset(now)
+	}
+}
+
+func newKeeper(s *Settings, n Name, store platform.Service, c *peer.Client, srv *peer.Server, l *limit.Limiter, r *right, source configuration.Source, busy *load, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*membership.Keeper, error) {
 	meters, err := membership.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
@@ -81,7 +99,7 @@
 		Timing:        steermembership.DefaultSettings(),
 	}
 	report := &reporter{source: source, limiter: l, load: busy.value}
-	keeper := membership.NewKeeper(settings, store, c, l, report, log, meters)
+	keeper := membership.NewKeeper(settings, store, c, tenants{l, r}, report, log, meters)
 	keeper.Register(srv)
 	d.keeper.Store(keeper)
 	return keeper, nil
@@ -118,18 +136,20 @@
 
 // departure is a planned stop as the other instances see it.
 type departure struct {
-	keeper *membership.Keeper
-	agent  *shares.Agent
-	log    logrus.FieldLogger
+	keeper  *membership.Keeper
+	agent   *shares.Agent
+	brokers *broker.Service
+	log     logrus.FieldLogger
 }
 
-func newDeparture(k *membership.Keeper, a *shares.Agent, log *logrus.Logger) *departure {
-	return &departure{keeper: k, agent: a, log: log.WithField("prefix", "instance")}
+func newDeparture(k *membership.Keeper, a *shares.Agent, b *broker.Service, log *logrus.Logger) *departure {
+	return &departure{keeper: k, agent: a, brokers: b, log: log.WithField("prefix", "instance")}
 }
 
 // announce tells the others that the instance is leaving and hands on what it
 // holds. Requests that still come are served with borrowed parts.
 func (d *departure) announce(ctx context.Context) {
+	d.brokers.Leave()
 	if err := d.keeper.Leave(ctx); err != nil {
 		d.log.WithError(err).Warn("Leaving could not be announced.")
 		return
