Explain endpoints at an instance; list instances to the tool by their rows

Cause: the explanation lacked the endpoints' states; the tool had to be told every instance's address. Change: the slot broker describes its endpoints; a member's row names its operators' listener; the tool's commands are complete.

--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/operator/capacity"
 	"github.com/cardamomfront/cardamomfront/front/operator/command"
+	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
 )
@@ -39,6 +40,6 @@
 		SilenceErrors: true,
 	}
 	command.Add(cmd)
-	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command())
+	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command(), explain.Command())
 	return cmd
 }
--- a/front/e2e/fleet_test.go
+++ b/front/e2e/fleet_test.go
@@ -28,6 +28,7 @@
 	FailureDomain string
 	Callers       string
 	Peers         string
+	Relay         string
 	Operators     string
 }
 
@@ -93,6 +94,7 @@
 		FailureDomain: domain,
 		Callers:       freeAddress(t, ip),
 		Peers:         freeAddress(t, ip),
+		Relay:         freeAddress(t, ip),
 		Operators:     freeAddress(t, ip),
 	}
 	file := f.write(t, fmt.Sprintf("instance-%d.yaml", len(f.instances)), settingsTemplate, struct {
@@ -109,11 +111,7 @@
 func (f *fleet) promote(t *testing.T, o documentOptions, expected int) {
 	t.Helper()
 	file := f.writeDocument(t, o)
-	args := []string{"promote", file, "--expect", fmt.Sprint(expected), "--platform", "http://" + f.platform, "--environment", environment, "--operator", "e2e"}
-	for _, i := range f.instances {
-		args = append(args, "--instance", i.Operators)
-	}
-	mustCtl(t, args...)
+	mustCtl(t, "promote", file, "--expect", fmt.Sprint(expected), "--platform", "http://"+f.platform, "--environment", environment, "--operator", "e2e")
 }
 
 // documentOptions is what differs between documents of the test fleet.
@@ -195,6 +193,7 @@
   url: http://{{.Callers}}
 peers:
   listen: {{.Peers}}
+  relay: {{.Relay}}
 operators:
   listen: {{.Operators}}
 platform:
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
@@ -149,10 +150,11 @@
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, agent *shares.Agent, b *broker.Service) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, agent *shares.Agent, b *broker.Service, cm *caller.Metrics) *http.Server {
 	mux := http.NewServeMux()
 	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
+	mux.Handle("GET "+explain.Path, &explain.Page{Snapshots: w, Recent: cm.Recent, Slots: b})
 	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
 		if !w.Current().Ready || !versions.Ready() || !agent.Ready() || !b.Ready() {
--- a/front/instance/sharing.go
+++ b/front/instance/sharing.go
@@ -90,13 +90,14 @@
 		return nil, err
 	}
 	settings := membership.Settings{
-		Environment:   s.Environment,
-		Process:       string(n),
-		PeerAddress:   s.Peers.Listen,
-		CallerURL:     s.Callers.URL,
-		Region:        s.Region,
-		FailureDomain: s.FailureDomain,
-		Timing:        steermembership.DefaultSettings(),
+		Environment:     s.Environment,
+		Process:         string(n),
+		PeerAddress:     s.Peers.Listen,
+		CallerURL:       s.Callers.URL,
+		OperatorAddress: s.Operators.Listen,
+		Region:          s.Region,
+		FailureDomain:   s.FailureDomain,
+		Timing:          steermembership.DefaultSettings(),
 	}
 	report := &reporter{source: source, limiter: l, load: busy.value}
 	keeper := membership.NewKeeper(settings, store, c, tenants{l, r}, report, log, meters)
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher, manager, agent, service)
+	httpServer := newOperators(metrics, watcher, manager, agent, service, callerMetrics)
 	relayServer := newRelayServer(s, dispatcher, server, logger)
 	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, agent, service, relayClient, instanceRelaySender)
 	instanceDeparture := newDeparture(keeper, agent, service, logger)
--- a/front/operator/explain/page.go
+++ b/front/operator/explain/page.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
 )
 
 // Path is the page on an instance's operator listener. Its query names a team
@@ -70,10 +71,10 @@
 	State string `json:"state"`
 }
 
-// Health says how an instance sees an endpoint.
-type Health interface {
-	// EndpointState describes the endpoint at address in a few words.
-	EndpointState(now time.Time, address string) string
+// Slots says how an instance sees an endpoint. *broker.Service implements it.
+type Slots interface {
+	// Explain describes an endpoint of a group in a few words.
+	Explain(g slots.Group, address string, now time.Time) string
 }
 
 // Page answers explanations at one instance.
@@ -82,8 +83,8 @@
 	Snapshots configuration.Source
 	// Recent holds the latest outcomes.
 	Recent *caller.Recent
-	// Health tells the states of endpoints.
-	Health Health
+	// Slots tells the states of endpoints.
+	Slots Slots
 }
 
 // ServeHTTP implements http.Handler.
@@ -142,12 +143,13 @@
 	}
 	for _, version := range service.Versions {
 		for _, e := range version.Endpoints {
+			group := slots.Group{Service: service.Name, Version: version.Name, Region: index.Region(e.FailureDomain)}
 			route.Endpoints = append(route.Endpoints, Endpoint{
 				Address:       e.Address,
 				Version:       version.Name,
 				FailureDomain: e.FailureDomain,
 				Slots:         e.Slots,
-				State:         p.Health.EndpointState(now, e.Address),
+				State:         p.Slots.Explain(group, e.Address, now),
 			})
 		}
 	}
--- a/front/operator/roster.go
+++ b/front/operator/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -19,13 +18,6 @@
 	Addr string `json:"addr,omitempty"`
 }
 
-// rosterRow is the part of an instance's row that the tool reads.
-type rosterRow struct {
-	membership.Record
-	// OperatorAddress is where operators reach the instance, host:port.
-	OperatorAddress string `json:"operatorAddress"`
-}
-
 // InstancesPrefix returns the start of the keys of an environment's rows of
 // instances.
 func InstancesPrefix(environment string) string { return environment + "/instances/" }
@@ -40,8 +32,8 @@
 	}
 	var listed []Listed
 	for _, row := range rows {
-		var r rosterRow
-		if err := json.Unmarshal(row.Value, &r); err != nil {
+		r, err := membership.DecodeRecord(row.Value)
+		if err != nil {
 			return nil, fmt.Errorf("row %s: %w", row.Key, err)
 		}
 		listed = append(listed, Listed{Name: r.Name, Addr: r.OperatorAddress})
--- a/front/platform/membership/renew.go
+++ b/front/platform/membership/renew.go
@@ -72,17 +72,18 @@
 	witnesses := membership.ChooseWitnesses(k.name(), members, k.settings.Timing.Witnesses)
 	asked := time.Now()
 	record := membership.Record{
-		Name:          k.name(),
-		Process:       k.settings.Process,
-		PeerAddress:   k.settings.PeerAddress,
-		CallerURL:     k.settings.CallerURL,
-		Region:        k.settings.Region,
-		FailureDomain: k.settings.FailureDomain,
-		State:         k.state,
-		Generation:    report.Generation,
-		Load:          report.Load,
-		Demand:        report.Demand,
-		Witnesses:     k.lease.Begin(asked, witnesses),
+		Name:            k.name(),
+		Process:         k.settings.Process,
+		PeerAddress:     k.settings.PeerAddress,
+		CallerURL:       k.settings.CallerURL,
+		OperatorAddress: k.settings.OperatorAddress,
+		Region:          k.settings.Region,
+		FailureDomain:   k.settings.FailureDomain,
+		State:           k.state,
+		Generation:      report.Generation,
+		Load:            report.Load,
+		Demand:          report.Demand,
+		Witnesses:       k.lease.Begin(asked, witnesses),
 	}
 	value, err := record.Encode()
 	key := InstanceKey(k.settings.Environment, record.Name)
--- a/front/platform/membership/settings.go
+++ b/front/platform/membership/settings.go
@@ -23,6 +23,8 @@
 	PeerAddress string
 	// CallerURL is the base address for callers.
 	CallerURL string
+	// OperatorAddress is where operators reach this one.
+	OperatorAddress string
 	// Region and FailureDomain say where the instance runs.
 	Region        string
 	FailureDomain string
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,7 +90,7 @@
 region: ${domains[$n]%-*}
 failureDomain: ${domains[$n]}
 callers: {listen: "$ip:17780", url: "http://$ip:17780"}
-peers: {listen: "$ip:17781"}
+peers: {listen: "$ip:17781", relay: "$ip:17783"}
 operators: {listen: "$ip:17782"}
 platform: {url: "http://$platform", region: kano}
 stop: {announce: 2s, drain: 30s}
@@ -98,7 +98,6 @@
 	bin/cardamomfront --settings "$dir/instance-$n.yaml" --check >/dev/null
 	spawn "instance-$n" bin/cardamomfront --settings "$dir/instance-$n.yaml"
 	instances+=("$ip")
-	flags+=(--instance "$ip:17782")
 done
 
 # serves IP KEYFILE says whether an instance serves a key's request.
--- a/steer/membership/record.go
+++ b/steer/membership/record.go
@@ -34,6 +34,8 @@
 	PeerAddress string `json:"peerAddress"`
 	// CallerURL is the base address for callers.
 	CallerURL string `json:"callerUrl"`
+	// OperatorAddress is where operators reach this one, host:port.
+	OperatorAddress string `json:"operatorAddress,omitempty"`
 	// Region and FailureDomain say where the instance runs.
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
