--- a/front/platform/configuration/fleet_test.go
+++ b/front/platform/configuration/fleet_test.go
@@ -54,10 +54,13 @@
 	t       *testing.T
 	store   *standin.Store
 	members []*member
+	ended   sync.WaitGroup
+
+	// mu guards what the members' goroutines read: members and apart.
+	mu sync.RWMutex
 	// apart says whether two failure domains can't reach each other; the
 	// store is in "kano-b".
 	apart func(a, b string) bool
-	ended sync.WaitGroup
 }
 
 // member is one instance: its watcher, its way to the store and to the others.
@@ -72,9 +75,9 @@
 
 func newFleet(t *testing.T, domains ...string) *fleet {
 	f := &fleet{t: t, store: standin.NewStore(), apart: func(string, string) bool { return false }}
-	for i := range domains {
-		f.members = append(f.members, nil)
-		f.start(i, domains[i])
+	f.members = make([]*member, len(domains))
+	for i, domain := range domains {
+		f.start(i, domain)
 	}
 	t.Cleanup(func() {
 		for _, m := range f.members {
@@ -98,18 +101,40 @@
 	settings := DefaultSettings(environment, m.place, fmt.Sprint(i), "kano")
 	m.w = NewWatcher(settings, memberStore{f.store, m}, m, m, log, meters)
 	m.ring = NewKeyring(m.w, RefuseStale)
+	f.mu.Lock()
 	f.members[i] = m
+	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	f.ended.Go(func() { _ = m.w.Run(ctx) })
 	return m
 }
 
+func (f *fleet) member(i int) *member {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.members[i]
+}
+
+func (f *fleet) isApart(a, b string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.apart(a, b)
+}
+
+func (f *fleet) cutApart(apart func(a, b string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apart = apart
+}
+
 // Peers implements Directory.
 func (m *member) Peers() []Peer {
+	m.fleet.mu.RLock()
+	defer m.fleet.mu.RUnlock()
 	var peers []Peer
 	for i, other := range m.fleet.members {
-		if other != m {
+		if other != m && other != nil {
 			peers = append(peers, Peer{Name: other.place.Instance, Addr: fmt.Sprint(i)})
 		}
 	}
@@ -122,9 +147,9 @@
 	if _, err := fmt.Sscan(addr, &i); err != nil {
 		return err
 	}
-	other := m.fleet.members[i]
+	other := m.fleet.member(i)
 	time.Sleep(peerDelay)
-	if m.fleet.apart(m.place.FailureDomain, other.place.FailureDomain) {
+	if m.fleet.isApart(m.place.FailureDomain, other.place.FailureDomain) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -161,7 +186,7 @@
 }
 
 func (s memberStore) cut() bool {
-	return s.m.noRead.Load() || s.m.fleet.apart(s.m.place.FailureDomain, "kano-b")
+	return s.m.noRead.Load() || s.m.fleet.isApart(s.m.place.FailureDomain, "kano-b")
 }
 
 // Get implements platform.Table.
--- a/front/platform/configuration/watcher_test.go
+++ b/front/platform/configuration/watcher_test.go
@@ -41,8 +41,8 @@
 			func(f *fleet) { f.members[3].noRead.Store(true) },
 			"++++++", "++++++", "uuuuuu",
 		},
-		{"region cut", func(f *fleet) { f.apart = regionApart }, "++ssss", "++ssss", "uussss"},
-		{"failure domain cut", func(f *fleet) { f.apart = domainApart }, "s+++++", "s+++++", "suuuuu"},
+		{"region cut", func(f *fleet) { f.cutApart(regionApart) }, "++ssss", "++ssss", "uussss"},
+		{"failure domain cut", func(f *fleet) { f.cutApart(domainApart) }, "s+++++", "s+++++", "suuuuu"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -153,9 +153,9 @@
 	}{
 		{"store answers", func(*fleet) {}, "++++++", 2},
 		{"store down", func(f *fleet) { f.store.SetFaults(standin.Faults{Freeze: true}) }, "++++++", 2},
-		{"region cut", func(f *fleet) { f.apart = regionApart }, "++nsss", 2},
+		{"region cut", func(f *fleet) { f.cutApart(regionApart) }, "++nsss", 2},
 		{"cut from everything", func(f *fleet) {
-			f.apart = func(a, b string) bool { return (a == "kaduna-a") != (b == "kaduna-a") }
+			f.cutApart(func(a, b string) bool { return (a == "kaduna-a") != (b == "kaduna-a") })
 		}, "++n+++", 0},
 	}
 	for _, tt := range tests {
