configuration: seeds, for an instance that starts while the store is silent

Cause: the directory of a running instance comes from the rows of the store; a fresh instance that finds the store silent knew nobody to ask, and so could never become ready by its peers.

--- /dev/null
+++ b/front/platform/configuration/seeds_test.go
@@ -0,0 +1,32 @@
+package configuration
+
+import (
+	"slices"
+	"testing"
+)
+
+// listed is a directory with fixed peers.
+type listed []Peer
+
+func (l listed) Peers() []Peer { return l }
+
+func TestWithSeeds(t *testing.T) {
+	known := Peer{Name: "i-1", Addr: "127.0.0.1:7200"}
+	tests := []struct {
+		desc  string
+		peers listed
+		want  []Peer
+	}{
+		{"nobody is listed yet", nil, []Peer{{"127.0.0.1:7200", "127.0.0.1:7200"}, {"127.0.0.2:7200", "127.0.0.2:7200"}}},
+		{"one is listed by its name", listed{known}, []Peer{known, {"127.0.0.2:7200", "127.0.0.2:7200"}}},
+	}
+	seeds := []string{"127.0.0.1:7200", "127.0.0.2:7200", "127.0.0.3:7200"}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			got := WithSeeds(tt.peers, "127.0.0.3:7200", seeds).Peers()
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("peers = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
