operator: list each instance once; confirm by its row where its listener is not known

Cause: a trial with processes listed every instance twice: by its row, which names no operator listener, and by the address from the command line. Change: instances known by address are asked for their names and joined with their rows; meanwhile all are told, so that a frozen one holds nobody up. One whose listener is not known is confirmed by the generation in its own row.

--- a/front/operator/command/command.go
+++ b/front/operator/command/command.go
@@ -87,6 +87,7 @@
 		Instances:   listed,
 		StaleAfter:  generation.DefaultStaleAfter,
 	}
+	rollout.Begin(ctx, changed.Head, changed.Content)
 	report.Instances = rollout.Wait(ctx, changed.Head, changed.Content)
 	return report, stragglers(changed.Generation, report.Instances)
 }
@@ -141,6 +142,11 @@
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
 			statuses[i] = InstanceStatus{Listed: l, Straggler: true}
+			if l.Addr == "" {
+				statuses[i].Error = (&operator.NoAddressError{Instance: l.Name}).Error()
+				statuses[i].Straggler = l.RowGeneration < inForce
+				return
+			}
 			status, err := s.instances.Status(ctx, l.Addr)
 			if err != nil {
 				statuses[i].Error = err.Error()
--- a/front/operator/command/documents.go
+++ b/front/operator/command/documents.go
@@ -118,7 +118,7 @@
 			if err != nil {
 				return err
 			}
-			report := StatusReport{Promotion: promotion, Instances: s.statuses(ctx, listed, promotion.Generation)}
+			report := StatusReport{Promotion: promotion, Instances: s.statuses(ctx, s.instances.Identify(ctx, listed), promotion.Generation)}
 			return f.print(cmd.OutOrStdout(), report)
 		},
 	}
--- a/front/operator/command/output.go
+++ b/front/operator/command/output.go
@@ -105,7 +105,7 @@
 		mark = ", straggler"
 	}
 	if i.Status == nil {
-		_, _ = fmt.Fprintf(w, "  %s %s: no answer%s (%s)\n", i.Name, i.Addr, mark, i.Error)
+		_, _ = fmt.Fprintf(w, "  %s %s: no answer%s, generation %d in its row (%s)\n", i.Name, i.Addr, mark, i.RowGeneration, i.Error)
 		return
 	}
 	s := i.Status
--- a/front/operator/rollout.go
+++ b/front/operator/rollout.go
@@ -59,6 +59,20 @@
 	staleGuard = time.Second
 )
 
+// Begin tells every instance whose listener is known once, and meanwhile finds
+// out which of the instances are the same, so that Wait lists none twice.
+func (r *Rollout) Begin(ctx context.Context, head generation.Head, content []byte) {
+	told := Head{Head: head, Content: content}
+	var telling sync.WaitGroup
+	for _, listed := range r.Instances {
+		if listed.Addr != "" {
+			telling.Go(func() { _, _ = r.tell(ctx, listed, told) }) // Wait tells again
+		}
+	}
+	r.Instances = r.Client.Identify(ctx, r.Instances)
+	telling.Wait()
+}
+
 // Wait tells every instance of the promotion and returns when each of them has
 // confirmed it or must have gone stale, or when ctx ends. An instance must
 // have gone stale when it is silent and the store has answered all the time
@@ -80,9 +94,9 @@
 func (r *Rollout) follow(ctx context.Context, listed Listed, told Head, watched *storeWatch) InstanceResult {
 	result := InstanceResult{Listed: listed, Outcome: Straggler}
 	for {
-		status, err := r.tell(ctx, listed, told)
-		if err == nil && status.Generation >= told.Head.Generation {
-			return InstanceResult{Listed: listed, Outcome: Confirmed, Generation: status.Generation}
+		followed, err := r.tell(ctx, listed, told)
+		if err == nil && followed >= told.Head.Generation {
+			return InstanceResult{Listed: listed, Outcome: Confirmed, Generation: followed}
 		}
 		if err == nil {
 			err = &RefusedError{Addr: listed.Addr, Status: http.StatusOK, Message: "still follows an older generation"}
@@ -112,13 +126,24 @@
 	return "the operator listener of instance " + e.Instance + " is not known"
 }
 
-func (r *Rollout) tell(ctx context.Context, listed Listed, told Head) (Status, error) {
-	if listed.Addr == "" {
-		return Status{}, &NoAddressError{Instance: listed.Name}
-	}
+// tell tells one instance and returns the generation that it follows then. One
+// whose listener is not known is looked up in its row.
+func (r *Rollout) tell(ctx context.Context, listed Listed, told Head) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return r.Client.Tell(ctx, listed.Addr, told)
+	if listed.Addr != "" {
+		status, err := r.Client.Tell(ctx, listed.Addr, told)
+		return status.Generation, err
+	}
+	row, err := r.Store.Get(ctx, InstancesPrefix(r.Environment)+listed.Name)
+	if err != nil || row.Version == 0 {
+		return 0, &NoAddressError{Instance: listed.Name}
+	}
+	seen, err := listedRow(row)
+	if err == nil && seen.RowGeneration < told.Head.Generation {
+		err = &NoAddressError{Instance: listed.Name}
+	}
+	return seen.RowGeneration, err
 }
 
 // storeWatch knows since when the store has answered every read.
--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,13 +20,16 @@
 
 // instance is a follower that takes every head, or none.
 type instance struct {
+	name    string
 	head    generation.Head
 	refuses bool
 }
 
 func (i *instance) Current() *configuration.Snapshot { return &configuration.Snapshot{Head: i.head} }
 
-func (i *instance) Statement() generation.Statement { return generation.Statement{Head: i.head} }
+func (i *instance) Statement() generation.Statement {
+	return generation.Statement{From: generation.Place{Instance: i.name}, Head: i.head}
+}
 
 func (i *instance) Follow(_ context.Context, head generation.Head, _ []byte) error {
 	if i.refuses {
@@ -97,16 +101,66 @@
 	}
 }
 
-func TestRoster(t *testing.T) {
-	store := standin.NewStore()
-	row := `{"name":"i-1","operatorAddress":"127.0.0.1:7300"}`
-	write := platform.Write{Key: InstancesPrefix("e") + "i-1", Value: []byte(row)}
+func putRow(t *testing.T, store *standin.Store, name, value string) {
+	t.Helper()
+	write := platform.Write{Key: InstancesPrefix("e") + name, Value: []byte(value)}
 	if _, err := store.Commit(t.Context(), []platform.Write{write}); err != nil {
 		t.Fatal(err)
 	}
-	listed, err := Roster(t.Context(), store, "e", []string{"127.0.0.1:7300", "127.0.0.2:7300"})
-	if err != nil || len(listed) != 2 || listed[0].Name != "i-1" || listed[1].Addr != "127.0.0.2:7300" {
-		t.Errorf("roster = %v, %v", listed, err)
+}
+
+func TestRosterListsEachInstanceOnce(t *testing.T) {
+	store := standin.NewStore()
+	putRow(t, store, "i-1", `{"name":"i-1","process":"p-1","operatorAddress":"a:1"}`)
+	putRow(t, store, "i-2~2", `{"name":"i-2~2","process":"p-2","generation":7}`)
+	putRow(t, store, "i-3", `{"name":"i-3","process":"p-3"}`)
+	c := NewClient(&http.Client{Transport: network{"a:1": {name: "p-1"}, "b:1": {name: "p-2"}, "c:1": {name: "p-9"}}})
+	listed, err := Roster(t.Context(), store, "e", []string{"a:1", "b:1", "c:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed = c.Identify(t.Context(), listed)
+	want := []Listed{
+		{Name: "i-1", Addr: "a:1", process: "p-1"},
+		{Name: "i-2~2", Addr: "b:1", RowGeneration: 7, process: "p-2"},
+		{Name: "i-3", process: "p-3"},
+		{Addr: "c:1"},
+	}
+	if !slices.Equal(listed, want) {
+		t.Errorf("roster = %+v, want %+v", listed, want)
+	}
+}
+
+// TestBeginTellsBeforeItAsks has an instance that does not answer: the others
+// are told in the meantime.
+func TestBeginTellsBeforeItAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{"a:1": {name: "p-1"}}
+		r := &Rollout{Client: NewClient(&http.Client{Transport: n}), Instances: []Listed{{Addr: "frozen:1"}, {Addr: "a:1"}}}
+		head := generation.Head{Generation: 2, Digest: "d2"}
+		go r.Begin(t.Context(), head, nil)
+		synctest.Wait()
+		if got := n["a:1"].head; got != head {
+			t.Errorf("head = %v before the frozen instance was given up, want %v", got, head)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestRolloutByRow covers an instance whose operator listener is not known:
+// its row, which it renews itself, tells.
+func TestRolloutByRow(t *testing.T) {
+	for generationInRow, want := range map[string]Outcome{"1": Stale, "2": Confirmed} {
+		synctest.Test(t, func(t *testing.T) {
+			store := standin.NewStore()
+			putRow(t, store, "i-1", `{"name":"i-1","generation":`+generationInRow+`}`)
+			r := &Rollout{Store: store, Environment: "e", Instances: []Listed{{Name: "i-1"}}, StaleAfter: generation.DefaultStaleAfter}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			if got := r.Wait(ctx, generation.Head{Generation: 2}, nil)[0].Outcome; got != want {
+				t.Errorf("generation %s in the row: %v, want %v", generationInRow, got, want)
+			}
+		})
 	}
 }
 
--- a/front/operator/roster.go
+++ b/front/operator/roster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
@@ -12,11 +13,15 @@
 
 // Listed is one instance that the tool knows of.
 type Listed struct {
-	// Name is the instance's name; empty for one that is known by its address
-	// only.
+	// Name is the name of the instance's row; empty for an instance that is
+	// known by its address only.
 	Name string `json:"name,omitempty"`
 	// Addr is its operator listener; empty when it is not known.
 	Addr string `json:"addr,omitempty"`
+	// RowGeneration is the generation that its row names.
+	RowGeneration uint64 `json:"rowGeneration,omitempty"`
+
+	process string
 }
 
 // rosterRow is the part of an instance's row that the tool reads.
@@ -40,11 +45,11 @@
 	}
 	var listed []Listed
 	for _, row := range rows {
-		var r rosterRow
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+		l, err := listedRow(row)
+		if err != nil {
+			return nil, err
 		}
-		listed = append(listed, Listed{Name: r.Name, Addr: r.OperatorAddress})
+		listed = append(listed, l)
 	}
 	for _, addr := range addrs {
 		if !slices.ContainsFunc(listed, func(l Listed) bool { return l.Addr == addr }) {
@@ -53,3 +58,51 @@
 	}
 	return listed, nil
 }
+
+// Identify asks the instances that are known by their address only for their
+// names and joins each with its row, so that none is listed twice.
+func (c *Client) Identify(ctx context.Context, listed []Listed) []Listed {
+	var joined, nameless []Listed
+	for _, l := range listed {
+		if l.Name == "" {
+			nameless = append(nameless, l)
+			continue
+		}
+		joined = append(joined, l)
+	}
+	for i, name := range c.names(ctx, nameless) {
+		at := slices.IndexFunc(joined, func(l Listed) bool { return l.Addr == "" && name != "" && l.process == name })
+		if at < 0 {
+			joined = append(joined, nameless[i])
+			continue
+		}
+		joined[at].Addr = nameless[i].Addr
+	}
+	return joined
+}
+
+func listedRow(row platform.Row) (Listed, error) {
+	var r rosterRow
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Listed{}, fmt.Errorf("row %s: %w", row.Key, err)
+	}
+	return Listed{Name: r.Name, Addr: r.OperatorAddress, RowGeneration: r.Generation, process: r.Process}, nil
+}
+
+// names asks the instances for their names; "" stands for one that does not
+// answer.
+func (c *Client) names(ctx context.Context, listed []Listed) []string {
+	names := make([]string, len(listed))
+	var asked sync.WaitGroup
+	for i, l := range listed {
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			if status, err := c.Status(ctx, l.Addr); err == nil {
+				names[i] = status.Instance
+			}
+		})
+	}
+	asked.Wait()
+	return names
+}
