Close the platform client's idle connections after a timed-out call

Cause: when all connections to the store go silent at once while new ones work, each idle one cost a call its timeout in turn, and claims were refused as long.

TestSilentConnectionsCostOneCall: eight connections made silent; one call times out, the next is answered. Mutation (idle connections kept), restored: the next call timed out after its 10 s.

--- a/front/platform/client.go
+++ b/front/platform/client.go
@@ -141,16 +141,27 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.distrust(err)
 		return reply{}, &Error{Op: q.op, Effect: q.failureEffect(connected.Load()), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readAtMost(resp.Body, q.answerLimit(resp.StatusCode))
 	if err != nil {
+		c.distrust(err)
 		return reply{}, &Error{Op: q.op, Effect: q.failureEffect(true), Status: resp.StatusCode, Err: err}
 	}
 	return reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
+// distrust closes the idle connections after a call has timed out: whatever
+// made its connection silent may have made them silent too, and a new one
+// costs little.
+func (c *Client) distrust(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 func (c *Client) request(ctx context.Context, q call) (*http.Request, error) {
 	target := c.base + q.path
 	if len(q.query) > 0 {
--- /dev/null
+++ b/front/platform/silent_test.go
@@ -0,0 +1,111 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+)
+
+// muteListener accepts connections that can be made silent, while new ones
+// work.
+type muteListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []*muteConn
+}
+
+// Accept implements net.Listener.
+func (l *muteListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	muted := &muteConn{Conn: c, mute: make(chan struct{}), closed: make(chan struct{})}
+	l.mu.Lock()
+	l.conns = append(l.conns, muted)
+	l.mu.Unlock()
+	return muted, nil
+}
+
+// muteAll makes every connection silent and returns how many there are.
+func (l *muteListener) muteAll() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		close(c.mute)
+	}
+	return len(l.conns)
+}
+
+type muteConn struct {
+	net.Conn
+	mute   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Read implements net.Conn; what arrives after the mute is never seen.
+func (c *muteConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.mute:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+// Close implements net.Conn.
+func (c *muteConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestSilentConnectionsCostOneCall makes all open connections to the store
+// silent: one call times out, the next is answered on a new connection.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewUnstartedServer(store.Handler())
+	listener := &muteListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Start()
+	defer server.Close()
+	client := platform.NewClient(platform.Settings{URL: server.URL, Timeout: 10 * time.Second})
+	defer client.Close()
+	openConnections(t, client, store)
+	if n := listener.muteAll(); n < 4 {
+		t.Fatalf("%d connections are open, want several", n)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := client.Get(ctx, "k"); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if _, err := client.Commit(context.Background(), []platform.Write{{Key: "k", Value: []byte("v")}}); err != nil {
+		t.Fatalf("the call after a silent connection: %v", err)
+	}
+}
+
+// openConnections leaves several idle connections behind.
+func openConnections(t *testing.T, client *platform.Client, store *standin.Store) {
+	t.Helper()
+	store.SetFaults(standin.Faults{Delay: 100 * time.Millisecond})
+	defer store.SetFaults(standin.Faults{})
+	var wait sync.WaitGroup
+	for range 8 {
+		wait.Go(func() {
+			if _, err := client.Get(context.Background(), "k"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+}
