--- a/front/platform/membership/fleet_test.go
+++ b/front/platform/membership/fleet_test.go
@@ -42,6 +42,8 @@
 	region string
 	stop   context.CancelFunc
 	dead   atomic.Bool
+	// noTable says that the node reaches the others, and not the table.
+	noTable atomic.Bool
 
 	mu     sync.Mutex
 	until  time.Time
@@ -172,7 +174,7 @@
 }
 
 func (w *way) blocked(ctx context.Context, op string) error {
-	if !(*w.n.fleet.apart.Load())(w.n.region, storeHome) {
+	if !w.n.noTable.Load() && !(*w.n.fleet.apart.Load())(w.n.region, storeHome) {
 		return nil
 	}
 	<-ctx.Done()
--- a/front/platform/membership/keeper_test.go
+++ b/front/platform/membership/keeper_test.go
@@ -187,3 +187,22 @@
 		}
 	})
 }
+
+func TestOneInstanceCutFromTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		time.Sleep(settled)
+		f.nodes[4].noTable.Store(true)
+		for range 600 {
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				if !n.valid() || n.Name() != n.settings.Process {
+					t.Fatalf("%s: lease %v", n.Name(), n.valid())
+				}
+			}
+		}
+		if rows, _ := f.store.Scan(context.Background(), InstancesPrefix("trial")); len(rows) != 6 {
+			t.Errorf("%d rows are left, want 6: a living instance was evicted", len(rows))
+		}
+	})
+}
--- a/front/platform/shares/agent_test.go
+++ b/front/platform/shares/agent_test.go
@@ -182,3 +182,35 @@
 		}
 	})
 }
+
+func TestCallsToTheTableInABurstAndAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 8
+		f := newFleet(t, instances)
+		time.Sleep(settled)
+		// A heartbeat's write and read, a pass's read, a read of the list and,
+		// while parts move, a write a second.
+		const mostWrites, mostReads = 1.6 + 1, 1.6 + 1.2 + 0.3
+		measure := func(desc string, d time.Duration) {
+			before := f.store.Counts()
+			time.Sleep(d)
+			after := f.store.Counts()
+			writes := float64(after.Writes-before.Writes) / d.Seconds() / instances
+			reads := float64(after.Reads-before.Reads) / d.Seconds() / instances
+			t.Logf("%s: each instance makes %.2f writes/s and %.2f reads/s", desc, writes, reads)
+			if writes > mostWrites || reads > mostReads {
+				t.Errorf("%s: %.2f writes/s and %.2f reads/s, want at most %.1f and %.1f", desc, writes, reads, mostWrites, mostReads)
+			}
+		}
+		measure("at rest", 30*time.Second)
+		for _, n := range f.nodes {
+			f.offer(n, "large", 60, 2*time.Minute)
+			f.offer(n, "ward-01", 10, 2*time.Minute)
+		}
+		measure("in a burst", 30*time.Second)
+		f.store.SetFaults(standin.Faults{Down: true})
+		measure("while the table is down", 30*time.Second)
+		f.store.SetFaults(standin.Faults{})
+		measure("just after", 5*time.Second)
+	})
+}
--- a/front/platform/shares/metrics.go
+++ b/front/platform/shares/metrics.go
@@ -10,12 +10,11 @@
 
 // Meters counts what an Agent does.
 type Meters struct {
-	reads   metric.Int64Counter
-	writes  metric.Int64Counter
-	loans   metric.Int64Counter
-	lent    metric.Int64Counter
-	waits   metric.Int64Counter
-	refused metric.Int64Counter
+	reads  metric.Int64Counter
+	writes metric.Int64Counter
+	loans  metric.Int64Counter
+	lent   metric.Int64Counter
+	waits  metric.Int64Counter
 }
 
 // NewMeters creates the counters with meter. Errors: those of the meter.
@@ -25,11 +24,10 @@
 	loans, err3 := meter.Int64Counter("shares.loans_asked", metric.WithDescription("Questions for a loan, by outcome."))
 	lent, err4 := meter.Int64Counter("shares.loans_given", metric.WithDescription("Loans given, by team."))
 	waits, err5 := meter.Int64Counter("shares.waits", metric.WithDescription("Requests that waited for a loan or a token, by team."))
-	refused, err6 := meter.Int64Counter("shares.refusals", metric.WithDescription("Requests over the limit, by team and reason."))
-	if err := errors.Join(err1, err2, err3, err4, err5, err6); err != nil {
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return nil, err
 	}
-	return &Meters{reads: reads, writes: writes, loans: loans, lent: lent, waits: waits, refused: refused}, nil
+	return &Meters{reads: reads, writes: writes, loans: loans, lent: lent, waits: waits}, nil
 }
 
 // Outcomes of calls.
