Count the requests at endpoints from the endpoints' side; let endpoints leave by their word

Cause: that no endpoint runs more than its slots was shown with fakes only, and an endpoint had no way to say that it is leaving before it refuses connections.

The header Cardamomfront-Leaving takes an endpoint out at once; an older answer doesn't bring it back. Test instances take relayed requests.

--- a/front/e2e/fleet_test.go
+++ b/front/e2e/fleet_test.go
@@ -28,6 +28,7 @@
 	FailureDomain string
 	Callers       string
 	Peers         string
+	Relay         string
 	Operators     string
 }
 
@@ -93,6 +94,7 @@
 		FailureDomain: domain,
 		Callers:       freeAddress(t, ip),
 		Peers:         freeAddress(t, ip),
+		Relay:         freeAddress(t, ip),
 		Operators:     freeAddress(t, ip),
 	}
 	file := f.write(t, fmt.Sprintf("instance-%d.yaml", len(f.instances)), settingsTemplate, struct {
@@ -188,6 +190,7 @@
   url: http://{{.Callers}}
 peers:
   listen: {{.Peers}}
+  relay: {{.Relay}}
 operators:
   listen: {{.Operators}}
 platform:
--- /dev/null
+++ b/front/e2e/slots_test.go
@@ -0,0 +1,85 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint/standin"
+)
+
+// endpointSlots is the number of slots of each endpoint in the test document.
+const endpointSlots = 16
+
+// TestEndpointsAreNeverOverloaded sends far more at once than the endpoints'
+// slots through three instances and kills one of them in the middle. The
+// endpoints themselves count how many requests ran at the same time.
+func TestEndpointsAreNeverOverloaded(t *testing.T) {
+	const callers, each = 150, 12
+	f := startFleet(t, 3)
+	for _, e := range f.endpoints {
+		put(t, "http://"+e.Address+standin.PathFaults, `{"slow": 20000000}`)
+	}
+	var ok, refused, lost atomic.Int64
+	call := func(i *testInstance) {
+		req, err := http.NewRequest(http.MethodGet, i.url()+"/tracker/1", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Header.Set("Authorization", "Bearer "+keyLarge)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			lost.Add(1)
+			return
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			ok.Add(1)
+			return
+		}
+		refused.Add(1)
+	}
+	var wg sync.WaitGroup
+	for n := range callers {
+		wg.Go(func() {
+			for k := range each {
+				if n == 0 && k == each/2 {
+					f.instances[0].kill()
+				}
+				call(f.instances[n%len(f.instances)])
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d answered, %d refused, %d lost with their instance", ok.Load(), refused.Load(), lost.Load())
+	most := 0
+	for _, e := range f.endpoints {
+		n := mostRunning(t, e)
+		t.Logf("endpoint %s ran at most %d at once", e.Address, n)
+		if n > endpointSlots {
+			t.Errorf("endpoint %s ran %d at once with %d slots", e.Address, n, endpointSlots)
+		}
+		most = max(most, n)
+	}
+	if most < endpointSlots/2 {
+		t.Errorf("no endpoint ran more than %d at once: the test does not press", most)
+	}
+}
+
+// mostRunning asks an endpoint how many requests it ran at the same time.
+func mostRunning(t *testing.T, e *testEndpoint) int {
+	t.Helper()
+	resp, err := http.Get("http://" + e.Address + "/counts")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var c standin.Counts
+	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
+		t.Fatal(err)
+	}
+	return c.MostRunning
+}
--- a/front/endpoint/answer_test.go
+++ b/front/endpoint/answer_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -74,6 +75,16 @@
 	}
 }
 
+func TestLeavingEndpointIsObserved(t *testing.T) {
+	c, _, o := newTestClient(t, say("HTTP/1.1 200 OK\r\nCardamomfront-Leaving: yes\r\nContent-Length: 0\r\n\r\n"))
+	if _, err := c.Send(t.Context(), target, &Request{HTTP: callerRequest(http.MethodGet, "/", nil)}); err != nil {
+		t.Fatal(err)
+	}
+	if o.count(health.OutcomeLeaving) != 1 {
+		t.Errorf("outcomes = %v, want the endpoint's word", o.counts)
+	}
+}
+
 func TestKeyInTargetIsNotSent(t *testing.T) {
 	c, n, _ := newTestClient(t, serveHTTP(http.NotFoundHandler()))
 	r := callerRequest(http.MethodGet, "/?key=secret-key-1", nil)
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -142,6 +142,9 @@
 		x.abandon()
 		return nil, err
 	}
+	if resp.Header.Get(HeaderLeaving) != "" && !x.relayed {
+		x.client.observer.Observe(x.address, health.OutcomeLeaving, elapsed)
+	}
 	if err := relayFailure(resp, x.address); x.relayed && err != nil {
 		x.discard(resp.Body)
 		return nil, err
--- a/front/endpoint/headers.go
+++ b/front/endpoint/headers.go
@@ -27,6 +27,9 @@
 	// HeaderRelayEndpoint is the address of the endpoint that a relayed request
 	// was sent to.
 	HeaderRelayEndpoint = HeaderPrefix + "Relay-Endpoint"
+	// HeaderLeaving in an endpoint's answer, with any value, says that the
+	// endpoint is leaving and must get no new work.
+	HeaderLeaving = HeaderPrefix + "Leaving"
 	// HeaderVerdict is an endpoint's word on whether it ran a request.
 	HeaderVerdict = HeaderPrefix + "Verdict"
 
--- a/steer/health/endpoints.go
+++ b/steer/health/endpoints.go
@@ -60,13 +60,18 @@
 // Leaving reports whether the endpoint is leaving.
 func (e *Endpoint) Leaving() bool { return e.leaving }
 
-// Observe takes in an outcome that an instance saw itself.
+// Observe takes in an outcome that an instance saw itself. An endpoint that
+// says that it is leaving rests for the longest time; one that is asked again
+// after that and still answers has come back and starts cold.
 func (e *Endpoint) Observe(r EndpointRules, o Outcome, now time.Time) {
 	switch o {
 	case OutcomeAnswered, OutcomeProbed, OutcomeSilentConnection:
 		e.well(now)
 	case OutcomeUnreachable:
 		e.fail(r, now)
+	case OutcomeLeaving:
+		e.rest = r.LongestRest
+		e.restUntil = now.Add(e.rest)
 	case OutcomeBroken, OutcomeTimedOut:
 		e.breaks++
 		if e.breaks >= breaksToRest {
@@ -78,8 +83,12 @@
 	}
 }
 
-// well notes a proof that the endpoint answers. After a rest it starts cold.
+// well notes a proof that the endpoint answers. After a rest it starts cold;
+// an answer during the rest, to a request sent before it, does not end it.
 func (e *Endpoint) well(now time.Time) {
+	if e.Resting(now) {
+		return
+	}
 	e.breaks = 0
 	e.answered = now
 	if e.rest > 0 {
--- /dev/null
+++ b/steer/health/endpoints_test.go
@@ -0,0 +1,78 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLimit(t *testing.T) {
+	r := DefaultEndpointRules()
+	start := time.Unix(1000, 0)
+	const slots = 6
+	tests := []struct {
+		desc  string
+		setup func(e *Endpoint)
+		after time.Duration
+		want  int
+	}{
+		{"long in use", func(*Endpoint) {}, 0, slots},
+		{"cold at first", func(e *Endpoint) { e.Cold(start) }, 0, 1},
+		{"half warm", func(e *Endpoint) { e.Cold(start) }, r.SlowStart / 2, 4},
+		{"warm", func(e *Endpoint) { e.Cold(start) }, r.SlowStart, slots},
+		{"refused a connection", func(e *Endpoint) { e.Observe(r, OutcomeUnreachable, start) }, 0, 0},
+		{"one trial after the rest", func(e *Endpoint) { e.Observe(r, OutcomeUnreachable, start) }, r.FirstRest, 1},
+		{"refused twice", func(e *Endpoint) {
+			e.Observe(r, OutcomeUnreachable, start.Add(-r.FirstRest))
+			e.Observe(r, OutcomeUnreachable, start)
+		}, r.FirstRest, 0},
+		{"answered after a rest: cold", func(e *Endpoint) {
+			e.Observe(r, OutcomeUnreachable, start.Add(-2*r.FirstRest))
+			e.Observe(r, OutcomeAnswered, start)
+		}, 0, 1},
+		{"one broken exchange", func(e *Endpoint) { e.Observe(r, OutcomeBroken, start) }, 0, slots},
+		{"three broken in a row", func(e *Endpoint) {
+			for range breaksToRest {
+				e.Observe(r, OutcomeBroken, start)
+			}
+		}, 0, 0},
+		{"broken with answers between", func(e *Endpoint) {
+			for range breaksToRest {
+				e.Observe(r, OutcomeBroken, start)
+				e.Observe(r, OutcomeAnswered, start)
+			}
+		}, 0, slots},
+		{"a silent connection is not its fault", func(e *Endpoint) {
+			for range breaksToRest {
+				e.Observe(r, OutcomeSilentConnection, start)
+			}
+		}, 0, slots},
+		{"leaving", func(e *Endpoint) { e.Observe(r, OutcomeLeaving, start) }, 3 * time.Second, 0},
+		{"a report alone", func(e *Endpoint) { e.Report(r, true, start) }, 0, slots},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			var e Endpoint
+			tt.setup(&e)
+			if got := e.Limit(r, slots, start.Add(tt.after)); got != tt.want {
+				t.Errorf("Limit = %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestReportsAreDoubtedByOwnOutcomes(t *testing.T) {
+	r := DefaultEndpointRules()
+	start := time.Unix(1000, 0)
+	var e Endpoint
+	e.Report(r, true, start)
+	if !e.Doubted(r, start) {
+		t.Error("a fresh report has no weight")
+	}
+	if e.Doubted(r, start.Add(r.ReportFor)) {
+		t.Error("an outdated report still counts")
+	}
+	e.Observe(r, OutcomeAnswered, start.Add(time.Second))
+	if e.Doubted(r, start.Add(time.Second)) {
+		t.Error("a report outweighs a later answer")
+	}
+}
--- a/steer/health/outcome.go
+++ b/steer/health/outcome.go
@@ -25,6 +25,8 @@
 	OutcomeUnreachable
 	// OutcomeBroken means that the connection broke in mid-exchange.
 	OutcomeBroken
+	// OutcomeLeaving means that the endpoint said that it is leaving.
+	OutcomeLeaving
 	// OutcomeProbed means that a probe on a new connection was answered.
 	OutcomeProbed
 )
@@ -46,6 +48,8 @@
 		return "unreachable"
 	case OutcomeBroken:
 		return "broken"
+	case OutcomeLeaving:
+		return "leaving"
 	case OutcomeProbed:
 		return "probed"
 	default:
--- a/steer/slots/broker_test.go
+++ b/steer/slots/broker_test.go
@@ -55,7 +55,12 @@
 		leave func(b *Broker)
 	}{
 		{"no longer in the document", func(b *Broker) { b.SetEndpoints([]Endpoint{{"a", 1}}, testStart) }},
-		{"by its own word", func(b *Broker) { b.Leave("b") }},
+		{"by its own word", func(b *Broker) { b.Observe("b", health.OutcomeLeaving, testStart) }},
+		{"by its own word, then an older answer", func(b *Broker) {
+			b.Observe("b", health.OutcomeLeaving, testStart)
+			b.Observe("b", health.OutcomeAnswered, testStart)
+		}},
+		{"by the fleet's word", func(b *Broker) { b.Leave("b") }},
 		{"it refuses connections", func(b *Broker) { b.Observe("b", health.OutcomeUnreachable, testStart) }},
 	}
 	for _, tt := range tests {
