--- a/front/broker/service.go
+++ b/front/broker/service.go
@@ -24,6 +24,9 @@
 const (
 	// scanEvery is the time between two reads of the rows.
 	scanEvery = time.Second
+	// firstScans is the time between two reads until all brokers are known,
+	// and the least time between two reads at all.
+	firstScans = 100 * time.Millisecond
 	// scanTimeout bounds one read or write of the rows.
 	scanTimeout = 2 * time.Second
 	// tickEvery is the time between two looks at what has lapsed.
@@ -52,8 +55,8 @@
 type Rows interface {
 	// Scan reads all rows.
 	Scan(ctx context.Context) ([]brokers.Row, error)
-	// Claim writes a row if its version is still row.Epoch.
-	Claim(ctx context.Context, row brokers.Row) error
+	// Write writes a row if its version is still row.Version.
+	Write(ctx context.Context, row brokers.Row) error
 }
 
 // Document gives the document in force, or nil before the first.
@@ -74,8 +77,9 @@
 	leads   map[slots.Group]*lead
 
 	owners  atomic.Pointer[ownership]
-	history history
+	looks   chan struct{}
 	leaving atomic.Bool
+	ready   atomic.Bool
 
 	messages sync.WaitGroup
 }
@@ -93,6 +97,7 @@
 		log:    log.WithField("prefix", "broker"),
 		holder: slots.NewHolder(f.Name()),
 		leads:  make(map[slots.Group]*lead),
+		looks:  make(chan struct{}, 1),
 	}
 	s.owners.Store(&ownership{})
 	return s
@@ -101,15 +106,16 @@
 // Run keeps up which instance is the broker of which group, and does this
 // instance's part, until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	s.history.start(time.Now())
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	var scanned, asked time.Time
+	wanted := false
 	for {
 		now := time.Now()
-		if now.Sub(scanned) >= scanEvery {
+		if age := now.Sub(scanned); age >= s.scanPeriod() || wanted && age >= firstScans {
 			s.scan(ctx)
 			scanned = time.Now()
+			wanted = false
 		}
 		if now.Sub(asked) >= reportEvery {
 			s.askForReports()
@@ -122,10 +128,25 @@
 			s.messages.Wait()
 			return nil
 		case <-ticker.C:
+		case <-s.looks:
+			wanted = true
 		}
 	}
 }
 
+// scanPeriod returns the time between two reads of the rows, shorter at the
+// start.
+func (s *Service) scanPeriod() time.Duration {
+	if s.ready.Load() {
+		return scanEvery
+	}
+	return firstScans
+}
+
+// Ready reports whether every group of the document has had a broker that this
+// instance can ask.
+func (s *Service) Ready() bool { return s.ready.Load() }
+
 // Leave makes the instance hand its groups to others at the next scans.
 func (s *Service) Leave() { s.leaving.Store(true) }
 
@@ -162,6 +183,25 @@
 	}
 }
 
+// look makes Run read the rows soon.
+func (s *Service) look() {
+	select {
+	case s.looks <- struct{}{}:
+	default:
+	}
+}
+
+// tellAll sends a message without parameters to every other instance, and looks
+// at the rows itself.
+func (s *Service) tellAll(method string) {
+	for name, address := range s.owners.Load().addresses {
+		if name != s.fleet.Name() {
+			s.send(address, method, nil)
+		}
+	}
+	s.look()
+}
+
 // send carries a message whose answer is not needed.
 func (s *Service) send(address, method string, params any) {
 	s.messages.Go(func() {
--- a/front/caller/forward.go
+++ b/front/caller/forward.go
@@ -6,54 +6,53 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
-	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
-// noEndpointRetryAfter is when a caller may come back while a service has no
-// endpoint.
-const noEndpointRetryAfter = time.Second
-
 // copyBufferBytes is the size of the buffer that an answer streams through.
 const copyBufferBytes = 32 << 10
 
-// Sender sends one request to one endpoint. endpoint.Client implements it.
+// Sender brings a request to an endpoint; *dispatch.Dispatcher implements it.
 type Sender interface {
-	Send(ctx context.Context, t endpoint.Target, r *endpoint.Request) (*endpoint.Answer, error)
+	// Send returns the answer as soon as its header is there. Errors:
+	// *endpoint.Error, *admission.Refusal, *broker.UnavailableError, or the
+	// context's.
+	Send(ctx context.Context, t dispatch.Target, r *endpoint.Request) (*endpoint.Answer, error)
 }
 
 // Forward is the last handler: it sends the request to an endpoint of the
 // route's service and streams the answer back.
 type Forward struct {
-	// Sender sends to endpoints.
+	// Sender brings requests to endpoints.
 	Sender Sender
-
-	next atomic.Uint64
 }
 
 // ServeExchange implements Handler.
 func (f *Forward) ServeExchange(x *Exchange) error {
-	endpoints := versionOf(x).Endpoints
-	if len(endpoints) == 0 {
-		refusal := refuse(http.StatusServiceUnavailable, ReasonNoEndpoint)
-		refusal.RetryAfter = noEndpointRetryAfter
-		return refusal
+	version := versionOf(x)
+	target := dispatch.Target{
+		Index:    x.Index,
+		Service:  x.Route.Service,
+		Version:  version.Name,
+		Deadline: x.Deadline,
+		Avoid:    x.Tried,
 	}
-	chosen := &endpoints[f.next.Add(1)%uint64(len(endpoints))]
-	x.Endpoint = chosen
-	answer, err := f.Sender.Send(x.Context(), endpoint.Target{Address: chosen.Address}, &endpoint.Request{
+	answer, err := f.Sender.Send(x.Context(), target, &endpoint.Request{
 		HTTP:       x.Request,
 		ID:         x.ID,
 		Team:       x.Team,
 		Idempotent: x.Idempotent(),
 	})
 	if err != nil {
-		return sendRefusal(x, err)
+		refusal := sendRefusal(x, err)
+		x.Endpoint = endpointAt(version, lastTried(err))
+		return refusal
 	}
+	x.Endpoint = endpointAt(version, answer.Address)
 	x.Verdict = verdict.MayHaveRun
 	return copyAnswer(x, answer)
 }
@@ -67,26 +66,23 @@
 	return x.Index.Version(service.Name, service.Serving)
 }
 
-// sendRefusal turns a failed exchange with an endpoint into a refusal.
-func sendRefusal(x *Exchange, err error) *Refusal {
-	refusal := &Refusal{Verdict: verdict.MayHaveRun, Reason: ReasonEndpointFailed, Status: http.StatusBadGateway, Err: err}
+// lastTried returns the address of the endpoint that failed, or "".
+func lastTried(err error) string {
 	var failed *endpoint.Error
 	if errors.As(err, &failed) {
-		refusal.Verdict = failed.Verdict
-		refusal.Reason = Reason(failed.Reason)
-		refusal.RetryAfter = failed.RetryAfter
-	}
-	x.Verdict = refusal.Verdict
-	if errors.Is(err, context.DeadlineExceeded) {
-		refusal.Reason = ReasonDeadline
-		refusal.Status = http.StatusGatewayTimeout
+		return failed.Address
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refusal.Reason = ReasonBodyTooLarge
-		refusal.Status = http.StatusRequestEntityTooLarge
+	return ""
+}
+
+// endpointAt returns the version's endpoint with an address, or nil.
+func endpointAt(v *document.Version, address string) *document.Endpoint {
+	for i := range v.Endpoints {
+		if v.Endpoints[i].Address == address {
+			return &v.Endpoints[i]
+		}
 	}
-	return refusal
+	return nil
 }
 
 // copyAnswer streams an endpoint's answer to the caller. A short answer is an
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -9,9 +9,12 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
@@ -93,14 +96,6 @@
 	return configuration.NewKeyring(source, configuration.RefuseStale)
 }
 
-func newEndpointClient() *endpoint.Client {
-	return endpoint.NewClient(endpoint.Settings{}, ignoreOutcomes{})
-}
-
-func newForward(c *endpoint.Client) *caller.Forward {
-	return &caller.Forward{Sender: c}
-}
-
 // newChain puts the stages around the forwarding of a request.
 func newChain(f *caller.Forward, source configuration.Source, keys *caller.Keys, records *attempts.Recorder, retries *caller.Retries, versions *shifts.Manager, limits *caller.Limits) caller.Handler {
 	return caller.Chain(f,
@@ -154,18 +149,21 @@
 }
 
 // newComponents lists the work that goes on in the background.
-func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager, keeper *membership.Keeper, agent *shares.Agent) []Component {
-	return []Component{w, k, c, records, versions, keeper, agent}
+func newComponents(w *configuration.Watcher, k *caller.Keys, c *endpoint.Client, records *attempts.Recorder, versions *shifts.Manager,
+	keeper *membership.Keeper, agent *shares.Agent, b *broker.Service, r *dispatch.RelayClient, s relaySender,
+) []Component {
+	return []Component{w, k, c, records, versions, keeper, agent, b, r, s.Client}
 }
 
 // newOperators returns the server of the operators' pages.
-func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, agent *shares.Agent) *http.Server {
+func newOperators(m *telemetry.Metrics, w *configuration.Watcher, versions *shifts.Manager, agent *shares.Agent, b *broker.Service, cm *caller.Metrics) *http.Server {
 	mux := http.NewServeMux()
 	operator.Register(mux, w)
 	mux.Handle("GET /metrics", m.Page)
+	mux.Handle("GET "+explain.Path, &explain.Page{Snapshots: w, Recent: cm.Recent, Slots: b})
 	mux.Handle("GET "+shifts.StatusPath, versions)
 	mux.HandleFunc("GET /ready", func(rw http.ResponseWriter, _ *http.Request) {
-		if !w.Current().Ready || !versions.Ready() || !agent.Ready() {
+		if !w.Current().Ready || !versions.Ready() || !agent.Ready() || !b.Ready() {
 			http.Error(rw, "not ready", http.StatusServiceUnavailable)
 		}
 	})
--- a/steer/slots/fleet_test.go
+++ b/steer/slots/fleet_test.go
@@ -358,7 +358,9 @@
 					return
 				}
 				m.handle(b, func() []Outcome { return b.broker.TakeReport(r, m.now) })
-				m.handle(b, func() []Outcome { return b.broker.Excuse(former.name, reign, m.now) })
+				if reign > m.settings.LongestGrant+m.settings.Guard {
+					m.handle(b, func() []Outcome { return b.broker.Excuse(former.name, m.now) })
+				}
 			})
 		})
 	}
