--- a/front/caller/versions_test.go
+++ b/front/caller/versions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/steer/admission"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -59,6 +60,19 @@
 	}
 }
 
+// TestNoRoomIsAFailure lets a version have no slot for a request.
+func TestNoRoomIsAFailure(t *testing.T) {
+	index := testIndex(t, true)
+	list := &outcomeList{}
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "/tracker/", nil)
+	x := &Exchange{Request: request, Writer: statusWriter{}, Index: index, Route: index.Route(http.MethodGet, "/tracker/"), Version: "v2"}
+	full := HandlerFunc(func(*Exchange) error { return &Refusal{Err: &admission.Refusal{Reason: admission.ReasonWait}} })
+	_ = Chain(full, &Outcomes{Recorder: list}).ServeExchange(x)
+	if len(list.all) != 1 || !list.all[0].Failed || list.all[0].FailureDomain != "" || x.Version != "v1" {
+		t.Errorf("outcomes %+v, further tries to %s; want one failure without domain and v1", list.all, x.Version)
+	}
+}
+
 // TestFailedTryIsRepeatedOnTheOldVersion lets two tries of one request fail.
 func TestFailedTryIsRepeatedOnTheOldVersion(t *testing.T) {
 	index := testIndex(t, true)
--- a/front/dispatch/dispatcher.go
+++ b/front/dispatch/dispatcher.go
@@ -94,6 +94,15 @@
 	Endpoints Sender
 	// Relays sends through other instances.
 	Relays Relays
+	// Drains says how far regions are drained; nil means that none is.
+	Drains Drains
+}
+
+// Drains says how far regions are drained; *shifts.Manager implements it.
+type Drains interface {
+	// Moved returns the part of the region's requests, 0 to 1, that goes to
+	// other regions.
+	Moved(region string) float64
 }
 
 // Relays sends requests through instances in other regions.
@@ -108,7 +117,7 @@
 // *endpoint.Error with its verdict; *admission.Refusal, *broker.UnavailableError
 // or the context's when the request has certainly not run.
 func (d *Dispatcher) Send(ctx context.Context, t Target, r *endpoint.Request) (*endpoint.Answer, error) {
-	regions := d.regions(t, r.ID, time.Now())
+	regions := d.regions(t, r.ID)
 	if len(regions) == 0 {
 		return nil, &broker.UnavailableError{Group: t.group(""), Reason: reasonNoEndpoint, Wait: noEndpointWait}
 	}
@@ -155,7 +164,7 @@
 
 // regions returns the regions that serve the target, nearest first. Regions
 // that are drained are left out for the share of requests that has moved.
-func (d *Dispatcher) regions(t Target, id string, now time.Time) []routing.Region {
+func (d *Dispatcher) regions(t Target, id string) []routing.Region {
 	var list []routing.Region
 	known := make(map[string]bool)
 	for _, e := range t.Index.Version(t.Service, t.Version).Endpoints {
@@ -164,7 +173,7 @@
 			continue
 		}
 		known[name] = true
-		if drain := t.Index.Drain(name); drain != nil && routing.Moves(id, routing.MovedShare(drain.From, drain.Deadline, now)) {
+		if d.Drains != nil && routing.Moves(id, d.Drains.Moved(name)) {
 			continue
 		}
 		distance := distanceAcross
--- a/front/instance/dispatch.go
+++ b/front/instance/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
 )
 
 // relaySender is the client towards other instances' relay listeners.
@@ -40,12 +41,13 @@
 	return dispatch.NewRelayClient(r, c, k.Members, k.Name)
 }
 
-func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient) *dispatch.Dispatcher {
+func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient, drains *shifts.Manager) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Region:    s.Region,
 		Slots:     dispatch.BrokerSlots{Service: b},
 		Endpoints: c,
 		Relays:    r,
+		Drains:    drains,
 	}
 }
 
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -54,7 +54,11 @@
 	endpointClient := newEndpointClient(service)
 	instanceRelaySender := newRelaySender(instancePeerTLS)
 	relayClient := newRelayClient(instanceRelaySender, peerClient, keeper)
-	dispatcher := newDispatcher(s, service, endpointClient, relayClient)
+	manager, err := newShifts(s, name, client, watcher, peerClient, server, instanceDirectory, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	dispatcher := newDispatcher(s, service, endpointClient, relayClient, manager)
 	forward := newForward(dispatcher)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
@@ -66,10 +70,6 @@
 	if err != nil {
 		return nil, err
 	}
-	manager, err := newShifts(s, name, client, watcher, peerClient, server, instanceDirectory, logger, metrics)
-	if err != nil {
-		return nil, err
-	}
 	agent, err := newAgent(s, client, peerClient, server, keeper, watcher, limiter, logger, metrics)
 	if err != nil {
 		return nil, err
--- a/front/platform/shifts/manager.go
+++ b/front/platform/shifts/manager.go
@@ -50,7 +50,7 @@
 }
 
 // Manager carries the shifts and drains of the document in force. Choose, Record
-// and Leaves may be called by many goroutines.
+// and Moved may be called by many goroutines.
 type Manager struct {
 	settings  Settings
 	table     platform.Table
--- a/front/platform/shifts/path.go
+++ b/front/platform/shifts/path.go
@@ -22,7 +22,8 @@
 	Service, Version string
 	// Route names the request's route.
 	Route string
-	// FailureDomain is the endpoint's.
+	// FailureDomain is the endpoint's; empty when the version had no room for
+	// the request, which counts as Failed.
 	FailureDomain string
 	// Latency is the time from choosing the version to the outcome.
 	Latency time.Duration
@@ -42,20 +43,9 @@
 	Record(o Outcome)
 }
 
-// Drainer says which requests leave a region. Manager implements it.
-type Drainer interface {
-	// Leaves reports whether the next request that would go to the region
-	// must go elsewhere. It is called once for such a request.
-	Leaves(region string) bool
-	// Moved returns the part of the region's requests, 0 to 1, that goes
-	// elsewhere, for those who choose by other means than counting.
-	Moved(region string) float64
-}
-
 var (
 	_ Chooser  = (*Manager)(nil)
 	_ Recorder = (*Manager)(nil)
-	_ Drainer  = (*Manager)(nil)
 )
 
 // Choose implements Chooser. The version is always one of the document's: a
@@ -78,7 +68,9 @@
 
 // Record implements Recorder.
 func (m *Manager) Record(o Outcome) {
-	m.loads.add(&o)
+	if o.FailureDomain != "" {
+		m.loads.add(&o)
+	}
 	c := m.set.Load().services[o.Service]
 	if c == nil || o.Unjudged {
 		return
@@ -97,13 +89,8 @@
 	})
 }
 
-// Leaves implements Drainer.
-func (m *Manager) Leaves(region string) bool {
-	d := m.set.Load().regions[region]
-	return d != nil && d.Leaves()
-}
-
-// Moved implements Drainer.
+// Moved returns the part of the region's requests, 0 to 1, that goes to other
+// regions.
 func (m *Manager) Moved(region string) float64 {
 	d := m.set.Load().regions[region]
 	if d == nil {
--- a/steer/shift/collector.go
+++ b/steer/shift/collector.go
@@ -21,7 +21,8 @@
 type Outcome struct {
 	// Route is the name of the request's route.
 	Route string
-	// Domain is the failure domain of the endpoint.
+	// Domain is the failure domain of the endpoint; empty when the request was
+	// refused because the version had no room for it, which counts as Failed.
 	Domain string
 	// New says that the endpoint runs the new version.
 	New bool
--- a/steer/shift/drain.go
+++ b/steer/shift/drain.go
@@ -61,13 +61,12 @@
 	mu sync.Mutex
 	follower
 	room  Room
-	moved atomic.Pointer[Meter]
+	moved atomic.Uint32
 }
 
 // NewDrain returns the drain of a region at the instance self.
 func NewDrain(cfg DrainConfig, self string) *Drain {
 	d := &Drain{cfg: cfg}
-	d.moved.Store(NewMeter(0, seedOf(self, cfg.Name)))
 	d.follower = newFollower(self, &d.cfg.Tuning)
 	return d
 }
@@ -122,20 +121,12 @@
 	d.steer()
 }
 
-// Leaves reports whether the next request that would go to the region has to go
-// elsewhere. It takes no lock.
-func (d *Drain) Leaves() bool { return d.moved.Load().Next() }
-
 // Moved returns the share of the region's requests that go elsewhere. It takes no
 // lock.
-func (d *Drain) Moved() Share { return d.moved.Load().Share() }
+func (d *Drain) Moved() Share { return Share(d.moved.Load()) }
 
-// steer keeps the meter at the share that moves.
-func (d *Drain) steer() {
-	if share := d.movedShare(); d.moved.Load().Share() != share {
-		d.moved.Store(NewMeter(share, seedOf(d.self, d.cfg.Name)))
-	}
-}
+// steer publishes the share that moves.
+func (d *Drain) steer() { d.moved.Store(uint32(d.movedShare())) }
 
 // movedShare returns the share of the region's requests that go elsewhere.
 func (d *Drain) movedShare() Share {
--- a/steer/shift/fleet_test.go
+++ b/steer/shift/fleet_test.go
@@ -45,6 +45,7 @@
 	baseRate  float64 // failures of a good version
 	shared    func(at time.Duration) float64
 	fault     fault
+	refuses   bool          // failures are refusals for lack of room
 	lag       time.Duration // before an outcome is reported
 	blindFrom time.Duration // when outcomes of the new version stop; 0: never
 	length    time.Duration
@@ -127,6 +128,9 @@
 		failing, slowness = max(failing, f), slow
 	}
 	o.Failed = rng.Float64() < failing
+	if tr.refuses && o.Failed {
+		o.Domain = ""
+	}
 	o.Latency = time.Duration(float64(20*time.Millisecond) * slowness * math.Exp(0.35*rng.NormFloat64()))
 	return o
 }
--- a/steer/shift/scope.go
+++ b/steer/shift/scope.go
@@ -47,12 +47,14 @@
 	return CauseErrors
 }
 
-// scopesOf returns the scopes that a cell's outcomes belong to.
-func scopesOf(signal Signal, route, domain string) [2]Scope {
-	return [2]Scope{
-		{Signal: signal, Route: route},
-		{Signal: signal, Domain: domain},
+// scopesOf returns the scopes that a cell's outcomes belong to. Outcomes without a
+// failure domain belong to their route's only.
+func scopesOf(signal Signal, route, domain string) []Scope {
+	scopes := []Scope{{Signal: signal, Route: route}}
+	if domain != "" {
+		scopes = append(scopes, Scope{Signal: signal, Domain: domain})
 	}
+	return scopes
 }
 
 // sortedKeys returns the keys of m in order.
