End a running request for stale keys only at the second check, and say why

Cause: TestLimitsOverAllInstances failed with 'status 401, reason key-withdrawn' and reset connections: a process that was stopped and woke found its knowledge of keys stale before its first read and ended all its requests, with a reason that was not true. Ruled out: leaving requests alone while knowledge is stale (a withdrawn key would go on during an upload at an instance that is cut off). Change: stale knowledge must be found twice, 250 ms apart; the refusal then is 503 stale-keys. Knowledge is stale after 4.5 s, so that a running request still ends within 5 s.

--- a/front/caller/keys.go
+++ b/front/caller/keys.go
@@ -72,10 +72,11 @@
 	s.uses.add(x.ID, &keyUse{grant: grant, cancel: cancel})
 	defer s.uses.remove(x.ID)
 	err := next.ServeExchange(x)
-	if err == nil || !errors.Is(context.Cause(ctx), errKeyWithdrawn) {
+	var ended *endedKeyError
+	if err == nil || !errors.As(context.Cause(ctx), &ended) {
 		return err
 	}
-	refusal := &Refusal{Verdict: x.Verdict, Reason: ReasonKeyWithdrawn, Status: http.StatusUnauthorized, Err: err}
+	refusal := &Refusal{Verdict: x.Verdict, Reason: ended.reason, Status: ended.status, Err: err}
 	var inner *Refusal
 	if errors.As(err, &inner) {
 		refusal.Verdict = inner.Verdict
@@ -91,12 +92,3 @@
 	}
 	return strings.TrimSpace(value[len(bearerScheme):])
 }
-
-// keyWithdrawnError ends the context of a request whose key was withdrawn.
-type keyWithdrawnError struct{}
-
-// Error implements error.
-func (keyWithdrawnError) Error() string { return "key withdrawn" }
-
-// errKeyWithdrawn is the only value of its type.
-var errKeyWithdrawn error = keyWithdrawnError{}
--- a/front/caller/keyuses.go
+++ b/front/caller/keyuses.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,8 +13,10 @@
 )
 
 // recheckEvery is the time between two checks of the keys of requests that are
-// under way.
-const recheckEvery = 500 * time.Millisecond
+// under way. A request ends at the second check that finds its key untrusted;
+// with generation.DefaultStaleAfter that is within five seconds of the last
+// moment at which the key was known to be in force.
+const recheckEvery = 250 * time.Millisecond
 
 // keyUseShards is the number of locks over the requests under way.
 const keyUseShards = 32
@@ -21,8 +25,35 @@
 type keyUse struct {
 	grant  *configuration.Grant
 	cancel context.CancelCauseFunc
+	// stale says that the last check found the knowledge of keys stale.
+	stale bool
 }
 
+// recheck ends the request when its key no longer works. Stale knowledge must
+// be found twice: a process that was paused finds it at once on waking, and
+// has it renewed a moment later.
+func (u *keyUse) recheck() {
+	err := u.grant.Check()
+	var refused *configuration.KeyError
+	stale := errors.As(err, &refused) && refused.Reason == configuration.KeyStale
+	switch {
+	case stale && u.stale:
+		u.cancel(&endedKeyError{reason: ReasonStaleKeys, status: http.StatusServiceUnavailable})
+	case err != nil && !stale:
+		u.cancel(&endedKeyError{reason: ReasonKeyWithdrawn, status: http.StatusUnauthorized})
+	}
+	u.stale = stale
+}
+
+// endedKeyError ends the context of a request whose key no longer works.
+type endedKeyError struct {
+	reason Reason
+	status int
+}
+
+// Error implements error.
+func (e *endedKeyError) Error() string { return string(e.reason) }
+
 // keyUses holds the requests that are under way with a key, by request ID, in
 // shards each under its own lock.
 type keyUses struct {
@@ -80,9 +111,7 @@
 		shard := &s.uses.shards[i]
 		shard.mu.Lock()
 		for _, use := range shard.uses {
-			if use.grant.Check() != nil {
-				use.cancel(errKeyWithdrawn)
-			}
+			use.recheck()
 		}
 		shard.mu.Unlock()
 	}
--- a/steer/generation/settings.go
+++ b/steer/generation/settings.go
@@ -4,7 +4,7 @@
 
 // Defaults of Settings.
 const (
-	DefaultStaleAfter     = 5 * time.Second
+	DefaultStaleAfter     = 4500 * time.Millisecond
 	DefaultMaxGap         = 3 * time.Second
 	DefaultConfirmDomains = 2
 )
