--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,17 +22,29 @@
 // instance is a follower that takes every head, or none.
 type instance struct {
 	name    string
-	head    generation.Head
 	refuses bool
+
+	mu   sync.Mutex
+	head generation.Head
+}
+
+func (i *instance) follows() generation.Head {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.head
 }
 
-func (i *instance) Current() *configuration.Snapshot { return &configuration.Snapshot{Head: i.head} }
+func (i *instance) Current() *configuration.Snapshot {
+	return &configuration.Snapshot{Head: i.follows()}
+}
 
 func (i *instance) Statement() generation.Statement {
-	return generation.Statement{From: generation.Place{Instance: i.name}, Head: i.head}
+	return generation.Statement{From: generation.Place{Instance: i.name}, Head: i.follows()}
 }
 
 func (i *instance) Follow(_ context.Context, head generation.Head, _ []byte) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.refuses {
 		return &configuration.NotFollowedError{Offered: head, Current: i.head}
 	}
@@ -140,7 +153,7 @@
 		head := generation.Head{Generation: 2, Digest: "d2"}
 		go r.Begin(t.Context(), head, nil)
 		synctest.Wait()
-		if got := n["a:1"].head; got != head {
+		if got := n["a:1"].follows(); got != head {
 			t.Errorf("head = %v before the frozen instance was given up, want %v", got, head)
 		}
 		time.Sleep(time.Minute)
