--- a/front/broker/acquire.go
+++ b/front/broker/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/health"
@@ -11,6 +12,13 @@
 // unavailableWait is when a caller may come back while a group has no broker.
 const unavailableWait = time.Second
 
+const (
+	// acquireTries and acquirePause cover the moment in which a group changes
+	// its broker.
+	acquireTries = 4
+	acquirePause = 40 * time.Millisecond
+)
+
 // Request is a request for a slot.
 type Request struct {
 	// Group names the slots.
@@ -43,6 +51,23 @@
 // *admission.Refusal, *UnavailableError, or the context's; the request has
 // certainly not run.
 func (s *Service) Acquire(ctx context.Context, r Request) (*Slot, error) {
+	for try := 1; ; try++ {
+		slot, err := s.acquireOnce(ctx, r)
+		var unavailable *UnavailableError
+		if err == nil || try == acquireTries || !errors.As(err, &unavailable) || unavailable.Reason == reasonRecovering {
+			return slot, err
+		}
+		s.look()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(acquirePause):
+		}
+	}
+}
+
+// acquireOnce asks the group's broker as it is known now.
+func (s *Service) acquireOnce(ctx context.Context, r Request) (*Slot, error) {
 	asked := time.Now()
 	row, address, err := s.broker(r.Group)
 	if err != nil {
@@ -123,13 +148,14 @@
 	return slot, nil
 }
 
-// note has another instance note a grant. An instance that knows no other has
-// nobody who could succeed it before its grants have lapsed.
+// note has another instance note a grant. An instance that knows no other goes
+// without, if the group's row says so.
 func (s *Service) note(ctx context.Context, slot *Slot, g slots.Grant) error {
 	var last error
+	l := s.lead(slot.group)
 	for _, m := range s.fleet.Members() {
-		if m.Name == s.fleet.Name() {
-			continue
+		if m.Name == s.fleet.Name() || l == nil || !l.serves(m.Name) {
+			continue // a successor asks only those in the row
 		}
 		params := noteParams{Grant: g, Remaining: time.Until(slot.Until)}
 		noteCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -143,10 +169,10 @@
 			return ctx.Err()
 		}
 	}
-	if last != nil {
-		return &UnavailableError{Group: slot.group, Reason: reasonNoBroker, Wait: unavailableWait, Err: last}
+	if last == nil && l != nil && l.mayUseUnnoted(slot.Until) {
+		return nil
 	}
-	return nil
+	return &UnavailableError{Group: slot.group, Reason: reasonNoBroker, Wait: unavailableWait, Err: last}
 }
 
 func (s *Service) begin(r Request) slots.ID {
@@ -162,6 +188,12 @@
 	s.holder.End(id)
 }
 
+// Endpoint returns the endpoint's address.
+func (s *Slot) Endpoint() string { return s.Address }
+
+// Bound returns when the request must have ended.
+func (s *Slot) Bound() time.Time { return s.Until }
+
 func (s *Service) settle(id slots.ID, until time.Time) {
 	s.holderMu.Lock()
 	defer s.holderMu.Unlock()
@@ -219,7 +251,7 @@
 	switch o {
 	case health.OutcomeAnswered, health.OutcomeFailed, health.OutcomeShed:
 		return // told when the slot is released
-	case health.OutcomeSilentConnection, health.OutcomeTimedOut, health.OutcomeUnreachable,
+	case health.OutcomeLeaving, health.OutcomeSilentConnection, health.OutcomeTimedOut, health.OutcomeUnreachable,
 		health.OutcomeBroken, health.OutcomeProbed:
 	}
 	index := s.document()
--- a/front/broker/methods.go
+++ b/front/broker/methods.go
@@ -21,6 +21,7 @@
 	srv.Handle(methodNote, s.serveNote)
 	srv.Handle(methodEndNote, s.serveEndNote)
 	srv.Handle(methodObserve, s.serveObserve)
+	srv.Handle(methodLook, s.serveLook)
 }
 
 // serveAsk answers when the request has its slot or is refused.
@@ -35,7 +36,7 @@
 // askHere asks this instance's own broker.
 func (s *Service) askHere(ctx context.Context, a slots.Ask) askResult {
 	l := s.lead(a.Group)
-	if l == nil || !s.listed(a.ID.Instance) {
+	if l == nil || !l.serves(a.ID.Instance) {
 		return askResult{Refusal: &askRefusal{Reason: reasonNoBroker}}
 	}
 	outcome := l.ask(a)
@@ -47,20 +48,13 @@
 		if o.Grant == nil {
 			return askResult{Refusal: refusalOf(o.Refusal)}
 		}
-		return askResult{Grant: o.Grant, Bound: min(a.Remaining, l.longest)}
+		return askResult{Grant: o.Grant, Bound: min(a.Remaining, l.longest())}
 	case <-ctx.Done():
 		l.release(releaseParams{Release: slots.Release{ID: a.ID, Group: a.Group}})
 		return askResult{Refusal: &askRefusal{Reason: reasonEnded}}
 	}
 }
 
-// listed reports whether an instance is a member. Others get no slots: a
-// successor would not know to ask them for their grants.
-func (s *Service) listed(instance string) bool {
-	_, ok := s.owners.Load().addresses[instance]
-	return ok
-}
-
 func (s *Service) serveRelease(_ context.Context, params json.RawMessage) (any, error) {
 	r, err := decode[releaseParams](params)
 	if err != nil {
@@ -108,6 +102,11 @@
 	return nil, nil
 }
 
+func (s *Service) serveLook(context.Context, json.RawMessage) (any, error) {
+	s.look()
+	return nil, nil
+}
+
 func (s *Service) serveObserve(_ context.Context, params json.RawMessage) (any, error) {
 	p, err := decode[observeParams](params)
 	if err != nil {
--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -13,6 +13,8 @@
 // Answer is an endpoint's answer. The caller must read Body to its end or
 // close it.
 type Answer struct {
+	// Address is the address of the endpoint that answered.
+	Address string
 	// Status is the HTTP status code.
 	Status int
 	// Header holds the headers to be passed on.
@@ -142,6 +144,23 @@
 	return health.OutcomeAnswered
 }
 
+// relayFailure returns the error that another instance gives in place of an
+// endpoint's answer, or nil.
+func relayFailure(resp *http.Response, address string) *Error {
+	reason := resp.Header.Get(HeaderRelayFailed)
+	if reason == "" {
+		return nil
+	}
+	e := &Error{Reason: Reason(reason), Address: address, Header: resp.Header}
+	if at := resp.Header.Get(HeaderRelayEndpoint); at != "" {
+		e.Address = at
+	}
+	if resp.Header.Get(HeaderVerdict) == notRunWord {
+		e.Verdict = notRun
+	}
+	return e
+}
+
 // shed returns the endpoint's own word that it did not run the request, or nil.
 func shed(resp *http.Response, address string, now time.Time) *Error {
 	if resp.StatusCode != http.StatusServiceUnavailable {
--- /dev/null
+++ b/front/instance/dispatch.go
@@ -0,0 +1,62 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/broker"
+	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+)
+
+// relaySender is the client towards other instances' relay listeners.
+type relaySender struct{ *endpoint.Client }
+
+func newEndpointClient(b *broker.Service) *endpoint.Client {
+	return endpoint.NewClient(endpoint.Settings{}, b)
+}
+
+// newRelaySender returns a client that speaks plain HTTP where the peers speak
+// plain TCP, and mutual TLS otherwise.
+func newRelaySender(c peerTLS) relaySender {
+	settings := endpoint.Settings{}
+	if c != nil {
+		config := (*tls.Config)(c).Clone()
+		config.NextProtos = nil
+		settings.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return (&tls.Dialer{Config: config}).DialContext(ctx, network, address)
+		}
+	}
+	return relaySender{endpoint.NewClient(settings, ignoreOutcomes{})}
+}
+
+func newRelayClient(r relaySender, c *peer.Client, k *membership.Keeper) *dispatch.RelayClient {
+	return dispatch.NewRelayClient(r, c, k.Members, k.Name)
+}
+
+func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient) *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Region:    s.Region,
+		Slots:     dispatch.BrokerSlots{Service: b},
+		Endpoints: c,
+		Relays:    r,
+	}
+}
+
+func newRelayServer(s *Settings, d *dispatch.Dispatcher, srv *peer.Server, log *logrus.Logger) *dispatch.RelayServer {
+	r := dispatch.NewRelayServer(d, log)
+	if s.Peers.Relay != "" {
+		r.Register(srv, s.Peers.Relay)
+	}
+	return r
+}
+
+func newForward(d *dispatch.Dispatcher) *caller.Forward {
+	return &caller.Forward{Sender: d}
+}
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
+	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 )
 
@@ -28,18 +29,20 @@
 	callers    *caller.Server
 	peers      *peer.Server
 	operators  *http.Server
+	relays     *dispatch.RelayServer
 	components []Component
 	departure  *departure
 	log        logrus.FieldLogger
 }
 
 // New returns an instance that is not running.
-func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, parts []Component, d *departure, log *logrus.Logger) *Instance {
+func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, r *dispatch.RelayServer, parts []Component, d *departure, log *logrus.Logger) *Instance {
 	return &Instance{
 		settings:   s,
 		callers:    c,
 		peers:      p,
 		operators:  o,
+		relays:     r,
 		components: parts,
 		departure:  d,
 		log:        log.WithField("prefix", "instance"),
@@ -51,6 +54,7 @@
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
+	relays    net.Listener // nil when no requests are relayed
 }
 
 // Run serves until ctx ends and then stops in order: it announces its leaving,
@@ -68,6 +72,9 @@
 	group.Go(func() error { return i.peers.Serve(life, ls.peers) })
 	group.Go(func() error { return serveHTTP(i.operators, ls.operators) })
 	group.Go(func() error { return i.callers.Serve(ls.callers) })
+	if ls.relays != nil {
+		group.Go(func() error { return i.relays.Serve(ls.relays) })
+	}
 	for _, c := range i.components {
 		group.Go(func() error { return c.Run(life) })
 	}
@@ -98,13 +105,18 @@
 	if ls.peers, err = i.peers.Listen(i.settings.Peers.Listen); err != nil {
 		return ls, err
 	}
+	if i.settings.Peers.Relay != "" {
+		if ls.relays, err = i.peers.Listen(i.settings.Peers.Relay); err != nil {
+			return ls, err
+		}
+	}
 	ls.operators, err = net.Listen("tcp", i.settings.Operators.Listen)
 	return ls, err
 }
 
 // close closes the listeners that are open.
 func (ls *listeners) close() {
-	for _, l := range []net.Listener{ls.callers, ls.peers, ls.operators} {
+	for _, l := range []net.Listener{ls.callers, ls.peers, ls.operators, ls.relays} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -122,7 +134,8 @@
 	i.callers.CloseKeptAlive()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
 	defer cancel()
-	if err := i.callers.Shutdown(drainCtx); err != nil {
+	err := errors.Join(i.callers.Shutdown(drainCtx), i.relays.Shutdown(drainCtx))
+	if err != nil {
 		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
 	}
 	i.departure.end(ctx)
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -60,13 +60,23 @@
 	newDeparture,
 )
 
+var dispatchSet = wire.NewSet(
+	newRight,
+	newBroker,
+	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
+	newForward,
+)
+
 var callerSet = wire.NewSet(
 	caller.NewKeys,
 	caller.NewMetrics,
 	caller.NewServer,
 	newCallerSettings,
-	newEndpointClient,
-	newForward,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
--- a/front/operator/roster.go
+++ b/front/operator/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
@@ -24,13 +23,6 @@
 	process string
 }
 
-// rosterRow is the part of an instance's row that the tool reads.
-type rosterRow struct {
-	membership.Record
-	// OperatorAddress is where operators reach the instance, host:port.
-	OperatorAddress string `json:"operatorAddress"`
-}
-
 // InstancesPrefix returns the start of the keys of an environment's rows of
 // instances.
 func InstancesPrefix(environment string) string { return environment + "/instances/" }
@@ -82,8 +74,8 @@
 }
 
 func listedRow(row platform.Row) (Listed, error) {
-	var r rosterRow
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	r, err := membership.DecodeRecord(row.Value)
+	if err != nil {
 		return Listed{}, fmt.Errorf("row %s: %w", row.Key, err)
 	}
 	return Listed{Name: r.Name, Addr: r.OperatorAddress, RowGeneration: r.Generation, process: r.Process}, nil
--- a/steer/slots/broker.go
+++ b/steer/slots/broker.go
@@ -75,10 +75,8 @@
 	return b
 }
 
-// Advance raises the epoch of a broker that was not interrupted, and the bound
-// of its grants.
-func (b *Broker) Advance(epoch uint64, longest time.Duration) {
-	b.epoch = epoch
+// SetLongest raises the bound of the grants.
+func (b *Broker) SetLongest(longest time.Duration) {
 	b.settings.LongestGrant = max(b.settings.LongestGrant, longest)
 }
 
