--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -32,7 +32,8 @@
 	// AgeMillis is the age of the instance's knowledge in milliseconds; -1
 	// when it knows nothing.
 	AgeMillis int64 `json:"ageMillis"`
-	// StoreSilent says that the store did not answer the latest reads.
+	// StoreSilent says that the store does not answer and that this instance
+	// reaches others that it would not reach if it were merely cut off.
 	StoreSilent bool `json:"storeSilent"`
 }
 
