Mend a test of silent connections that could hang

The test's listener held back the deadline by which the server ends its own read behind an answer, when the connections were made silent in that moment. Such a read now returns. The client was not at fault.

--- a/front/platform/silent_test.go
+++ b/front/platform/silent_test.go
@@ -54,12 +54,15 @@
 // Read implements net.Conn; what arrives after the mute is never seen.
 func (c *muteConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if err != nil {
+		return n, err // the server itself ended the read
+	}
 	select {
 	case <-c.mute:
 		<-c.closed
 		return 0, net.ErrClosed
 	default:
-		return n, err
+		return n, nil
 	}
 }
 
