--- /dev/null
+++ b/front/broker/groups.go
@@ -0,0 +1,78 @@
+package broker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/membership"
+	"github.com/cardamomfront/cardamomfront/steer/slots"
+)
+
+// firstChoice returns the member that should be a group's broker: the usable
+// one in the group's region that scores highest (rendezvous hashing: Thaler and
+// Ravishankar, 1998), or one elsewhere when there is none. It returns "" when
+// no member is usable.
+func firstChoice(g slots.Group, members []membership.Member, index *document.Index, leaving bool, self string) string {
+	var best membership.Member
+	var bestScore uint64
+	found, inside := false, false
+	for _, m := range members {
+		if !m.Usable() || leaving && m.Name == self {
+			continue
+		}
+		in := index.Region(m.FailureDomain) == g.Region
+		score := xxhash.Sum64String(g.String() + "\x00" + m.Name)
+		if !found || in && !inside || in == inside && score > bestScore {
+			best, bestScore, found, inside = m, score, true, in
+		}
+	}
+	return best.Name
+}
+
+// groupsOf returns the document's groups with their endpoints in the order of
+// their addresses.
+func groupsOf(index *document.Index) map[slots.Group][]slots.Endpoint {
+	groups := make(map[slots.Group][]slots.Endpoint)
+	for _, service := range index.Document().Services {
+		for _, version := range service.Versions {
+			for _, e := range version.Endpoints {
+				g := slots.Group{Service: service.Name, Version: version.Name, Region: index.Region(e.FailureDomain)}
+				groups[g] = append(groups[g], slots.Endpoint{Address: e.Address, Slots: e.Slots})
+			}
+		}
+	}
+	for _, list := range groups {
+		slices.SortFunc(list, func(a, b slots.Endpoint) int { return cmp.Compare(a.Address, b.Address) })
+	}
+	return groups
+}
+
+// longestTimeout returns the longest timeout of all routes.
+func longestTimeout(index *document.Index) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range index.Document().Routes {
+		longest = max(longest, r.Timeout.Std())
+	}
+	return longest
+}
+
+// weights returns the teams' rates as weights in the queues. Requests on open
+// routes share the weight of a mean team.
+func weights(index *document.Index) func(team string) float64 {
+	teams := index.Document().Teams
+	sum := 0.0
+	for _, t := range teams {
+		sum += float64(t.Rate)
+	}
+	mean := max(1, sum/float64(max(1, len(teams))))
+	return func(name string) float64 {
+		if t := index.TeamNamed(name); t != nil && t.Rate > 0 {
+			return float64(t.Rate)
+		}
+		return mean
+	}
+}
--- a/front/caller/exchange.go
+++ b/front/caller/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/document"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -36,8 +37,18 @@
 	Route *document.Route
 	// Team is the name of the caller's team, empty on a route open to all.
 	Team string
+	// Admission is the decision by which the team's limits let the request
+	// through; zero on a route open to all.
+	Admission limit.Decision
 	// IdempotencyKey is the caller's, empty when it sent none.
 	IdempotencyKey string
+	// Tried lists the addresses of endpoints that earlier attempts failed at.
+	Tried []string
+	// Version is the version of the route's service that the request goes to;
+	// empty means the serving one.
+	Version string
+	// Endpoint is the endpoint of the latest try, nil before the first.
+	Endpoint *document.Endpoint
 	// Verdict is what is known of the request so far. Stages that send it
 	// keep this up to date.
 	Verdict verdict.Verdict
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 )
 
 // Build assembles an instance that logs to w.
@@ -26,6 +27,8 @@
 		peerSet,
 		configurationSet,
 		callerSet,
+		newShifts,
+		sharingSet,
 		newOperators,
 		newComponents,
 	)
@@ -47,13 +50,33 @@
 	wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
+var sharingSet = wire.NewSet(
+	limit.NewLimiter,
+	newDirectory,
+	newLoad,
+	newKeeper,
+	newAgent,
+	newLimits,
+	newDeparture,
+)
+
+var dispatchSet = wire.NewSet(
+	newRight,
+	newBroker,
+	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
+	newForward,
+)
+
 var callerSet = wire.NewSet(
 	caller.NewKeys,
 	caller.NewMetrics,
 	caller.NewServer,
 	newCallerSettings,
-	newEndpointClient,
-	newForward,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/google/wire"
 	"io"
 )
@@ -20,10 +21,8 @@
 // Build assembles an instance that logs to w.
 func Build(s *Settings, w io.Writer) (*Instance, error) {
 	serverSettings := newCallerSettings(s)
-	client := newEndpointClient()
-	forward := newForward(client)
 	name := newName(s)
-	platformClient := newPlatform(s)
+	client := newPlatform(s)
 	instancePeerTLS, err := newPeerTLS(s)
 	if err != nil {
 		return nil, err
@@ -34,6 +33,9 @@
 		return nil, err
 	}
 	server := newPeerServer(instancePeerTLS, logger)
+	limiter := limit.NewLimiter()
+	instanceRight := newRight()
+	instanceDirectory := newDirectory()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -42,10 +44,21 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := newWatcher(s, name, platformClient, peerClient, server, logger, meters)
+	watcher := newWatcher(s, name, client, peerClient, server, instanceDirectory, logger, meters)
+	instanceLoad := newLoad()
+	keeper, err := newKeeper(s, name, client, peerClient, server, limiter, instanceRight, watcher, instanceLoad, instanceDirectory, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	service := newBroker(s, keeper, instanceRight, client, watcher, peerClient, server, logger)
+	endpointClient := newEndpointClient(service)
+	instanceRelaySender := newRelaySender(instancePeerTLS)
+	relayClient := newRelayClient(instanceRelaySender, peerClient, keeper)
+	dispatcher := newDispatcher(s, service, endpointClient, relayClient)
+	forward := newForward(dispatcher)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
-	recorder, err := newAttempts(s, name, platformClient, metrics, logger)
+	recorder, err := newAttempts(s, name, client, metrics, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -53,16 +66,27 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := newChain(forward, watcher, keys, recorder, retries)
-	httpHandler := newEntriesPage(s, watcher)
+	manager, err := newShifts(s, name, client, watcher, peerClient, server, instanceDirectory, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	agent, err := newAgent(s, client, peerClient, server, keeper, watcher, limiter, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	limits := newLimits(agent, instanceLoad)
+	handler := newChain(forward, watcher, keys, recorder, retries, manager, limits)
+	httpHandler := newEntriesPage(watcher, agent)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher)
-	v := newComponents(watcher, keys, client, recorder)
-	instance := New(s, callerServer, server, httpServer, v, logger)
+	httpServer := newOperators(metrics, watcher, manager, agent, service, callerMetrics)
+	relayServer := newRelayServer(s, dispatcher, server, logger)
+	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, agent, service, relayClient, instanceRelaySender)
+	instanceDeparture := newDeparture(keeper, agent, service, logger)
+	instance := New(s, callerServer, server, httpServer, relayServer, v, instanceDeparture, logger)
 	return instance, nil
 }
 
@@ -80,9 +104,27 @@
 	newKeyring, wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
-var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+var sharingSet = wire.NewSet(limit.NewLimiter, newDirectory,
+	newLoad,
+	newKeeper,
+	newAgent,
+	newLimits,
+	newDeparture,
+)
+
+var dispatchSet = wire.NewSet(
+	newRight,
+	newBroker,
 	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
 	newForward,
+)
+
+var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
--- a/front/operator/command/command.go
+++ b/front/operator/command/command.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
+	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
@@ -28,7 +29,7 @@
 		return cmd.Help()
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
-	root.AddCommand(checkCommand(f), showCommand(f), promoteCommand(f), statusCommand(f), keyCommand(f), drainCommand(f))
+	root.AddCommand(checkCommand(f), showCommand(f), promoteCommand(f), statusCommand(f), keyCommand(f), drainCommand(f), shiftcmd.Command(f.openShifts))
 }
 
 // args turns the errors of an argument check into usage errors.
@@ -86,6 +87,7 @@
 		Instances:   listed,
 		StaleAfter:  generation.DefaultStaleAfter,
 	}
+	rollout.Begin(ctx, changed.Head, changed.Content)
 	report.Instances = rollout.Wait(ctx, changed.Head, changed.Content)
 	return report, stragglers(changed.Generation, report.Instances)
 }
@@ -140,6 +142,11 @@
 			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
 			statuses[i] = InstanceStatus{Listed: l, Straggler: true}
+			if l.Addr == "" {
+				statuses[i].Error = (&operator.NoAddressError{Instance: l.Name}).Error()
+				statuses[i].Straggler = l.RowGeneration < inForce
+				return
+			}
 			status, err := s.instances.Status(ctx, l.Addr)
 			if err != nil {
 				statuses[i].Error = err.Error()
--- a/steer/slots/broker.go
+++ b/steer/slots/broker.go
@@ -75,6 +75,11 @@
 	return b
 }
 
+// SetLongest raises the bound of the grants.
+func (b *Broker) SetLongest(longest time.Duration) {
+	b.settings.LongestGrant = max(b.settings.LongestGrant, longest)
+}
+
 // Epoch returns the broker's epoch.
 func (b *Broker) Epoch() uint64 { return b.epoch }
 
--- a/steer/slots/recovery.go
+++ b/steer/slots/recovery.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // recovering returns the longest time until the broker may hand out slots; 0
 // means that it may.
@@ -20,6 +23,19 @@
 	return names
 }
 
+// Holders returns the instances that may hold grants, for a successor: those
+// with grants and those not yet heard.
+func (b *Broker) Holders() []string {
+	names := b.Unheard()
+	for id := range b.granted {
+		if !slices.Contains(names, id.Instance) {
+			names = append(names, id.Instance)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // TakeReport takes in an instance's report. asked is when it was asked for.
 // The broker counts the reported grants until they lapse or are released.
 func (b *Broker) TakeReport(r Report, now time.Time) []Outcome {
@@ -51,8 +67,10 @@
 
 // Excuse says that an instance will not report, and that all its grants are
 // known from the reports of the others. It may be called for the former broker
-// alone, once every other instance has reported, because a broker notes its
-// own grants with another instance before it uses them.
+// alone, because a broker notes its own grants with another instance before it
+// uses them; it has no effect before every other instance has reported. Grants
+// that the former broker held from the broker before it are noted nowhere and
+// must have lapsed.
 func (b *Broker) Excuse(former string, now time.Time) []Outcome {
 	if len(b.unheard) != 1 || !b.unheard[former] {
 		return nil
