Leave dead instances out of entry answers while the table is silent

Cause: with the table down, silence in the rows can't be told from the table's own, so a dead instance stayed in entry answers until the table came back.

Change: the questions of an instance whose lease is not fresh go to all members; those that answer nothing for 3 s count as silent here until the table answers again. Nothing is taken from them.

Test: TestDeathWhileTheTableIsDown; with the answers ignored: "i0 has a lease: true, knows 6 of 5".

--- a/front/platform/membership/keeper.go
+++ b/front/platform/membership/keeper.go
@@ -63,6 +63,7 @@
 	lease   *membership.Lease
 	watch   *membership.Watch
 	witness *membership.Witness
+	reach   reach
 	state   membership.State
 	gone    bool // the row was taken away for good by this instance
 
@@ -125,11 +126,25 @@
 }
 
 // Members returns the members as last read, this instance included once its
-// row has been read.
+// row has been read. While the table is silent, those that answer nothing count
+// as silent.
 func (k *Keeper) Members() []membership.Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.watch.Members()
+	return k.members()
+}
+
+// members returns the members as last read. While the table is silent, those
+// that answer nothing count as silent too. The lock is held.
+func (k *Keeper) members() []membership.Member {
+	members := k.watch.Members()
+	now := time.Now()
+	for i, m := range members {
+		if m.Name != k.name() && k.reach.lost(m.Name, now) {
+			members[i].Silent = true
+		}
+	}
+	return members
 }
 
 // Changed is signalled when the usable members have changed. It is meant for
--- a/front/platform/membership/keeper_test.go
+++ b/front/platform/membership/keeper_test.go
@@ -206,3 +206,19 @@
 		}
 	})
 }
+
+func TestDeathWhileTheTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		time.Sleep(settled)
+		f.store.SetFaults(standin.Faults{Down: true})
+		time.Sleep(10 * time.Second)
+		f.wantAll(t, "table down", 6)
+		f.nodes[3].kill()
+		time.Sleep(unreached + 2*time.Second)
+		f.wantAll(t, "one dead meanwhile", 5)
+		f.store.SetFaults(standin.Faults{})
+		time.Sleep(settled)
+		f.wantAll(t, "after the outage", 5)
+	})
+}
--- a/front/platform/membership/messages.go
+++ b/front/platform/membership/messages.go
@@ -81,7 +81,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var peers []configuration.Peer
-	for _, m := range k.watch.Members() {
+	for _, m := range k.members() {
 		if m.Process != k.settings.Process && !m.Silent {
 			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
 		}
@@ -89,6 +89,17 @@
 	return peers
 }
 
+// others returns all members but this one, silent or not.
+func (k *Keeper) others() []configuration.Peer {
+	var peers []configuration.Peer
+	for _, m := range k.watch.Members() {
+		if m.Name != k.name() {
+			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+		}
+	}
+	return peers
+}
+
 // named returns those of the members that have one of the names.
 func (k *Keeper) named(names []string) []configuration.Peer {
 	wanted := make(map[string]bool, len(names))
@@ -104,19 +115,20 @@
 	return peers
 }
 
-// probe asks the witnesses, unless the table's lease is good for a while. It
-// does not wait for the answers: a witness that is cut off must not keep the
-// next round back.
+// probe asks the others, the witnesses among them, unless the table's lease is
+// good for a while. It does not wait for the answers: an instance that is cut
+// off must not keep the next round back.
 func (k *Keeper) probe(ctx context.Context) error {
 	k.mu.Lock()
 	lease, version, holder := k.lease, k.lease.Version(), k.name()
 	fresh := time.Since(lease.Renewed()) < k.settings.Timing.Lease/2
-	witnesses := k.named(lease.Probes())
+	others := k.others()
+	k.reach.asking(time.Now(), !fresh)
 	k.mu.Unlock()
 	if version == 0 || fresh {
 		return nil
 	}
-	for _, p := range witnesses {
+	for _, p := range others {
 		request := membership.Probe{Holder: holder, Version: version, Witness: p.Name}
 		k.background.Go(func() { k.probeOne(ctx, p, request, lease) })
 	}
@@ -131,13 +143,16 @@
 	var answer membership.ProbeAnswer
 	err := k.peers.Call(ctx, p.Addr, methodProbe, request, &answer)
 	count(k.meters.probes, err)
-	if err != nil || !answer.Answered {
+	if err != nil {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	lease.Heard(p.Name, request.Version, asked)
-	k.tell()
+	k.reach.answered(p.Name, asked)
+	if answer.Answered {
+		lease.Heard(p.Name, request.Version, asked)
+		k.tell()
+	}
 }
 
 // promises asks a silent holder's witnesses and returns how many promised.
--- /dev/null
+++ b/steer/limit/measureloans_test.go
@@ -0,0 +1,100 @@
+package limit
+
+import (
+	"fmt"
+	"time"
+)
+
+// waiter is a request that waits for a loan or the next token.
+type waiter struct {
+	arrived time.Duration
+	refuse  func()
+}
+
+// borrow lets a request wait for a loan. Requests share one round of asking.
+func (m *model) borrow(f *front, t teamLoad, w waiter) {
+	if m.noLoans || m.now < f.rest[t.name] {
+		m.tryAgain(f, t, w, f.rest[t.name]-m.now)
+		return
+	}
+	waiting, underway := f.asking[t.name]
+	f.asking[t.name] = append(waiting, w)
+	if !underway {
+		m.ask(f, t, m.lenders(f, t), 0)
+	}
+}
+
+// tryAgain admits the request, lets it wait on when a token comes soon, or
+// refuses it.
+func (m *model) tryAgain(f *front, t teamLoad, w waiter, hint time.Duration) {
+	d := f.limiter.TryAgain(m.clock(), t.name)
+	if d.Admitted() {
+		return
+	}
+	wait, ok := NextTry(d, hint, MaxWait-(m.now-w.arrived))
+	if !ok {
+		w.refuse()
+		return
+	}
+	m.after(wait, func() {
+		if !f.limiter.TryAgain(m.clock(), t.name).Admitted() {
+			m.borrow(f, t, w)
+		}
+	})
+}
+
+func (m *model) lenders(f *front, t teamLoad) []Lender {
+	var all []Lender
+	for _, o := range m.fronts {
+		if o != f && !o.dead {
+			spare := m.rows[t.name].division.Of(o.Name)
+			all = append(all, Lender{Instance: o.Name, Near: o.Region == f.Region, Spare: spare})
+		}
+	}
+	return Lenders(all)
+}
+
+func (m *model) ask(f *front, t teamLoad, lenders []Lender, hint time.Duration) {
+	if len(lenders) == 0 {
+		waiting := f.asking[t.name]
+		delete(f.asking, t.name)
+		f.rest[t.name] = m.now + Pause(hint)
+		for _, w := range waiting {
+			m.tryAgain(f, t, w, hint)
+		}
+		return
+	}
+	m.asks++
+	o := m.front(lenders[0].Instance)
+	r, _ := f.limiter.Ask(m.clock(), fmt.Sprintf("%s-%d", f.Name, m.asks), t.name, len(f.asking[t.name]))
+	m.after(rtt(f, o)/2, func() {
+		var loan Loan
+		if !o.dead {
+			loan = o.limiter.Lend(m.clock(), r)
+		}
+		m.after(rtt(f, o)/2, func() {
+			f.limiter.Receive(m.clock(), t.name, loan)
+			m.serveWaiting(f, t, r, loan, lenders[1:], hint)
+			if back, ok := f.limiter.GiveBack(m.clock(), r.ID, t.name); ok {
+				m.after(rtt(f, o)/2, func() { o.limiter.TakeBack(m.clock(), back) })
+			}
+		})
+	})
+}
+
+// serveWaiting serves what the loan suffices for and asks on for the rest.
+func (m *model) serveWaiting(f *front, t teamLoad, asked LoanRequest, loan Loan, rest []Lender, hint time.Duration) {
+	waiting := f.asking[t.name]
+	for len(waiting) > 0 && f.limiter.TryAgain(m.clock(), t.name).Admitted() {
+		waiting = waiting[1:]
+	}
+	f.asking[t.name] = waiting
+	if len(waiting) == 0 {
+		delete(f.asking, t.name)
+		return
+	}
+	if loan.Wait > 0 && (hint == 0 || loan.Wait < hint) {
+		hint = loan.Wait
+	}
+	m.ask(f, t, NextLenders(m.lenders(f, t), rest, asked, loan), hint)
+}
