--- a/front/broker/messages.go
+++ b/front/broker/messages.go
@@ -18,6 +18,7 @@
 	methodNote    = "slots.note"
 	methodEndNote = "slots.endNote"
 	methodObserve = "slots.observe"
+	methodLook    = "slots.look"
 )
 
 // askResult answers methodAsk with a grant or a refusal.
--- a/front/broker/reports.go
+++ b/front/broker/reports.go
@@ -26,7 +26,7 @@
 
 // askForReport asks one instance, which may be this one.
 func (s *Service) askForReport(g slots.Group, l *lead, name, address string) {
-	params := reportParams{Group: g, Epoch: l.epoch()}
+	params := reportParams{Group: g, Epoch: l.epoch}
 	if name == s.fleet.Name() {
 		if r, ok := s.report(params); ok {
 			s.takeReport(l, r)
@@ -56,11 +56,13 @@
 
 // excuse gives up the former broker's report once it has been evicted.
 func (s *Service) excuse(l *lead, addresses map[string]string) {
-	former := l.claim.former
+	l.mu.Lock()
+	former := l.row.Excused
+	l.mu.Unlock()
 	if _, listed := addresses[former]; listed || former == "" {
 		return
 	}
-	l.work(func(now time.Time) []slots.Outcome { return l.broker.Excuse(former, l.claim.reign, now) })
+	l.work(func(now time.Time) []slots.Outcome { return l.broker.Excuse(former, now) })
 }
 
 // report answers a new broker.
--- a/front/instance/settings.go
+++ b/front/instance/settings.go
@@ -65,6 +65,10 @@
 	// Authority is the PEM file of the authority that signs the instances'
 	// certificates. Default: empty.
 	Authority string `yaml:"authority" validate:"required_with=Certificate PrivateKey"`
+	// Relay is the IP address and port at which other instances hand over
+	// requests for endpoints in this region, under the same certificates.
+	// Default: empty, no requests are relayed.
+	Relay string `yaml:"relay" validate:"omitempty,hostname_port"`
 	// DialTimeout bounds the making of a connection. Default: 1s.
 	DialTimeout document.Duration `yaml:"dialTimeout" validate:"gt=0"`
 }
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -21,10 +21,8 @@
 // Build assembles an instance that logs to w.
 func Build(s *Settings, w io.Writer) (*Instance, error) {
 	serverSettings := newCallerSettings(s)
-	client := newEndpointClient()
-	forward := newForward(client)
 	name := newName(s)
-	platformClient := newPlatform(s)
+	client := newPlatform(s)
 	instancePeerTLS, err := newPeerTLS(s)
 	if err != nil {
 		return nil, err
@@ -35,6 +33,8 @@
 		return nil, err
 	}
 	server := newPeerServer(instancePeerTLS, logger)
+	limiter := limit.NewLimiter()
+	instanceRight := newRight()
 	instanceDirectory := newDirectory()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
@@ -44,28 +44,33 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := newWatcher(s, name, platformClient, peerClient, server, instanceDirectory, logger, meters)
-	keyring := newKeyring(watcher)
-	keys := caller.NewKeys(keyring)
-	recorder, err := newAttempts(s, name, platformClient, metrics, logger)
+	watcher := newWatcher(s, name, client, peerClient, server, instanceDirectory, logger, meters)
+	instanceLoad := newLoad()
+	keeper, err := newKeeper(s, name, client, peerClient, server, limiter, instanceRight, watcher, instanceLoad, instanceDirectory, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
-	retries, err := newRetries(metrics)
+	service := newBroker(s, keeper, instanceRight, client, watcher, peerClient, server, logger)
+	endpointClient := newEndpointClient(service)
+	instanceRelaySender := newRelaySender(instancePeerTLS)
+	relayClient := newRelayClient(instanceRelaySender, peerClient, keeper)
+	dispatcher := newDispatcher(s, service, endpointClient, relayClient)
+	forward := newForward(dispatcher)
+	keyring := newKeyring(watcher)
+	keys := caller.NewKeys(keyring)
+	recorder, err := newAttempts(s, name, client, metrics, logger)
 	if err != nil {
 		return nil, err
 	}
-	manager, err := newShifts(s, name, platformClient, watcher, peerClient, server, instanceDirectory, logger, metrics)
+	retries, err := newRetries(metrics)
 	if err != nil {
 		return nil, err
 	}
-	limiter := limit.NewLimiter()
-	instanceLoad := newLoad()
-	keeper, err := newKeeper(s, name, platformClient, peerClient, server, limiter, watcher, instanceLoad, instanceDirectory, logger, metrics)
+	manager, err := newShifts(s, name, client, watcher, peerClient, server, instanceDirectory, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
-	agent, err := newAgent(s, platformClient, peerClient, server, keeper, watcher, limiter, logger, metrics)
+	agent, err := newAgent(s, client, peerClient, server, keeper, watcher, limiter, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -77,10 +82,11 @@
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher, manager, agent)
-	v := newComponents(watcher, keys, client, recorder, manager, keeper, agent)
-	instanceDeparture := newDeparture(keeper, agent, logger)
-	instance := New(s, callerServer, server, httpServer, v, instanceDeparture, logger)
+	httpServer := newOperators(metrics, watcher, manager, agent, service, callerMetrics)
+	relayServer := newRelayServer(s, dispatcher, server, logger)
+	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, agent, service, relayClient, instanceRelaySender)
+	instanceDeparture := newDeparture(keeper, agent, service, logger)
+	instance := New(s, callerServer, server, httpServer, relayServer, v, instanceDeparture, logger)
 	return instance, nil
 }
 
@@ -106,9 +112,19 @@
 	newDeparture,
 )
 
-var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+var dispatchSet = wire.NewSet(
+	newRight,
+	newBroker,
 	newEndpointClient,
+	newRelaySender,
+	newRelayClient,
+	newDispatcher,
+	newRelayServer,
 	newForward,
+)
+
+var callerSet = wire.NewSet(caller.NewKeys, caller.NewMetrics, caller.NewServer, newCallerSettings,
+	dispatchSet,
 	newAttempts,
 	newRetries,
 	newChain,
--- a/front/platform/brokers/brokers.go
+++ b/front/platform/brokers/brokers.go
@@ -1,8 +1,9 @@
 // Package brokers keeps in the platform's table which instance hands out the
-// slots of which group.
+// slots of which group, and to whom it may.
 //
-// Each group has one row. The row's version is the broker's epoch: it rises
-// with every change of broker and never falls.
+// Each group has one row. Its holder is the group's broker and the only one to
+// write it, until the holder has been evicted from the fleet. A successor reads
+// from the row which instances may hold grants.
 package brokers
 
 import (
@@ -21,12 +22,26 @@
 	Group slots.Group `json:"group"`
 	// Holder names the instance that hands them out.
 	Holder string `json:"holder"`
+	// Epoch counts the brokers of the group, from 1.
+	Epoch uint64 `json:"epoch"`
 	// LongestGrant bounds the grants of this epoch.
 	LongestGrant time.Duration `json:"longestGrant"`
 	// FormerGrant bounds the grants of all earlier epochs.
-	FormerGrant time.Duration `json:"formerGrant"`
-	// Epoch is the row's version; it is not part of the row's content.
-	Epoch uint64 `json:"-"`
+	FormerGrant time.Duration `json:"formerGrant,omitempty"`
+	// Members are the instances that the holder may give grants to, and those
+	// whose grants may not have lapsed yet.
+	Members []string `json:"members"`
+	// Unnoted says that the holder may have grants that no other instance
+	// noted.
+	Unnoted bool `json:"unnoted,omitempty"`
+	// Unheard are the instances that may hold grants of earlier epochs and
+	// that the holder has not heard yet.
+	Unheard []string `json:"unheard,omitempty"`
+	// Excused is the one among Unheard whose grants all the others know of; it
+	// is empty when there is none.
+	Excused string `json:"excused,omitempty"`
+	// Version is the row's version in the table, not part of its content.
+	Version uint64 `json:"-"`
 }
 
 // Rows are the rows of one environment.
@@ -49,7 +64,7 @@
 	}
 	rows := make([]Row, 0, len(stored))
 	for _, s := range stored {
-		row := Row{Epoch: s.Version}
+		row := Row{Version: s.Version}
 		if err := json.Unmarshal(s.Value, &row); err != nil {
 			return nil, fmt.Errorf("decode broker row %s: %w", s.Key, err)
 		}
@@ -58,14 +73,14 @@
 	return rows, nil
 }
 
-// Claim writes a group's row if its version is still row.Epoch; 0 means that
+// Write writes a group's row if its version is still row.Version; 0 means that
 // there is none. Whether an unknown outcome took effect shows at the next Scan.
 // Errors: *platform.ConflictError, *platform.Error.
-func (r *Rows) Claim(ctx context.Context, row Row) error {
+func (r *Rows) Write(ctx context.Context, row Row) error {
 	content, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode broker row %s: %w", row.Group, err)
 	}
-	_, err = r.table.Commit(ctx, []platform.Write{{Key: r.prefix + row.Group.String(), Expected: row.Epoch, Value: content}})
+	_, err = r.table.Commit(ctx, []platform.Write{{Key: r.prefix + row.Group.String(), Expected: row.Version, Value: content}})
 	return err
 }
