Read the rows when a lease would end, not at the next regular time

Cause: a dead instance's parts stayed locked for up to 3.6 s and a pass, of which 0.7 s were the wait for the next regular read.

Change: the next read is at the latest when a row that is not renewed meanwhile goes silent.

--- a/front/platform/membership/keeper.go
+++ b/front/platform/membership/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -156,16 +157,27 @@
 	defer k.background.Wait()
 	group, ctx := errgroup.WithContext(ctx)
 	period := k.settings.Timing.Heartbeat
-	group.Go(func() error { return k.loop(ctx, period, k.renewNow, k.renew) })
-	group.Go(func() error { return k.loop(ctx, period, k.lookNow, k.look) })
-	group.Go(func() error { return k.loop(ctx, listPeriod, nil, k.list) })
-	group.Go(func() error { return k.loop(ctx, k.settings.Timing.WitnessLease/4, nil, k.probe) })
+	group.Go(func() error { return loop(ctx, pace{period: period}, k.renewNow, k.renew) })
+	group.Go(func() error { return loop(ctx, pace{period: period, soonest: k.untilSilence}, k.lookNow, k.look) })
+	group.Go(func() error { return loop(ctx, pace{period: listPeriod}, nil, k.list) })
+	group.Go(func() error { return loop(ctx, pace{period: k.settings.Timing.WitnessLease / 4}, nil, k.probe) })
 	return group.Wait()
 }
 
-// loop calls f about once a period, or sooner when woken, until ctx ends.
-func (k *Keeper) loop(ctx context.Context, period time.Duration, wake <-chan struct{}, f func(context.Context) error) error {
-	p := pace{period: period}
+// untilSilence returns the time until a row that is not renewed meanwhile goes
+// silent; the longest one when there is none.
+func (k *Keeper) untilSilence() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.watch.NextSilence()
+	if !ok {
+		return math.MaxInt64
+	}
+	return max(lookPause, time.Until(at))
+}
+
+// loop calls f at the pace of p, or sooner when woken, until ctx ends.
+func loop(ctx context.Context, p pace, wake <-chan struct{}, f func(context.Context) error) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/front/platform/membership/keeper_test.go
+++ b/front/platform/membership/keeper_test.go
@@ -13,11 +13,12 @@
 // settled is the time after which all keepers know each other.
 const settled = 5 * time.Second
 
-// evictedWithin is the longest time from a death to the eviction: the lease as
-// others count it, a read before and after it with their jitter, and messages.
+// evictedWithin is the longest time from a death to when all know of the
+// eviction: a read before the lease as others count it, with its jitter, and
+// messages.
 func evictedWithin() time.Duration {
 	s := membership.DefaultSettings()
-	return s.Lease + s.Guard + 2*time.Duration(float64(s.Heartbeat)*(1+jitter)) + 500*time.Millisecond
+	return s.Lease + s.Guard + time.Duration(float64(s.Heartbeat)*(1+jitter)) + 400*time.Millisecond
 }
 
 func usable(n *node) int {
@@ -222,3 +223,16 @@
 		f.wantAll(t, "after the outage", 5)
 	})
 }
+
+func TestDeathAtAnyMomentOfTheHeartbeat(t *testing.T) {
+	const deaths = 200
+	for i := range deaths {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 4)
+			time.Sleep(settled + time.Duration(i)*membership.DefaultSettings().Heartbeat/deaths)
+			f.nodes[i%4].kill()
+			time.Sleep(evictedWithin())
+			f.wantAll(t, "after a death", 3)
+		})
+	}
+}
--- a/front/platform/membership/settings.go
+++ b/front/platform/membership/settings.go
@@ -58,7 +58,10 @@
 // pace spreads the calls of many instances and slows down while they fail.
 type pace struct {
 	period time.Duration
-	wait   time.Duration
+	// soonest, if set, gives the time to something that the next call after a
+	// success must not miss.
+	soonest func() time.Duration
+	wait    time.Duration
 }
 
 // next returns the wait before the next call. After a failure it is drawn from
@@ -66,7 +69,11 @@
 func (p *pace) next(failed bool) time.Duration {
 	if !failed {
 		p.wait = p.period
-		return time.Duration(float64(p.period) * (1 - jitter + 2*jitter*rand.Float64()))
+		wait := time.Duration(float64(p.period) * (1 - jitter + 2*jitter*rand.Float64()))
+		if p.soonest != nil {
+			wait = min(wait, p.soonest())
+		}
+		return wait
 	}
 	p.wait = min(2*max(p.wait, p.period), slowest*p.period)
 	return p.period + rand.N(p.wait-p.period)
--- a/steer/limit/refusals_test.go
+++ b/steer/limit/refusals_test.go
@@ -11,11 +11,13 @@
 // warmUp is the time after which shares have followed the demand.
 const warmUp = 60 * time.Second
 
-// evictAfter is the longest time from a death to the table's eviction: the
-// lease as seen by others, and one round of reads before and after it.
+// evictAfter is the longest time from a death to when the parts have moved: a
+// round of reads before the lease as seen by others, and three calls to the
+// table after it.
 func evictAfter() time.Duration {
 	s := membership.DefaultSettings()
-	return s.Lease + s.Guard + 2*s.Heartbeat
+	const calls = 3 * 60 * time.Millisecond
+	return s.Lease + s.Guard + s.Heartbeat + calls
 }
 
 // measure lets the model run for d and returns what was counted meanwhile.
--- a/steer/membership/watch.go
+++ b/steer/membership/watch.go
@@ -137,6 +137,20 @@
 	return claims
 }
 
+// NextSilence returns the earliest time at which a row that is not silent yet
+// would become so, or false when there is none. A read at that time, rather
+// than at the next regular one, brings a dead instance's eviction forward.
+func (w *Watch) NextSilence() (time.Time, bool) {
+	var next time.Time
+	for _, r := range w.rows {
+		at := r.since.Add(w.settings.Lease + w.settings.Guard)
+		if !w.silentAtLastRead(r) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next, !next.IsZero()
+}
+
 // rank returns the place of self among the usable members that could evict
 // holder.
 func (w *Watch) rank(self, holder string) int {
