broker: resume a group whose hand-over was not written; don't pass groups to and fro

Two faults in reading fit: a broker that had stopped for a hand-over stayed stopped when the row could not be written and no successor was left; and a broker that was told to leave before the fleet knew was handed its group back by its successor, over and over.

Change: such a group is resumed in a new epoch; a group stays for 2 s with a broker that does not leave; the fleet learns of a leaving instance first, also in the test.

--- a/front/broker/lead.go
+++ b/front/broker/lead.go
@@ -186,6 +186,13 @@
 	return l.broker.Holders()
 }
 
+// isClosed reports whether close was called.
+func (l *lead) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
 // close ends the handing out of slots. Waiting requests learn that there is no
 // broker.
 func (l *lead) close() {
--- a/front/broker/service_test.go
+++ b/front/broker/service_test.go
@@ -73,6 +73,16 @@
 	}
 }
 
+func (f *fakeFleet) leave(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.members {
+		if f.members[i].Name == name {
+			f.members[i].State = membership.StateLeaving
+		}
+	}
+}
+
 // fakeMember is one instance's view of a fake fleet.
 type fakeMember struct {
 	name  string
@@ -234,6 +244,7 @@
 	f.evict(first)
 	loadAll()
 	second := holder(ctx, t, store, first)
+	f.leave(second)
 	byName[second].service.Leave()
 	third := holder(ctx, t, store, second)
 	loadAll()
--- a/front/broker/succession.go
+++ b/front/broker/succession.go
@@ -141,6 +141,10 @@
 	return next
 }
 
+// moveAfter is the least time for which a group stays with a broker that does
+// not leave, so that differing views of the fleet don't pass it to and fro.
+const moveAfter = 2 * time.Second
+
 // mayMove reports whether a group may be handed to its first choice: always
 // when this instance leaves, and else once the other one may hold slots and no
 // earlier succession is under way.
@@ -148,6 +152,10 @@
 	if s.leaving.Load() {
 		return true
 	}
+	l := s.lead(row.Group)
+	if l == nil || time.Since(l.started) < moveAfter {
+		return false
+	}
 	return slices.Contains(row.Members, first) && len(row.Unheard) == 0
 }
 
@@ -171,12 +179,25 @@
 	if l == nil || l.epoch != row.Epoch {
 		return
 	}
+	if l.isClosed() {
+		s.resume(ctx, row, l)
+		return
+	}
 	next := l.wanted(row, namesOf(o), longest, s.fleet.Name())
 	if !sameRow(row, next) && s.write(ctx, next) {
 		l.confirm(next)
 	}
 }
 
+// resume begins a new epoch for a group whose hand-over did not come about.
+func (s *Service) resume(ctx context.Context, row brokers.Row, l *lead) {
+	next := claim(row, s.fleet.Name(), row.Members, row.LongestGrant)
+	next.Unheard = l.holders()
+	next.Excused = ""
+	s.write(ctx, next)
+	s.look()
+}
+
 // sameRow reports whether two rows of one broker say the same.
 func sameRow(a, b brokers.Row) bool {
 	return a.LongestGrant == b.LongestGrant && a.Unnoted == b.Unnoted && a.Excused == b.Excused &&
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -156,7 +156,7 @@
 // announceLeaving tells the fleet that this instance takes no new work and
 // hands its slot groups over.
 func (i *Instance) announceLeaving(ctx context.Context) {
-	i.brokers.Leave()
+	defer i.brokers.Leave() // after the others know, or they hand groups back
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	if err := i.members.Leave(ctx); err != nil {
