--- a/front/dispatch/dispatcher.go
+++ b/front/dispatch/dispatcher.go
@@ -94,6 +94,8 @@
 	Endpoints Sender
 	// Relays sends through other instances.
 	Relays Relays
+	// Meters count; nil counts nothing.
+	Meters *Meters
 }
 
 // Relays sends requests through instances in other regions.
@@ -181,6 +183,7 @@
 func (d *Dispatcher) sendIn(ctx context.Context, t Target, region string, maxWait time.Duration, r *endpoint.Request) (*endpoint.Answer, error) {
 	if region != d.Region {
 		if answer, known, err := d.Relays.Relay(ctx, t.group(region), maxWait, r); known {
+			d.Meters.relayed(t.Service, region)
 			return answer, err
 		}
 	}
@@ -191,7 +194,9 @@
 
 // SendAt waits for a slot of one group and sends on it.
 func (d *Dispatcher) SendAt(ctx context.Context, q broker.Request, r *endpoint.Request) (*endpoint.Answer, error) {
+	asked := time.Now()
 	slot, err := d.Slots.Acquire(ctx, q)
+	d.Meters.asked(q, time.Since(asked), err)
 	if err != nil {
 		return nil, err
 	}
--- a/front/e2e/slots_test.go
+++ b/front/e2e/slots_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -55,6 +57,12 @@
 	}
 	wg.Wait()
 	t.Logf("%d answered, %d refused, %d lost with their instance", ok.Load(), refused.Load(), lost.Load())
+	page := metricsPage(t, f.instances[1])
+	for _, name := range []string{"cardamomfront_slots_wait_seconds", "cardamomfront_endpoint_outcomes_total"} {
+		if !strings.Contains(page, name) {
+			t.Errorf("the metrics page has no %s", name)
+		}
+	}
 	most := 0
 	for _, e := range f.endpoints {
 		n := mostRunning(t, e)
@@ -69,6 +77,21 @@
 	}
 }
 
+// metricsPage reads an instance's metrics.
+func metricsPage(t *testing.T, i *testInstance) string {
+	t.Helper()
+	resp, err := http.Get("http://" + i.Operators + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(page)
+}
+
 // mostRunning asks an endpoint how many requests it ran at the same time.
 func mostRunning(t *testing.T, e *testEndpoint) int {
 	t.Helper()
--- a/front/instance/dispatch.go
+++ b/front/instance/dispatch.go
@@ -13,13 +13,18 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
 // relaySender is the client towards other instances' relay listeners.
 type relaySender struct{ *endpoint.Client }
 
-func newEndpointClient(b *broker.Service) *endpoint.Client {
-	return endpoint.NewClient(endpoint.Settings{}, b)
+func newEndpointClient(b *broker.Service, m *telemetry.Metrics) (*endpoint.Client, error) {
+	observer, err := endpoint.CountOutcomes(b, m.Meter)
+	if err != nil {
+		return nil, err
+	}
+	return endpoint.NewClient(endpoint.Settings{}, observer), nil
 }
 
 // newRelaySender returns a client that speaks plain HTTP where the peers speak
@@ -40,13 +45,18 @@
 	return dispatch.NewRelayClient(r, c, k.Members, k.Name)
 }
 
-func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient) *dispatch.Dispatcher {
+func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient, m *telemetry.Metrics) (*dispatch.Dispatcher, error) {
+	meters, err := dispatch.NewMeters(m.Meter)
+	if err != nil {
+		return nil, err
+	}
 	return &dispatch.Dispatcher{
 		Region:    s.Region,
 		Slots:     dispatch.BrokerSlots{Service: b},
 		Endpoints: c,
 		Relays:    r,
-	}
+		Meters:    meters,
+	}, nil
 }
 
 func newRelayServer(s *Settings, d *dispatch.Dispatcher, srv *peer.Server, log *logrus.Logger) *dispatch.RelayServer {
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -47,10 +47,16 @@
 		return nil, err
 	}
 	service := newBroker(s, keeper, instanceRight, client, watcher, peerClient, server, logger)
-	endpointClient := newEndpointClient(service)
+	endpointClient, err := newEndpointClient(service, metrics)
+	if err != nil {
+		return nil, err
+	}
 	instanceRelaySender := newRelaySender(instancePeerTLS)
 	relayClient := newRelayClient(instanceRelaySender, peerClient, keeper)
-	dispatcher := newDispatcher(s, service, endpointClient, relayClient)
+	dispatcher, err := newDispatcher(s, service, endpointClient, relayClient, metrics)
+	if err != nil {
+		return nil, err
+	}
 	forward := newForward(dispatcher)
 	keyring := newKeyring(watcher)
 	keys := caller.NewKeys(keyring)
