--- a/front/e2e/fleet_test.go
+++ b/front/e2e/fleet_test.go
@@ -111,11 +111,7 @@
 func (f *fleet) promote(t *testing.T, o documentOptions, expected int) {
 	t.Helper()
 	file := f.writeDocument(t, o)
-	args := []string{"promote", file, "--expect", fmt.Sprint(expected), "--platform", "http://" + f.platform, "--environment", environment, "--operator", "e2e"}
-	for _, i := range f.instances {
-		args = append(args, "--instance", i.Operators)
-	}
-	mustCtl(t, args...)
+	mustCtl(t, "promote", file, "--expect", fmt.Sprint(expected), "--platform", "http://"+f.platform, "--environment", environment, "--operator", "e2e")
 }
 
 // documentOptions is what differs between documents of the test fleet.
@@ -124,6 +120,10 @@
 	Timeout string
 	// Extra is appended to the document.
 	Extra string
+	// WardRate and WardBurst are the ward team's limits; empty means 400/s and
+	// 400.
+	WardRate  string
+	WardBurst int
 	// WithoutWard leaves the ward team's key out.
 	WithoutWard bool
 }
@@ -134,6 +134,9 @@
 	if o.Timeout == "" {
 		o.Timeout = "5s"
 	}
+	if o.WardRate == "" {
+		o.WardRate, o.WardBurst = "400/s", 400
+	}
 	return f.write(t, "document.yaml", documentTemplate, struct {
 		documentOptions
 		Environment             string
@@ -211,8 +214,8 @@
     burst: 4000
     keys: [{id: large-1, digest: "{{.LargeDigest}}"}]
   - name: ward-01
-    rate: 400/s
-    burst: 400
+    rate: {{.WardRate}}
+    burst: {{.WardBurst}}
 {{- if not .WithoutWard}}
     keys: [{id: ward-01-a, digest: "{{.WardDigest}}"}]
 {{- end}}
--- a/front/instance/fleet.go
+++ b/front/instance/fleet.go
@@ -12,9 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
-	members "github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
 // right is how long what this instance holds may be used.
@@ -35,14 +33,6 @@
 // Reset implements membership.Tenant.
 func (r *right) Reset(time.Time) { r.until.Store(&time.Time{}) }
 
-// generations reports the configuration in force in the instance's row.
-type generations struct{ source configuration.Source }
-
-// Report implements membership.Reporter.
-func (g generations) Report(time.Time) membership.Report {
-	return membership.Report{Generation: g.source.Current().Head.Generation}
-}
-
 // fleetView is what the slot brokers see of the fleet.
 type fleetView struct {
 	*membership.Keeper
@@ -52,24 +42,6 @@
 // ValidUntil implements broker.Fleet.
 func (f fleetView) ValidUntil() time.Time { return *f.right.until.Load() }
 
-func newKeeper(s *Settings, n Name, store platform.Service, c *peer.Client, srv *peer.Server, r *right, source configuration.Source, log *logrus.Logger, m *telemetry.Metrics) (*membership.Keeper, error) {
-	meters, err := membership.NewMeters(m.Meter)
-	if err != nil {
-		return nil, err
-	}
-	k := membership.NewKeeper(membership.Settings{
-		Environment:   s.Environment,
-		Process:       string(n),
-		PeerAddress:   s.Peers.Listen,
-		CallerURL:     s.Callers.URL,
-		Region:        s.Region,
-		FailureDomain: s.FailureDomain,
-		Timing:        members.DefaultSettings(),
-	}, store, c, r, generations{source}, log, meters)
-	k.Register(srv)
-	return k, nil
-}
-
 func newBroker(s *Settings, k *membership.Keeper, r *right, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger) *broker.Service {
 	inForce := func() *document.Index { return source.Current().Index }
 	b := broker.New(fleetView{k, r}, brokers.NewRows(table, s.Environment), inForce, c, log)
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -7,21 +7,15 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
 )
 
-// announceTimeout bounds the time to tell the fleet of a planned stop.
-const announceTimeout = 3 * time.Second
-
 // Component is work that goes on in the background as long as the instance
 // lives.
 type Component interface {
@@ -36,23 +30,21 @@
 	peers      *peer.Server
 	operators  *http.Server
 	relays     *dispatch.RelayServer
-	members    *membership.Keeper
-	brokers    *broker.Service
 	components []Component
+	departure  *departure
 	log        logrus.FieldLogger
 }
 
 // New returns an instance that is not running.
-func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, r *dispatch.RelayServer, m *membership.Keeper, b *broker.Service, parts []Component, log *logrus.Logger) *Instance {
+func New(s *Settings, c *caller.Server, p *peer.Server, o *http.Server, r *dispatch.RelayServer, parts []Component, d *departure, log *logrus.Logger) *Instance {
 	return &Instance{
 		settings:   s,
 		callers:    c,
 		peers:      p,
 		operators:  o,
 		relays:     r,
-		members:    m,
-		brokers:    b,
 		components: parts,
+		departure:  d,
 		log:        log.WithField("prefix", "instance"),
 	}
 }
@@ -135,12 +127,10 @@
 // the drain time is over.
 func (i *Instance) stop(ctx context.Context) {
 	i.log.Info("Leaving.")
-	i.announceLeaving(ctx)
-	announce := i.settings.Stop.Announce.Std()
-	select {
-	case <-time.After(announce):
-	case <-ctx.Done():
-	}
+	announceCtx, announced := context.WithTimeout(ctx, i.settings.Stop.Announce.Std())
+	defer announced()
+	i.departure.announce(announceCtx)
+	<-announceCtx.Done()
 	i.callers.CloseKeptAlive()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
 	defer cancel()
@@ -148,20 +138,7 @@
 	if err != nil {
 		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
 	}
-	if err := i.members.Go(drainCtx); err != nil {
-		i.log.WithError(err).Warn("The instance's row is left to its lease.")
-	}
-}
-
-// announceLeaving tells the fleet that this instance takes no new work and
-// hands its slot groups over.
-func (i *Instance) announceLeaving(ctx context.Context) {
-	defer i.brokers.Leave() // after the others know, or they hand groups back
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	if err := i.members.Leave(ctx); err != nil {
-		i.log.WithError(err).Warn("Leaving could not be announced.")
-	}
+	i.departure.end(ctx)
 }
 
 // serveHTTP serves until the server is closed.
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/google/wire"
 	"io"
 )
@@ -32,7 +33,9 @@
 		return nil, err
 	}
 	server := newPeerServer(instancePeerTLS, logger)
+	limiter := limit.NewLimiter()
 	instanceRight := newRight()
+	instanceDirectory := newDirectory()
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -41,8 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
-	watcher := newWatcher(s, name, client, peerClient, server, logger, meters)
-	keeper, err := newKeeper(s, name, client, peerClient, server, instanceRight, watcher, logger, metrics)
+	watcher := newWatcher(s, name, client, peerClient, server, instanceDirectory, logger, meters)
+	instanceLoad := newLoad()
+	keeper, err := newKeeper(s, name, client, peerClient, server, limiter, instanceRight, watcher, instanceLoad, instanceDirectory, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -68,21 +72,27 @@
 	if err != nil {
 		return nil, err
 	}
-	manager, err := newShifts(s, name, client, watcher, peerClient, server, logger, metrics)
+	manager, err := newShifts(s, name, client, watcher, peerClient, server, instanceDirectory, logger, metrics)
 	if err != nil {
 		return nil, err
 	}
-	handler := newChain(forward, watcher, keys, recorder, retries, manager)
-	httpHandler := newEntriesPage(s, watcher)
+	agent, err := newAgent(s, client, peerClient, server, keeper, watcher, limiter, logger, metrics)
+	if err != nil {
+		return nil, err
+	}
+	limits := newLimits(agent, instanceLoad)
+	handler := newChain(forward, watcher, keys, recorder, retries, manager, limits)
+	httpHandler := newEntriesPage(watcher, agent)
 	callerMetrics, err := caller.NewMetrics(metrics)
 	if err != nil {
 		return nil, err
 	}
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
-	httpServer := newOperators(metrics, watcher, manager, service)
+	httpServer := newOperators(metrics, watcher, manager, agent, service, callerMetrics)
 	relayServer := newRelayServer(s, dispatcher, server, logger)
-	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, service, relayClient, instanceRelaySender)
-	instance := New(s, callerServer, server, httpServer, relayServer, keeper, service, v, logger)
+	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, agent, service, relayClient, instanceRelaySender)
+	instanceDeparture := newDeparture(keeper, agent, service, logger)
+	instance := New(s, callerServer, server, httpServer, relayServer, v, instanceDeparture, logger)
 	return instance, nil
 }
 
@@ -100,9 +110,16 @@
 	newKeyring, wire.Bind(new(configuration.Source), new(*configuration.Watcher)),
 )
 
+var sharingSet = wire.NewSet(limit.NewLimiter, newDirectory,
+	newLoad,
+	newKeeper,
+	newAgent,
+	newLimits,
+	newDeparture,
+)
+
 var dispatchSet = wire.NewSet(
 	newRight,
-	newKeeper,
 	newBroker,
 	newEndpointClient,
 	newRelaySender,
--- a/steer/shift/drain.go
+++ b/steer/shift/drain.go
@@ -126,6 +126,10 @@
 // elsewhere. It takes no lock.
 func (d *Drain) Leaves() bool { return d.moved.Load().Next() }
 
+// Moved returns the share of the region's requests that go elsewhere. It takes no
+// lock.
+func (d *Drain) Moved() Share { return d.moved.Load().Share() }
+
 // steer keeps the meter at the share that moves.
 func (d *Drain) steer() {
 	if share := d.movedShare(); d.moved.Load().Share() != share {
@@ -232,6 +236,14 @@
 	Waits []Wait `json:"waits"`
 }
 
+// Known reports whether the store or a peer has told of the record, so that the
+// instance does not act on ignorance.
+func (d *Drain) Known() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known()
+}
+
 // View returns the outcome as this instance knows it.
 func (d *Drain) View() Record {
 	d.mu.Lock()
