--- a/front/instance/sharing.go
+++ b/front/instance/sharing.go
@@ -150,9 +150,8 @@
 // announce tells the others that the instance is leaving and hands on what it
 // holds. Requests that still come are served with borrowed parts.
 func (d *departure) announce(ctx context.Context) {
-	err := d.keeper.Leave(ctx)
-	d.brokers.Leave() // once the others know, or they hand the groups back
-	if err != nil {
+	defer d.brokers.Leave() // after the others know, or they hand groups back
+	if err := d.keeper.Leave(ctx); err != nil {
 		d.log.WithError(err).Warn("Leaving could not be announced.")
 		return
 	}
