--- a/front/dispatch/dispatcher.go
+++ b/front/dispatch/dispatcher.go
@@ -96,6 +96,8 @@
 	Relays Relays
 	// Drains says how far regions are drained; nil means that none is.
 	Drains Drains
+	// Meters count; nil counts nothing.
+	Meters *Meters
 }
 
 // Drains says how far regions are drained; *shifts.Manager implements it.
@@ -190,6 +192,7 @@
 func (d *Dispatcher) sendIn(ctx context.Context, t Target, region string, maxWait time.Duration, r *endpoint.Request) (*endpoint.Answer, error) {
 	if region != d.Region {
 		if answer, known, err := d.Relays.Relay(ctx, t.group(region), maxWait, r); known {
+			d.Meters.relayed(t.Service, region)
 			return answer, err
 		}
 	}
@@ -200,7 +203,9 @@
 
 // SendAt waits for a slot of one group and sends on it.
 func (d *Dispatcher) SendAt(ctx context.Context, q broker.Request, r *endpoint.Request) (*endpoint.Answer, error) {
+	asked := time.Now()
 	slot, err := d.Slots.Acquire(ctx, q)
+	d.Meters.asked(q, time.Since(asked), err)
 	if err != nil {
 		return nil, err
 	}
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
@@ -16,6 +17,9 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 )
 
+// announceTimeout bounds the time to tell the fleet of a planned stop.
+const announceTimeout = 5 * time.Second
+
 // Component is work that goes on in the background as long as the instance
 // lives.
 type Component interface {
@@ -127,10 +131,10 @@
 // the drain time is over.
 func (i *Instance) stop(ctx context.Context) {
 	i.log.Info("Leaving.")
-	announceCtx, announced := context.WithTimeout(ctx, i.settings.Stop.Announce.Std())
-	defer announced()
-	i.departure.announce(announceCtx)
-	<-announceCtx.Done()
+	serving, served := context.WithTimeout(ctx, i.settings.Stop.Announce.Std())
+	defer served()
+	i.announce(ctx)
+	<-serving.Done()
 	i.callers.CloseKeptAlive()
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.settings.Stop.Drain.Std())
 	defer cancel()
@@ -141,6 +145,14 @@
 	i.departure.end(ctx)
 }
 
+// announce tells the fleet of the planned stop, within a bound of its own: the
+// time to go on serving may be short.
+func (i *Instance) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	i.departure.announce(ctx)
+}
+
 // serveHTTP serves until the server is closed.
 func serveHTTP(s *http.Server, l net.Listener) error {
 	err := s.Serve(l)
--- a/front/platform/membership/keeper.go
+++ b/front/platform/membership/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -63,6 +64,7 @@
 	lease   *membership.Lease
 	watch   *membership.Watch
 	witness *membership.Witness
+	reach   reach
 	state   membership.State
 	gone    bool // the row was taken away for good by this instance
 
@@ -125,11 +127,25 @@
 }
 
 // Members returns the members as last read, this instance included once its
-// row has been read.
+// row has been read. While the table is silent, those that answer nothing count
+// as silent.
 func (k *Keeper) Members() []membership.Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.watch.Members()
+	return k.members()
+}
+
+// members returns the members as last read. While the table is silent, those
+// that answer nothing count as silent too. The lock is held.
+func (k *Keeper) members() []membership.Member {
+	members := k.watch.Members()
+	now := time.Now()
+	for i, m := range members {
+		if m.Name != k.name() && k.reach.lost(m.Name, now) {
+			members[i].Silent = true
+		}
+	}
+	return members
 }
 
 // Changed is signalled when the usable members have changed. It is meant for
@@ -141,16 +157,27 @@
 	defer k.background.Wait()
 	group, ctx := errgroup.WithContext(ctx)
 	period := k.settings.Timing.Heartbeat
-	group.Go(func() error { return k.loop(ctx, period, k.renewNow, k.renew) })
-	group.Go(func() error { return k.loop(ctx, period, k.lookNow, k.look) })
-	group.Go(func() error { return k.loop(ctx, listPeriod, nil, k.list) })
-	group.Go(func() error { return k.loop(ctx, k.settings.Timing.WitnessLease/4, nil, k.probe) })
+	group.Go(func() error { return loop(ctx, pace{period: period}, k.renewNow, k.renew) })
+	group.Go(func() error { return loop(ctx, pace{period: period, soonest: k.untilSilence}, k.lookNow, k.look) })
+	group.Go(func() error { return loop(ctx, pace{period: listPeriod}, nil, k.list) })
+	group.Go(func() error { return loop(ctx, pace{period: k.settings.Timing.WitnessLease / 4}, nil, k.probe) })
 	return group.Wait()
 }
 
-// loop calls f about once a period, or sooner when woken, until ctx ends.
-func (k *Keeper) loop(ctx context.Context, period time.Duration, wake <-chan struct{}, f func(context.Context) error) error {
-	p := pace{period: period}
+// untilSilence returns the time until a row that is not renewed meanwhile goes
+// silent; the longest one when there is none.
+func (k *Keeper) untilSilence() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.watch.NextSilence()
+	if !ok {
+		return math.MaxInt64
+	}
+	return max(lookPause, time.Until(at))
+}
+
+// loop calls f at the pace of p, or sooner when woken, until ctx ends.
+func loop(ctx context.Context, p pace, wake <-chan struct{}, f func(context.Context) error) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
