Make seeds and stale keys settings; count bytes towards the platform and instances

Cause: an instance that starts while the platform is silent knew nobody to ask; the rule for stale keys was fixed; the control traffic was not counted. Change: settings peers.seeds and staleKeys; platform.timeout is 4 s, the longest delay that the watcher covers; cardamomfront.traffic.sent and received by peer.

--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -43,11 +43,23 @@
 	return telemetry.NewLog(s.Log, w)
 }
 
-func newPlatform(s *Settings) *platform.Client {
+func newPlatform(s *Settings, m *telemetry.Metrics) (*platform.Client, error) {
+	traffic, err := telemetry.NewTraffic(m, "platform")
+	if err != nil {
+		return nil, err
+	}
 	return platform.NewClient(platform.Settings{
 		URL:     s.Platform.URL,
 		Timeout: s.Platform.Timeout.Std(),
-	})
+		Dial:    traffic.Dial,
+	}), nil
+}
+
+// peerTraffic counts the bytes between instances.
+type peerTraffic *telemetry.Traffic
+
+func newPeerTraffic(m *telemetry.Metrics) (peerTraffic, error) {
+	return telemetry.NewTraffic(m, "instance")
 }
 
 // peerTLS is the TLS configuration between instances; nil for plain TCP.
@@ -61,12 +73,16 @@
 	})
 }
 
-func newPeerServer(c peerTLS, log *logrus.Logger) *peer.Server {
-	return peer.NewServer(c, log)
+func newPeerServer(c peerTLS, t peerTraffic, log *logrus.Logger) *peer.Server {
+	srv := peer.NewServer(c, log)
+	srv.Traffic = t
+	return srv
 }
 
-func newPeerClient(s *Settings, c peerTLS) *peer.Client {
-	return peer.NewClient(c, s.Peers.DialTimeout.Std())
+func newPeerClient(s *Settings, c peerTLS, t peerTraffic) *peer.Client {
+	client := peer.NewClient(c, s.Peers.DialTimeout.Std())
+	client.Traffic = t
+	return client
 }
 
 func newCallerSettings(s *Settings) caller.ServerSettings {
@@ -87,13 +103,13 @@
 
 func newWatcher(s *Settings, n Name, store configuration.Store, c *peer.Client, srv *peer.Server, d *directory, log *logrus.Logger, m *configuration.Meters) *configuration.Watcher {
 	settings := configuration.DefaultSettings(s.Environment, place(s, n), s.Peers.Listen, s.Platform.Region)
-	w := configuration.NewWatcher(settings, store, c, d, log, m)
+	w := configuration.NewWatcher(settings, store, c, configuration.WithSeeds(d, s.Peers.Listen, s.Peers.Seeds), log, m)
 	w.Register(srv)
 	return w
 }
 
-func newKeyring(source configuration.Source) *configuration.Keyring {
-	return configuration.NewKeyring(source, configuration.RefuseStale)
+func newKeyring(s *Settings, source configuration.Source) *configuration.Keyring {
+	return configuration.NewKeyring(source, s.StaleKeys)
 }
 
 // newChain puts the stages around the forwarding of a request.
--- a/front/instance/settings.go
+++ b/front/instance/settings.go
@@ -8,6 +8,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 
+	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
@@ -27,6 +28,10 @@
 	Peers PeerSettings `yaml:"peers"`
 	// Operators is the listener for operators.
 	Operators OperatorSettings `yaml:"operators"`
+	// StaleKeys says what happens to requests with a key while the instance
+	// can't know whether the key was withdrawn: refuse or serve. Default:
+	// refuse.
+	StaleKeys configuration.StaleKeys `yaml:"staleKeys" validate:"oneof=refuse serve"`
 	// Platform is the way to the platform's service.
 	Platform PlatformSettings `yaml:"platform"`
 	// Stop bounds a planned stop.
@@ -69,6 +74,9 @@
 	// requests for endpoints in this region, under the same certificates.
 	// Default: empty, no requests are relayed.
 	Relay string `yaml:"relay" validate:"omitempty,hostname_port"`
+	// Seeds are peer addresses of instances to ask while the platform is
+	// silent and no other instance is known yet. Default: empty.
+	Seeds []string `yaml:"seeds" validate:"dive,hostname_port"`
 	// DialTimeout bounds the making of a connection. Default: 1s.
 	DialTimeout document.Duration `yaml:"dialTimeout" validate:"gt=0"`
 }
@@ -85,7 +93,7 @@
 	URL string `yaml:"url" validate:"required,http_url"`
 	// Region is the region that the service is in. Required.
 	Region string `yaml:"region" validate:"required"`
-	// Timeout bounds one call. Default: 2s.
+	// Timeout bounds one call. Default: 4s.
 	Timeout document.Duration `yaml:"timeout" validate:"gt=0"`
 }
 
@@ -124,8 +132,9 @@
 			HeaderTimeout: document.Duration(defaultHeaderTimeout),
 			MaxHeader:     defaultMaxHeader,
 		},
-		Peers:    PeerSettings{DialTimeout: document.Duration(defaultDialTimeout)},
-		Platform: PlatformSettings{Timeout: document.Duration(defaultPlatformTimeout)},
+		Peers:     PeerSettings{DialTimeout: document.Duration(defaultDialTimeout)},
+		StaleKeys: configuration.RefuseStale,
+		Platform:  PlatformSettings{Timeout: document.Duration(defaultPlatformTimeout)},
 		Stop: StopSettings{
 			Announce: document.Duration(defaultAnnounce),
 			Drain:    document.Duration(defaultDrain),
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -41,7 +41,7 @@
 	wire.Bind(new(configuration.Store), new(*platform.Client)),
 )
 
-var peerSet = wire.NewSet(newPeerTLS, newPeerServer, newPeerClient)
+var peerSet = wire.NewSet(newPeerTLS, newPeerTraffic, newPeerServer, newPeerClient)
 
 var configurationSet = wire.NewSet(
 	newMeters,
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -22,24 +22,31 @@
 func Build(s *Settings, w io.Writer) (*Instance, error) {
 	serverSettings := newCallerSettings(s)
 	name := newName(s)
-	client := newPlatform(s)
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	client, err := newPlatform(s, metrics)
+	if err != nil {
+		return nil, err
+	}
 	instancePeerTLS, err := newPeerTLS(s)
 	if err != nil {
 		return nil, err
 	}
-	peerClient := newPeerClient(s, instancePeerTLS)
+	instancePeerTraffic, err := newPeerTraffic(metrics)
+	if err != nil {
+		return nil, err
+	}
+	peerClient := newPeerClient(s, instancePeerTLS, instancePeerTraffic)
 	logger, err := newLog(s, w)
 	if err != nil {
 		return nil, err
 	}
-	server := newPeerServer(instancePeerTLS, logger)
+	server := newPeerServer(instancePeerTLS, instancePeerTraffic, logger)
 	limiter := limit.NewLimiter()
 	instanceRight := newRight()
 	instanceDirectory := newDirectory()
-	metrics, err := telemetry.NewMetrics()
-	if err != nil {
-		return nil, err
-	}
 	meters, err := newMeters(metrics)
 	if err != nil {
 		return nil, err
@@ -62,7 +69,7 @@
 		return nil, err
 	}
 	forward := newForward(dispatcher)
-	keyring := newKeyring(watcher)
+	keyring := newKeyring(s, watcher)
 	keys := caller.NewKeys(keyring)
 	recorder, err := newAttempts(s, name, client, metrics, logger)
 	if err != nil {
@@ -102,7 +109,7 @@
 	newPlatform, wire.Bind(new(platform.Service), new(*platform.Client)), wire.Bind(new(configuration.Store), new(*platform.Client)),
 )
 
-var peerSet = wire.NewSet(newPeerTLS, newPeerServer, newPeerClient)
+var peerSet = wire.NewSet(newPeerTLS, newPeerTraffic, newPeerServer, newPeerClient)
 
 var configurationSet = wire.NewSet(
 	newMeters,
--- a/front/platform/client.go
+++ b/front/platform/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -30,6 +31,8 @@
 	MaxWrite int64 `yaml:"maxWrite" validate:"gte=0"`
 	// Connections bounds the connections held open to the platform.
 	Connections int `yaml:"connections" validate:"gte=0"`
+	// Dial makes connections; nil means the network's own way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error) `yaml:"-"`
 }
 
 // Defaults of Settings.
@@ -92,6 +95,7 @@
 		MaxIdleConnsPerHost: settings.Connections,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
+		DialContext:         settings.Dial,
 	}
 	return &Client{
 		settings: settings,
--- a/front/telemetry/traffic.go
+++ b/front/telemetry/traffic.go
@@ -37,6 +37,16 @@
 	return &countedConn{Conn: c, traffic: t}
 }
 
+// Dial makes a connection whose bytes are counted.
+func (t *Traffic) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return t.Conn(c), nil
+}
+
 // countedConn is a connection whose bytes are counted.
 type countedConn struct {
 	net.Conn
--- a/steer/verdict/verdict.go
+++ b/steer/verdict/verdict.go
@@ -15,7 +15,8 @@
 	MayHaveRun Verdict = iota
 	// NotRun means that there is proof that no endpoint started the request.
 	NotRun
-	// Ran means that an endpoint's whole answer has arrived.
+	// Ran means that an endpoint has answered, so the request has run. Whether
+	// the answer arrived whole is told by the answer itself.
 	Ran
 )
 
