--- a/front/e2e/processes_test.go
+++ b/front/e2e/processes_test.go
@@ -108,6 +108,12 @@
 func (p *process) stop(t *testing.T) {
 	t.Helper()
 	p.signal(t, syscall.SIGTERM)
+	p.ended(t)
+}
+
+// ended waits until the process has ended well.
+func (p *process) ended(t *testing.T) {
+	t.Helper()
 	select {
 	case <-p.done:
 	case <-time.After(readyWithin):
