--- /dev/null
+++ b/front/broker/bench_test.go
@@ -0,0 +1,41 @@
+package broker
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkAcquire asks for slots and gives them back, at the broker's own
+// instance and at another one over a real connection.
+func BenchmarkAcquire(b *testing.B) {
+	for _, own := range []bool{true, false} {
+		desc := "elsewhere"
+		if own {
+			desc = "at the broker"
+		}
+		b.Run(desc, func(b *testing.B) {
+			ctx := testContext(b)
+			_, store, nodes := startNodes(b, 5*time.Second)
+			first := holder(ctx, b, store, "")
+			n := nodes[0]
+			for _, other := range nodes {
+				if (other.service.fleet.Name() == first) == own {
+					n = other
+				}
+			}
+			s, err := acquire(ctx, n, 5*time.Second)
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.Release(Ending{Answered: true})
+			b.ReportAllocs()
+			for b.Loop() {
+				s, err := acquire(ctx, n, 5*time.Second)
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.Release(Ending{Answered: true})
+			}
+		})
+	}
+}
--- a/front/broker/service_test.go
+++ b/front/broker/service_test.go
@@ -114,7 +114,7 @@
 	n.done.Wait()
 }
 
-func startNode(t *testing.T, name string, f *fakeFleet, store *standin.Store, timeout time.Duration) *node {
+func startNode(t testing.TB, name string, f *fakeFleet, store *standin.Store, timeout time.Duration) *node {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -191,7 +191,7 @@
 	}
 }
 
-func startNodes(t *testing.T, timeout time.Duration) (*fakeFleet, *standin.Store, []*node) {
+func startNodes(t testing.TB, timeout time.Duration) (*fakeFleet, *standin.Store, []*node) {
 	f, store := &fakeFleet{}, standin.NewStore()
 	var nodes []*node
 	for _, name := range []string{"one", "two", "three"} {
@@ -201,7 +201,7 @@
 }
 
 // holder waits for the group's broker other than not.
-func holder(ctx context.Context, t *testing.T, store *standin.Store, not string) string {
+func holder(ctx context.Context, t testing.TB, store *standin.Store, not string) string {
 	rows := brokers.NewRows(store, "test")
 	for {
 		list, err := rows.Scan(ctx)
@@ -215,7 +215,7 @@
 	}
 }
 
-func testContext(t *testing.T) context.Context {
+func testContext(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	t.Cleanup(cancel)
 	return ctx
