broker: keep time apart from reading the rows; show slots without the table

Cause: Run read the rows between its ticks. A table that leaves calls without an answer held up the ticks for 2 s at a time, and with them the lapse of grants and the refusal of late requests. Seen by reading, not by a failing test.

Change: two loops.

--- a/front/broker/service.go
+++ b/front/broker/service.go
@@ -104,19 +104,47 @@
 }
 
 // Run keeps up which instance is the broker of which group, and does this
-// instance's part, until ctx ends.
+// instance's part, until ctx ends. Reading the rows is apart from the rest, so
+// that a table that does not answer holds nothing up.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
+	var loops sync.WaitGroup
+	loops.Go(func() { s.scanLoop(ctx) })
+	loops.Go(func() { s.tickLoop(ctx) })
+	loops.Wait()
+	s.closeLeads()
+	s.messages.Wait()
+	return nil
+}
+
+// scanLoop reads and writes the rows.
+func (s *Service) scanLoop(ctx context.Context) {
+	ticker := time.NewTicker(firstScans)
 	defer ticker.Stop()
-	var scanned, asked time.Time
+	var scanned time.Time
 	wanted := false
 	for {
-		now := time.Now()
-		if age := now.Sub(scanned); age >= s.scanPeriod() || wanted && age >= firstScans {
+		if age := time.Since(scanned); age >= s.scanPeriod() || wanted && age >= firstScans {
 			s.scan(ctx)
 			scanned = time.Now()
 			wanted = false
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.looks:
+			wanted = true
+		}
+	}
+}
+
+// tickLoop looks at what has lapsed and asks for missing reports.
+func (s *Service) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	var asked time.Time
+	for {
+		now := time.Now()
 		if now.Sub(asked) >= reportEvery {
 			s.askForReports()
 			asked = now
@@ -124,12 +152,8 @@
 		s.tick(now)
 		select {
 		case <-ctx.Done():
-			s.closeLeads()
-			s.messages.Wait()
-			return nil
+			return
 		case <-ticker.C:
-		case <-s.looks:
-			wanted = true
 		}
 	}
 }
--- /dev/null
+++ b/front/e2e/silentstore_test.go
@@ -0,0 +1,52 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestSlotsOutliveTheStore silences the table for longer than every lease that
+// it gives, once with broken connections and once without any answer. Requests
+// on an open route go on at all instances.
+func TestSlotsOutliveTheStore(t *testing.T) {
+	for _, fault := range []string{`{"down":true}`, `{"freeze":true}`} {
+		t.Run(fault, func(t *testing.T) { testSilentStore(t, fault) })
+	}
+}
+
+func testSilentStore(t *testing.T, fault string) {
+	const silence = 6 * time.Second
+	f := startFleet(t, 3)
+	put(t, "http://"+f.platform+"/standin/faults", fault)
+	failed := 0
+	sent := 0
+	for end := time.Now().Add(silence); time.Now().Before(end); {
+		for _, i := range f.instances {
+			sent++
+			if err := getHours(i); err != nil {
+				failed++
+				t.Log(err)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("%d sent, %d failed", sent, failed)
+	if failed > 0 {
+		t.Errorf("%d of %d requests failed while the table was silent", failed, sent)
+	}
+}
+
+// getHours asks for the page of the open route.
+func getHours(i *testInstance) error {
+	resp, err := http.Get(i.url() + "/hours")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("instance %s: status %s, reason %s", i.Callers, resp.Status, resp.Header.Get("Cardamomfront-Reason"))
+	}
+	return nil
+}
