Choose readers and relay trees within a failure domain

Cause: every instance reading the head row once a second is 6,600 reads a second at the aimed-for size; the store gives about 2,000.

Change: steer/relay, pure. Two readers for a failure domain by rendezvous hashing, each the root of a tree of depth two with 16 relays. A slot of a tree is held by the member with the highest score that holds no other; an instance's slot is a hash of its name and does not depend on the members, so that a death moves only the slot's instances.

Depth is at most 2, a reader answers at most 16.

Ruled out: each instance choosing its relay by rendezvous over all relays. A death then moves the dead relay's instances and those that the new relay wins from the others, about twice as many.

--- /dev/null
+++ b/steer/relay/tree.go
@@ -0,0 +1,179 @@
+// Package relay decides which instances of a failure domain read the store and
+// from whom the others learn what stands there.
+//
+// Two readers of a failure domain read the store. Each is the root of a tree of
+// depth two over the other instances: the reader answers a fixed number of
+// relays, and each relay answers the instances that fall to its slot. An
+// instance has a parent in both trees, and no two instances share both roles,
+// so that the loss of one parent leaves the other.
+//
+// All choices are made by rendezvous hashing (Thaler and Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates", 1998). Instances that see the
+// same members make the same trees; a change of one member moves few others.
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Trees is the number of readers of a failure domain, each the root of a tree.
+const Trees = 2
+
+// DefaultFanOut is the default number of relays of a reader.
+const DefaultFanOut = 16
+
+// Settings are the limits of a Tree.
+type Settings struct {
+	// FanOut is the number of relays in each tree, so that a reader answers no
+	// more instances than that. A relay answers about the number of members
+	// divided by FanOut.
+	FanOut int
+}
+
+// DefaultSettings returns the defaults, made for 300 members.
+func DefaultSettings() Settings { return Settings{FanOut: DefaultFanOut} }
+
+// Role says what an instance does in its failure domain.
+type Role uint8
+
+const (
+	// Leaf asks its parents and answers nobody.
+	Leaf Role = iota
+	// Relay asks its parents and answers its children.
+	Relay
+	// Reader reads the store and answers its children.
+	Reader
+)
+
+// String names the role for logs.
+func (r Role) String() string {
+	switch r {
+	case Leaf:
+		return "leaf"
+	case Relay:
+		return "relay"
+	case Reader:
+		return "reader"
+	default:
+		return fmt.Sprintf("role(%d)", uint8(r))
+	}
+}
+
+// Tree holds the trees of one failure domain. It is immutable.
+type Tree struct {
+	members []string
+	readers []string
+	// relays holds one relay for each slot of each tree; empty when the readers
+	// can answer all others themselves.
+	relays [Trees][]string
+}
+
+// NewTree returns the trees over the members of a failure domain. Their order
+// does not matter; names must be unique.
+func NewTree(domain string, members []string, s Settings) *Tree {
+	t := &Tree{members: slices.Sorted(slices.Values(members))}
+	taken := map[string]bool{}
+	for range min(Trees, len(members)) {
+		t.readers = append(t.readers, choose(domain+"/reader", t.members, taken))
+	}
+	if len(members)-len(t.readers) <= s.FanOut {
+		return t
+	}
+	for root := range Trees {
+		for slot := range s.FanOut {
+			key := fmt.Sprintf("%s/%d/%d", domain, root, slot)
+			t.relays[root] = append(t.relays[root], choose(key, t.members, taken))
+		}
+	}
+	return t
+}
+
+// Readers returns the names of the members that read the store: two, or all of
+// fewer members.
+func Readers(domain string, members []string) []string {
+	return NewTree(domain, members, Settings{FanOut: len(members)}).Readers()
+}
+
+// Parents returns the members that self asks; none for a reader.
+func Parents(self, domain string, members []string, s Settings) []string {
+	return NewTree(domain, members, s).Parents(self)
+}
+
+// Readers returns the members that read the store.
+func (t *Tree) Readers() []string { return slices.Clone(t.readers) }
+
+// Role returns what a member does.
+func (t *Tree) Role(self string) Role {
+	if slices.Contains(t.readers, self) {
+		return Reader
+	}
+	for _, relays := range t.relays {
+		if slices.Contains(relays, self) {
+			return Relay
+		}
+	}
+	return Leaf
+}
+
+// Parents returns the members that self asks, one in each tree; none for a
+// reader.
+func (t *Tree) Parents(self string) []string {
+	if slices.Contains(t.readers, self) {
+		return nil
+	}
+	parents := make([]string, 0, Trees)
+	for root, reader := range t.readers {
+		parents = append(parents, t.parent(self, root, reader))
+	}
+	return parents
+}
+
+// parent returns the parent of a member that isn't a reader in one tree.
+func (t *Tree) parent(self string, root int, reader string) string {
+	relays := t.relays[root]
+	if len(relays) == 0 || slices.Contains(relays, self) {
+		return reader
+	}
+	return relays[score(strconv.Itoa(root), self)%uint64(len(relays))]
+}
+
+// Children returns the members that ask self.
+func (t *Tree) Children(self string) []string {
+	if t.Role(self) == Leaf {
+		return nil
+	}
+	var children []string
+	for _, m := range t.members {
+		if slices.Contains(t.Parents(m), self) {
+			children = append(children, m)
+		}
+	}
+	return children
+}
+
+// choose takes the member with the highest score that isn't taken yet.
+func choose(key string, members []string, taken map[string]bool) string {
+	var best string
+	var highest uint64
+	for _, m := range members {
+		if s := score(key, m); !taken[m] && (best == "" || s > highest) {
+			best, highest = m, s
+		}
+	}
+	taken[best] = true
+	return best
+}
+
+// score is the rendezvous hash of a member for a key.
+func score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
