Let two readers of a failure domain read the head row for all others

Cause: every instance read the head row once a second, 300 reads a second for a failure domain of the aimed-for size; the store gives about 2,000 for 22.

Change: an instance that is not a reader asks its two parents once a period. When its knowledge is then over 1.75 s old, it asks the readers too, within the same period; when it is then over 2.75 s old, it reads the store, spread over 0.4 s. Before it is ready it reads the store as before. News goes from where it was learned to the readers of all failure domains and down the trees. With the store silent, an instance asks the readers of each failure domain and two drawn others, so that fleets with up to four in each ask everyone, as before. A document's sender that does not answer is given up after 1 s; it kept the store from being asked for all of the 4 s that a load may take.

--- a/front/platform/configuration/adopt.go
+++ b/front/platform/configuration/adopt.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// adopt loads a newer document, follows it, and tells the other instances.
+// adopt loads a newer document, follows it, and tells others.
 func (w *Watcher) adopt(ctx context.Context, l learned) {
 	index, content, err := w.load(ctx, l)
 	if err != nil {
@@ -59,7 +59,9 @@
 	w.metrics.adopted(ctx, l.head)
 	w.log.WithFields(fields(l.head)).Info("document is in force")
 	if l.from == "" {
-		w.tellAll()
+		w.tell(w.topology().origin())
+	} else {
+		w.tell(w.topology().children())
 	}
 }
 
@@ -106,7 +108,10 @@
 		return l.content, checkDigest(l.head.Digest, l.content)
 	}
 	if l.from != "" {
-		if content, err := w.documentFrom(ctx, l.from, l.head.Digest); err == nil {
+		limited, cancel := context.WithTimeout(ctx, askTimeout)
+		content, err := w.documentFrom(limited, l.from, l.head.Digest)
+		cancel()
+		if err == nil {
 			return content, nil
 		}
 	}
@@ -122,10 +127,10 @@
 	return nil, err
 }
 
-// tellAll offers the head in force to the other instances.
-func (w *Watcher) tellAll() {
+// tell offers the head in force to peers.
+func (w *Watcher) tell(peers []Peer) {
 	offer := Offer{Head: w.Current().Head, Sender: w.settings.PeerAddr}
-	for _, p := range w.directory.Peers() {
+	for _, p := range peers {
 		w.spawn(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 			defer cancel()
--- a/front/platform/configuration/fleet_test.go
+++ b/front/platform/configuration/fleet_test.go
@@ -71,6 +71,9 @@
 	ring   *Keyring
 	stop   context.CancelFunc
 	noRead atomic.Bool
+	// unreachable says that the others get no answer from the member.
+	unreachable atomic.Bool
+	dead        atomic.Bool
 }
 
 func newFleet(t *testing.T, domains ...string) *fleet {
@@ -135,7 +138,7 @@
 	var peers []Peer
 	for i, other := range m.fleet.members {
 		if other != m && other != nil {
-			peers = append(peers, Peer{Name: other.place.Instance, Addr: fmt.Sprint(i)})
+			peers = append(peers, Peer{Name: other.place.Instance, Addr: fmt.Sprint(i), FailureDomain: other.place.FailureDomain})
 		}
 	}
 	return peers
@@ -149,7 +152,7 @@
 	}
 	other := m.fleet.member(i)
 	time.Sleep(peerDelay)
-	if m.fleet.isApart(m.place.FailureDomain, other.place.FailureDomain) {
+	if other.unreachable.Load() || m.fleet.isApart(m.place.FailureDomain, other.place.FailureDomain) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/front/platform/configuration/metrics.go
+++ b/front/platform/configuration/metrics.go
@@ -30,6 +30,7 @@
 
 type metrics struct {
 	reads      metric.Int64Counter
+	fallbacks  metric.Int64Counter
 	refusals   metric.Int64Counter
 	adoptions  metric.Int64Counter
 	generation metric.Int64Gauge
@@ -42,6 +43,9 @@
 	if m.reads, err = meter.Int64Counter("configuration.reads", metric.WithDescription("Reads of the head row, by outcome.")); err != nil {
 		return nil, err
 	}
+	if m.fallbacks, err = meter.Int64Counter("configuration.fallbacks", metric.WithDescription("Reads of the head row because no parent had young knowledge.")); err != nil {
+		return nil, err
+	}
 	if m.refusals, err = meter.Int64Counter("configuration.refusals", metric.WithDescription("Heads that were not followed, by reason.")); err != nil {
 		return nil, err
 	}
@@ -58,6 +62,8 @@
 	m.reads.Add(ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+func (m *metrics) fellBack(ctx context.Context) { m.fallbacks.Add(ctx, 1) }
+
 func (m *metrics) refused(ctx context.Context, reason string) {
 	m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", reason)))
 }
--- a/front/platform/configuration/peers.go
+++ b/front/platform/configuration/peers.go
@@ -23,6 +23,9 @@
 	Name string
 	// Addr is the address of its listener for instances.
 	Addr string
+	// FailureDomain is the failure domain that it runs in; empty when only its
+	// address is known.
+	FailureDomain string
 }
 
 // Directory lists the other instances.
--- /dev/null
+++ b/front/platform/configuration/relay_test.go
@@ -0,0 +1,188 @@
+package configuration
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+)
+
+const (
+	// domainPart is a failure domain's part of the store's reads a second, with
+	// all other uses; of these the head row may take domainReads.
+	domainPart  = 2000.0 / 22
+	domainReads = 10
+	// inForceWithin is the target for a promotion to be in force everywhere.
+	inForceWithin = 10 * time.Second
+	large         = 300
+)
+
+// largeFleet is one failure domain of the aimed-for size with one generation in
+// force everywhere, and after it single instances of other failure domains.
+func largeFleet(t *testing.T, others ...string) *fleet {
+	domains := strings.Split(strings.Repeat("kano-a,", large)[:large*len("kano-a,")-1], ",")
+	f := newFleet(t, append(domains, others...)...)
+	f.mustPromote(0, false)
+	time.Sleep(5 * time.Second)
+	f.mustServe(goneKey, "+")
+	return f
+}
+
+// inLarge returns the marks of serves for the members of the large failure
+// domain that run.
+func (f *fleet) inLarge(key string) string {
+	var marks strings.Builder
+	for i, mark := range f.serves(key)[:large] {
+		if !f.members[i].dead.Load() {
+			marks.WriteRune(mark)
+		}
+	}
+	return marks.String()
+}
+
+func (f *fleet) works(key string) bool { return strings.Contains(f.inLarge(key), "+") }
+
+// mustServe checks that a key has the same mark on all of inLarge.
+func (f *fleet) mustServe(key, mark string) {
+	f.t.Helper()
+	if got := f.inLarge(key); strings.Trim(got, mark) != "" {
+		f.t.Fatalf("key works on %q, want all %q", got, mark)
+	}
+}
+
+// load is what was seen over some seconds.
+type load struct {
+	// most and mean are the reads of the store in a second.
+	most, mean float64
+	// oldest is the greatest age of an instance's knowledge.
+	oldest time.Duration
+}
+
+// watch returns the load of the next seconds.
+func (f *fleet) watch(seconds int) load {
+	const steps = 20
+	var l load
+	first := f.store.Counts().Reads
+	for range seconds {
+		before := f.store.Counts().Reads
+		for range steps {
+			time.Sleep(time.Second / steps)
+			l.oldest = max(l.oldest, f.oldest())
+		}
+		l.most = max(l.most, float64(f.store.Counts().Reads-before))
+	}
+	l.mean = float64(f.store.Counts().Reads-first) / float64(seconds)
+	f.t.Logf("%.1f reads/s, most %.0f; oldest knowledge %v", l.mean, l.most, l.oldest)
+	if l.oldest >= staleAfter {
+		f.t.Errorf("knowledge of %v, stale after %v", l.oldest, staleAfter)
+	}
+	return l
+}
+
+// oldest returns the greatest age of knowledge in the large failure domain.
+func (f *fleet) oldest() time.Duration {
+	var oldest time.Duration
+	for _, m := range f.members[:large] {
+		if !m.dead.Load() {
+			oldest = max(oldest, staleAfter-time.Until(m.w.Current().FreshUntil))
+		}
+	}
+	return oldest
+}
+
+// readers returns the two readers of the large failure domain.
+func (f *fleet) readers() []*member {
+	var found []*member
+	for _, m := range f.members[:large] {
+		if len(m.w.topology().parents()) == 0 {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// leaf returns a member of the large failure domain that nobody asks.
+func (f *fleet) leaf() *member {
+	for _, m := range f.members[:large] {
+		if topology := m.w.topology(); len(topology.children()) == 0 {
+			return m
+		}
+	}
+	return nil
+}
+
+// kill ends a member, which is still listed.
+func (m *member) kill() {
+	m.dead.Store(true)
+	m.unreachable.Store(true)
+	m.stop()
+}
+
+// withdraw withdraws a key and returns the time until it works nowhere. The
+// kept key must work everywhere all the time.
+func (f *fleet) withdraw() time.Duration {
+	f.t.Helper()
+	f.mustPromote(1, true)
+	started := time.Now()
+	for f.works(goneKey) {
+		f.mustServe(keptKey, "+")
+		time.Sleep(10 * time.Millisecond)
+		if time.Since(started) > inForceWithin {
+			f.t.Fatal("the withdrawn key still works somewhere")
+		}
+	}
+	return time.Since(started)
+}
+
+func TestLargeFailureDomain(t *testing.T) {
+	tests := []struct {
+		desc  string
+		fault func(f *fleet)
+		// most and mean bound the reads of the store in a second.
+		most, mean float64
+	}{
+		{"at rest", func(*fleet) {}, domainReads, domainReads},
+		{"one reader dead", func(f *fleet) { f.readers()[0].kill() }, domainReads, domainReads},
+		{"one reader answers nobody, and offers", func(f *fleet) { f.readers()[0].unreachable.Store(true) }, domainReads, domainReads},
+		{"both readers dead", func(f *fleet) {
+			for _, m := range f.readers() {
+				m.kill()
+			}
+		}, large, domainPart},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := largeFleet(t)
+				tt.fault(f)
+				if l := f.watch(6); l.most > tt.most || l.mean > tt.mean {
+					t.Errorf("%.1f reads a second, most %.0f; want at most %.1f and %.0f", l.mean, l.most, tt.mean, tt.most)
+				}
+				t.Logf("in force after %v", f.withdraw())
+			})
+		})
+	}
+}
+
+// TestLargeFailureDomainStoreDown covers a silent store: the readers' knowledge
+// stays young by their witnesses, and the trees carry it to all. So they do with
+// a promotion that no instance could read, but not with a cut from the others.
+func TestLargeFailureDomainStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := largeFleet(t, "kano-b", "kaduna-a", "sokoto-a")
+		promotion := f.mustPromote(1, true)
+		f.store.SetFaults(standin.Faults{Freeze: true})
+		f.watch(15)
+		if err := f.leaf().w.Follow(t.Context(), promotion.Head, exampleDocument(t, true)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * peerDelay)
+		f.mustServe(goneKey, "u")
+		f.watch(5)
+		f.cutApart(domainApart)
+		time.Sleep(20 * time.Second)
+		f.mustServe(keptKey, "s")
+	})
+}
--- a/front/platform/configuration/seeds_test.go
+++ b/front/platform/configuration/seeds_test.go
@@ -17,8 +17,8 @@
 		peers listed
 		want  []Peer
 	}{
-		{"nobody is listed yet", nil, []Peer{{"127.0.0.1:7200", "127.0.0.1:7200"}, {"127.0.0.2:7200", "127.0.0.2:7200"}}},
-		{"one is listed by its name", listed{known}, []Peer{known, {"127.0.0.2:7200", "127.0.0.2:7200"}}},
+		{"nobody is listed yet", nil, []Peer{{Name: "127.0.0.1:7200", Addr: "127.0.0.1:7200"}, {Name: "127.0.0.2:7200", Addr: "127.0.0.2:7200"}}},
+		{"one is listed by its name", listed{known}, []Peer{known, {Name: "127.0.0.2:7200", Addr: "127.0.0.2:7200"}}},
 	}
 	seeds := []string{"127.0.0.1:7200", "127.0.0.2:7200", "127.0.0.3:7200"}
 	for _, tt := range tests {
--- a/front/platform/configuration/settings.go
+++ b/front/platform/configuration/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/generation"
+	"github.com/cardamomfront/cardamomfront/steer/relay"
 )
 
 // Settings of a Watcher.
@@ -16,8 +17,11 @@
 	PeerAddr string
 	// Generation holds the limits of what may be trusted.
 	Generation generation.Settings
-	// Period is the time from the start of one read of the head row to the
-	// start of the next, while the store answers.
+	// Relay holds the limits of the trees by which instances learn from the
+	// readers of their failure domain.
+	Relay relay.Settings
+	// Period is the time from the start of one read of the head row, or of one
+	// question to the parents, to the start of the next.
 	Period time.Duration
 	// Unanswered is the age at which a read counts as failed. Its answer is
 	// still taken in when it comes later.
@@ -50,6 +54,7 @@
 		Place:       place,
 		PeerAddr:    peerAddr,
 		Generation:  generation.DefaultSettings(storeRegion),
+		Relay:       relay.DefaultSettings(),
 		Period:      DefaultPeriod,
 		Unanswered:  DefaultUnanswered,
 	}
--- a/front/platform/configuration/watcher.go
+++ b/front/platform/configuration/watcher.go
@@ -25,7 +25,9 @@
 	metrics   *metrics
 
 	current atomic.Pointer[Snapshot]
-	loads   singleflight.Group
+	// seen is the topology for the latest peers.
+	seen  atomic.Pointer[topology]
+	loads singleflight.Group
 	// background holds the reads, questions and offers that are under way.
 	background sync.WaitGroup
 	// offers carries the heads that others sent to Run.
@@ -76,8 +78,8 @@
 	return w.tracker.Statement(time.Now())
 }
 
-// Run reads the head row about once per period and takes in offers until ctx
-// ends. It returns after everything that it began has ended.
+// Run refreshes what the instance knows about once per period and takes in
+// offers until ctx ends. It returns after everything that it began has ended.
 func (w *Watcher) Run(ctx context.Context) error {
 	defer w.stop()
 	timer := time.NewTimer(0)
@@ -87,7 +89,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			w.spawn(func() { w.read(ctx) })
+			w.spawn(func() { w.refresh(ctx) })
 			timer.Reset(w.nextWait())
 		case offer := <-w.offers:
 			w.spawn(func() { w.follow(ctx, offer) })
@@ -166,27 +168,29 @@
 	w.act(ctx, relation, learned{head: head.Head, asOf: started, fromStore: true})
 }
 
-// readFailed takes in a failed read and asks the other instances.
+// readFailed takes in a failed read and asks witnesses.
 func (w *Watcher) readFailed(started time.Time) {
 	w.metrics.read(context.Background(), readOutcomeFailed)
 	w.mu.Lock()
 	w.tracker.StoreFailed(started)
 	w.publish()
 	w.mu.Unlock()
-	w.askAll()
+	for _, p := range w.topology().witnesses() {
+		w.startAsk(p, func() {})
+	}
 }
 
-// askAll asks every instance that is not being asked already.
-func (w *Watcher) askAll() {
-	for _, p := range w.directory.Peers() {
-		if !w.startAsking(p.Addr) {
-			continue
-		}
-		w.spawn(func() {
-			defer w.stopAsking(p.Addr)
-			w.ask(p)
-		})
+// startAsk asks a peer in the background, unless it is being asked already, and
+// calls done after the exchange.
+func (w *Watcher) startAsk(p Peer, done func()) {
+	if !w.startAsking(p.Addr) {
+		return
 	}
+	w.spawn(func() {
+		defer done()
+		defer w.stopAsking(p.Addr)
+		w.ask(p)
+	})
 }
 
 func (w *Watcher) startAsking(addr string) bool {
--- a/front/platform/membership/messages.go
+++ b/front/platform/membership/messages.go
@@ -75,6 +75,11 @@
 	group.Wait()
 }
 
+// peerOf returns a member as others reach it.
+func peerOf(m membership.Member) configuration.Peer {
+	return configuration.Peer{Name: m.Name, Addr: m.PeerAddress, FailureDomain: m.FailureDomain}
+}
+
 // Peers implements configuration.Directory: the members that are not silent,
 // without this one.
 func (k *Keeper) Peers() []configuration.Peer {
@@ -83,7 +88,7 @@
 	var peers []configuration.Peer
 	for _, m := range k.members() {
 		if m.Process != k.settings.Process && !m.Silent {
-			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+			peers = append(peers, peerOf(m))
 		}
 	}
 	return peers
@@ -94,7 +99,7 @@
 	var peers []configuration.Peer
 	for _, m := range k.watch.Members() {
 		if m.Name != k.name() {
-			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+			peers = append(peers, peerOf(m))
 		}
 	}
 	return peers
@@ -109,7 +114,7 @@
 	var peers []configuration.Peer
 	for _, m := range k.watch.Members() {
 		if wanted[m.Name] {
-			peers = append(peers, configuration.Peer{Name: m.Name, Addr: m.PeerAddress})
+			peers = append(peers, peerOf(m))
 		}
 	}
 	return peers
