Run the benchmarks against a committed file of bounds

Cause: make bench was named and did not exist; the figures of the benchmarks had no bounds, and nothing said which targets tests hold. A bound needs a target, no bound needs a reason. tools/ is now formatted, linted and tested too. New benchmark: a grant among 14 and 1,100 endpoints. The shift benchmarks counted their set-up as allocations (25 for each operation at 2,000); the timer is reset. Ruled out: 100 iterations, as the goroutines of a parallel benchmark then count as 1 allocation for each operation; bounds on times.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 
 GOLANGCI_VERSION := v2.15.0
 BIN := $(CURDIR)/.bin
-MODULES := ./steer/... ./front/...
+MODULES := ./steer/... ./front/... ./tools/...
 
-.PHONY: all build test fmt format-check lint generate generate-check bench demo
+.PHONY: all build test fmt format-check lint generate generate-check bench bench-check demo
 
 all: format-check generate-check lint test
 
@@ -15,10 +15,10 @@
 	scripts/test.sh
 
 fmt:
-	go tool gofumpt -w steer front
+	go tool gofumpt -w steer front tools
 
 format-check:
-	@out="$$(go tool gofumpt -l steer front)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	@out="$$(go tool gofumpt -l steer front tools)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 
 $(BIN)/golangci-lint-$(GOLANGCI_VERSION):
 	mkdir -p $(BIN)
@@ -35,5 +35,14 @@
 generate-check:
 	go tool wire diff ./front/...
 
+# All figures at the usual length of a benchmark.
+bench:
+	go run ./tools/bench
+
+# What is the same on every run, with a fixed number of iterations. It is large
+# enough for the goroutines that a parallel benchmark starts not to count.
+bench-check:
+	go run ./tools/bench -ci -benchtime 2000x
+
 demo: build
 	scripts/demo.sh
--- a/steer/shift/path_test.go
+++ b/steer/shift/path_test.go
@@ -34,6 +34,7 @@
 func BenchmarkChoose(b *testing.B) {
 	c := evidenceFleet(b)
 	now := epoch.Add(100 * time.Second)
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			c.Choose(now)
@@ -44,6 +45,7 @@
 func BenchmarkRecord(b *testing.B) {
 	c := evidenceFleet(b)
 	o := Outcome{Route: "read", Domain: "kano-a", Sent: epoch, Latency: time.Millisecond}
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			c.Record(o)
--- /dev/null
+++ b/steer/slots/bench_test.go
@@ -0,0 +1,42 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkGrant asks for a slot and gives it back, with half of the endpoints in
+// use.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{14, 1100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			br := testBroker()
+			br.SetEndpoints(benchEndpoints(n), testStart)
+			for number := range uint64(n / 2) {
+				ask(br, number+1, testStart)
+			}
+			number := uint64(n)
+			now := testStart
+			b.ReportAllocs()
+			for b.Loop() {
+				number++
+				now = now.Add(time.Microsecond)
+				out := ask(br, number, now)
+				if len(out) != 1 || out[0].Grant == nil {
+					b.Fatalf("ask %d: %+v, want a grant", number, out)
+				}
+				br.Release(Release{ID: out[0].ID, Group: testGroup}, now)
+			}
+		})
+	}
+}
+
+// benchEndpoints returns n endpoints of two slots each.
+func benchEndpoints(n int) []Endpoint {
+	endpoints := make([]Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = Endpoint{Address: fmt.Sprint("e", i), Slots: 2}
+	}
+	return endpoints
+}
