--- a/front/instance/dispatch.go
+++ b/front/instance/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
@@ -45,7 +46,7 @@
 	return dispatch.NewRelayClient(r, c, k.Members, k.Name)
 }
 
-func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient, m *telemetry.Metrics) (*dispatch.Dispatcher, error) {
+func newDispatcher(s *Settings, b *broker.Service, c *endpoint.Client, r *dispatch.RelayClient, drains *shifts.Manager, m *telemetry.Metrics) (*dispatch.Dispatcher, error) {
 	meters, err := dispatch.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
@@ -55,6 +56,7 @@
 		Slots:     dispatch.BrokerSlots{Service: b},
 		Endpoints: c,
 		Relays:    r,
+		Drains:    drains,
 		Meters:    meters,
 	}, nil
 }
