Prove the limit on a mute sender of an offer; relay figures

Cause: the 1 s limit on fetching a document from the sender of an offer was not shown by a test.

Change: TestLargeFailureDomain has a case in which both readers answer nobody and still offer.

--- a/front/platform/configuration/relay_test.go
+++ b/front/platform/configuration/relay_test.go
@@ -146,6 +146,11 @@
 		{"at rest", func(*fleet) {}, domainReads, domainReads},
 		{"one reader dead", func(f *fleet) { f.readers()[0].kill() }, domainReads, domainReads},
 		{"one reader answers nobody, and offers", func(f *fleet) { f.readers()[0].unreachable.Store(true) }, domainReads, domainReads},
+		{"both readers answer nobody, and offer", func(f *fleet) {
+			for _, m := range f.readers() {
+				m.unreachable.Store(true)
+			}
+		}, large, domainPart},
 		{"both readers dead", func(f *fleet) {
 			for _, m := range f.readers() {
 				m.kill()
