Name all metrics under one prefix; log whole sentences

Cause: parts that were built side by side named their metrics and wrote their log lines in two ways. Change: every metric starts with cardamomfront.; every log line is a sentence.

--- a/front/platform/configuration/adopt.go
+++ b/front/platform/configuration/adopt.go
@@ -28,11 +28,11 @@
 		w.adopt(ctx, l)
 	case generation.Forked:
 		w.metrics.refused(ctx, refusedForked)
-		w.log.WithFields(fields(l.head)).Error("another document has the generation in force")
+		w.log.WithFields(fields(l.head)).Error("Another document has the generation in force.")
 	case generation.Older:
 		if l.fromStore {
 			w.metrics.refused(ctx, refusedOlder)
-			w.log.WithFields(fields(l.head)).Warn("store names an older generation")
+			w.log.WithFields(fields(l.head)).Warn("Store names an older generation.")
 		}
 	case generation.Same:
 	}
@@ -43,7 +43,7 @@
 	index, content, err := w.load(ctx, l)
 	if err != nil {
 		w.metrics.refused(ctx, refusedUnloaded)
-		w.log.WithError(err).WithFields(fields(l.head)).Error("document can't be loaded")
+		w.log.WithError(err).WithFields(fields(l.head)).Error("Document can't be loaded.")
 		return
 	}
 	w.mu.Lock()
@@ -57,7 +57,7 @@
 		return
 	}
 	w.metrics.adopted(ctx, l.head)
-	w.log.WithFields(fields(l.head)).Info("document is in force")
+	w.log.WithFields(fields(l.head)).Info("Document is in force.")
 	if l.from == "" {
 		w.tell(w.topology().origin())
 	} else {
@@ -135,7 +135,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 			defer cancel()
 			if err := w.peers.Call(ctx, p.Addr, methodOffer, offer, nil); err != nil {
-				w.log.WithError(err).WithField("instance", p.Name).Debug("instance was not told")
+				w.log.WithError(err).WithField("instance", p.Name).Debug("Instance was not told.")
 			}
 		})
 	}
--- a/front/platform/configuration/metrics.go
+++ b/front/platform/configuration/metrics.go
@@ -40,19 +40,19 @@
 func NewMeters(meter metric.Meter) (*Meters, error) {
 	var m metrics
 	var err error
-	if m.reads, err = meter.Int64Counter("configuration.reads", metric.WithDescription("Reads of the head row, by outcome.")); err != nil {
+	if m.reads, err = meter.Int64Counter("cardamomfront.configuration.reads", metric.WithDescription("Reads of the head row, by outcome.")); err != nil {
 		return nil, err
 	}
-	if m.fallbacks, err = meter.Int64Counter("configuration.fallbacks", metric.WithDescription("Reads of the head row because no parent had young knowledge.")); err != nil {
+	if m.fallbacks, err = meter.Int64Counter("cardamomfront.configuration.fallbacks", metric.WithDescription("Reads of the head row because no parent had young knowledge.")); err != nil {
 		return nil, err
 	}
-	if m.refusals, err = meter.Int64Counter("configuration.refusals", metric.WithDescription("Heads that were not followed, by reason.")); err != nil {
+	if m.refusals, err = meter.Int64Counter("cardamomfront.configuration.refusals", metric.WithDescription("Heads that were not followed, by reason.")); err != nil {
 		return nil, err
 	}
-	if m.adoptions, err = meter.Int64Counter("configuration.adoptions", metric.WithDescription("Generations put in force.")); err != nil {
+	if m.adoptions, err = meter.Int64Counter("cardamomfront.configuration.adoptions", metric.WithDescription("Generations put in force.")); err != nil {
 		return nil, err
 	}
-	if m.generation, err = meter.Int64Gauge("configuration.generation", metric.WithDescription("Generation in force.")); err != nil {
+	if m.generation, err = meter.Int64Gauge("cardamomfront.configuration.generation", metric.WithDescription("Generation in force.")); err != nil {
 		return nil, err
 	}
 	return &Meters{metrics: &m}, nil
--- a/front/platform/configuration/watcher.go
+++ b/front/platform/configuration/watcher.go
@@ -156,7 +156,7 @@
 func (w *Watcher) readAnswered(ctx context.Context, started time.Time, row platform.Row) {
 	head, err := decodeHead(row)
 	if err != nil {
-		w.log.WithError(err).Error("head row can't be read")
+		w.log.WithError(err).Error("Head row can't be read.")
 		return
 	}
 	w.metrics.read(ctx, readOutcomeAnswered)
@@ -216,7 +216,7 @@
 	asked := time.Now()
 	var statement generation.Statement
 	if err := w.peers.Call(ctx, p.Addr, methodStatement, nil, &statement); err != nil {
-		w.log.WithError(err).WithField("instance", p.Name).Debug("instance does not answer")
+		w.log.WithError(err).WithField("instance", p.Name).Debug("Instance does not answer.")
 		return
 	}
 	w.mu.Lock()
--- a/front/platform/membership/metrics.go
+++ b/front/platform/membership/metrics.go
@@ -19,11 +19,11 @@
 
 // NewMeters creates the counters with meter. Errors: those of the meter.
 func NewMeters(meter metric.Meter) (*Meters, error) {
-	reads, err1 := meter.Int64Counter("membership.reads", metric.WithDescription("Reads of the instances' rows and of the list, by outcome."))
-	writes, err2 := meter.Int64Counter("membership.writes", metric.WithDescription("Writes of this instance's row, by outcome."))
-	probes, err3 := meter.Int64Counter("membership.probes", metric.WithDescription("Questions to witnesses, by outcome."))
-	evictions, err4 := meter.Int64Counter("membership.evictions", metric.WithDescription("Rows of silent instances taken away, by outcome."))
-	lost, err5 := meter.Int64Counter("membership.leases_lost", metric.WithDescription("Leases of this instance that others ended."))
+	reads, err1 := meter.Int64Counter("cardamomfront.membership.reads", metric.WithDescription("Reads of the instances' rows and of the list, by outcome."))
+	writes, err2 := meter.Int64Counter("cardamomfront.membership.writes", metric.WithDescription("Writes of this instance's row, by outcome."))
+	probes, err3 := meter.Int64Counter("cardamomfront.membership.probes", metric.WithDescription("Questions to witnesses, by outcome."))
+	evictions, err4 := meter.Int64Counter("cardamomfront.membership.evictions", metric.WithDescription("Rows of silent instances taken away, by outcome."))
+	lost, err5 := meter.Int64Counter("cardamomfront.membership.leases_lost", metric.WithDescription("Leases of this instance that others ended."))
 	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return nil, err
 	}
--- a/front/platform/shares/metrics.go
+++ b/front/platform/shares/metrics.go
@@ -19,11 +19,11 @@
 
 // NewMeters creates the counters with meter. Errors: those of the meter.
 func NewMeters(meter metric.Meter) (*Meters, error) {
-	reads, err1 := meter.Int64Counter("shares.reads", metric.WithDescription("Reads of the divisions, by outcome."))
-	writes, err2 := meter.Int64Counter("shares.writes", metric.WithDescription("Writes of divisions, by outcome."))
-	loans, err3 := meter.Int64Counter("shares.loans_asked", metric.WithDescription("Questions for a loan, by outcome."))
-	lent, err4 := meter.Int64Counter("shares.loans_given", metric.WithDescription("Loans given, by team."))
-	waits, err5 := meter.Int64Counter("shares.waits", metric.WithDescription("Requests that waited for a loan or a token, by team."))
+	reads, err1 := meter.Int64Counter("cardamomfront.shares.reads", metric.WithDescription("Reads of the divisions, by outcome."))
+	writes, err2 := meter.Int64Counter("cardamomfront.shares.writes", metric.WithDescription("Writes of divisions, by outcome."))
+	loans, err3 := meter.Int64Counter("cardamomfront.shares.loans_asked", metric.WithDescription("Questions for a loan, by outcome."))
+	lent, err4 := meter.Int64Counter("cardamomfront.shares.loans_given", metric.WithDescription("Loans given, by team."))
+	waits, err5 := meter.Int64Counter("cardamomfront.shares.waits", metric.WithDescription("Requests that waited for a loan or a token, by team."))
 	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return nil, err
 	}
--- a/front/platform/shifts/exchange.go
+++ b/front/platform/shifts/exchange.go
@@ -99,7 +99,7 @@
 		group.Go(func() error {
 			if err := m.peers.Call(ctx, p.Addr, methodReport, r, nil); err != nil {
 				m.metrics.unreported(ctx)
-				m.log.WithError(err).WithField("peer", p.Name).Debug("report did not arrive")
+				m.log.WithError(err).WithField("peer", p.Name).Debug("Report did not arrive.")
 			}
 			return nil
 		})
--- a/front/platform/shifts/set.go
+++ b/front/platform/shifts/set.go
@@ -75,7 +75,7 @@
 	if mv == nil || mv.shift == nil || !reflect.DeepEqual(mv.shift.Config(), cfg) {
 		c, err := shift.New(cfg, m.settings.Instance, time.Now())
 		if err != nil {
-			m.log.WithError(err).Error("shift can't be carried out")
+			m.log.WithError(err).Error("Shift can't be carried out.")
 			return
 		}
 		mv = &movement{movable: c, kind: KindShift, name: cfg.Name, subject: cfg.Service, shift: c}
--- a/front/platform/shifts/table.go
+++ b/front/platform/shifts/table.go
@@ -26,7 +26,7 @@
 		row := rows[mv.name]
 		record, err := decodeRecord(row)
 		if err != nil {
-			m.log.WithError(err).WithField("movement", mv.name).Error("record can't be read")
+			m.log.WithError(err).WithField("movement", mv.name).Error("Record can't be read.")
 			continue
 		}
 		mv.SeeRow(began, record, row.Version)
@@ -43,7 +43,7 @@
 	rows, err := m.table.Scan(ctx, rowPrefix(m.settings.Environment))
 	if err != nil {
 		m.metrics.unanswered(ctx, "scan")
-		m.log.WithError(err).Debug("records can't be read")
+		m.log.WithError(err).Debug("Records can't be read.")
 		return nil, began, false
 	}
 	byName := make(map[string]platform.Row, len(rows))
@@ -73,7 +73,7 @@
 	}
 	writes, err := m.writes(now, mv, p)
 	if err != nil {
-		m.log.WithError(err).Error("record can't be written")
+		m.log.WithError(err).Error("Record can't be written.")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -89,7 +89,7 @@
 		m.seeActual(now, mv, conflict.Actual)
 	default:
 		m.metrics.unanswered(ctx, "commit")
-		m.log.WithError(err).WithField("movement", mv.name).Warn("write of a record got no answer")
+		m.log.WithError(err).WithField("movement", mv.name).Warn("Write of a record got no answer.")
 	}
 }
 
@@ -118,8 +118,8 @@
 		"stage":    p.Record.Stage,
 	})
 	if p.Record.Phase == shift.TakenBack {
-		entry.WithField("reason", p.Record.Reason.Detail).Warn("movement taken back")
+		entry.WithField("reason", p.Record.Reason.Detail).Warn("Movement taken back.")
 		return
 	}
-	entry.Info("movement advanced")
+	entry.Info("Movement advanced.")
 }
