--- a/front/instance/settings_test.go
+++ b/front/instance/settings_test.go
@@ -37,6 +37,12 @@
 	}
 }
 
+func TestExampleSettings(t *testing.T) {
+	if _, err := ReadSettings("../../examples/instance.yaml"); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestFaultySettings(t *testing.T) {
 	tests := []struct {
 		desc     string
