Refuse a shift that cannot be complete by its deadline

Cause: the check accepted a deadline that leaves just the holds, although each stage lasts at least as long as caches may be cold, and completion has to be recorded a guard before the deadline: such a shift is always taken back. Ruled out: reporting it in the shift's status only (the operator learns it late). Conclusion: a document that passes can be carried out.

--- a/steer/document/checkshifts.go
+++ b/steer/document/checkshifts.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	steershift "github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
 // shifts checks shifts; a service has at most one.
@@ -42,11 +44,14 @@
 	return nil
 }
 
-// stages checks that caps rise to 100% and that the holds fit.
+// stages checks that caps rise to 100% and that the stages fit before the
+// deadline: each lasts as long as caches may be cold, and completion has to be
+// recorded in time for everyone to know.
 func (c *checker) stages(path string, shift Shift) error {
 	if len(shift.Stages) == 0 {
 		return c.failf(path+".stages", "shift %q has no stage", shift.Name)
 	}
+	tuning := steershift.DefaultTuning()
 	var before Percent
 	var holds time.Duration
 	for i, stage := range shift.Stages {
@@ -55,7 +60,7 @@
 			return c.failf(at, "cap %s does not rise above %s", stage.Cap, before)
 		}
 		before = stage.Cap
-		holds += stage.Hold.Std()
+		holds += max(stage.Hold.Std(), tuning.WarmUp)
 	}
 	if before != Whole {
 		at := fmt.Sprintf("%s.stages[%d].cap", path, len(shift.Stages)-1)
@@ -67,8 +72,9 @@
 	if shift.Deadline.IsZero() {
 		return c.failf(path+".deadline", "deadline is missing")
 	}
-	if shift.Deadline.Sub(shift.Start) <= holds {
-		return c.failf(path+".deadline", "the holds take %s, which is not before the deadline", holds)
+	if least := holds + tuning.Guard; shift.Deadline.Sub(shift.Start) < least {
+		return c.failf(path+".deadline", "the stages and the time to record completion take %s at least; the deadline is %s after the start",
+			least, shift.Deadline.Sub(shift.Start))
 	}
 	return nil
 }
--- a/steer/document/document.go
+++ b/steer/document/document.go
@@ -97,7 +97,8 @@
 	Service string `yaml:"service"`
 	// Open says that no key is needed. Default false.
 	Open bool `yaml:"open,omitempty"`
-	// Idempotent says that a request may be sent again. Default false.
+	// Idempotent says that a request may be sent again. GET and HEAD always
+	// may (RFC 9110, 9.2.1). Default false.
 	Idempotent bool `yaml:"idempotent,omitempty"`
 	// Timeout is the deadline of a request that names none. Default 5s.
 	Timeout Duration `yaml:"timeout"`
@@ -116,7 +117,8 @@
 	// Start is when the first stage begins. Required.
 	Start time.Time `yaml:"start"`
 	// Deadline is when the shift must be complete, or it is taken back.
-	// Required, later than Start by more than all holds together.
+	// Required, later than Start by all stages together, each at least 10s, and
+	// 15s to record completion.
 	Deadline time.Time `yaml:"deadline"`
 	// Stages have rising caps, the last one 100%. At least one.
 	Stages []Stage `yaml:"stages"`
