--- /dev/null
+++ b/front/instance/messages_test.go
@@ -0,0 +1,88 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/peer"
+)
+
+// messageMethods are the methods that instances call at each other.
+var messageMethods = []string{
+	"configuration.statement", "configuration.offer", "configuration.document",
+	"membership.probe", "membership.promise", "membership.look",
+	"shares.loan", "shares.return", "shares.handover",
+	"shifts.report",
+	"slots.ask", "slots.release", "slots.report", "slots.note", "slots.endNote", "slots.observe", "slots.look",
+	"relay.address",
+}
+
+// answerWithin bounds one message of the fuzz target.
+const answerWithin = 100 * time.Millisecond
+
+// startMessages serves the messages of an instance whose platform is not there.
+func startMessages(tb testing.TB) string {
+	tb.Helper()
+	s, err := DecodeSettings("good.yaml", []byte(strings.Replace(goodSettings, "operators:", "  relay: 127.0.0.11:7081\noperators:", 1)))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	i, err := Build(s, io.Discard)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	l, err := i.peers.Listen("127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- i.peers.Serve(ctx, l) }()
+	tb.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// TestMessageMethods checks that the list above names real methods.
+func TestMessageMethods(t *testing.T) {
+	addr := startMessages(t)
+	c := peer.NewClient(nil, time.Minute)
+	defer c.Close()
+	for _, method := range messageMethods {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		err := c.Call(ctx, addr, method, json.RawMessage(`{"deadline":1}`), nil)
+		cancel()
+		if err != nil && strings.Contains(err.Error(), "unknown method") {
+			t.Errorf("%s: %v", method, err)
+		}
+	}
+}
+
+// FuzzMessages sends any JSON to every method: none may panic.
+func FuzzMessages(f *testing.F) {
+	for i := range messageMethods {
+		f.Add(uint8(i), []byte(`{"id":"1","team":"ward-01","units":-1,"tokens":1e308,"group":{"service":"x"}}`))
+		f.Add(uint8(i), []byte(`null`))
+	}
+	addr := startMessages(f)
+	c := peer.NewClient(nil, time.Minute)
+	f.Cleanup(c.Close)
+	f.Fuzz(func(t *testing.T, n uint8, params []byte) {
+		if !json.Valid(params) {
+			return
+		}
+		method := messageMethods[int(n)%len(messageMethods)]
+		ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+		defer cancel()
+		err := c.Call(ctx, addr, method, json.RawMessage(params), nil)
+		if err != nil && strings.Contains(err.Error(), "panicked") {
+			t.Fatalf("%s with %s: %v", method, params, err)
+		}
+	})
+}
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -49,6 +49,7 @@
 	s.Handle("fail", func(context.Context, json.RawMessage) (any, error) {
 		return nil, errors.New("no luck")
 	})
+	s.Handle("panic", func(context.Context, json.RawMessage) (any, error) { panic("fault") })
 	c := NewClient(nil, time.Minute)
 	defer c.Close()
 	tests := []struct {
@@ -60,6 +61,8 @@
 	}{
 		{desc: "answered", method: "double", want: 42},
 		{desc: "method's own error", method: "fail", fails: true, verdict: verdict.Ran},
+		{desc: "method that panics", method: "panic", fails: true, verdict: verdict.Ran},
+		{desc: "answered after a panic", method: "double", want: 42},
 		{desc: "unknown method", method: "none", fails: true, verdict: verdict.NotRun},
 	}
 	for _, tt := range tests {
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -123,7 +123,7 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := m(ctx, params)
+	result, err := s.run(ctx, req.Method, m, params)
 	if err == nil {
 		return result, nil
 	}
@@ -134,3 +134,23 @@
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 }
+
+// PanicError says that a method panicked on its message. The instance goes on.
+type PanicError struct {
+	// Method is the method's name.
+	Method string
+}
+
+// Error implements error.
+func (e *PanicError) Error() string { return "method " + e.Method + " panicked" }
+
+// run runs one method. A panic costs the call and nothing else.
+func (s *Server) run(ctx context.Context, name string, m Method, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.WithFields(logrus.Fields{"method": name, "panic": p}).Error("Method panicked.")
+			err = &PanicError{Method: name}
+		}
+	}()
+	return m(ctx, params)
+}
