--- a/scripts/at-rest.sh
+++ b/scripts/at-rest.sh
@@ -1,11 +1,13 @@
 #!/usr/bin/env bash
 # Measures what N instances cost at rest: processor time and bytes of each
-# instance, calls to the platform of all. Usage: scripts/at-rest.sh N [SECONDS]
+# instance, calls to the platform of all.
+# Usage: scripts/at-rest.sh N [SECONDS [DOCUMENT]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 n=${1:?number of instances}
 seconds=${2:-20}
+document=${3:-examples/kano.yaml}
 dir=$(mktemp -d)
 pids=()
 trap 'for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done; wait 2>/dev/null || true; rm -rf "$dir"' EXIT
@@ -19,7 +21,7 @@
 ready() { page "$1" /ready | grep -q '"status":200'; }
 
 spawn bin/cardamomctl serve platform --listen $platform
-sed 's/^environment: .*/environment: rest/' examples/kano.yaml >"$dir/document.yaml"
+sed 's/^environment: .*/environment: rest/' "$document" >"$dir/document.yaml"
 until_ok bin/cardamomctl promote "$dir/document.yaml" --expect 0 --platform "http://$platform" --environment rest --operator rest
 
 first=${#pids[@]}
