Write once what parts built side by side wrote twice

Cause: the read-through found the same code in several places: three calls of the platform's client that ask for a JSON page, counters by outcome in membership and shares, the interface that takes messages, the start of both binaries, and the key of the instances' rows, which the operators' tool spelled out for itself. Ruled out: one client call for pages and rows alike (their statuses differ). Change: platform.Client.ask, telemetry.Count and Outcome, peer.Registry, cmd/internal/cli, and the membership's own key in the tool. No behaviour changes.

--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -2,14 +2,11 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomfront/cardamomfront/front/cmd/internal/cli"
 	"github.com/cardamomfront/cardamomfront/front/operator/capacity"
 	"github.com/cardamomfront/cardamomfront/front/operator/command"
 	"github.com/cardamomfront/cardamomfront/front/operator/explain"
@@ -17,19 +14,7 @@
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
 )
 
-func main() { os.Exit(execute()) }
-
-// execute runs the command line until it ends or a signal asks it to, and
-// returns the exit code.
-func execute() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := root().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return command.ExitCode(err)
-	}
-	return command.ExitDone
-}
+func main() { os.Exit(cli.Execute(root(), command.ExitCode)) }
 
 // root returns the command with all its subcommands.
 func root() *cobra.Command {
--- a/front/cmd/cardamomfront/main.go
+++ b/front/cmd/cardamomfront/main.go
@@ -5,23 +5,18 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomfront/cardamomfront/front/cmd/internal/cli"
 	"github.com/cardamomfront/cardamomfront/front/instance"
 )
 
-func main() { os.Exit(execute()) }
+func main() { os.Exit(cli.Execute(command(), exitCode)) }
 
-// execute runs the command until it ends or a signal asks it to, and returns
-// the exit code.
-func execute() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+// exitCode returns 1 for any error.
+func exitCode(err error) int {
+	if err != nil {
 		return 1
 	}
 	return 0
--- a/front/operator/rollout.go
+++ b/front/operator/rollout.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -135,7 +136,7 @@
 		status, err := r.Client.Tell(ctx, listed.Addr, told)
 		return status.Generation, err
 	}
-	row, err := r.Store.Get(ctx, InstancesPrefix(r.Environment)+listed.Name)
+	row, err := r.Store.Get(ctx, members.InstancesPrefix(r.Environment)+listed.Name)
 	if err != nil || row.Version == 0 {
 		return 0, &NoAddressError{Instance: listed.Name}
 	}
--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
 	"github.com/cardamomfront/cardamomfront/front/platform/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
@@ -116,7 +117,7 @@
 
 func putRow(t *testing.T, store *standin.Store, name, value string) {
 	t.Helper()
-	write := platform.Write{Key: InstancesPrefix("e") + name, Value: []byte(value)}
+	write := platform.Write{Key: members.InstancesPrefix("e") + name, Value: []byte(value)}
 	if _, err := store.Commit(t.Context(), []platform.Write{write}); err != nil {
 		t.Fatal(err)
 	}
--- a/front/operator/roster.go
+++ b/front/operator/roster.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
+	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
@@ -23,15 +24,11 @@
 	process string
 }
 
-// InstancesPrefix returns the start of the keys of an environment's rows of
-// instances.
-func InstancesPrefix(environment string) string { return environment + "/instances/" }
-
 // Roster returns the instances that have a row in the table, and those at the
 // further addresses. Errors: *platform.Error, or that of a row that can't be
 // read.
 func Roster(ctx context.Context, table platform.Table, environment string, addrs []string) ([]Listed, error) {
-	rows, err := table.Scan(ctx, InstancesPrefix(environment))
+	rows, err := table.Scan(ctx, members.InstancesPrefix(environment))
 	if err != nil {
 		return nil, err
 	}
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -18,6 +18,13 @@
 // text.
 type Method func(ctx context.Context, params json.RawMessage) (any, error)
 
+// Registry takes the methods that other instances may call. Server implements
+// it.
+type Registry interface {
+	// Handle registers m under name.
+	Handle(name string, m Method)
+}
+
 // Caller calls methods of other instances. Client implements it.
 type Caller interface {
 	// Call runs method at the instance that listens on addr and decodes its
--- a/front/platform/client.go
+++ b/front/platform/client.go
@@ -226,6 +226,18 @@
 	return status == http.StatusConflict || status == http.StatusPreconditionFailed
 }
 
+// ask sends a call whose answer is a JSON page with status 200.
+func (c *Client) ask(ctx context.Context, q call, into any) error {
+	r, err := c.do(ctx, q)
+	if err != nil {
+		return err
+	}
+	if r.status != http.StatusOK {
+		return q.statusError(r)
+	}
+	return q.decode(r, into)
+}
+
 // decode reads a JSON answer. The call's effect is unknown when it wrote and
 // the answer can't be read.
 func (q call) decode(r reply, into any) error {
--- a/front/platform/instances.go
+++ b/front/platform/instances.go
@@ -13,15 +13,8 @@
 		path:   PathInstances,
 		limit:  c.settings.MaxAnswer,
 	}
-	r, err := c.do(ctx, q)
-	if err != nil {
-		return nil, err
-	}
-	if r.status != http.StatusOK {
-		return nil, q.statusError(r)
-	}
 	var answer InstancesAnswer
-	if err := q.decode(r, &answer); err != nil {
+	if err := c.ask(ctx, q, &answer); err != nil {
 		return nil, err
 	}
 	return answer.Instances, nil
--- a/front/platform/membership/messages.go
+++ b/front/platform/membership/messages.go
@@ -19,13 +19,8 @@
 	methodLook    = "membership.look"
 )
 
-// Registry takes the methods that other instances may call. *peer.Server is one.
-type Registry interface {
-	Handle(name string, m peer.Method)
-}
-
 // Register lets other instances call the keeper through server.
-func (k *Keeper) Register(server Registry) {
+func (k *Keeper) Register(server peer.Registry) {
 	server.Handle(methodProbe, k.serveProbe)
 	server.Handle(methodPromise, k.servePromise)
 	server.Handle(methodLook, k.serveLook)
--- a/front/platform/membership/metrics.go
+++ b/front/platform/membership/metrics.go
@@ -1,11 +1,11 @@
 package membership
 
 import (
-	"context"
 	"errors"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
 // Meters counts what a Keeper does.
@@ -32,9 +32,5 @@
 
 // count adds one to counter under the outcome of a call.
 func count(counter metric.Int64Counter, err error) {
-	outcome := "ok"
-	if err != nil {
-		outcome = "failed"
-	}
-	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+	telemetry.Count(counter, telemetry.Outcome(err))
 }
--- a/front/platform/shares/agent.go
+++ b/front/platform/shares/agent.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
@@ -246,7 +247,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	rows, err := a.table.Scan(ctx, Prefix(a.settings.Environment))
-	count(a.meters.reads, outcome(err))
+	telemetry.Count(a.meters.reads, telemetry.Outcome(err))
 	if err != nil {
 		return nil, err
 	}
--- a/front/platform/shares/balance.go
+++ b/front/platform/shares/balance.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/platform"
 	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/entry"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
@@ -68,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	row, err := a.table.Get(ctx, members.InstanceKey(a.settings.Environment, member))
-	count(a.meters.reads, outcome(err))
+	telemetry.Count(a.meters.reads, telemetry.Outcome(err))
 	return err == nil && row.Version == 0
 }
 
@@ -207,18 +208,18 @@
 	var failed *platform.Error
 	switch {
 	case err == nil:
-		count(a.meters.writes, outcomeOK)
+		telemetry.Count(a.meters.writes, telemetry.OutcomeOK)
 		a.forget(c)
 		a.limiter.Observe(time.Now(), self.epoch, c.team, versions[0], c.next.Of(self.name))
 		a.handOver(c, versions[0], self)
 	case errors.As(err, &conflict):
-		count(a.meters.writes, outcomeConflict)
+		telemetry.Count(a.meters.writes, outcomeConflict)
 		a.drop(c)
 	case errors.As(err, &failed) && failed.Effect == platform.EffectNone && !a.isPending(c):
-		count(a.meters.writes, outcomeFailed)
+		telemetry.Count(a.meters.writes, telemetry.OutcomeFailed)
 		a.drop(c)
 	default:
-		count(a.meters.writes, outcomeFailed)
+		telemetry.Count(a.meters.writes, telemetry.OutcomeFailed)
 		a.keep(c)
 	}
 }
--- a/front/platform/shares/borrow.go
+++ b/front/platform/shares/borrow.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 )
 
@@ -132,14 +133,14 @@
 	var loan limit.Loan
 	err := a.peers.Call(ctx, a.address(l.Instance), methodLoan, request, &loan)
 	if err != nil {
-		count(a.meters.loans, outcomeFailed)
+		telemetry.Count(a.meters.loans, telemetry.OutcomeFailed)
 		return request, limit.Loan{}
 	}
 	a.limiter.Receive(time.Now(), team, loan)
 	if loan.Units == 0 {
-		count(a.meters.loans, outcomeEmpty)
+		telemetry.Count(a.meters.loans, outcomeEmpty)
 	} else {
-		count(a.meters.loans, outcomeOK)
+		telemetry.Count(a.meters.loans, telemetry.OutcomeOK)
 	}
 	return request, loan
 }
--- a/front/platform/shares/messages.go
+++ b/front/platform/shares/messages.go
@@ -17,13 +17,8 @@
 	methodHandover = "shares.handover"
 )
 
-// Registry takes the methods that other instances may call. *peer.Server is one.
-type Registry interface {
-	Handle(name string, m peer.Method)
-}
-
 // Register lets other instances call the agent through server.
-func (a *Agent) Register(server Registry) {
+func (a *Agent) Register(server peer.Registry) {
 	server.Handle(methodLoan, a.serveLoan)
 	server.Handle(methodReturn, a.serveReturn)
 	server.Handle(methodHandover, a.serveHandover)
--- a/front/platform/shares/metrics.go
+++ b/front/platform/shares/metrics.go
@@ -30,25 +30,12 @@
 	return &Meters{reads: reads, writes: writes, loans: loans, lent: lent, waits: waits}, nil
 }
 
-// Outcomes of calls.
+// Further outcomes of calls.
 const (
-	outcomeOK       = "ok"
-	outcomeFailed   = "failed"
 	outcomeConflict = "conflict"
 	outcomeEmpty    = "empty"
 )
 
-func outcome(err error) string {
-	if err != nil {
-		return outcomeFailed
-	}
-	return outcomeOK
-}
-
-func count(counter metric.Int64Counter, outcome string) {
-	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
-}
-
 func countTeam(counter metric.Int64Counter, team string) {
 	counter.Add(context.Background(), 1, metric.WithAttributes(attribute.String("team", team)))
 }
--- a/front/platform/table.go
+++ b/front/platform/table.go
@@ -49,15 +49,8 @@
 		query:  url.Values{QueryPrefix: {prefix}},
 		limit:  c.settings.MaxAnswer,
 	}
-	r, err := c.do(ctx, q)
-	if err != nil {
-		return nil, err
-	}
-	if r.status != http.StatusOK {
-		return nil, q.statusError(r)
-	}
 	var answer ScanAnswer
-	if err := q.decode(r, &answer); err != nil {
+	if err := c.ask(ctx, q, &answer); err != nil {
 		return nil, err
 	}
 	return answer.Rows, nil
@@ -167,19 +160,12 @@
 		writes: true,
 		limit:  c.settings.MaxAnswer,
 	}
-	r, err := c.do(ctx, q)
-	if err != nil {
-		return nil, err
-	}
-	if r.status != http.StatusOK {
-		return nil, q.statusError(r)
-	}
 	var answer TransactionAnswer
-	if err := q.decode(r, &answer); err != nil {
+	if err := c.ask(ctx, q, &answer); err != nil {
 		return nil, err
 	}
 	if len(answer.Versions) != len(writes) {
-		return nil, &Error{Op: q.op, Effect: EffectUnknown, Status: r.status, Err: errVersionCount}
+		return nil, &Error{Op: q.op, Effect: EffectUnknown, Status: http.StatusOK, Err: errVersionCount}
 	}
 	return answer.Versions, nil
 }
