--- a/front/cmd/cardamomfront/main.go
+++ b/front/cmd/cardamomfront/main.go
@@ -22,7 +22,7 @@
 	return 0
 }
 
-// command returns the only command: run an instance, or check its settings.
+// command returns the root command: run an instance, or check its settings.
 func command() *cobra.Command {
 	var file string
 	var checkOnly bool
@@ -47,6 +47,7 @@
 	cmd.Flags().StringVar(&file, "settings", "", "settings file (required)")
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings file and exit")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(gatewayCommand())
 	return cmd
 }
 
--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/health"
 )
@@ -160,14 +159,3 @@
 	}
 	return e
 }
-
-// shed returns the endpoint's own word that it did not run the request, or nil.
-func shed(resp *http.Response, address string, now time.Time) *Error {
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
-	if resp.Header.Get(HeaderVerdict) != notRunWord {
-		return nil
-	}
-	return &Error{Reason: ReasonShed, Verdict: notRun, Address: address, RetryAfter: retryAfter(resp.Header, now)}
-}
--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -34,6 +34,10 @@
 type Target struct {
 	// Address is the endpoint's host and port.
 	Address string
+	// Incarnation tells processes apart that use the address one after another.
+	// A connection is only used for the incarnation that it was made for. ""
+	// where endpoints are known by address alone.
+	Incarnation string
 }
 
 // Request is a request to be sent to an endpoint.
@@ -46,6 +50,8 @@
 	Team string
 	// Idempotent says that the request may run twice without harm.
 	Idempotent bool
+	// Deadline is what the endpoint is told; zero means the context's.
+	Deadline time.Time
 	// Silence bounds the time without progress on the connection; 0 leaves
 	// only the context's deadline.
 	Silence time.Duration
@@ -73,6 +79,10 @@
 	Connections health.ConnectionRules
 	// Dial makes network connections; nil means the system's dialer.
 	Dial DialFunc
+	// Protocol is what is spoken with endpoints; nil means this project's own.
+	Protocol Protocol
+	// NoProbes leaves endpoints alone whose connections went silent.
+	NoProbes bool
 }
 
 // DialFunc makes a network connection, like net.Dialer.DialContext.
@@ -83,7 +93,7 @@
 	settings Settings
 	observer Observer
 	dialer   *dialer
-	pools    sync.Map // address to *pool
+	pools    sync.Map // Target to *pool
 
 	exchangePrefix string
 	exchanges      atomic.Uint64
@@ -104,6 +114,9 @@
 	if s.Dial == nil {
 		s.Dial = (&net.Dialer{Timeout: s.DialTimeout}).DialContext
 	}
+	if s.Protocol == nil {
+		s.Protocol = ownProtocol{}
+	}
 	return &Client{
 		settings:       s,
 		observer:       o,
@@ -143,14 +156,22 @@
 }
 
 // pool returns the pool of an endpoint.
-func (c *Client) pool(address string) *pool {
-	if p, ok := c.pools.Load(address); ok {
+func (c *Client) pool(t Target) *pool {
+	if p, ok := c.pools.Load(t); ok {
 		return p.(*pool)
 	}
-	p, _ := c.pools.LoadOrStore(address, &pool{rules: c.settings.Connections})
+	p, _ := c.pools.LoadOrStore(t, &pool{rules: c.settings.Connections})
 	return p.(*pool)
 }
 
+// Forget closes the idle connections to an endpoint that is gone. Exchanges
+// that are under way go on.
+func (c *Client) Forget(t Target) {
+	if p, ok := c.pools.LoadAndDelete(t); ok {
+		p.(*pool).close()
+	}
+}
+
 // nextExchange returns an identifier that no other exchange has.
 func (c *Client) nextExchange() string {
 	return c.exchangePrefix + strconv.FormatUint(c.exchanges.Add(1), 36)
--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -31,6 +31,10 @@
 	ReasonCrossed Reason = "answer-crossed"
 	// ReasonUnframed means that the answer's end could not be told from a cut.
 	ReasonUnframed Reason = "answer-unframed"
+	// ReasonFlawed means that the answer can't be the endpoint's.
+	ReasonFlawed Reason = "answer-flawed"
+	// ReasonMisdirected means that another process has the address.
+	ReasonMisdirected Reason = "endpoint-replaced"
 	// ReasonCallerBody means that the caller's body could not be read.
 	ReasonCallerBody Reason = "caller-body"
 	// ReasonUnsendable means that the request cannot be sent to an endpoint.
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -30,6 +30,10 @@
 	pool    *pool
 	conn    *conn
 	address string
+	// incarnation is the one that the request is meant for, or "".
+	incarnation string
+	// request is what is being sent.
+	request *Request
 	parent  context.Context
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -48,7 +52,7 @@
 	if err := sendable(r); err != nil {
 		return nil, &Error{Reason: ReasonUnsendable, Verdict: notRun, Address: t.Address, Err: err}
 	}
-	p := c.pool(t.Address)
+	p := c.pool(t)
 	if idle := p.take(time.Now(), r.Idempotent); idle != nil {
 		answer, again, err := c.exchange(ctx, p, idle, t, r)
 		if !again {
@@ -92,13 +96,13 @@
 // exchange sends r on cn. It reports again when a new connection may be tried,
 // because nothing was written and the caller's body was not touched.
 func (c *Client) exchange(ctx context.Context, p *pool, cn *conn, t Target, r *Request) (a *Answer, again bool, err error) {
-	x := &exchange{client: c, pool: p, conn: cn, address: t.Address, parent: ctx, sentAt: time.Now(), relayed: r.Relayed != nil}
+	x := &exchange{client: c, pool: p, conn: cn, address: t.Address, incarnation: t.Incarnation, request: r, parent: ctx, sentAt: time.Now(), relayed: r.Relayed != nil}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	cn.net.begin(x.sentAt)
 	x.watch = newSilenceWatch(cn.net, r.Silence, x.cancel)
 	x.body = &callerBody{body: r.HTTP.Body, watch: x.watch}
 	id := c.nextExchange()
-	resp, err := cn.http.RoundTrip(x.request(r, id)) //nolint:bodyclose // answerBody closes it
+	resp, err := cn.http.RoundTrip(x.httpRequest(r, id)) //nolint:bodyclose // answerBody closes it
 	x.watch.stop()
 	if err != nil {
 		failure := x.failed(err)
@@ -109,21 +113,13 @@
 	return answer, false, err
 }
 
-// request builds the request for the endpoint.
-func (x *exchange) request(r *Request, id string) *http.Request {
-	deadline, _ := x.ctx.Deadline()
+// httpRequest builds the request for the endpoint.
+func (x *exchange) httpRequest(r *Request, id string) *http.Request {
 	out := &http.Request{
-		Method: r.HTTP.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       x.address,
-			Path:       r.HTTP.URL.Path,
-			RawPath:    r.HTTP.URL.RawPath,
-			RawQuery:   r.HTTP.URL.RawQuery,
-			ForceQuery: r.HTTP.URL.ForceQuery,
-		},
+		Method:        r.HTTP.Method,
+		URL:           targetURL(x.address, r.HTTP),
 		Host:          r.HTTP.Host,
-		Header:        requestHeaders(r, id, deadline, x.sentAt),
+		Header:        x.requestHeaders(r, id),
 		ContentLength: r.HTTP.ContentLength,
 	}
 	if r.HTTP.Body != nil && r.HTTP.Body != http.NoBody && r.HTTP.ContentLength != 0 {
@@ -134,6 +130,40 @@
 	return out.WithContext(x.ctx)
 }
 
+// targetURL returns the URL of r at address. The path goes out as it came:
+// decoding and encoding it again could change it.
+func targetURL(address string, r *http.Request) *url.URL {
+	u := &url.URL{
+		Scheme:     "http",
+		Host:       address,
+		Path:       r.URL.Path,
+		RawPath:    r.URL.RawPath,
+		RawQuery:   r.URL.RawQuery,
+		ForceQuery: r.URL.ForceQuery,
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		u.Opaque = path
+	}
+	return u
+}
+
+// requestHeaders returns the end-to-end headers of the caller's request with
+// what the protocol adds.
+func (x *exchange) requestHeaders(r *Request, id string) http.Header {
+	h := requestHeaders(r)
+	deadline := r.Deadline
+	if deadline.IsZero() {
+		deadline, _ = x.ctx.Deadline()
+	}
+	left := time.Duration(-1)
+	if !deadline.IsZero() {
+		left = max(0, deadline.Sub(x.sentAt))
+	}
+	x.client.settings.Protocol.Prepare(h, r, Outgoing{Exchange: id, Incarnation: x.incarnation, Left: left})
+	return h
+}
+
 // accept turns a response into an answer, or into the error that it tells.
 func (x *exchange) accept(resp *http.Response, id string) (*Answer, error) {
 	elapsed := time.Since(x.sentAt)
@@ -149,7 +179,8 @@
 		x.discard(resp.Body)
 		return nil, err
 	}
-	if err := shed(resp, x.address, time.Now()); err != nil {
+	if err := x.client.settings.Protocol.Shed(resp, time.Now()); err != nil {
+		err.Address = x.address
 		x.client.observer.Observe(x.address, health.OutcomeShed, elapsed)
 		x.discard(resp.Body)
 		return nil, err
@@ -170,18 +201,23 @@
 // refuse returns an error for an answer that must not be passed on.
 func (x *exchange) refuse(resp *http.Response, id string) *Error {
 	e := &Error{Address: x.address}
-	echoed := resp.Header.Get(HeaderExchange)
-	switch {
-	case echoed != "" && echoed != id:
+	protocol := x.client.settings.Protocol
+	switch echoed := protocol.Echoed(resp, x.request); {
+	case echoed != "" && echoed != protocol.Expected(x.request, id):
 		e.Reason = ReasonCrossed
 		e.Err = fmt.Errorf("the answer is for exchange %q", echoed)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		e.Reason = ReasonUnframed
 		e.Err = errors.New("the endpoint switched protocols unasked")
-	case resp.Body != http.NoBody && !framed(resp):
+	case resp.Body != http.NoBody && !framed(resp) && !protocol.AllowsUnframed():
 		e.Reason = ReasonUnframed
 		e.Err = errors.New("the answer has neither a length nor chunks")
 	default:
+		if flaw := protocol.Flaw(resp); flaw != nil {
+			e.Reason = ReasonFlawed
+			e.Err = flaw
+			return e
+		}
 		return nil
 	}
 	return e
--- a/front/endpoint/headers.go
+++ b/front/endpoint/headers.go
@@ -69,29 +69,15 @@
 	return len(name) >= len(HeaderPrefix) && strings.EqualFold(name[:len(HeaderPrefix)], HeaderPrefix)
 }
 
-// requestHeaders returns the headers for the endpoint: no key, no hop-by-hop
-// header, and this system's own headers set afresh.
-func requestHeaders(r *Request, exchange string, deadline, now time.Time) http.Header {
+// requestHeaders returns the caller's headers for the endpoint: no key, no
+// hop-by-hop header and nothing that net/http would add.
+func requestHeaders(r *Request) http.Header {
 	h := endToEnd(r.HTTP.Header)
 	removeKey(h, r.HTTP.Header)
 	h.Del("Expect")
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
-	if r.Team != "" {
-		h.Set(HeaderTeam, r.Team)
-	}
-	if r.ID != "" {
-		h.Set(HeaderRequestID, r.ID)
-	}
-	h.Set(HeaderExchange, exchange)
-	for name, values := range r.Relayed {
-		h[name] = values
-	}
-	if !deadline.IsZero() {
-		left := max(0, deadline.Sub(now).Milliseconds())
-		h.Set(HeaderDeadline, strconv.FormatInt(left, 10))
-	}
 	return h
 }
 
--- a/front/endpoint/probe.go
+++ b/front/endpoint/probe.go
@@ -15,6 +15,10 @@
 	if !p.silent(cn.net.lastProgress()) {
 		return
 	}
+	if c.settings.NoProbes {
+		p.probed()
+		return
+	}
 	answered := health.OutcomeSilentConnection
 	if cn.fresh {
 		answered = health.OutcomeTimedOut
--- /dev/null
+++ b/front/gateway/gateway.go
@@ -0,0 +1,271 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/negroni/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/quota"
+)
+
+const (
+	// operatorWait is how long the store may hold a call for the operators'
+	// table. A silent connection is noticed that much later.
+	operatorWait = 2 * time.Second
+	// endpointsPause is the time between two readings of the endpoints' table.
+	// A leaving endpoint must get nothing 2.5 s after it said so.
+	endpointsPause = 900 * time.Millisecond
+	// lapseReturn is how long after the store's return entries that lapsed
+	// meanwhile may come back.
+	lapseReturn = 2200 * time.Millisecond
+	// instancesPause is the time between two readings of the instances' table.
+	// New instances call the others themselves.
+	instancesPause = 5 * time.Second
+	// headerTimeout bounds the time for a request's header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep idle connections.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// peerDialTimeout bounds the making of a connection to another instance.
+	peerDialTimeout = 800 * time.Millisecond
+	// endpointDialTimeout bounds the making of a connection to an endpoint.
+	endpointDialTimeout = 700 * time.Millisecond
+)
+
+// Parts are what an instance speaks with others.
+type Parts struct {
+	// Store is the shared store.
+	Store registry.Store
+	// Decoder reads its rows.
+	Decoder Decoder
+	// Callers is the protocol with callers.
+	Callers CallerProtocol
+	// Endpoints is the protocol with endpoints.
+	Endpoints endpoint.Protocol
+	// Ingress answers questions about instances.
+	Ingress Ingress
+	// Dial makes connections to endpoints.
+	Dial endpoint.DialFunc
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	settings *Settings
+	parts    Parts
+	handler  *handler
+	beliefs  *beliefs
+	moves    *moves
+	mesh     *mesh
+	client   *endpoint.Client
+	peers    *peer.Server
+	page     http.Handler
+	writer   *telemetry.BoundedWriter
+	logger   *logrus.Logger
+	log      logrus.FieldLogger
+}
+
+// New returns an instance that is not running. It logs to out.
+func New(s *Settings, p Parts, out io.Writer) (*Gateway, error) {
+	writer := telemetry.NewBoundedWriter(out)
+	log, err := telemetry.NewLog(s.Log, writer)
+	if err != nil {
+		return nil, err
+	}
+	t, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	counts, err := newMetrics(t)
+	if err != nil {
+		return nil, err
+	}
+	observer, err := endpoint.CountOutcomes(ignoreOutcomes{}, t.Meter)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{settings: s, parts: p, page: t.Page, writer: writer, logger: log, log: log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Name})}
+	g.client = endpoint.NewClient(endpoint.Settings{
+		DialTimeout: endpointDialTimeout, Dial: p.Dial, Protocol: p.Endpoints, NoProbes: true,
+		Connections: health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdle},
+	}, observer)
+	placer := placing.New(placing.DefaultRules(), placing.Locality{
+		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains,
+	})
+	limiter := quota.New()
+	g.moves = newMoves(p.Store, p.Decoder, func() bool { return g.mesh.leads() }, log)
+	g.beliefs = newBeliefs(p.Decoder, placer, limiter, g.client, g.moves, log)
+	g.mesh = newMesh(s, p.Store, placer, limiter, g.moves, g.beliefs.ready, log)
+	g.peers = peer.NewServer(nil, log)
+	g.peers.PlainNetwork = true
+	g.peers.Handle(methodSync, g.mesh.handle)
+	g.handler = &handler{
+		protocol: p.Callers, beliefs: g.beliefs, metrics: counts, log: log.WithField("prefix", "request"),
+		sender: &sender{client: g.client, placer: placer, moves: g.moves, metrics: counts, budgets: newBudgets(s, g.mesh.size)},
+	}
+	return g, nil
+}
+
+// endpointIdle is how long an idle connection to an endpoint is used. Endpoints
+// of the users close them after ten seconds.
+const endpointIdle = 8 * time.Second
+
+// ignoreOutcomes takes no part in judging endpoints: placing does so.
+type ignoreOutcomes struct{}
+
+// Observe implements endpoint.Observer.
+func (ignoreOutcomes) Observe(string, health.Outcome, time.Duration) {}
+
+// Run serves until ctx ends and then stops in order. Errors: a listener that
+// can't be opened, or the first failure of a part.
+func (g *Gateway) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	logs, endLogs := context.WithCancel(context.WithoutCancel(ctx))
+	var written errgroup.Group
+	written.Go(func() error { return g.writer.Run(logs) })
+	defer func() {
+		endLogs()
+		_ = written.Wait() // its Run returns no error
+	}()
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	group, life := errgroup.WithContext(life)
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	peers, err := g.peers.Listen(g.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return g.peers.Serve(life, peers) })
+	for _, run := range g.components(life) {
+		group.Go(func() error { return run(life) })
+	}
+	g.log.WithFields(logrus.Fields{"callers": g.settings.Listen.Callers, "store": g.settings.Store}).Info("Started.")
+	select {
+	case <-ctx.Done():
+	case <-life.Done():
+		g.log.Error("A part failed, stopping.")
+	}
+	g.stop(life, servers)
+	end()
+	err = group.Wait()
+	g.log.Info("Stopped.")
+	return err
+}
+
+// components returns the background work.
+func (g *Gateway) components(ctx context.Context) []func(context.Context) error {
+	operator, endpoints, _ := g.parts.Decoder.Tables()
+	watch := func(r registry.Rule, see func(time.Time, map[string]registry.Row)) func(context.Context) error {
+		return registry.NewWatcher(r, g.parts.Store, see, g.logger).Run
+	}
+	return []func(context.Context) error{
+		watch(registry.Rule{Table: operator, Wait: operatorWait}, g.beliefs.seeOperator),
+		watch(registry.Rule{Table: endpoints, Pause: endpointsPause, Return: lapseReturn}, g.beliefs.seeEndpoints),
+		watch(registry.Rule{Table: tableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)),
+		g.mesh.Run,
+		g.moves.Run,
+		g.client.Run,
+	}
+}
+
+// server is a listener with its HTTP server.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// serve serves until the server is closed.
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// listen opens all HTTP listeners, the callers' first.
+func (g *Gateway) listen() ([]*server, error) {
+	l := g.settings.Listen
+	chain := negroni.New()
+	chain.UseHandler(g.handler)
+	pages := []struct {
+		address string
+		handler http.Handler
+	}{
+		{l.Callers, chain},
+		{l.Ready, g.parts.Ingress.Ready(g.ready)},
+		{l.Directory, g.parts.Ingress.Directory(g.mesh.find, g.settings.lifetime())},
+		{l.Metrics, g.page},
+	}
+	var servers []*server
+	for _, p := range pages {
+		if p.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, &server{listener: listener, http: &http.Server{
+			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}})
+	}
+	return servers, nil
+}
+
+// ready says whether callers should come here.
+func (g *Gateway) ready() bool { return g.beliefs.ready() && !g.mesh.isLeaving() }
+
+// Parts of the grace time, in order.
+const (
+	// closeAfter is when answers begin to close their connections: callers
+	// have had time to ask the directory again.
+	closeAfter = 0.15
+	// refuseAfter is when new requests are refused, so that those taken before
+	// can end in time.
+	refuseAfter = 0.5
+	// cutAfter is when the wait for requests that still run ends.
+	cutAfter = 0.95
+)
+
+// stop carries out a planned stop: callers are sent elsewhere, requests that
+// are under way end, and only then does the process.
+func (g *Gateway) stop(ctx context.Context, servers []*server) {
+	g.log.WithField("grace_ms", g.settings.grace().Milliseconds()).Info("Stopping.")
+	begun := time.Now()
+	until := func(part float64) time.Time { return begun.Add(seconds(part * g.settings.Grace)) }
+	g.mesh.leave()
+	go g.mesh.unregister(ctx)
+	sleepUntil(until(closeAfter))
+	g.handler.stopping.Store(true)
+	sleepUntil(until(refuseAfter))
+	g.handler.refusing.Store(true)
+	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), until(cutAfter))
+	defer cancel()
+	if err := servers[0].http.Shutdown(end); err != nil {
+		g.log.WithError(err).Error("Requests were cut at the end of the grace time.")
+	}
+	for _, s := range servers[1:] {
+		_ = s.http.Close() // nothing waits for their answers any more
+	}
+}
+
+// sleepUntil waits until t.
+func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
--- /dev/null
+++ b/front/gateway/sender.go
@@ -0,0 +1,351 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/retry"
+	"github.com/cardamomfront/cardamomfront/steer/rollout"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+const (
+	// maxTries bounds the endpoints of one request where its route allows
+	// more: each further one finds less time left.
+	maxTries = 4
+	// silenceFactor is by how many times an idempotent request's answer may be
+	// later than expected before another endpoint is asked.
+	silenceFactor = 3
+	// leastSilence is the least time after which that is done.
+	leastSilence = 800 * time.Millisecond
+	// leastLeft is the least time that another try must have.
+	leastLeft = 100 * time.Millisecond
+	// budgetShare is the part of the allowed tries that the instances use
+	// together, so that there is room for instances that disagree on the fleet.
+	budgetShare = 0.6
+)
+
+// sender brings requests to endpoints.
+type sender struct {
+	client  *endpoint.Client
+	placer  *placing.Placer
+	moves   *moves
+	budgets *budgets
+	metrics *metrics
+}
+
+// targetOf returns how the client names an endpoint.
+func targetOf(e *catalog.Endpoint) endpoint.Target {
+	return endpoint.Target{Address: e.Address, Incarnation: e.ID}
+}
+
+// failure is a try that brought no answer for the caller.
+type failure struct {
+	answer *heldAnswer // the endpoint's own failure, which may be passed on
+	err    error
+}
+
+// send tries endpoints until one has answered, or no further try is allowed.
+func (s *sender) send(ctx context.Context, x *exchange) (*heldAnswer, *refusal) {
+	var tried []catalog.Incarnation
+	var last failure
+	arrivals := 0
+	s.budgets.deposit(x.service)
+	for {
+		choice, err := s.choose(x, tried)
+		if err != nil {
+			return s.giveUp(ctx, x, last, err)
+		}
+		x.tries++
+		answer, f := s.try(ctx, x, choice)
+		if f == nil {
+			return answer, nil
+		}
+		last = *f
+		tried = append(tried, choice.Endpoint.Incarnation())
+		if !neverConnected(f.err) {
+			arrivals++
+		}
+		if !s.again(ctx, x, arrivals) {
+			return s.giveUp(ctx, x, last, nil)
+		}
+	}
+}
+
+// neverConnected says whether a try never reached its endpoint.
+func neverConnected(err error) bool {
+	var e *endpoint.Error
+	return errors.As(err, &e) && e.Reason == endpoint.ReasonUnreachable
+}
+
+// again says whether another endpoint may be tried.
+func (s *sender) again(ctx context.Context, x *exchange, arrivals int) bool {
+	switch {
+	case ctx.Err() != nil || time.Until(x.deadline) < leastLeft:
+		return false
+	case x.streamed:
+		return false // a part of the body may be gone
+	case x.verdict != verdict.NotRun && !x.route.Idempotent:
+		return false
+	case x.tries >= maxTries || arrivals >= max(1, x.route.MaxEndpoints):
+		return false
+	case arrivals == 0:
+		return true
+	}
+	return s.budgets.take(x.service)
+}
+
+// choose reserves an endpoint, of the version that the service's move asks for.
+func (s *sender) choose(x *exchange, tried []catalog.Incarnation) (*placing.Choice, error) {
+	now := time.Now()
+	homes, ok := catalog.Homes(x.route, x.team)
+	if !ok {
+		return nil, &placing.Refusal{Reason: placing.ReasonNoEndpoint}
+	}
+	q := placing.Query{
+		Service: x.service,
+		Route:   x.route.Name,
+		Homes:   homes,
+		Tried:   tried,
+		Goal:    x.route.Goal,
+		Limit:   x.deadline.Sub(now),
+	}
+	if x.route.Affinity {
+		q.Object = x.caller.Object
+	}
+	var err error
+	for _, versions := range s.moves.versions(x.service, now, len(tried) == 0) {
+		q.Versions = versions
+		var choice *placing.Choice
+		if choice, err = s.placer.Choose(now, q); err == nil {
+			return choice, nil
+		}
+	}
+	return nil, err
+}
+
+// try sends the request to one endpoint.
+func (s *sender) try(ctx context.Context, x *exchange, c *placing.Choice) (*heldAnswer, *failure) {
+	move := s.moves.move(x.service)
+	if move != nil {
+		move.Started(c.Endpoint.Version)
+	}
+	tryCtx, cancel := s.bound(ctx, x, c)
+	defer cancel()
+	begun := time.Now()
+	answer, err := s.client.Send(tryCtx, targetOf(&c.Endpoint), &endpoint.Request{
+		HTTP:       x.outgoing(),
+		ID:         x.caller.ID,
+		Team:       x.teamName(),
+		Idempotent: x.route.Idempotent,
+		Deadline:   x.deadline,
+	})
+	var held *heldAnswer
+	if err == nil {
+		held, err = hold(answer)
+	}
+	elapsed := time.Since(begun)
+	outcome := outcomeOf(ctx, held, err, elapsed, c)
+	s.placer.Done(time.Now(), c, outcome, elapsed)
+	if move != nil {
+		note(move, c, outcome, elapsed)
+	}
+	x.noteVerdict(err)
+	s.logTry(x, c, outcome, held, err, elapsed)
+	if err == nil && held.Status < http.StatusInternalServerError && !falsePromise(held.Status) {
+		return held, nil
+	}
+	return nil, &failure{answer: held, err: err}
+}
+
+// bound limits a try of an idempotent request, so that another endpoint can be
+// asked when this one is silent.
+func (s *sender) bound(ctx context.Context, x *exchange, c *placing.Choice) (context.Context, context.CancelFunc) {
+	silence := max(silenceFactor*c.Expected, leastSilence)
+	if !x.route.Idempotent || x.tries >= x.route.MaxEndpoints || time.Until(x.deadline) < silence+c.Expected {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, silence)
+}
+
+// note tells a move how a try ended.
+func note(move *rollout.Move, c *placing.Choice, o placing.Outcome, elapsed time.Duration) {
+	failed := o == placing.OutcomeFailed || o == placing.OutcomeSilent
+	move.Ended(c.Endpoint.Version, o == placing.OutcomeAnswered, failed, elapsed)
+}
+
+// noteVerdict takes in what a try says about whether the request has run.
+func (x *exchange) noteVerdict(err error) {
+	var e *endpoint.Error
+	switch {
+	case err == nil:
+		x.verdict = verdict.Ran
+	case errors.As(err, &e) && e.Verdict == verdict.NotRun:
+	default:
+		x.verdict = x.verdict.Worse(verdict.MayHaveRun)
+	}
+}
+
+// falsePromise says whether a status promises that the request has not run.
+// An endpoint that has not proved it can't have it passed on.
+func falsePromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// outcomeOf returns what a try says about the endpoint.
+func outcomeOf(ctx context.Context, a *heldAnswer, err error, elapsed time.Duration, c *placing.Choice) placing.Outcome {
+	if err == nil {
+		if a.Status >= http.StatusInternalServerError {
+			return placing.OutcomeFailed
+		}
+		return placing.OutcomeAnswered
+	}
+	var e *endpoint.Error
+	if !errors.As(err, &e) {
+		return placing.OutcomeFailed
+	}
+	switch e.Reason {
+	case endpoint.ReasonShed:
+		return placing.OutcomeShed
+	case endpoint.ReasonMisdirected:
+		return placing.OutcomeGone
+	case endpoint.ReasonUnreachable:
+		return placing.OutcomeUnreachable
+	case endpoint.ReasonSilent, endpoint.ReasonDeadline:
+		if ctx.Err() != nil && elapsed < 2*c.Expected {
+			return placing.OutcomeUnknown // there was too little time
+		}
+		return placing.OutcomeSilent
+	case endpoint.ReasonCanceled, endpoint.ReasonCallerBody, endpoint.ReasonUnsendable:
+		return placing.OutcomeUnknown
+	case endpoint.ReasonBroken, endpoint.ReasonCut, endpoint.ReasonCrossed, endpoint.ReasonUnframed, endpoint.ReasonFlawed:
+	}
+	return placing.OutcomeFailed
+}
+
+// logTry logs one try with what decided it.
+func (s *sender) logTry(x *exchange, c *placing.Choice, o placing.Outcome, a *heldAnswer, err error, elapsed time.Duration) {
+	s.metrics.tried(x, o, c, elapsed)
+	fields := logrus.Fields{
+		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": x.tries,
+		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "domain": c.Endpoint.FailureDomain,
+		"object": x.caller.Object, "warm": c.Warm, "running": c.Running, "candidates": c.Candidates,
+		"wait_ms": c.Wait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
+		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
+	}
+	if a != nil {
+		fields["status"] = a.Status
+	}
+	entry := x.log.WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	if o == placing.OutcomeAnswered {
+		entry.Info("Request answered.")
+		return
+	}
+	entry.Info("Try failed.")
+}
+
+// giveUp returns the final answer to a request that no further endpoint is
+// tried for. refused is why none was chosen, nil when none was asked for.
+func (s *sender) giveUp(ctx context.Context, x *exchange, last failure, refused error) (*heldAnswer, *refusal) {
+	if last.answer != nil && !falsePromise(last.answer.Status) {
+		return last.answer, nil
+	}
+	r := &refusal{reason: reasonFailed, err: errors.Join(last.err, refused)}
+	var p *placing.Refusal
+	if errors.As(refused, &p) {
+		r.reason, r.expected, r.retry = reason(p.Reason), p.Expected, p.Retry
+	}
+	if last.answer != nil {
+		r.reason = reasonFalsePromise
+	}
+	switch {
+	case ctx.Err() != nil && errors.Is(x.request.Context().Err(), context.Canceled):
+		r.reason = reasonCallerLeft
+	case ctx.Err() != nil:
+		r.reason = reasonDeadline
+	}
+	r.status = statusOf(ctx, x)
+	if r.status != http.StatusServiceUnavailable {
+		r.retry = 0
+		return nil, r
+	}
+	if refused == nil {
+		r.reason = reasonNotRun
+	}
+	r.retry = max(r.retry, leastRetry)
+	return nil, r
+}
+
+// statusOf returns the status that says what is known of a request that was
+// given up on.
+func statusOf(ctx context.Context, x *exchange) int {
+	switch {
+	case x.verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case ctx.Err() != nil:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// budgets bounds the tries beyond the first, by service.
+type budgets struct {
+	ratio float64
+	slack float64
+	size  func() int // instances that share the slack
+
+	mu       sync.Mutex
+	services map[string]*retry.Budget
+}
+
+// newBudgets returns budgets that size instances share.
+func newBudgets(s *Settings, size func() int) *budgets {
+	return &budgets{ratio: s.RetryRatio, slack: s.RetrySlack, size: size, services: make(map[string]*retry.Budget)}
+}
+
+// deposit notes a request to a service.
+func (b *budgets) deposit(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if budget := b.of(service); budget != nil {
+		budget.Deposit()
+	}
+}
+
+// take takes the right to a further try.
+func (b *budgets) take(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.of(service)
+	return budget != nil && budget.Take()
+}
+
+// of returns a service's budget. The caller holds mu.
+func (b *budgets) of(service string) *retry.Budget {
+	budget := b.services[service]
+	if budget != nil {
+		return budget
+	}
+	burst := max(1, int(b.slack*budgetShare/float64(max(1, b.size()))))
+	budget, err := retry.NewBudget(retry.BudgetSettings{Ratio: b.ratio * budgetShare, Burst: burst})
+	if err != nil {
+		return nil
+	}
+	b.services[service] = budget
+	return budget
+}
--- /dev/null
+++ b/front/gateway/settings.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+)
+
+// Settings are the fixed settings of one instance.
+type Settings struct {
+	// Name is unique among the instances of an environment. Required.
+	Name string `yaml:"name" validate:"required"`
+	// Region is the instance's region. Required.
+	Region string `yaml:"region" validate:"required"`
+	// FailureDomain is the instance's failure domain. Required.
+	FailureDomain string `yaml:"failureDomain" validate:"required"`
+	// FailureDomains maps all failure domains to their regions. Required.
+	FailureDomains map[string]string `yaml:"failureDomains" validate:"required"`
+	// Listen are the addresses of this instance.
+	Listen ListenSettings `yaml:"listen"`
+	// Store is the host and port of the shared store. Required.
+	Store string `yaml:"store" validate:"required,hostname_port"`
+	// Lifetime is how long, in seconds, callers may use an answer of the
+	// directory. Required.
+	Lifetime float64 `yaml:"lifetime" validate:"gt=0"`
+	// Grace is the time, in seconds, from the signal to stop until the process
+	// is killed. Required.
+	Grace float64 `yaml:"grace" validate:"gt=0"`
+	// RetryRatio is the number of tries beyond the first that each request
+	// allows for, over all instances. Required.
+	RetryRatio float64 `yaml:"retryRatio" validate:"gt=0"`
+	// RetrySlack is the number of such tries that is allowed beyond, over all
+	// instances. Required.
+	RetrySlack float64 `yaml:"retrySlack" validate:"gte=0"`
+	// Log says what is logged and how.
+	Log telemetry.LogSettings `yaml:"log"`
+}
+
+// ListenSettings are the addresses, each an IP address and a port, on which an
+// instance listens.
+type ListenSettings struct {
+	// Callers takes callers' requests. Required.
+	Callers string `yaml:"callers" validate:"required,hostname_port"`
+	// Ready answers whether the instance takes requests. Required.
+	Ready string `yaml:"ready" validate:"required,hostname_port"`
+	// Directory answers which instances callers should use. Default: none.
+	Directory string `yaml:"directory" validate:"omitempty,hostname_port"`
+	// Peers takes calls of other instances, which are told the same address.
+	// The network must carry none but these. Required.
+	Peers string `yaml:"peers" validate:"required,hostname_port"`
+	// Metrics serves the metrics. Default: none.
+	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port"`
+}
+
+// SettingsError is a fault in the settings file.
+type SettingsError struct {
+	// File is the path as given.
+	File string
+	// Err says what is wrong, with line and column where there are any.
+	Err error
+}
+
+// Error implements error.
+func (e *SettingsError) Error() string { return fmt.Sprintf("settings %s: %v", e.File, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Err }
+
+// ReadSettings reads and checks a settings file. Unknown fields are errors.
+// Errors: *SettingsError.
+func ReadSettings(file string) (*Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &SettingsError{File: file, Err: err}
+	}
+	return DecodeSettings(file, content)
+}
+
+// DecodeSettings decodes and checks the content of a settings file. Errors:
+// *SettingsError.
+func DecodeSettings(file string, content []byte) (*Settings, error) {
+	var s Settings
+	check := validator.New(validator.WithRequiredStructEnabled())
+	if err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict(), yaml.Validator(check)); err != nil {
+		return nil, &SettingsError{File: file, Err: err}
+	}
+	if err := check.Struct(&s); err != nil {
+		return nil, &SettingsError{File: file, Err: err}
+	}
+	return &s, nil
+}
+
+// lifetime returns Lifetime as a duration.
+func (s *Settings) lifetime() time.Duration { return seconds(s.Lifetime) }
+
+// grace returns Grace as a duration.
+func (s *Settings) grace() time.Duration { return seconds(s.Grace) }
+
+// seconds turns a number of seconds into a duration.
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/front/registry/watch.go
@@ -0,0 +1,211 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// callSlack is added to the wait of a call that waits for a change, for
+	// the way there and back and a store that is busy.
+	callSlack = 1500 * time.Millisecond
+	// failurePause is the time between calls to a store that fails, short
+	// against the time in which a change has to be in force.
+	failurePause = 300 * time.Millisecond
+	// longestPause bounds that time; every instance asks a store that is away.
+	longestPause = time.Second
+)
+
+// Rule says how a table is followed.
+type Rule struct {
+	// Table is the table's name.
+	Table string
+	// Wait is how long the store may hold a call until there is a change; 0
+	// returns at once.
+	Wait time.Duration
+	// Pause is the time between the end of one call and the next.
+	Pause time.Duration
+	// Return is how long after the store's return a removal that happened
+	// while it was away is held back. Rows that lapsed meanwhile may come
+	// back in that time. 0 holds nothing back.
+	Return time.Duration
+}
+
+// Watcher follows one table. Run must be called once.
+type Watcher struct {
+	rule  Rule
+	store Store
+	see   func(now time.Time, rows map[string]Row)
+	log   logrus.FieldLogger
+
+	rows     map[string]Row
+	held     map[string]heldRow // removals that are held back
+	after    uint64
+	full     bool // the next call reads the whole table
+	answered time.Time
+	returned time.Time // when the store last came back
+	failures int
+	contact  atomic.Int64
+}
+
+// heldRow is a removal and the moment from which it counts.
+type heldRow struct {
+	row Row
+	at  time.Time
+}
+
+// NewWatcher returns a watcher that gives see all rows after each change. see
+// must not keep or change the map.
+func NewWatcher(r Rule, s Store, see func(time.Time, map[string]Row), log logrus.FieldLogger) *Watcher {
+	return &Watcher{
+		rule:  r,
+		store: s,
+		see:   see,
+		log:   log.WithFields(logrus.Fields{"prefix": "registry", "table": r.Table}),
+		rows:  make(map[string]Row),
+		held:  make(map[string]heldRow),
+		full:  true,
+	}
+}
+
+// Contact returns when the store last answered, the zero time before.
+func (w *Watcher) Contact() time.Time {
+	if n := w.contact.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// Run follows the table until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := w.rule.Pause
+		if err := w.step(ctx); err != nil && ctx.Err() == nil {
+			pause = w.failed(err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+// step makes one call and takes in its answer.
+func (w *Watcher) step(ctx context.Context) error {
+	batch, err := w.call(ctx)
+	now := time.Now()
+	if err != nil {
+		return err
+	}
+	if w.failures > 0 {
+		w.log.WithFields(logrus.Fields{"away_ms": now.Sub(w.answered).Milliseconds()}).Warn("Store regained.")
+		w.returned = now
+		w.failures = 0
+	}
+	w.answered = now
+	w.contact.Store(now.UnixNano())
+	changed := w.take(batch, now)
+	w.after = max(w.after, batch.Revision)
+	w.full = false
+	if w.release(now) || changed {
+		w.see(now, w.rows)
+	}
+	return nil
+}
+
+// call asks for the changes, or for the whole table after a gap.
+func (w *Watcher) call(ctx context.Context) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.rule.Wait+callSlack)
+	defer cancel()
+	if w.full {
+		return w.store.Read(ctx, w.rule.Table)
+	}
+	return w.store.Changes(ctx, w.rule.Table, w.after, w.rule.Wait)
+}
+
+// failed notes a failed call and returns the time until the next one.
+func (w *Watcher) failed(err error) time.Duration {
+	var gap *GapError
+	if errors.As(err, &gap) {
+		w.log.WithError(err).Warn("Reading the whole table.")
+		w.full = true
+		return 0
+	}
+	w.failures++
+	if w.failures == 1 {
+		if w.answered.IsZero() {
+			w.answered = time.Now()
+		}
+		w.log.WithError(err).Warn("Store lost.")
+	}
+	return min(failurePause*time.Duration(w.failures), longestPause)
+}
+
+// take takes in a batch and says whether the first one or a change was in it.
+func (w *Watcher) take(b Batch, now time.Time) bool {
+	changed := w.full
+	if w.full {
+		b.Rows = append(b.Rows, w.missing(b)...)
+	}
+	for _, row := range b.Rows {
+		changed = w.takeRow(row, now) || changed
+	}
+	return changed
+}
+
+// missing returns removals of the rows that a reading of the whole table does
+// not have.
+func (w *Watcher) missing(b Batch) []Row {
+	there := make(map[string]bool, len(b.Rows))
+	for _, row := range b.Rows {
+		there[row.Key] = true
+	}
+	var gone []Row
+	for key, row := range w.rows {
+		if !there[key] && row.Revision <= b.Revision {
+			gone = append(gone, Row{Key: key, Revision: b.Revision, Removed: true})
+		}
+	}
+	return gone
+}
+
+// takeRow takes in one row. A row never goes back to an older revision.
+func (w *Watcher) takeRow(row Row, now time.Time) bool {
+	known, ok := w.rows[row.Key]
+	if ok && row.Revision <= known.Revision {
+		return false
+	}
+	delete(w.held, row.Key)
+	if !row.Removed {
+		w.rows[row.Key] = row
+		return true
+	}
+	if !ok {
+		return false
+	}
+	if until := w.returned.Add(w.rule.Return); !w.returned.IsZero() && now.Before(until) {
+		w.held[row.Key] = heldRow{row: row, at: until}
+		return false
+	}
+	delete(w.rows, row.Key)
+	return true
+}
+
+// release carries out the removals that were held back long enough.
+func (w *Watcher) release(now time.Time) bool {
+	released := false
+	for key, h := range w.held {
+		if now.Before(h.at) {
+			continue
+		}
+		delete(w.held, key)
+		delete(w.rows, key)
+		released = true
+	}
+	return released
+}
--- /dev/null
+++ b/steer/catalog/endpoint.go
@@ -0,0 +1,89 @@
+package catalog
+
+import "time"
+
+// Endpoint is one incarnation of an endpoint that has registered itself.
+type Endpoint struct {
+	// ID is the name under which it registered.
+	ID string
+	// Born is its own moment of start, in milliseconds since the Unix epoch; 0
+	// when it said none. ID and Born together name an incarnation.
+	Born int64
+	// Service names its service.
+	Service string
+	// Address is its host and port.
+	Address string
+	// FailureDomain is where it runs.
+	FailureDomain string
+	// Version is the version of its software.
+	Version string
+	// Slots is how many requests it runs at the same time.
+	Slots int
+	// Leaving says that it must get no new work.
+	Leaving bool
+	// ColdUntil is when it stops being cold, on this process's clock.
+	ColdUntil time.Time
+	// Reported is when this process read the entry.
+	Reported time.Time
+	// Revision is the version of the entry; a higher one is newer.
+	Revision uint64
+}
+
+// Incarnation names one start of an endpoint.
+type Incarnation struct {
+	// ID is the name under which the endpoint registered.
+	ID string
+	// Born is its moment of start in milliseconds since the Unix epoch.
+	Born int64
+}
+
+// Incarnation returns the name of this start of the endpoint.
+func (e *Endpoint) Incarnation() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
+
+// Order is an operator's order to move a service to another version.
+type Order struct {
+	// Service names the service.
+	Service string
+	// To is the version that is to take over.
+	To string
+	// Duration is how long the move may take.
+	Duration time.Duration
+	// Revision tells orders for one service apart; a higher one is newer.
+	Revision uint64
+}
+
+// Result is how a move stands.
+type Result uint8
+
+const (
+	// ResultRunning means that the move is under way.
+	ResultRunning Result = iota
+	// ResultCompleted means that the old versions may end.
+	ResultCompleted
+	// ResultTakenBack means that the new version must get nothing.
+	ResultTakenBack
+)
+
+// String names the result for logs.
+func (r Result) String() string {
+	switch r {
+	case ResultRunning:
+		return "running"
+	case ResultCompleted:
+		return "completed"
+	case ResultTakenBack:
+		return "taken-back"
+	default:
+		return "unknown"
+	}
+}
+
+// Outcome is the recorded state of a service's move.
+type Outcome struct {
+	// To is the version that the move is to.
+	To string
+	// Result is how it stands.
+	Result Result
+	// Revision is the version of the record; 0 when there is none.
+	Revision uint64
+}
--- /dev/null
+++ b/steer/placing/endpoint.go
@@ -0,0 +1,138 @@
+package placing
+
+import (
+	"math"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+const (
+	// speedWeight is the weight of one observation in an endpoint's slowdown.
+	speedWeight = 0.3
+	// failureWeight is the weight of one outcome in the share of failures.
+	failureWeight = 0.25
+	// maxSlowdown bounds what is believed of a slow endpoint.
+	maxSlowdown = 30
+)
+
+// endpoint is what is known of one incarnation.
+type endpoint struct {
+	catalog.Endpoint
+	region string
+	hash   uint64
+
+	// starts are the moments at which requests of this instance that are still
+	// running there were sent.
+	starts []time.Time
+	// others are the requests of other instances there, by instance.
+	others map[string]int
+	warm   map[uint64]time.Time
+
+	slowdown  float64
+	failures  float64
+	judged    time.Time // when slowdown and failures were last brought up to date
+	inRow     int       // failures to connect in a row
+	restUntil time.Time
+	onTrial   bool // one request is to find out whether it is back
+
+	coldUntil  time.Time
+	coldTokens float64
+	coldFilled time.Time
+}
+
+// cold says whether the endpoint is cold at now.
+func (e *endpoint) cold(now time.Time) bool { return now.Before(e.coldUntil) }
+
+// running returns the requests of all instances there, as far as known.
+func (e *endpoint) running() int {
+	n := len(e.starts)
+	for _, other := range e.others {
+		n += other
+	}
+	return n
+}
+
+// decay forgets a part of what outcomes said, by the time since they came.
+func (e *endpoint) decay(now time.Time, forget time.Duration) {
+	since := now.Sub(e.judged)
+	if since <= 0 {
+		return
+	}
+	keep := math.Exp2(-since.Seconds() / forget.Seconds())
+	e.slowdown = 1 + (e.slowdown-1)*keep
+	e.failures *= keep
+	e.judged = now
+}
+
+// slowness returns how much longer than usual the endpoint takes. A request
+// that has run for longer than expected counts before it has ended.
+func (e *endpoint) slowness(now time.Time, usual float64) float64 {
+	s := e.slowdown
+	for _, start := range e.starts {
+		s = max(s, now.Sub(start).Seconds()/(2*usual))
+	}
+	return min(s, maxSlowdown)
+}
+
+// knows returns what is known of an object there. home says that the endpoint
+// is the object's home.
+func (e *endpoint) knows(object uint64, home bool, now time.Time, r Rules) warmth {
+	if sent, ok := e.warm[object]; ok && now.Sub(sent) <= r.WarmFor {
+		return warmthWarm
+	}
+	if home {
+		return warmthHome
+	}
+	return warmthCold
+}
+
+// remember notes that an object was sent there.
+func (e *endpoint) remember(object uint64, now time.Time, r Rules) {
+	e.warm[object] = now
+	if len(e.warm) <= r.WarmObjects {
+		return
+	}
+	var oldest uint64
+	at := now
+	for o, sent := range e.warm {
+		if sent.Before(at) {
+			oldest, at = o, sent
+		}
+	}
+	delete(e.warm, oldest)
+}
+
+// takeCold takes the right to send one request to a cold endpoint. rate is in
+// requests a second, for this instance.
+func (e *endpoint) takeCold(now time.Time, rate float64) bool {
+	e.fillCold(now, rate)
+	if e.coldTokens < 1 {
+		return false
+	}
+	e.coldTokens--
+	return true
+}
+
+// fillCold brings the tokens for a cold endpoint up to now; one is kept.
+func (e *endpoint) fillCold(now time.Time, rate float64) {
+	if e.coldFilled.IsZero() {
+		e.coldTokens = 1
+	} else {
+		e.coldTokens = min(1, e.coldTokens+rate*now.Sub(e.coldFilled).Seconds())
+	}
+	e.coldFilled = now
+}
+
+// started notes a request sent at now.
+func (e *endpoint) started(now time.Time) { e.starts = append(e.starts, now) }
+
+// ended forgets the request that was sent at start.
+func (e *endpoint) ended(start time.Time) {
+	for i, s := range e.starts {
+		if s.Equal(start) {
+			e.starts = append(e.starts[:i], e.starts[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/steer/placing/estimate.go
@@ -0,0 +1,51 @@
+package placing
+
+import "time"
+
+const (
+	// learnWeight is the weight of one observation in a mean. About the last
+	// dozen observations count.
+	learnWeight = 0.08
+	// observationCap bounds one observation to this many times the mean, so
+	// that one slow endpoint does not spoil the mean of all.
+	observationCap = 3
+	// Parts of the response-time goal that work is expected to take before
+	// anything was observed.
+	firstCold = 1.4
+	firstHome = 0.9
+	firstWarm = 0.5
+)
+
+// warmth is what is known of an object at an endpoint.
+type warmth uint8
+
+const (
+	// warmthCold means that nobody is known to have sent it there.
+	warmthCold warmth = iota
+	// warmthHome means that the endpoint is its home in a region, where other
+	// instances may have sent it.
+	warmthHome
+	// warmthWarm means that this instance has sent it there of late.
+	warmthWarm
+	warmths
+)
+
+// work holds the mean time of work of one route at one service, in seconds, by
+// warmth.
+type work struct {
+	mean [warmths]float64
+}
+
+func newWork(goal time.Duration) *work {
+	g := goal.Seconds()
+	if g <= 0 {
+		g = time.Second.Seconds()
+	}
+	return &work{mean: [warmths]float64{g * firstCold, g * firstHome, g * firstWarm}}
+}
+
+// learn takes in one observed time of work.
+func (w *work) learn(k warmth, seconds float64) {
+	seconds = min(seconds, observationCap*w.mean[k])
+	w.mean[k] += learnWeight * (seconds - w.mean[k])
+}
--- /dev/null
+++ b/steer/placing/outcome.go
@@ -0,0 +1,149 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// Outcome is how one try ended.
+type Outcome uint8
+
+const (
+	// OutcomeAnswered means that a good answer came.
+	OutcomeAnswered Outcome = iota
+	// OutcomeFailed means that the endpoint answered with a failure of its own
+	// or broke off.
+	OutcomeFailed
+	// OutcomeShed means that it said that it did not run the request.
+	OutcomeShed
+	// OutcomeUnreachable means that no connection could be made.
+	OutcomeUnreachable
+	// OutcomeSilent means that no answer came in time.
+	OutcomeSilent
+	// OutcomeGone means that another process has the address.
+	OutcomeGone
+	// OutcomeUnknown says nothing about the endpoint: the caller left.
+	OutcomeUnknown
+)
+
+// Done takes in how a try ended. elapsed is the time until its answer began.
+func (p *Placer) Done(now time.Time, c *Choice, o Outcome, elapsed time.Duration) {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	e := c.state
+	e.ended(c.start)
+	e.decay(now, p.rules.Forget)
+	switch o {
+	case OutcomeAnswered:
+		e.answered()
+		c.learn(elapsed)
+	case OutcomeFailed:
+		e.answered()
+		e.failures += failureWeight * (1 - e.failures)
+	case OutcomeShed:
+		e.answered()
+		e.failures += failureWeight / 2 * (1 - e.failures)
+		e.restUntil = now.Add(p.rules.ShedRest)
+	case OutcomeSilent:
+		e.failures += failureWeight * (1 - e.failures)
+		e.slowdown = max(e.slowdown, 2)
+	case OutcomeUnreachable, OutcomeGone:
+		e.rest(now, p.rules)
+	case OutcomeUnknown:
+	}
+}
+
+// answered notes that the endpoint is there and fails no further.
+func (e *endpoint) answered() {
+	e.inRow = 0
+	e.onTrial = false
+	e.failures -= failureWeight / 2 * e.failures
+}
+
+// rest keeps work from an endpoint that can't be reached. After it one request
+// finds out whether the endpoint is back.
+func (e *endpoint) rest(now time.Time, r Rules) {
+	d := min(r.FirstRest<<min(e.inRow, 8), r.LongestRest)
+	e.inRow++
+	e.onTrial = true
+	e.restUntil = now.Add(d)
+	clear(e.warm)
+}
+
+// learn takes in the time of an answered try.
+func (c *Choice) learn(elapsed time.Duration) {
+	w := c.group.work[c.route]
+	took := max(0, elapsed.Seconds()-c.trip)
+	expected := max(c.Expected.Seconds()-c.trip, 1e-3)
+	c.state.slowdown += speedWeight * (took/expected*c.state.slowdown - c.state.slowdown)
+	c.state.slowdown = min(max(c.state.slowdown, 0.5), maxSlowdown)
+	if c.plain && c.state.slowdown < 2 {
+		w.learn(c.warmth, took)
+	}
+}
+
+// Load is the number of this instance's requests at an endpoint.
+type Load struct {
+	// Endpoint is the incarnation.
+	Endpoint catalog.Incarnation
+	// Running is the number of requests.
+	Running int
+}
+
+// Loads returns the endpoints at which this instance has requests.
+func (p *Placer) Loads() []Load {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var loads []Load
+	for _, g := range p.groups {
+		g.mu.Lock()
+		for in, e := range g.endpoints {
+			if len(e.starts) > 0 {
+				loads = append(loads, Load{Endpoint: in, Running: len(e.starts)})
+			}
+		}
+		g.mu.Unlock()
+	}
+	return loads
+}
+
+// SetOthers takes in the loads of another instance; nil forgets them.
+func (p *Placer) SetOthers(instance string, loads []Load) {
+	running := make(map[catalog.Incarnation]int, len(loads))
+	for _, l := range loads {
+		running[l.Endpoint] = l.Running
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, g := range p.groups {
+		g.mu.Lock()
+		for in, e := range g.endpoints {
+			delete(e.others, instance)
+			if n := running[in]; n > 0 {
+				e.others[instance] = n
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// String names the outcome for logs and metrics.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeAnswered:
+		return "answered"
+	case OutcomeFailed:
+		return "failed"
+	case OutcomeShed:
+		return "shed"
+	case OutcomeUnreachable:
+		return "unreachable"
+	case OutcomeSilent:
+		return "silent"
+	case OutcomeGone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/steer/placing/placer.go
@@ -0,0 +1,206 @@
+package placing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// Locality says where this instance stands.
+type Locality struct {
+	// Self names the instance.
+	Self string
+	// Region is the instance's region.
+	Region string
+	// FailureDomain is the instance's failure domain.
+	FailureDomain string
+	// Regions maps failure domains to regions.
+	Regions map[string]string
+}
+
+// Round trips that are assumed before any was measured. They are those of the
+// users' networks, rounded up.
+const (
+	sameDomainTrip   = time.Millisecond
+	sameRegionTrip   = 4 * time.Millisecond
+	assumedOtherTrip = 80 * time.Millisecond
+)
+
+// Placer chooses endpoints for one instance.
+type Placer struct {
+	rules Rules
+	here  Locality
+
+	mu       sync.RWMutex
+	groups   map[string]*group
+	services map[string]catalog.Service
+	trips    map[string]time.Duration // by region
+	closed   map[string]bool          // failure domains that are to be left empty
+	fleet    []Member
+}
+
+// Member is one instance of the fleet.
+type Member struct {
+	// Name is unique in the fleet.
+	Name string
+	// Region is where it stands.
+	Region string
+}
+
+// group is the shard of one service.
+type group struct {
+	mu        sync.Mutex
+	endpoints map[catalog.Incarnation]*endpoint
+	ordered   []*endpoint
+	work      map[string]*work // by route
+}
+
+// New returns a placer that knows no endpoint.
+func New(r Rules, here Locality) *Placer {
+	return &Placer{
+		rules:    r,
+		here:     here,
+		groups:   make(map[string]*group),
+		services: make(map[string]catalog.Service),
+		trips:    make(map[string]time.Duration),
+		closed:   make(map[string]bool),
+		fleet:    []Member{{Name: here.Self, Region: here.Region}},
+	}
+}
+
+// SetServices takes in the services of a new catalog.
+func (p *Placer) SetServices(services map[string]catalog.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services = services
+}
+
+// SetTrip takes in a measured round trip to a region.
+func (p *Placer) SetTrip(region string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trips[region] = d
+}
+
+// SetFleet takes in the instances that are alive, this one included.
+func (p *Placer) SetFleet(members []Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet = members
+}
+
+// SetClosed takes in the failure domains whose endpoints must get nothing. The
+// endpoints of a domain that opens again count as cold at first.
+func (p *Placer) SetClosed(now time.Time, domains map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for domain := range p.closed {
+		if !domains[domain] {
+			p.chill(now, domain)
+		}
+	}
+	p.closed = domains
+}
+
+// chill marks the endpoints of a failure domain as cold. The caller holds mu.
+func (p *Placer) chill(now time.Time, domain string) {
+	for name, g := range p.groups {
+		until := now.Add(p.services[name].ColdFor)
+		g.mu.Lock()
+		for _, e := range g.ordered {
+			if e.FailureDomain == domain && e.coldUntil.Before(until) {
+				e.coldUntil = until
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// Update takes in all endpoints that may get requests. What is known of those
+// that stay is kept.
+func (p *Placer) Update(now time.Time, all []catalog.Endpoint) {
+	byService := make(map[string][]catalog.Endpoint)
+	for i := range all {
+		if !all[i].Leaving {
+			byService[all[i].Service] = append(byService[all[i].Service], all[i])
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.groups {
+		if _, ok := byService[name]; !ok {
+			p.groups[name].update(now, nil, p.here)
+		}
+	}
+	for name, endpoints := range byService {
+		g := p.groups[name]
+		if g == nil {
+			g = &group{endpoints: make(map[catalog.Incarnation]*endpoint), work: make(map[string]*work)}
+			p.groups[name] = g
+		}
+		g.update(now, endpoints, p.here)
+	}
+}
+
+// update replaces the endpoints of a service.
+func (g *group) update(now time.Time, endpoints []catalog.Endpoint, here Locality) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	former := g.endpoints
+	g.endpoints = make(map[catalog.Incarnation]*endpoint, len(endpoints))
+	g.ordered = g.ordered[:0]
+	for i := range endpoints {
+		in := endpoints[i].Incarnation()
+		e := former[in]
+		if e == nil {
+			e = &endpoint{
+				region:   here.Regions[endpoints[i].FailureDomain],
+				hash:     xxhash.Sum64String(in.ID),
+				others:   make(map[string]int),
+				warm:     make(map[uint64]time.Time),
+				slowdown: 1,
+				judged:   now,
+			}
+		}
+		e.take(endpoints[i])
+		g.endpoints[in] = e
+		g.ordered = append(g.ordered, e)
+	}
+}
+
+// take takes in an endpoint's newest entry.
+func (e *endpoint) take(entry catalog.Endpoint) {
+	if entry.ColdUntil.After(e.coldUntil) {
+		e.coldUntil = entry.ColdUntil
+	}
+	e.Endpoint = entry
+}
+
+// group returns the shard of a service, or nil.
+func (p *Placer) group(service string) *group { return p.groups[service] }
+
+// trip returns the round trip to an endpoint, in seconds. The caller holds mu.
+func (p *Placer) trip(e *endpoint) float64 {
+	switch {
+	case e.FailureDomain == p.here.FailureDomain:
+		return sameDomainTrip.Seconds()
+	case e.region == p.here.Region:
+		return sameRegionTrip.Seconds()
+	}
+	if d, ok := p.trips[e.region]; ok {
+		return d.Seconds()
+	}
+	return assumedOtherTrip.Seconds()
+}
+
+// mix joins two hashes.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/steer/placing/rules.go
@@ -0,0 +1,57 @@
+package placing
+
+import "time"
+
+// Rules are the limits and weights of the choice.
+type Rules struct {
+	// WarmObjects is how many objects an endpoint is taken to remember. The
+	// smallest memory of the users' endpoints is 21; objects that other
+	// instances send take a part of it.
+	WarmObjects int
+	// WarmFor is how long an object is taken to be remembered. An object that
+	// is asked for less often is pushed out by others in that time.
+	WarmFor time.Duration
+	// QueueFactor bounds the requests at an endpoint to Slots times this.
+	// Endpoints of the users queue three times their slots and shed the rest.
+	QueueFactor float64
+	// FirstRest is how long an endpoint gets nothing after a failure to
+	// connect. Two failures in a row double it, up to LongestRest.
+	FirstRest time.Duration
+	// LongestRest bounds a rest, so that an endpoint that is back is found
+	// within a few seconds.
+	LongestRest time.Duration
+	// ShedRest is how long an endpoint gets nothing after it has shed a
+	// request: about the time in which one slot falls free.
+	ShedRest time.Duration
+	// FailureCost is what a certain failure counts as, in time: a try that
+	// fails has to be repeated elsewhere or is lost.
+	FailureCost time.Duration
+	// Forget is the time in which half of what outcomes said of an endpoint is
+	// forgotten, so that one that has recovered gets work again.
+	Forget time.Duration
+	// ColdSenders is how many instances send to one cold endpoint. Each may
+	// begin with one request, so the sum of these is below every slack.
+	ColdSenders int
+	// ColdSlowdown is how much longer a cold endpoint works.
+	ColdSlowdown float64
+	// ColdRateShare is the part of a cold endpoint's rate that is used. Less
+	// than the whole leaves room for instances that disagree on the fleet.
+	ColdRateShare float64
+}
+
+// DefaultRules returns the rules used when none are set.
+func DefaultRules() Rules {
+	return Rules{
+		WarmObjects:   16,
+		WarmFor:       20 * time.Second,
+		QueueFactor:   3,
+		FirstRest:     500 * time.Millisecond,
+		LongestRest:   2 * time.Second,
+		ShedRest:      150 * time.Millisecond,
+		FailureCost:   2 * time.Second,
+		Forget:        2 * time.Second,
+		ColdSenders:   3,
+		ColdSlowdown:  2,
+		ColdRateShare: 0.9,
+	}
+}
--- /dev/null
+++ b/steer/quota/quota.go
@@ -0,0 +1,227 @@
+// Package quota holds each team to its rate and burst over all instances
+// together, by parts that follow where the team's requests arrive.
+//
+// Each instance tells the others the demand that it sees. An instance's part
+// of a team's quota is its part of the whole demand, so that instances which
+// know the same hold parts that add up to one. An instance that is not heard
+// of keeps its part set aside until it is known to be gone. Nothing is agreed
+// on: between two messages the parts may add up to a little more or less,
+// which is why this serves quotas that allow some excess; package limit is for
+// those that allow none.
+//
+// A Limiter does no I/O, takes the time as an argument and is safe for
+// concurrent use.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// demandWindow is the time over which demand is averaged. A shorter one
+	// follows callers that move faster; a longer one is steadier.
+	demandWindow = 2 * time.Second
+	// evenPart is the part of a quota that is dealt out evenly, so that a
+	// first request has a token wherever it arrives.
+	evenPart = 0.1
+	// startTokens is the part of an even part of the burst that a new instance
+	// begins with. The rest may have been spent by the one that it replaces.
+	startTokens = 0.8
+	// firstAllowance is what all instances together may admit beyond the burst,
+	// so that a team's first requests are taken wherever they arrive. It is
+	// half of the excess that the users allow.
+	firstAllowance = 10
+)
+
+// Quota is what a team may send over all instances together.
+type Quota struct {
+	// Rate is in requests per second; 0 is no limit.
+	Rate float64
+	// Burst is how many may come at once.
+	Burst float64
+}
+
+// Demand is the number of requests a second that one instance sees of each
+// team.
+type Demand map[string]float64
+
+// Limiter is one instance's part of all quotas.
+type Limiter struct {
+	mu     sync.Mutex
+	quotas map[string]Quota
+	teams  map[string]*bucket
+	others map[string]Demand
+	fleet  int // instances that hold a part, this one included
+}
+
+// bucket is one team's tokens at this instance.
+type bucket struct {
+	tokens float64
+	filled time.Time
+	demand float64 // requests a second
+	counted,
+	window float64 // requests and seconds since demand was last averaged
+	seen time.Time
+}
+
+// New returns a limiter without quotas, in a fleet of one.
+func New() *Limiter {
+	return &Limiter{quotas: map[string]Quota{}, teams: map[string]*bucket{}, others: map[string]Demand{}, fleet: 1}
+}
+
+// SetQuotas takes in the quotas of a new catalog.
+func (l *Limiter) SetQuotas(now time.Time, quotas map[string]Quota) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, b := range l.teams {
+		l.fill(name, b, now)
+	}
+	l.quotas = quotas
+	for name, b := range l.teams {
+		if _, ok := quotas[name]; !ok {
+			delete(l.teams, name)
+			continue
+		}
+		l.fill(name, b, now)
+	}
+}
+
+// SetFleet takes in how many instances hold a part, this one included.
+func (l *Limiter) SetFleet(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet = max(1, n)
+}
+
+// SetOther takes in the demand that another instance sees.
+func (l *Limiter) SetOther(instance string, d Demand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others[instance] = d
+}
+
+// Forget gives up the part of an instance that is gone.
+func (l *Limiter) Forget(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.others, instance)
+}
+
+// Decision says whether a request is within its team's quota.
+type Decision struct {
+	// Allowed says that the request took a token.
+	Allowed bool
+	// RetryAfter is when a token will be there, for a request that was refused.
+	RetryAfter time.Duration
+	// Part is the part of the quota that this instance holds, 0 to 1.
+	Part float64
+	// Tokens is what is left.
+	Tokens float64
+}
+
+// Take takes a token for a request of a team.
+func (l *Limiter) Take(team string, now time.Time) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q, ok := l.quotas[team]
+	if !ok || q.Rate <= 0 {
+		return Decision{Allowed: true, Part: 1}
+	}
+	b := l.bucket(team, q, now)
+	l.fill(team, b, now)
+	b.counted++
+	part := l.part(team, b)
+	if b.tokens < 1 {
+		missing := (1 - b.tokens) / (q.Rate * part)
+		return Decision{Part: part, Tokens: b.tokens, RetryAfter: time.Duration(missing * float64(time.Second))}
+	}
+	b.tokens--
+	return Decision{Allowed: true, Part: part, Tokens: b.tokens}
+}
+
+// Return gives a token back for a request that was not sent after all.
+func (l *Limiter) Return(team string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.teams[team]; b != nil {
+		b.tokens = min(b.tokens+1, l.size(team, b))
+	}
+}
+
+// Demand returns what this instance sees, for the others.
+func (l *Limiter) Demand(now time.Time) Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := make(Demand, len(l.teams))
+	for name, b := range l.teams {
+		l.fill(name, b, now)
+		if b.demand > 0 {
+			d[name] = b.demand
+		}
+	}
+	return d
+}
+
+// bucket returns a team's bucket and makes one at its first request.
+func (l *Limiter) bucket(team string, q Quota, now time.Time) *bucket {
+	b := l.teams[team]
+	if b == nil {
+		b = &bucket{filled: now, seen: now}
+		l.teams[team] = b
+		b.tokens = (firstAllowance + q.Burst*startTokens) / float64(l.fleet)
+	}
+	return b
+}
+
+// part returns the part of a team's quota that this instance holds.
+func (l *Limiter) part(team string, b *bucket) float64 {
+	own := b.demand
+	if own == 0 {
+		own = b.counted
+	}
+	total := own
+	for _, d := range l.others {
+		total += d[team]
+	}
+	even := 1 / float64(l.fleet)
+	if total == 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own/total
+}
+
+// size returns how many tokens the bucket holds at most.
+func (l *Limiter) size(team string, b *bucket) float64 {
+	return max(1, l.quotas[team].Burst*l.part(team, b))
+}
+
+// fill brings a bucket up to now.
+func (l *Limiter) fill(team string, b *bucket, now time.Time) {
+	since := now.Sub(b.filled).Seconds()
+	if since <= 0 {
+		return
+	}
+	b.filled = now
+	b.average(since)
+	gained := l.quotas[team].Rate * l.part(team, b) * since
+	b.tokens = min(b.tokens+gained, l.size(team, b))
+}
+
+// averageStep is the least time over which requests are counted before they
+// change the demand, in seconds.
+const averageStep = 0.1
+
+// average takes the requests counted since the last time into the demand.
+func (b *bucket) average(since float64) {
+	b.window += since
+	if b.window < averageStep {
+		return
+	}
+	weight := min(1, b.window/demandWindow.Seconds())
+	b.demand += weight * (b.counted/b.window - b.demand)
+	if b.demand < 1e-3 {
+		b.demand = 0
+	}
+	b.counted, b.window = 0, 0
+}
--- /dev/null
+++ b/steer/rollout/rollout.go
@@ -0,0 +1,258 @@
+// Package rollout moves a service to a new version within seconds, or takes the
+// move back.
+//
+// The new version gets a small share at first and rises in steps of the time
+// that the operator gave. Each instance counts what it sends, so the share
+// holds for the sum over all instances. The judgement compares what both
+// versions answered in the same time; whichever instance sees first that the
+// new one is worse takes the move back for all. Package shift does the same
+// for moves that take minutes or more, with tests of much less error.
+//
+// The package does no I/O and takes the time as an argument.
+package rollout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+const (
+	// lastFailures is the number of failures of the new version at which it is
+	// judged, however many it answered.
+	lastFailures = 4
+	// worse is by how much its share of failures must exceed the old one's.
+	worse = 0.12
+	// worseFactor is by how many times it must exceed it.
+	worseFactor = 2.5
+	// slowSamples is the number of answers from which slowness is judged.
+	slowSamples = 6
+	// slowFactor is by how many times its answers must take longer.
+	slowFactor = 2.2
+)
+
+// step is a share of the traffic from a part of the move's time on.
+type step struct {
+	from  float64 // part of the time
+	share float64
+}
+
+// steps stay under a tenth of the traffic until most of the time is over, since
+// a fault that shows late or under load costs what was sent until then; the
+// last one leaves a tenth of the time to say that the move is complete.
+var steps = []step{{0, 0.07}, {0.62, 0.2}, {0.7, 0.45}, {0.78, 1}}
+
+// completeAt is the part of the time at which a sound move is complete.
+const completeAt = 0.9
+
+// Tally counts how one version answered.
+type Tally struct {
+	// Answers is the number of tries that ended.
+	Answers int
+	// Failures is how many of them failed.
+	Failures int
+	// Seconds is the sum of the times of the others.
+	Seconds float64
+}
+
+// add adds another tally.
+func (t *Tally) add(o Tally) {
+	t.Answers += o.Answers
+	t.Failures += o.Failures
+	t.Seconds += o.Seconds
+}
+
+// failureShare returns the share of failures; a tally without answers has none.
+func (t Tally) failureShare() float64 {
+	if t.Answers == 0 {
+		return 0
+	}
+	return float64(t.Failures) / float64(t.Answers)
+}
+
+// meanSeconds returns the mean time of good answers.
+func (t Tally) meanSeconds() float64 {
+	good := t.Answers - t.Failures
+	if good <= 0 {
+		return 0
+	}
+	return t.Seconds / float64(good)
+}
+
+// Evidence is what one instance, or all, saw of a move.
+type Evidence struct {
+	// Old is what the other versions answered since the move began.
+	Old Tally
+	// New is what the new version answered.
+	New Tally
+}
+
+// Move is one service's move as one instance sees it.
+type Move struct {
+	order catalog.Order
+
+	mu       sync.Mutex
+	begun    time.Time
+	result   catalog.Result
+	own      Evidence
+	others   map[string]Evidence
+	sent     float64
+	sentNew  float64
+	oldInUse int
+}
+
+// New returns a move that began at begun.
+func New(o catalog.Order, begun time.Time) *Move {
+	return &Move{order: o, begun: begun, others: make(map[string]Evidence)}
+}
+
+// Order returns the operator's order.
+func (m *Move) Order() catalog.Order { return m.order }
+
+// Begun takes in an earlier beginning that another instance has seen.
+func (m *Move) Begun(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.Before(m.begun) {
+		m.begun = at
+	}
+}
+
+// Beginning returns when the move began.
+func (m *Move) Beginning() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begun
+}
+
+// Finish takes in a result. A move that is over stays as it is.
+func (m *Move) Finish(r catalog.Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.result == catalog.ResultRunning {
+		m.result = r
+	}
+}
+
+// Result returns how the move stands.
+func (m *Move) Result() catalog.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.result
+}
+
+// TakesNew says whether the next request goes to the new version. Each request
+// that is asked for earns the share of the moment, and one that goes to the new
+// version spends one.
+func (m *Move) TakesNew(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.result {
+	case catalog.ResultCompleted:
+		return true
+	case catalog.ResultTakenBack:
+		return false
+	case catalog.ResultRunning:
+	}
+	share := m.share(now)
+	if share >= 1 {
+		return true
+	}
+	m.sent += share
+	if m.sent-m.sentNew < 1 {
+		return false
+	}
+	m.sentNew++
+	return true
+}
+
+// share returns the new version's share at now.
+func (m *Move) share(now time.Time) float64 {
+	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
+	share := 0.0
+	for _, s := range steps {
+		if part >= s.from {
+			share = s.share
+		}
+	}
+	return share
+}
+
+// Started notes a try at a version.
+func (m *Move) Started(version string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version != m.order.To {
+		m.oldInUse++
+	}
+}
+
+// Ended takes in how a try at a version ended. Outcomes that say nothing about
+// the version have neither ok nor failed.
+func (m *Move) Ended(version string, ok, failed bool, elapsed time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.own.New
+	if version != m.order.To {
+		m.oldInUse--
+		t = &m.own.Old
+	}
+	switch {
+	case failed:
+		t.Answers++
+		t.Failures++
+	case ok:
+		t.Answers++
+		t.Seconds += elapsed.Seconds()
+	}
+}
+
+// Own returns what this instance saw.
+func (m *Move) Own() Evidence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.own
+}
+
+// SetOther takes in what another instance saw.
+func (m *Move) SetOther(instance string, e Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.others[instance] = e
+}
+
+// Judge returns what should be recorded now; ResultRunning is nothing.
+func (m *Move) Judge(now time.Time) (catalog.Result, Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := m.own
+	for _, e := range m.others {
+		all.Old.add(e.Old)
+		all.New.add(e.New)
+	}
+	switch {
+	case m.result != catalog.ResultRunning:
+		return catalog.ResultRunning, all
+	case all.bad():
+		return catalog.ResultTakenBack, all
+	}
+	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
+	switch {
+	case part >= 1:
+		return catalog.ResultTakenBack, all
+	case part >= completeAt && m.oldInUse == 0 && all.New.Answers > all.New.Failures:
+		return catalog.ResultCompleted, all
+	}
+	return catalog.ResultRunning, all
+}
+
+// bad says whether the new version is worse than the old one.
+func (e Evidence) bad() bool {
+	failing, usual := e.New.failureShare(), e.Old.failureShare()
+	if e.New.Failures >= lastFailures && failing > usual+worse && failing > usual*worseFactor {
+		return true
+	}
+	good := e.New.Answers - e.New.Failures
+	return good >= slowSamples && e.Old.meanSeconds() > 0 && e.New.meanSeconds() > slowFactor*e.Old.meanSeconds()
+}
