Quotas: let requests of a team through while its quota is idle

Ruled out: larger buckets alone (their sum is the burst that is allowed). Change: instances tell each other what they let through in the last 5 s; below 0.6 of the quota no token is needed, if all others were heard of within 1.2 s. A request is refused for lateness only when it can't end in time even on an endpoint that knows its object.

--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -317,7 +317,7 @@
 	if back {
 		m.log.WithFields(logrus.Fields{"instance": s.Name, "started": s.Started}).Info("Instance heard.")
 	}
-	m.limiter.SetOther(s.Name, s.Demand)
+	m.limiter.SetOther(s.Name, s.Demand, now)
 	loads := make([]placing.Load, 0, len(s.Loads))
 	for _, l := range s.Loads {
 		loads = append(loads, placing.Load{Endpoint: catalog.Incarnation{ID: l.ID, Born: l.Born}, Running: l.Running})
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -89,6 +89,7 @@
 	e        *endpoint
 	score    float64
 	expected float64
+	soonest  float64 // if the object is known there after all
 	wait     float64
 	warmth   warmth
 	plain    bool
@@ -113,7 +114,7 @@
 	if best.e == nil {
 		return nil, p.noCandidate(g, w, full)
 	}
-	if q.Limit > 0 && best.expected > q.Limit.Seconds() {
+	if q.Limit > 0 && best.soonest > q.Limit.Seconds() {
 		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(best.wait), Known: len(g.ordered)}
 	}
 	return p.reserve(g, q, best, object, count, now), nil
@@ -258,6 +259,7 @@
 	}
 	c.plain = c.wait == 0 && !e.cold(now)
 	c.expected = c.trip + c.wait + service
+	c.soonest = c.trip + c.wait + w.mean[warmthWarm]
 	c.score = c.expected + e.failures*p.rules.FailureCost.Seconds()
 	return c
 }
--- a/steer/quota/quota.go
+++ b/steer/quota/quota.go
@@ -14,6 +14,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -32,6 +33,15 @@
 	// so that a team's first requests are taken wherever they arrive. It is
 	// half of the excess that the users allow.
 	firstAllowance = 10
+	// Window is the time over which the instances count what they let through.
+	// It is that of the users' bound.
+	Window = 5 * time.Second
+	// idlePart is the part of a quota's window below which a request needs no
+	// token. The rest covers what others let through since they last told: a
+	// team that sends five times its rate uses two seconds' worth in that time.
+	idlePart = 0.6
+	// freshFor is how old the others' word may be for that.
+	freshFor = 1200 * time.Millisecond
 )
 
 // Quota is what a team may send over all instances together.
@@ -42,16 +52,29 @@
 	Burst float64
 }
 
-// Demand is the number of requests a second that one instance sees of each
-// team.
-type Demand map[string]float64
+// Usage is what one instance sees of one team.
+type Usage struct {
+	// Rate is the requests that arrive, per second.
+	Rate float64 `json:"r"`
+	// Admitted is how many were let through in the last Window.
+	Admitted int `json:"a,omitempty"`
+}
+
+// Demand is what one instance sees of each team.
+type Demand map[string]Usage
+
+// told is another instance's demand and when it was told.
+type told struct {
+	demand Demand
+	at     time.Time
+}
 
 // Limiter is one instance's part of all quotas.
 type Limiter struct {
 	mu     sync.Mutex
 	quotas map[string]Quota
 	teams  map[string]*bucket
-	others map[string]Demand
+	others map[string]told
 	fleet  int // instances that hold a part, this one included
 }
 
@@ -62,12 +85,12 @@
 	demand float64 // requests a second
 	counted,
 	window float64 // requests and seconds since demand was last averaged
-	seen time.Time
+	admitted tally
 }
 
 // New returns a limiter without quotas, in a fleet of one.
 func New() *Limiter {
-	return &Limiter{quotas: map[string]Quota{}, teams: map[string]*bucket{}, others: map[string]Demand{}, fleet: 1}
+	return &Limiter{quotas: map[string]Quota{}, teams: map[string]*bucket{}, others: map[string]told{}, fleet: 1}
 }
 
 // SetQuotas takes in the quotas of a new catalog.
@@ -95,10 +118,10 @@
 }
 
 // SetOther takes in the demand that another instance sees.
-func (l *Limiter) SetOther(instance string, d Demand) {
+func (l *Limiter) SetOther(instance string, d Demand, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others[instance] = d
+	l.others[instance] = told{demand: d, at: now}
 }
 
 // Forget gives up the part of an instance that is gone.
@@ -132,21 +155,30 @@
 	l.fill(team, b, now)
 	b.counted++
 	part := l.part(team, b)
-	if b.tokens < 1 {
+	if b.tokens < 1 && !l.idle(team, q, b, now) {
 		missing := (1 - b.tokens) / (q.Rate * part)
 		return Decision{Part: part, Tokens: b.tokens, RetryAfter: time.Duration(missing * float64(time.Second))}
 	}
-	b.tokens--
+	b.tokens = max(b.tokens-1, -l.size(team, b))
+	b.admitted.add(now)
 	return Decision{Allowed: true, Part: part, Tokens: b.tokens}
 }
 
-// Return gives a token back for a request that was not sent after all.
-func (l *Limiter) Return(team string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.teams[team]; b != nil {
-		b.tokens = min(b.tokens+1, l.size(team, b))
+// idle says whether all instances together have let through so little of a
+// team that one more is within its quota, whatever they have let through since
+// they last told.
+func (l *Limiter) idle(team string, q Quota, b *bucket, now time.Time) bool {
+	if len(l.others)+1 < l.fleet {
+		return false
+	}
+	used := float64(b.admitted.sum(now))
+	for _, o := range l.others {
+		if now.Sub(o.at) > freshFor {
+			return false
+		}
+		used += float64(o.demand[team].Admitted)
 	}
+	return used+1 <= idlePart*(q.Rate*Window.Seconds()+q.Burst)
 }
 
 // Demand returns what this instance sees, for the others.
@@ -157,7 +189,7 @@
 	for name, b := range l.teams {
 		l.fill(name, b, now)
 		if b.demand > 0 {
-			d[name] = b.demand
+			d[name] = Usage{Rate: math.Round(b.demand*100) / 100, Admitted: b.admitted.sum(now)}
 		}
 	}
 	return d
@@ -167,7 +199,7 @@
 func (l *Limiter) bucket(team string, q Quota, now time.Time) *bucket {
 	b := l.teams[team]
 	if b == nil {
-		b = &bucket{filled: now, seen: now}
+		b = &bucket{filled: now}
 		l.teams[team] = b
 		b.tokens = (firstAllowance + q.Burst*startTokens) / float64(l.fleet)
 	}
@@ -181,8 +213,8 @@
 		own = b.counted
 	}
 	total := own
-	for _, d := range l.others {
-		total += d[team]
+	for _, o := range l.others {
+		total += o.demand[team].Rate
 	}
 	even := 1 / float64(l.fleet)
 	if total == 0 {
@@ -225,3 +257,41 @@
 	}
 	b.counted, b.window = 0, 0
 }
+
+// tallySteps is the number of steps into which Window is divided.
+const tallySteps = 10
+
+// tally counts what was let through in the last Window.
+type tally struct {
+	counts [tallySteps]int
+	step   int64 // the newest step, counted from the Unix epoch
+}
+
+// add counts one.
+func (t *tally) add(now time.Time) {
+	t.advance(now)
+	t.counts[t.step%tallySteps]++
+}
+
+// sum returns the count.
+func (t *tally) sum(now time.Time) int {
+	t.advance(now)
+	n := 0
+	for _, c := range t.counts {
+		n += c
+	}
+	return n
+}
+
+// advance drops the steps that lie further back than Window.
+func (t *tally) advance(now time.Time) {
+	step := now.UnixNano() / int64(Window/tallySteps)
+	if step-t.step >= tallySteps {
+		t.counts = [tallySteps]int{}
+		t.step = step
+	}
+	for t.step < step {
+		t.step++
+		t.counts[t.step%tallySteps] = 0
+	}
+}
