Placing: a price for slots under load, refuse at the goal, use endpoints' own word on their load

Ruled out: too few slots (43 of 108 would carry the load on known objects). Change: above half utilization a second of a slot gets a price, so that a request waits at its home rather than displace others; a request that would wait is placed only if it can reach its goal; the endpoints' own load, when newer than 300 ms, goes before what instances tell each other.

--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -16,6 +16,9 @@
 	Address string
 	// Status is the HTTP status code.
 	Status int
+	// Load is the endpoint's own word on how many requests it has, running and
+	// waiting; -1 when it gave none.
+	Load int
 	// Header holds the headers to be passed on.
 	Header http.Header
 	// ContentLength is the body's length in bytes, or -1 when not known.
--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -49,6 +49,9 @@
 	Verdict verdict.Verdict
 	// Address is the endpoint's.
 	Address string
+	// Load is the endpoint's own word on how many requests it has, where Reason
+	// is ReasonShed; -1 when it gave none.
+	Load int
 	// Header holds the headers of another instance that failed to relay the
 	// request; it is nil otherwise.
 	Header http.Header
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -181,12 +181,13 @@
 	}
 	if err := x.client.settings.Protocol.Shed(resp, time.Now()); err != nil {
 		err.Address = x.address
+		err.Load = x.load(resp)
 		x.client.observer.Observe(x.address, health.OutcomeShed, elapsed)
 		x.discard(resp.Body)
 		return nil, err
 	}
 	x.client.observer.Observe(x.address, outcomeOf(resp.StatusCode), elapsed)
-	a := &Answer{Address: x.address, Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	a := &Answer{Address: x.address, Load: x.load(resp), Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
 	if x.relayed {
 		a.Address = resp.Header.Get(HeaderRelayEndpoint)
 	}
@@ -198,6 +199,14 @@
 	return a, nil
 }
 
+// load returns the endpoint's own word on its requests, or -1.
+func (x *exchange) load(resp *http.Response) int {
+	if n, ok := x.client.settings.Protocol.Load(resp); ok {
+		return n
+	}
+	return -1
+}
+
 // refuse returns an error for an answer that must not be passed on.
 func (x *exchange) refuse(resp *http.Response, id string) *Error {
 	e := &Error{Address: x.address}
--- a/front/endpoint/protocol.go
+++ b/front/endpoint/protocol.go
@@ -28,6 +28,9 @@
 	Expected(r *Request, exchange string) string
 	// Flaw says why an answer can't be the endpoint's whole answer, or nil.
 	Flaw(resp *http.Response) error
+	// Load returns how many requests the endpoint says that it has, running and
+	// waiting, or false.
+	Load(resp *http.Response) (requests int, ok bool)
 	// Shed returns the endpoint's word that it did not run the request, with
 	// verdict.NotRun, or nil.
 	Shed(resp *http.Response, now time.Time) *Error
@@ -66,6 +69,9 @@
 // Flaw implements Protocol.
 func (ownProtocol) Flaw(*http.Response) error { return nil }
 
+// Load implements Protocol.
+func (ownProtocol) Load(*http.Response) (int, bool) { return 0, false }
+
 // Shed implements Protocol.
 func (ownProtocol) Shed(resp *http.Response, now time.Time) *Error {
 	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(HeaderVerdict) != notRunWord {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -111,12 +112,13 @@
 		return nil, &placing.Refusal{Reason: placing.ReasonNoEndpoint}
 	}
 	q := placing.Query{
-		Service: x.service,
-		Route:   x.route.Name,
-		Homes:   homes,
-		Tried:   tried,
-		Goal:    x.route.Goal,
-		Limit:   x.deadline.Sub(now),
+		Service:  x.service,
+		Route:    x.route.Name,
+		Homes:    homes,
+		Tried:    tried,
+		Goal:     x.route.Goal,
+		GoalLeft: x.goal().Sub(now),
+		Limit:    x.deadline.Sub(now),
 	}
 	if x.route.Affinity {
 		q.Object = x.caller.Object
@@ -154,7 +156,7 @@
 	}
 	elapsed := time.Since(begun)
 	outcome := outcomeOf(ctx, held, err, elapsed, c)
-	s.placer.Done(time.Now(), c, outcome, elapsed)
+	s.placer.Done(time.Now(), c, outcome, elapsed, loadOf(held, err))
 	if move != nil {
 		note(move, c, outcome, elapsed)
 	}
@@ -166,6 +168,18 @@
 	return nil, &failure{answer: held, err: err}
 }
 
+// loadOf returns the endpoint's own word on how many requests it has, or -1.
+func loadOf(a *heldAnswer, err error) int {
+	var e *endpoint.Error
+	switch {
+	case err == nil:
+		return a.Load
+	case errors.As(err, &e) && e.Reason == endpoint.ReasonShed:
+		return e.Load
+	}
+	return -1
+}
+
 // bound limits a try of an idempotent request, so that another endpoint can be
 // asked when this one is silent.
 func (s *sender) bound(ctx context.Context, x *exchange, c *placing.Choice) (context.Context, context.CancelFunc) {
@@ -287,10 +301,16 @@
 	if refused == nil {
 		r.reason = reasonNotRun
 	}
-	r.retry = max(r.retry, leastRetry)
+	r.retry = spread(max(r.retry, leastRetry))
 	return nil, r
 }
 
+// spread returns a time between three and five quarters of d, so that callers
+// who were refused together don't come back together.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
 // statusOf returns the status that says what is known of a request that was
 // given up on.
 func statusOf(ctx context.Context, x *exchange) int {
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -26,7 +26,9 @@
 	// Goal is the route's response-time goal; times of work that are not
 	// known yet are guessed from it.
 	Goal time.Duration
-	// Limit is the longest expected time for which the request is placed.
+	// GoalLeft is the time left until the goal; it may be negative.
+	GoalLeft time.Duration
+	// Limit is the time left until the request's deadline.
 	Limit time.Duration
 }
 
@@ -114,12 +116,29 @@
 	if best.e == nil {
 		return nil, p.noCandidate(g, w, full)
 	}
-	if q.Limit > 0 && best.soonest > q.Limit.Seconds() {
-		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(best.wait), Known: len(g.ordered)}
+	if late := best.late(q); late > 0 {
+		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late), Known: len(g.ordered)}
 	}
 	return p.reserve(g, q, best, object, count, now), nil
 }
 
+// late returns by how many seconds a candidate's answer would come too late to
+// be worth its slot; 0 or less is in time. Without a queue only the deadline
+// counts: a slot that is free is used, also for an answer after the goal. With
+// one, a request that can't reach the goal would make those behind it late.
+func (c candidate) late(q Query) float64 {
+	late := c.soonest - q.Limit.Seconds()
+	if c.wait > 0 {
+		late = max(late, c.expected-q.Limit.Seconds(), c.soonest-max(q.GoalLeft, q.Goal/lateGoalPart).Seconds())
+	}
+	return late
+}
+
+// lateGoalPart divides the goal into the time that a request which has missed
+// it may still wait for an answer, so that one that came back is not refused
+// for the shortest queue.
+const lateGoalPart = 2
+
 // noCandidate says why nothing could be chosen.
 func (p *Placer) noCandidate(g *group, w *work, full bool) *Refusal {
 	r := &Refusal{Reason: ReasonNoEndpoint, Known: len(g.ordered)}
@@ -137,6 +156,9 @@
 		w = newWork(q.Goal)
 		g.work[q.Route] = w
 	}
+	if g.slot == 0 {
+		g.slot = w.mean[warmthHome]
+	}
 	return w
 }
 
@@ -162,6 +184,7 @@
 // best returns the candidate with the earliest expected answer, how many there
 // were, and whether others had no room.
 func (p *Placer) best(g *group, q Query, w *work, object uint64, homes map[string]*endpoint, now time.Time) (best candidate, count int, full bool) {
+	price := p.price(g, q, now)
 	for _, e := range g.ordered {
 		if !p.allowed(e, q) {
 			continue
@@ -175,7 +198,7 @@
 		if q.Object != "" {
 			known = e.knows(object, homes[e.region] == e, now, p.rules)
 		}
-		c := p.expect(e, w, known, now)
+		c := p.expect(g, e, w, known, price, now)
 		if best.e == nil || c.score < best.score {
 			best = c
 		}
@@ -183,6 +206,22 @@
 	return best, count, full
 }
 
+// price returns what a second of a slot counts as, in seconds.
+func (p *Placer) price(g *group, q Query, now time.Time) float64 {
+	running, slots := 0, 0
+	for _, e := range g.ordered {
+		if p.allowed(e, q) && !now.Before(e.restUntil) {
+			running += e.running(now, p.rules)
+			slots += e.Slots
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	busy := (float64(running)/float64(slots) - p.rules.BusyFrom) / (p.rules.BusyTo - p.rules.BusyFrom)
+	return p.rules.SlotPrice * min(1, max(0, busy))
+}
+
 // allowed says whether the request may go to the endpoint at all.
 func (p *Placer) allowed(e *endpoint, q Query) bool {
 	switch {
@@ -201,7 +240,7 @@
 	if now.Before(e.restUntil) || e.onTrial && len(e.starts) > 0 {
 		return false
 	}
-	if float64(e.running()) >= float64(e.Slots)*p.rules.QueueFactor {
+	if float64(e.running(now, p.rules)) >= float64(e.Slots)*p.rules.QueueFactor {
 		return false
 	}
 	if !e.cold(now) {
@@ -246,7 +285,7 @@
 }
 
 // expect works out when an answer is to be expected from an endpoint.
-func (p *Placer) expect(e *endpoint, w *work, known warmth, now time.Time) candidate {
+func (p *Placer) expect(g *group, e *endpoint, w *work, known warmth, price float64, now time.Time) candidate {
 	e.decay(now, p.rules.Forget)
 	c := candidate{e: e, warmth: known, trip: p.trip(e)}
 	slowness := e.slowness(now, w.mean[warmthCold])
@@ -254,13 +293,13 @@
 	if e.cold(now) {
 		service *= p.rules.ColdSlowdown
 	}
-	if waiting := e.running() - e.Slots + 1; waiting > 0 {
-		c.wait = float64(waiting) / float64(max(1, e.Slots)) * w.mean[warmthHome] * slowness
+	if waiting := e.running(now, p.rules) - e.Slots + 1; waiting > 0 {
+		c.wait = float64(waiting) / float64(max(1, e.Slots)) * g.slot * slowness
 	}
 	c.plain = c.wait == 0 && !e.cold(now)
 	c.expected = c.trip + c.wait + service
 	c.soonest = c.trip + c.wait + w.mean[warmthWarm]
-	c.score = c.expected + e.failures*p.rules.FailureCost.Seconds()
+	c.score = c.expected + price*service + e.failures*p.rules.FailureCost.Seconds()
 	return c
 }
 
@@ -272,7 +311,7 @@
 		Expected:   seconds(c.expected),
 		Wait:       seconds(c.wait),
 		Warm:       c.warmth == warmthWarm,
-		Running:    c.e.running(),
+		Running:    c.e.running(now, p.rules),
 		Candidates: count,
 		group:      g,
 		state:      c.e,
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -27,6 +27,10 @@
 	starts []time.Time
 	// others are the requests of other instances there, by instance.
 	others map[string]int
+	// told is what the endpoint itself said at toldAt of the requests of other
+	// instances.
+	told   int
+	toldAt time.Time
 	warm   map[uint64]time.Time
 
 	slowdown  float64
@@ -44,8 +48,12 @@
 // cold says whether the endpoint is cold at now.
 func (e *endpoint) cold(now time.Time) bool { return now.Before(e.coldUntil) }
 
-// running returns the requests of all instances there, as far as known.
-func (e *endpoint) running() int {
+// running returns the requests of all instances there, as far as known. The
+// endpoint's own word counts while it is newer than the other instances'.
+func (e *endpoint) running(now time.Time, r Rules) int {
+	if now.Sub(e.toldAt) <= r.LoadFresh {
+		return len(e.starts) + e.told
+	}
 	n := len(e.starts)
 	for _, other := range e.others {
 		n += other
@@ -53,6 +61,15 @@
 	return n
 }
 
+// tell takes in the endpoint's own word on how many requests it has. own is the
+// number of this instance's among them.
+func (e *endpoint) tell(now time.Time, requests, own int) {
+	if requests < 0 {
+		return
+	}
+	e.told, e.toldAt = max(0, requests-own), now
+}
+
 // decay forgets a part of what outcomes said, by the time since they came.
 func (e *endpoint) decay(now time.Time, forget time.Duration) {
 	since := now.Sub(e.judged)
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -27,12 +27,14 @@
 	OutcomeUnknown
 )
 
-// Done takes in how a try ended. elapsed is the time until its answer began.
-func (p *Placer) Done(now time.Time, c *Choice, o Outcome, elapsed time.Duration) {
+// Done takes in how a try ended. elapsed is the time until its answer was
+// whole; load is the endpoint's own word on how many requests it has, or -1.
+func (p *Placer) Done(now time.Time, c *Choice, o Outcome, elapsed time.Duration, load int) {
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
 	e := c.state
 	e.ended(c.start)
+	e.tell(now, load, len(e.starts))
 	e.decay(now, p.rules.Forget)
 	switch o {
 	case OutcomeAnswered:
@@ -81,6 +83,7 @@
 	if c.plain && c.state.slowdown < 2 {
 		w.learn(c.warmth, took)
 	}
+	c.group.slot += learnWeight * (w.mean[c.warmth] - c.group.slot)
 }
 
 // Load is the number of this instance's requests at an endpoint.
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -56,6 +56,7 @@
 	endpoints map[catalog.Incarnation]*endpoint
 	ordered   []*endpoint
 	work      map[string]*work // by route
+	slot      float64          // mean time of work of all routes, in seconds
 }
 
 // New returns a placer that knows no endpoint.
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -14,6 +14,15 @@
 	// QueueFactor bounds the requests at an endpoint to Slots times this.
 	// Endpoints of the users queue three times their slots and shed the rest.
 	QueueFactor float64
+	// LoadFresh is how long an endpoint's own word on its requests goes before
+	// what the instances tell each other, which is half a second old.
+	LoadFresh time.Duration
+	// BusyFrom and BusyTo are the utilizations of a service between which a
+	// second of a slot gets its price. Below, a cold endpoint costs the
+	// request's own time only; above, also that of the requests it displaces.
+	BusyFrom, BusyTo float64
+	// SlotPrice is the most that a second of a slot counts as, in seconds.
+	SlotPrice float64
 	// FirstRest is how long an endpoint gets nothing after a failure to
 	// connect. Two failures in a row double it, up to LongestRest.
 	FirstRest time.Duration
@@ -45,6 +54,10 @@
 		WarmObjects:   16,
 		WarmFor:       20 * time.Second,
 		QueueFactor:   3,
+		LoadFresh:     300 * time.Millisecond,
+		BusyFrom:      0.5,
+		BusyTo:        0.9,
+		SlotPrice:     2,
 		FirstRest:     500 * time.Millisecond,
 		LongestRest:   2 * time.Second,
 		ShedRest:      150 * time.Millisecond,
