--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -116,8 +116,6 @@
 	if r := h.admit(x); r != nil {
 		return nil, r
 	}
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
-	defer cancel()
 	if r := h.holdBody(x); r != nil {
 		return nil, r
 	}
@@ -125,7 +123,7 @@
 		return nil, r
 	}
 	x.service = x.route.Pick(h.point())
-	return h.sender.send(ctx, x)
+	return h.sender.send(x)
 }
 
 // point returns the next point for a choice by weights.
@@ -228,8 +226,9 @@
 // heldAnswer is an endpoint's answer.
 type heldAnswer struct {
 	*endpoint.Answer
-	body  []byte // the whole body, when whole
-	whole bool
+	body    []byte // the whole body, when whole
+	whole   bool
+	release func() // ends the exchange of an answer that is not whole
 }
 
 // pass passes an answer on to the caller.
@@ -247,6 +246,7 @@
 		}
 		return
 	}
+	defer a.release()
 	defer func() { _ = a.Body.Close() }()
 	if a.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -23,7 +23,7 @@
 	// more: each further one finds less time left.
 	maxTries = 4
 	// silenceFactor is by how many times an idempotent request's answer may be
-	// later than expected before another endpoint is asked.
+	// later than expected before another endpoint is asked as well.
 	silenceFactor = 3
 	// leastSilence is the least time after which that is done.
 	leastSilence = 800 * time.Millisecond
@@ -54,33 +54,106 @@
 	err    error
 }
 
+// result is how a try ended.
+type result struct {
+	answer  *heldAnswer // for the caller
+	failure *failure
+	err     error
+}
+
+// race is the tries of one request. More than one runs at a time only when an
+// idempotent request finds its endpoint silent.
+type race struct {
+	*exchange
+	sender   *sender
+	ctx      context.Context
+	results  chan result
+	running  int
+	arrivals int // tries that may have reached an endpoint
+	tried    []catalog.Incarnation
+	last     failure
+	silence  *time.Timer
+}
+
 // send tries endpoints until one has answered, or no further try is allowed.
-func (s *sender) send(ctx context.Context, x *exchange) (*heldAnswer, *refusal) {
-	var tried []catalog.Incarnation
-	var last failure
-	arrivals := 0
+func (s *sender) send(x *exchange) (*heldAnswer, *refusal) {
+	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	s.budgets.deposit(x.service)
+	r := &race{exchange: x, sender: s, ctx: ctx, results: make(chan result, maxTries), silence: time.NewTimer(time.Hour)}
+	defer r.silence.Stop()
+	answer, refused := r.run()
+	if answer == nil || answer.whole {
+		cancel()
+		return answer, refused
+	}
+	answer.release = cancel // the rest of its body is still to come
+	return answer, refused
+}
+
+// run starts tries and takes in their results.
+func (r *race) run() (*heldAnswer, *refusal) {
+	if err := r.start(); err != nil {
+		return r.sender.giveUp(r.ctx, r.exchange, r.last, err)
+	}
 	for {
-		choice, err := s.choose(x, tried)
-		if err != nil {
-			return s.giveUp(ctx, x, last, err)
+		select {
+		case <-r.silence.C:
+			r.hedge()
+			continue
+		case res := <-r.results:
+			r.running--
+			r.noteVerdict(res.err)
+			if res.failure == nil {
+				return res.answer, nil
+			}
+			r.last = *res.failure
+			if !neverConnected(res.err) {
+				r.arrivals++
+			}
 		}
-		x.tries++
-		answer, f := s.try(ctx, x, choice)
-		if f == nil {
-			return answer, nil
+		if r.running > 0 {
+			continue
 		}
-		last = *f
-		tried = append(tried, choice.Endpoint.Incarnation())
-		if !neverConnected(f.err) {
-			arrivals++
+		if !r.sender.again(r.ctx, r.exchange, r.arrivals) {
+			return r.sender.giveUp(r.ctx, r.exchange, r.last, nil)
 		}
-		if !s.again(ctx, x, arrivals) {
-			return s.giveUp(ctx, x, last, nil)
+		if err := r.start(); err != nil {
+			return r.sender.giveUp(r.ctx, r.exchange, r.last, err)
 		}
 	}
 }
 
+// start begins one more try. Errors: *placing.Refusal.
+func (r *race) start() error {
+	choice, err := r.sender.choose(r.exchange, r.tried)
+	if err != nil {
+		return err
+	}
+	r.tries++
+	r.running++
+	r.tried = append(r.tried, choice.Endpoint.Incarnation())
+	number := r.tries
+	go func() { r.results <- r.sender.try(r.ctx, r.exchange, choice, number) }()
+	if r.route.Idempotent && !r.streamed {
+		r.silence.Reset(max(silenceFactor*choice.Expected, leastSilence))
+	}
+	return nil
+}
+
+// hedge asks another endpoint while the silent one goes on: its answer counts
+// if it comes first.
+func (r *race) hedge() {
+	if r.arrivals+r.running >= max(1, r.route.MaxEndpoints) || r.tries >= maxTries {
+		return
+	}
+	if time.Until(r.deadline) < leastLeft || !r.sender.budgets.take(r.service) {
+		return
+	}
+	if err := r.start(); err != nil {
+		r.log.WithError(err).Debug("No other endpoint for a silent one.")
+	}
+}
+
 // neverConnected says whether a try never reached its endpoint.
 func neverConnected(err error) bool {
 	var e *endpoint.Error
@@ -134,16 +207,14 @@
 	return nil, err
 }
 
-// try sends the request to one endpoint.
-func (s *sender) try(ctx context.Context, x *exchange, c *placing.Choice) (*heldAnswer, *failure) {
+// try sends the request to one endpoint. It is the number-th of the request.
+func (s *sender) try(ctx context.Context, x *exchange, c *placing.Choice, number int) result {
 	move := s.moves.move(x.service)
 	if move != nil {
 		move.Started(c.Endpoint.Version)
 	}
-	tryCtx, cancel := s.bound(ctx, x, c)
-	defer cancel()
 	begun := time.Now()
-	answer, err := s.client.Send(tryCtx, targetOf(&c.Endpoint), &endpoint.Request{
+	answer, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.outgoing(),
 		ID:         x.caller.ID,
 		Team:       x.teamName(),
@@ -160,12 +231,11 @@
 	if move != nil {
 		note(move, c, outcome, elapsed)
 	}
-	x.noteVerdict(err)
-	s.logTry(x, c, outcome, held, err, elapsed)
+	s.logTry(x, c, outcome, held, err, elapsed, number)
 	if err == nil && held.Status < http.StatusInternalServerError && !falsePromise(held.Status) {
-		return held, nil
+		return result{answer: held}
 	}
-	return nil, &failure{answer: held, err: err}
+	return result{failure: &failure{answer: held, err: err}, err: err}
 }
 
 // loadOf returns the endpoint's own word on how many requests it has, or -1.
@@ -180,16 +250,6 @@
 	return -1
 }
 
-// bound limits a try of an idempotent request, so that another endpoint can be
-// asked when this one is silent.
-func (s *sender) bound(ctx context.Context, x *exchange, c *placing.Choice) (context.Context, context.CancelFunc) {
-	silence := max(silenceFactor*c.Expected, leastSilence)
-	if !x.route.Idempotent || x.tries >= x.route.MaxEndpoints || time.Until(x.deadline) < silence+c.Expected {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, silence)
-}
-
 // note tells a move how a try ended.
 func note(move *rollout.Move, c *placing.Choice, o placing.Outcome, elapsed time.Duration) {
 	failed := o == placing.OutcomeFailed || o == placing.OutcomeSilent
@@ -237,12 +297,12 @@
 		return placing.OutcomeGone
 	case endpoint.ReasonUnreachable:
 		return placing.OutcomeUnreachable
-	case endpoint.ReasonSilent, endpoint.ReasonDeadline:
+	case endpoint.ReasonSilent, endpoint.ReasonDeadline, endpoint.ReasonCanceled:
 		if ctx.Err() != nil && elapsed < 2*c.Expected {
 			return placing.OutcomeUnknown // there was too little time
 		}
 		return placing.OutcomeSilent
-	case endpoint.ReasonCanceled, endpoint.ReasonCallerBody, endpoint.ReasonUnsendable:
+	case endpoint.ReasonCallerBody, endpoint.ReasonUnsendable:
 		return placing.OutcomeUnknown
 	case endpoint.ReasonBroken, endpoint.ReasonCut, endpoint.ReasonCrossed, endpoint.ReasonUnframed, endpoint.ReasonFlawed:
 	}
@@ -250,10 +310,10 @@
 }
 
 // logTry logs one try with what decided it.
-func (s *sender) logTry(x *exchange, c *placing.Choice, o placing.Outcome, a *heldAnswer, err error, elapsed time.Duration) {
+func (s *sender) logTry(x *exchange, c *placing.Choice, o placing.Outcome, a *heldAnswer, err error, elapsed time.Duration, number int) {
 	s.metrics.tried(x, o, c, elapsed)
 	fields := logrus.Fields{
-		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": x.tries,
+		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": number,
 		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "domain": c.Endpoint.FailureDomain,
 		"object": x.caller.Object, "warm": c.Warm, "running": c.Running, "candidates": c.Candidates,
 		"wait_ms": c.Wait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
