Hold removals back only after an outage of the store; the record decides a move

Ruled out: a late answer of the store (it had answered nine instances all the time). Found beside it: at a move's time limit an instance that had been cut off took the move back for itself while the others had recorded it as complete. Change: instances tell each other since when they reach the endpoints' table; removals are held back from the earliest of these moments. Only one instance records what time decides, and the record goes before an instance's own word.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -153,8 +153,9 @@
 	if err != nil {
 		return err
 	}
+	components := g.components(life)
 	group.Go(func() error { return g.peers.Serve(life, peers) })
-	for _, run := range g.components(life) {
+	for _, run := range components {
 		group.Go(func() error { return run(life) })
 	}
 	g.log.WithFields(logrus.Fields{"callers": g.settings.Listen.Callers, "store": g.settings.Store}).Info("Started.")
@@ -173,13 +174,17 @@
 // components returns the background work.
 func (g *Gateway) components(ctx context.Context) []func(context.Context) error {
 	operator, endpoints, _ := g.parts.Decoder.Tables()
-	watch := func(r registry.Rule, see func(time.Time, map[string]registry.Row)) func(context.Context) error {
-		return registry.NewWatcher(r, g.parts.Store, see, g.logger).Run
+	watch := func(r registry.Rule, see func(time.Time, map[string]registry.Row)) *registry.Watcher {
+		return registry.NewWatcher(r, g.parts.Store, see, g.logger)
 	}
+	watcher := watch(registry.Rule{
+		Table: endpoints, Pause: endpointsPause, Return: lapseReturn, Reachable: g.mesh.reachable,
+	}, g.beliefs.seeEndpoints)
+	g.mesh.reaches = watcher.Since
 	return []func(context.Context) error{
-		watch(registry.Rule{Table: operator, Wait: operatorWait}, g.beliefs.seeOperator),
-		watch(registry.Rule{Table: endpoints, Pause: endpointsPause, Return: lapseReturn}, g.beliefs.seeEndpoints),
-		watch(registry.Rule{Table: tableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)),
+		watch(registry.Rule{Table: operator, Wait: operatorWait}, g.beliefs.seeOperator).Run,
+		watcher.Run,
+		watch(registry.Rule{Table: tableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)).Run,
 		g.mesh.Run,
 		g.moves.Run,
 		g.client.Run,
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -64,6 +64,9 @@
 	Ready bool `json:"ok,omitempty"`
 	// Leaving says that it is about to stop.
 	Leaving bool `json:"lv,omitempty"`
+	// ReachesMS is for how long it has reached the endpoints' table without a
+	// break, in milliseconds; 0 while it does not.
+	ReachesMS int64 `json:"t,omitempty"`
 	// Demand is what it sees of each team, in requests per second.
 	Demand quota.Demand `json:"q,omitempty"`
 	// Loads are its requests at endpoints.
@@ -104,6 +107,7 @@
 	limiter *quota.Limiter
 	moves   *moves
 	ready   func() bool
+	reaches func() time.Time // since when the endpoints' table is reached
 	log     logrus.FieldLogger
 
 	mu      sync.Mutex
@@ -283,6 +287,9 @@
 	now := time.Now()
 	s := m.self
 	s.Ready = m.ready()
+	if since := m.reaches(); !since.IsZero() {
+		s.ReachesMS = max(1, now.Sub(since).Milliseconds())
+	}
 	s.Demand = m.limiter.Demand(now)
 	for _, l := range m.placer.Loads() {
 		s.Loads = append(s.Loads, loadState{ID: l.Endpoint.ID, Born: l.Endpoint.Born, Running: l.Running})
@@ -368,6 +375,24 @@
 	}
 }
 
+// reachable returns since when any other instance has reached the endpoints'
+// table without a break, the zero time when none has.
+func (m *mesh) reachable() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var first time.Time
+	for _, other := range m.members {
+		if other.ReachesMS == 0 || time.Since(other.heard) > silentAfter {
+			continue
+		}
+		since := other.heard.Add(-time.Duration(other.ReachesMS) * time.Millisecond)
+		if first.IsZero() || since.Before(first) {
+			first = since
+		}
+	}
+	return first
+}
+
 // leads says whether this instance has the least name of those alive.
 func (m *mesh) leads() bool {
 	m.mu.Lock()
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -78,7 +78,7 @@
 	o := move.Order()
 	r, ok := m.recorded[o.Service]
 	if ok && r.To == o.To && r.Revision > o.Revision {
-		move.Finish(r.Result)
+		move.Record(r.Result)
 	}
 }
 
@@ -162,36 +162,40 @@
 	}
 }
 
-// judge ends the moves whose new version is bad.
+// judge keeps requests from new versions that are bad.
 func (m *moves) judge(now time.Time) {
 	for service, move := range m.unrecorded() {
-		result, evidence := move.Judge(now)
-		if result != catalog.ResultTakenBack {
+		j := move.Judge(now)
+		if !j.Bad || move.Result() != catalog.ResultRunning {
 			continue
 		}
-		move.Finish(result)
+		move.Suspect()
 		m.log.WithFields(logrus.Fields{
-			"service": service, "to": move.Order().To, "old": evidence.Old, "new": evidence.New,
+			"service": service, "to": move.Order().To, "old": j.Evidence.Old, "new": j.Evidence.New,
 			"age_ms": now.Sub(move.Beginning()).Milliseconds(),
-		}).Warn("Move taken back.")
+		}).Warn("New version is bad.")
 	}
 }
 
 // step reads outcomes where they may have changed, and records what was judged.
+// A bad version is recorded by whoever finds it; what time decides, by one.
 func (m *moves) step(ctx context.Context, now time.Time) {
 	if m.due(now) {
 		m.readRecorded(ctx)
 	}
 	for service, move := range m.unrecorded() {
-		result := move.Result()
-		if result == catalog.ResultRunning {
-			result, _ = move.Judge(now)
+		j := move.Judge(now)
+		switch {
+		case move.Result() == catalog.ResultTakenBack:
+			m.record(ctx, service, move, catalog.ResultTakenBack)
+		case !m.leads():
+		case j.Expired:
+			m.record(ctx, service, move, catalog.ResultTakenBack)
+		case j.Complete:
+			m.record(ctx, service, move, catalog.ResultCompleted)
+		case !m.announced(service, move):
+			m.record(ctx, service, move, catalog.ResultRunning)
 		}
-		if result == catalog.ResultRunning {
-			m.announce(ctx, service, move)
-			continue
-		}
-		m.record(ctx, service, move, result)
 	}
 }
 
@@ -255,28 +259,21 @@
 	m.setRecorded(outcomes)
 }
 
-// announce records that a move is under way. One instance does so.
-func (m *moves) announce(ctx context.Context, service string, move *rollout.Move) {
+// announced says whether it is on record that a move is under way.
+func (m *moves) announced(service string, move *rollout.Move) bool {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	r, ok := m.recorded[service]
 	o := move.Order()
-	known := ok && r.To == o.To && r.Revision > o.Revision
-	m.mu.Unlock()
-	if known || !m.leads() {
-		return
-	}
-	m.record(ctx, service, move, catalog.ResultRunning)
+	return ok && r.To == o.To && r.Revision > o.Revision
 }
 
 // record writes an outcome on the condition that the record is as it was read.
 func (m *moves) record(ctx context.Context, service string, move *rollout.Move, result catalog.Result) {
-	if result == catalog.ResultCompleted && !m.leads() {
-		return
-	}
 	m.mu.Lock()
 	known := m.recorded[service]
-	m.read = time.Time{}
 	m.mu.Unlock()
+	fields := logrus.Fields{"service": service, "to": move.Order().To, "result": result.String(), "on_revision": known.Revision}
 	key, value, err := m.decoder.Outcome(service, catalog.Outcome{To: move.Order().To, Result: result})
 	if err != nil {
 		m.log.WithError(err).Error("Outcome can't be encoded.")
@@ -288,7 +285,10 @@
 	err = m.store.Write(ctx, table, key, value, known.Revision)
 	var conflict *registry.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
-		m.log.WithError(err).WithField("service", service).Warn("Outcome could not be recorded.")
+		m.log.WithError(err).WithFields(fields).Warn("Outcome could not be recorded.")
+	}
+	if err == nil {
+		m.log.WithFields(fields).Info("Outcome written.")
 	}
 	m.readRecorded(ctx)
 }
@@ -320,7 +320,7 @@
 		move.Begun(now.Add(-time.Duration(s.AgeMS) * time.Millisecond))
 		move.SetOther(instance, s.Evidence)
 		if s.Result == catalog.ResultTakenBack {
-			move.Finish(s.Result)
+			move.Suspect()
 		}
 	}
 }
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -17,7 +17,10 @@
 	// against the time in which a change has to be in force.
 	failurePause = 300 * time.Millisecond
 	// longestPause bounds that time; every instance asks a store that is away.
-	longestPause = time.Second
+	longestPause = 500 * time.Millisecond
+	// releaseSlack is added to the wait until held rows are released, so that
+	// the moment has surely come.
+	releaseSlack = time.Millisecond
 )
 
 // Rule says how a table is followed.
@@ -33,6 +36,10 @@
 	// while it was away is held back. Rows that lapsed meanwhile may come
 	// back in that time. 0 holds nothing back.
 	Return time.Duration
+	// Reachable returns since when any instance has reached the table without
+	// a break, the zero time when that is not known. It tells an outage of the
+	// store from one of this instance's way there. nil knows nothing.
+	Reachable func() time.Time
 }
 
 // Watcher follows one table. Run must be called once.
@@ -43,19 +50,14 @@
 	log   logrus.FieldLogger
 
 	rows     map[string]Row
-	held     map[string]heldRow // removals that are held back
+	held     map[string]Row // removals that are held back
 	after    uint64
 	full     bool // the next call reads the whole table
 	answered time.Time
 	returned time.Time // when the store last came back
 	failures int
 	contact  atomic.Int64
-}
-
-// heldRow is a removal and the moment from which it counts.
-type heldRow struct {
-	row Row
-	at  time.Time
+	since    atomic.Int64 // since when the store has answered each call
 }
 
 // NewWatcher returns a watcher that gives see all rows after each change. see
@@ -67,7 +69,7 @@
 		see:   see,
 		log:   log.WithFields(logrus.Fields{"prefix": "registry", "table": r.Table}),
 		rows:  make(map[string]Row),
-		held:  make(map[string]heldRow),
+		held:  make(map[string]Row),
 		full:  true,
 	}
 }
@@ -80,10 +82,19 @@
 	return time.Time{}
 }
 
+// Since returns since when the store has answered each call, the zero time
+// while it does not.
+func (w *Watcher) Since() time.Time {
+	if n := w.since.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := w.rule.Pause
+		pause := w.pause()
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			pause = w.failed(err)
 		}
@@ -95,6 +106,26 @@
 	return nil
 }
 
+// pause returns the time until the next call: less than the rule's when held
+// rows are to be released before.
+func (w *Watcher) pause() time.Duration {
+	if len(w.held) == 0 {
+		return w.rule.Pause
+	}
+	return min(w.rule.Pause, max(0, time.Until(w.holdEnd()))+releaseSlack)
+}
+
+// holdEnd returns when removals need not be held back any more.
+func (w *Watcher) holdEnd() time.Time {
+	returned := w.returned
+	if w.rule.Reachable != nil {
+		if at := w.rule.Reachable(); !at.IsZero() && at.Before(returned) {
+			returned = at
+		}
+	}
+	return returned.Add(w.rule.Return)
+}
+
 // step makes one call and takes in its answer.
 func (w *Watcher) step(ctx context.Context) error {
 	batch, err := w.call(ctx)
@@ -107,6 +138,9 @@
 		w.returned = now
 		w.failures = 0
 	}
+	if w.since.Load() == 0 {
+		w.since.Store(now.UnixNano())
+	}
 	w.answered = now
 	w.contact.Store(now.UnixNano())
 	changed := w.take(batch, now)
@@ -137,6 +171,7 @@
 		return 0
 	}
 	w.failures++
+	w.since.Store(0)
 	if w.failures == 1 {
 		if w.answered.IsZero() {
 			w.answered = time.Now()
@@ -188,24 +223,22 @@
 	if !ok {
 		return false
 	}
-	if until := w.returned.Add(w.rule.Return); !w.returned.IsZero() && now.Before(until) {
-		w.held[row.Key] = heldRow{row: row, at: until}
+	if !w.returned.IsZero() && now.Before(w.holdEnd()) {
+		w.held[row.Key] = row
 		return false
 	}
 	delete(w.rows, row.Key)
 	return true
 }
 
-// release carries out the removals that were held back long enough.
+// release carries out the removals that were held back, once that is over.
 func (w *Watcher) release(now time.Time) bool {
-	released := false
-	for key, h := range w.held {
-		if now.Before(h.at) {
-			continue
-		}
-		delete(w.held, key)
+	if len(w.held) == 0 || now.Before(w.holdEnd()) {
+		return false
+	}
+	for key := range w.held {
 		delete(w.rows, key)
-		released = true
 	}
-	return released
+	clear(w.held)
+	return true
 }
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -126,11 +126,22 @@
 	return m.begun
 }
 
-// Finish takes in a result. A move that is over stays as it is.
-func (m *Move) Finish(r catalog.Result) {
+// Suspect stops the new version's traffic until there is a record. A move that
+// is over stays as it is.
+func (m *Move) Suspect() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.result == catalog.ResultRunning {
+		m.result = catalog.ResultTakenBack
+	}
+}
+
+// Record takes in the recorded result, which goes before what this instance
+// judged: operators act on the record.
+func (m *Move) Record(r catalog.Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r != catalog.ResultRunning {
 		m.result = r
 	}
 }
@@ -222,8 +233,20 @@
 	m.others[instance] = e
 }
 
-// Judge returns what should be recorded now; ResultRunning is nothing.
-func (m *Move) Judge(now time.Time) (catalog.Result, Evidence) {
+// Judgement is what one instance holds of a move.
+type Judgement struct {
+	// Bad says that the new version is worse than the old one.
+	Bad bool
+	// Complete says that the move may be recorded as complete.
+	Complete bool
+	// Expired says that the time for the move is over.
+	Expired bool
+	// Evidence is what all instances saw, as far as this one was told.
+	Evidence Evidence
+}
+
+// Judge judges the move by what all instances saw.
+func (m *Move) Judge(now time.Time) Judgement {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := m.own
@@ -231,20 +254,10 @@
 		all.Old.add(e.Old)
 		all.New.add(e.New)
 	}
-	switch {
-	case m.result != catalog.ResultRunning:
-		return catalog.ResultRunning, all
-	case all.bad():
-		return catalog.ResultTakenBack, all
-	}
 	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
-	switch {
-	case part >= 1:
-		return catalog.ResultTakenBack, all
-	case part >= completeAt && m.oldInUse == 0 && all.New.Answers > all.New.Failures:
-		return catalog.ResultCompleted, all
-	}
-	return catalog.ResultRunning, all
+	j := Judgement{Bad: all.bad(), Expired: part >= 1, Evidence: all}
+	j.Complete = !j.Bad && !j.Expired && part >= completeAt && m.oldInUse == 0 && all.New.Answers > all.New.Failures
+	return j
 }
 
 // bad says whether the new version is worse than the old one.
