Quotas and moves: parts from what all were told, failures judged by deviations; tests

Change: a part is worked out from the demand that the others were last told; a guess at what the others let through since replaces a fixed margin; a new version's failures must exceed the old one's by four standard deviations.

--- a/steer/quota/quota.go
+++ b/steer/quota/quota.go
@@ -37,9 +37,14 @@
 	// It is that of the users' bound.
 	Window = 5 * time.Second
 	// idlePart is the part of a quota's window below which a request needs no
-	// token. The rest covers what others let through since they last told: a
-	// team that sends five times its rate uses two seconds' worth in that time.
-	idlePart = 0.6
+	// token. The rest covers the error of the guess at what others let through
+	// since they last told.
+	idlePart = 0.8
+	// blindTime is how old the others' word is at most, with the way.
+	blindTime = 600 * time.Millisecond
+	// deepestDebt bounds what an instance owes for requests that needed no
+	// token, in its part of the burst. It is about what a window allows.
+	deepestDebt = 5
 	// freshFor is how old the others' word may be for that.
 	freshFor = 1200 * time.Millisecond
 )
@@ -83,6 +88,9 @@
 	tokens float64
 	filled time.Time
 	demand float64 // requests a second
+	// told is the demand that the others were last told. Parts are worked out
+	// from what all know, or they would add up to more than one.
+	told float64
 	counted,
 	window float64 // requests and seconds since demand was last averaged
 	admitted tally
@@ -159,7 +167,7 @@
 		missing := (1 - b.tokens) / (q.Rate * part)
 		return Decision{Part: part, Tokens: b.tokens, RetryAfter: time.Duration(missing * float64(time.Second))}
 	}
-	b.tokens = max(b.tokens-1, -l.size(team, b))
+	b.tokens = max(b.tokens-1, -deepestDebt*l.size(team, b))
 	b.admitted.add(now)
 	return Decision{Allowed: true, Part: part, Tokens: b.tokens}
 }
@@ -171,14 +179,19 @@
 	if len(l.others)+1 < l.fleet {
 		return false
 	}
-	used := float64(b.admitted.sum(now))
+	used, rate := float64(b.admitted.sum(now)), b.demand
 	for _, o := range l.others {
 		if now.Sub(o.at) > freshFor {
 			return false
 		}
 		used += float64(o.demand[team].Admitted)
+		rate += o.demand[team].Rate
 	}
-	return used+1 <= idlePart*(q.Rate*Window.Seconds()+q.Burst)
+	// The others are taken to let through as many as this instance does, by
+	// their parts: a team that begins to send more does so everywhere.
+	more := float64(max(0, b.admitted.recent(now)-1)) / l.part(team, b)
+	blind := max(more, rate*blindTime.Seconds())
+	return used+blind <= idlePart*(q.Rate*Window.Seconds()+q.Burst)+firstAllowance
 }
 
 // Demand returns what this instance sees, for the others.
@@ -188,8 +201,10 @@
 	d := make(Demand, len(l.teams))
 	for name, b := range l.teams {
 		l.fill(name, b, now)
+		b.told = 0
 		if b.demand > 0 {
-			d[name] = Usage{Rate: math.Round(b.demand*100) / 100, Admitted: b.admitted.sum(now)}
+			b.told = math.Round(b.demand*100) / 100
+			d[name] = Usage{Rate: b.told, Admitted: b.admitted.sum(now)}
 		}
 	}
 	return d
@@ -208,10 +223,7 @@
 
 // part returns the part of a team's quota that this instance holds.
 func (l *Limiter) part(team string, b *bucket) float64 {
-	own := b.demand
-	if own == 0 {
-		own = b.counted
-	}
+	own := b.told
 	total := own
 	for _, o := range l.others {
 		total += o.demand[team].Rate
@@ -283,6 +295,12 @@
 	return n
 }
 
+// recent returns the count of the newest two steps.
+func (t *tally) recent(now time.Time) int {
+	t.advance(now)
+	return t.counts[t.step%tallySteps] + t.counts[(t.step+tallySteps-1)%tallySteps]
+}
+
 // advance drops the steps that lie further back than Window.
 func (t *tally) advance(now time.Time) {
 	step := now.UnixNano() / int64(Window/tallySteps)
--- /dev/null
+++ b/steer/quota/quota_test.go
@@ -0,0 +1,154 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The users' bound: in each window, rate times the window plus the burst, a
+// tenth more, and a slack of requests.
+const (
+	excess = 0.1
+	slack  = 20
+)
+
+var start = time.Unix(5000, 0)
+
+// fleet is a number of instances that tell each other their demand, with a
+// delay and possibly cut from each other.
+type fleet struct {
+	members  []*Limiter
+	cut      map[int]bool
+	admitted []time.Time
+	refused  int
+}
+
+func newFleet(n int, q Quota) *fleet {
+	f := &fleet{cut: map[int]bool{}}
+	for range n {
+		l := New()
+		l.SetQuotas(start, map[string]Quota{"t": q})
+		l.SetFleet(n)
+		f.members = append(f.members, l)
+	}
+	return f
+}
+
+// tell exchanges demands between instances that reach each other.
+func (f *fleet) tell(now time.Time) {
+	for i, a := range f.members {
+		d := a.Demand(now)
+		for j, b := range f.members {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				b.SetOther(fmt.Sprint(i), d, now)
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(i int, now time.Time) {
+	if f.members[i].Take("t", now).Allowed {
+		f.admitted = append(f.admitted, now)
+		return
+	}
+	f.refused++
+}
+
+// worst returns by how much the fullest window exceeds the users' bound; 0 or
+// less keeps it.
+func (f *fleet) worst(q Quota) float64 {
+	bound := (q.Rate*Window.Seconds()+q.Burst)*(1+excess) + slack
+	worst, first := -bound, 0
+	for last, at := range f.admitted {
+		for at.Sub(f.admitted[first]) >= Window {
+			first++
+		}
+		worst = max(worst, float64(last-first+1)-bound)
+	}
+	return worst
+}
+
+// load plays requests of one team: rate a second, at instances that pick gives.
+func (f *fleet) load(r *rand.Rand, from, to time.Duration, rate float64, pick func() int) {
+	told := from
+	for at := from; at < to; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
+		for ; told <= at; told += 500 * time.Millisecond {
+			f.tell(start.Add(told))
+		}
+		f.ask(pick(), start.Add(at))
+	}
+}
+
+func TestQuotaHoldsOverAllInstances(t *testing.T) {
+	q := Quota{Rate: 30, Burst: 30}
+	for seed := range uint64(30) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		any := func(n int) func() int { return func() int { return r.IntN(n) } }
+		cases := map[string]func(f *fleet){
+			"five times its rate": func(f *fleet) {
+				f.load(r, 0, 8*time.Second, 18, any(8))
+				f.load(r, 8*time.Second, 20*time.Second, 140, any(8))
+			},
+			"moves between instances": func(f *fleet) {
+				f.load(r, 0, 6*time.Second, 100, any(2))
+				f.load(r, 6*time.Second, 12*time.Second, 100, func() int { return 2 + r.IntN(6) })
+			},
+			"an instance is cut off": func(f *fleet) {
+				f.load(r, 0, 6*time.Second, 120, any(8))
+				f.cut[3] = true
+				f.load(r, 6*time.Second, 16*time.Second, 120, any(8))
+			},
+		}
+		for name, play := range cases {
+			f := newFleet(8, q)
+			play(f)
+			if w := f.worst(q); w > 0 {
+				t.Errorf("seed %d, %s: %.1f over the bound", seed, name, w)
+			}
+		}
+	}
+}
+
+// A team inside its quota is hardly ever refused, though an instance's part is
+// less than a token a second.
+func TestSmallTeamIsNotRefused(t *testing.T) {
+	q := Quota{Rate: 5, Burst: 5}
+	refused, asked := 0, 0
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		f := newFleet(8, q)
+		f.load(r, 0, 40*time.Second, q.Rate/1.6, func() int { return r.IntN(8) })
+		refused += f.refused
+		asked += f.refused + len(f.admitted)
+	}
+	if share := float64(refused) / float64(asked); share > 0.005 {
+		t.Errorf("%d of %d requests inside the quota were refused", refused, asked)
+	}
+}
+
+func TestLoweredQuotaBinds(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 3))
+	f := newFleet(8, Quota{Rate: 100, Burst: 100})
+	f.load(r, 0, 6*time.Second, 80, func() int { return r.IntN(8) })
+	low := Quota{Rate: 10, Burst: 10}
+	for _, l := range f.members {
+		l.SetQuotas(start.Add(6*time.Second), map[string]Quota{"t": low})
+	}
+	f.load(r, 6*time.Second, 11*time.Second, 80, func() int { return r.IntN(8) })
+	f.admitted = nil
+	f.load(r, 11*time.Second, 25*time.Second, 80, func() int { return r.IntN(8) })
+	if w := f.worst(low); w > 0 {
+		t.Errorf("%.1f over the lowered bound", w)
+	}
+}
+
+func TestTeamWithoutQuotaIsNeverRefused(t *testing.T) {
+	l := New()
+	for range 1000 {
+		if !l.Take("t", start).Allowed {
+			t.Fatal("refused")
+		}
+	}
+}
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -12,6 +12,7 @@
 package rollout
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,8 +25,13 @@
 	lastFailures = 4
 	// worse is by how much its share of failures must exceed the old one's.
 	worse = 0.12
-	// worseFactor is by how many times it must exceed it.
-	worseFactor = 2.5
+	// leastUsual is the least share of failures that the old version is taken
+	// to have: its own may be unknown or by chance 0.
+	leastUsual = 0.03
+	// deviations is by how many standard deviations the failures must exceed
+	// those expected. Moves are judged some hundred times; at this bound one
+	// good move of a hundred is taken back where a tenth of all answers fail.
+	deviations = 4
 	// slowSamples is the number of answers from which slowness is judged.
 	slowSamples = 6
 	// slowFactor is by how many times its answers must take longer.
@@ -256,14 +262,16 @@
 	}
 	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
 	j := Judgement{Bad: all.bad(), Expired: part >= 1, Evidence: all}
-	j.Complete = !j.Bad && !j.Expired && part >= completeAt && m.oldInUse == 0 && all.New.Answers > all.New.Failures
+	j.Complete = m.result == catalog.ResultRunning && !j.Bad && !j.Expired && part >= completeAt && m.oldInUse == 0 && all.New.Answers > all.New.Failures
 	return j
 }
 
 // bad says whether the new version is worse than the old one.
 func (e Evidence) bad() bool {
-	failing, usual := e.New.failureShare(), e.Old.failureShare()
-	if e.New.Failures >= lastFailures && failing > usual+worse && failing > usual*worseFactor {
+	failing, usual := e.New.failureShare(), max(e.Old.failureShare(), leastUsual)
+	n := float64(e.New.Answers)
+	most := n*usual + deviations*math.Sqrt(n*usual*(1-usual))
+	if e.New.Failures >= lastFailures && failing > usual+worse && float64(e.New.Failures) > most {
 		return true
 	}
 	good := e.New.Answers - e.New.Failures
--- /dev/null
+++ b/steer/rollout/rollout_test.go
@@ -0,0 +1,169 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+const (
+	duration  = 14 * time.Second
+	instances = 8
+	perSecond = 60 // requests to the service, over all instances
+	tellEvery = 500 * time.Millisecond
+	// The users' bounds on what a bad version may get.
+	exposeShare = 0.1
+	exposeSlack = 50
+)
+
+// behavior is how a version answers at a moment of the move.
+type behavior func(at time.Duration, share float64) (failed bool, took time.Duration)
+
+const usual = 400 * time.Millisecond
+
+func failing(r *rand.Rand, p float64) bool { return r.Float64() < p }
+
+// played is what came of a simulated move.
+type played struct {
+	total, toNew int
+	badAnswers   int
+	takenBackAt  time.Duration // 0 when it was not
+	complete     bool
+}
+
+// play runs a move over a fleet that tells itself what it saw twice a second.
+func play(seed uint64, old, fresh behavior) played {
+	r := rand.New(rand.NewPCG(seed, 1))
+	begun := time.Unix(1000, 0)
+	fleet := make([]*Move, instances)
+	for i := range fleet {
+		fleet[i] = New(catalog.Order{Service: "s", To: "v2", Duration: duration, Revision: 1}, begun)
+	}
+	var p played
+	for at := time.Duration(0); at < duration; at += time.Second / perSecond {
+		now := begun.Add(at)
+		m := fleet[r.IntN(instances)]
+		version, answer := "v1", old
+		if m.TakesNew(now) {
+			version, answer = "v2", fresh
+			p.toNew++
+		}
+		p.total++
+		m.Started(version)
+		failed, took := answer(at, m.share(now))
+		if failed && version == "v2" {
+			p.badAnswers++
+		}
+		m.Ended(version, !failed, failed, took)
+		if at%tellEvery < time.Second/perSecond {
+			tell(fleet)
+		}
+		for _, m := range fleet {
+			j := m.Judge(now)
+			if j.Bad && p.takenBackAt == 0 {
+				p.takenBackAt = at
+			}
+			if j.Bad {
+				m.Suspect()
+			}
+			if j.Complete {
+				p.complete = true
+				return p
+			}
+		}
+		if p.takenBackAt > 0 && at-p.takenBackAt < time.Second/perSecond {
+			for _, m := range fleet {
+				m.Suspect()
+			}
+		}
+	}
+	return p
+}
+
+// tell lets each instance hear all others.
+func tell(fleet []*Move) {
+	for i, m := range fleet {
+		for j, o := range fleet {
+			if i != j {
+				m.SetOther(string(rune('a'+j)), o.Own())
+			}
+		}
+	}
+}
+
+// A bad version is taken back and gets no more than the users allow.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		good := func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.002), usual }
+		cases := map[string]behavior{
+			"errors": func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.45), usual },
+			"slow":   func(time.Duration, float64) (bool, time.Duration) { return false, 8 * usual },
+			"late": func(at time.Duration, _ float64) (bool, time.Duration) {
+				return at > 3*time.Second && failing(r, 0.45), usual
+			},
+			"under load": func(_ time.Duration, share float64) (bool, time.Duration) {
+				return share > 0.15 && failing(r, 0.45), usual
+			},
+		}
+		for name, bad := range cases {
+			p := play(seed, good, bad)
+			if p.complete || p.takenBackAt == 0 {
+				t.Errorf("seed %d, %s: not taken back: %+v", seed, name, p)
+			}
+			if most := exposeShare*float64(p.total) + exposeSlack; float64(p.toNew) > most {
+				t.Errorf("seed %d, %s: %d requests to the new version, %.0f allowed", seed, name, p.toNew, most)
+			}
+		}
+	}
+}
+
+// A good version is complete before its time is over, also beside endpoints
+// that fail part of their requests whatever their version.
+func TestGoodVersionCompletes(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		for name, answer := range map[string]behavior{
+			"sound": func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.002), usual },
+			"a tenth fails everywhere": func(time.Duration, float64) (bool, time.Duration) {
+				return failing(r, 0.1), usual
+			},
+		} {
+			if p := play(seed, answer, answer); !p.complete {
+				t.Errorf("seed %d, %s: %+v", seed, name, p)
+			}
+		}
+	}
+}
+
+func TestRecordGoesBeforeTheOwnWord(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	m := New(catalog.Order{To: "v2", Duration: duration}, begun)
+	m.Suspect()
+	if m.TakesNew(begun) {
+		t.Error("a version that is suspected gets requests")
+	}
+	m.Record(catalog.ResultCompleted)
+	if !m.TakesNew(begun) {
+		t.Error("a recorded completion does not count")
+	}
+}
+
+// Requests that still run at old endpoints would be cut by the completion.
+func TestCompletionWaitsForOldRequests(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	end := begun.Add(duration * 95 / 100)
+	m := New(catalog.Order{To: "v2", Duration: duration}, begun)
+	m.Started("v2")
+	m.Ended("v2", true, false, usual)
+	m.Started("v1")
+	if m.Judge(end).Complete {
+		t.Error("complete while an old endpoint still works")
+	}
+	m.Ended("v1", true, false, usual)
+	if !m.Judge(end).Complete {
+		t.Error("not complete though no old endpoint works")
+	}
+}
