Instances of a region tell each other which objects they sent where

New endpoints got no request at all, as all objects were known elsewhere. Change: with each exchange an instance tells those of its region the objects that it sent to endpoints of late; an endpoint that has had no request is taken to know the objects whose home it is, so that a first request goes there.

--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -71,6 +71,9 @@
 	Demand quota.Demand `json:"q,omitempty"`
 	// Loads are its requests at endpoints.
 	Loads []loadState `json:"l,omitempty"`
+	// Warmed are objects that it has sent to endpoints of late. Only instances
+	// of its region are told: objects are asked for by region.
+	Warmed []warmedState `json:"w,omitempty"`
 	// Moves is what it saw of the moves under way.
 	Moves []moveState `json:"m,omitempty"`
 }
@@ -82,6 +85,13 @@
 	Running int    `json:"n"`
 }
 
+// warmedState is an object that was sent to an endpoint.
+type warmedState struct {
+	ID     string `json:"i"`
+	Born   int64  `json:"b,omitempty"`
+	Object uint64 `json:"o"`
+}
+
 // moveState is what an instance saw of a move.
 type moveState struct {
 	Service  string           `json:"s"`
@@ -156,7 +166,7 @@
 		return nil, fmt.Errorf("state of an instance names no instance")
 	}
 	m.take(s, 0)
-	return m.state(), nil
+	return m.state(s.Region), nil
 }
 
 // Run registers this instance and exchanges states until ctx ends.
@@ -255,10 +265,10 @@
 			return
 		}
 		asks := m.self.Name < name || m.leaving || time.Since(other.heard) > 2*syncEvery
-		address, wake := other.Peers, m.wake
+		address, region, wake := other.Peers, other.Region, m.wake
 		m.mu.Unlock()
 		if asks {
-			m.sync(ctx, name, address)
+			m.sync(ctx, name, address, region)
 		}
 		select {
 		case <-ctx.Done():
@@ -270,20 +280,20 @@
 }
 
 // sync exchanges states once.
-func (m *mesh) sync(ctx context.Context, name, address string) {
+func (m *mesh) sync(ctx context.Context, name, address, region string) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	begun := time.Now()
 	var answer state
-	if err := m.caller.Call(ctx, address, methodSync, m.state(), &answer); err != nil {
+	if err := m.caller.Call(ctx, address, methodSync, m.state(region), &answer); err != nil {
 		m.log.WithError(err).WithField("instance", name).Debug("Instance not reached.")
 		return
 	}
 	m.take(answer, time.Since(begun))
 }
 
-// state returns what this instance tells the others.
-func (m *mesh) state() state {
+// state returns what this instance tells another one, in a region.
+func (m *mesh) state(region string) state {
 	now := time.Now()
 	s := m.self
 	s.Ready = m.ready()
@@ -294,6 +304,11 @@
 	for _, l := range m.placer.Loads() {
 		s.Loads = append(s.Loads, loadState{ID: l.Endpoint.ID, Born: l.Endpoint.Born, Running: l.Running})
 	}
+	if region == s.Region {
+		for _, w := range m.placer.Warmed(now) {
+			s.Warmed = append(s.Warmed, warmedState{ID: w.Endpoint.ID, Born: w.Endpoint.Born, Object: w.Object})
+		}
+	}
 	s.Moves = m.moves.states(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -330,6 +345,11 @@
 		loads = append(loads, placing.Load{Endpoint: catalog.Incarnation{ID: l.ID, Born: l.Born}, Running: l.Running})
 	}
 	m.placer.SetOthers(s.Name, loads)
+	warmed := make([]placing.Warmed, 0, len(s.Warmed))
+	for _, w := range s.Warmed {
+		warmed = append(warmed, placing.Warmed{Endpoint: catalog.Incarnation{ID: w.ID, Born: w.Born}, Object: w.Object})
+	}
+	m.placer.TakeWarmed(now, warmed)
 	m.moves.takeStates(s.Name, s.Moves, now)
 }
 
--- a/front/gateway/metrics.go
+++ b/front/gateway/metrics.go
@@ -28,7 +28,7 @@
 	refusals, err2 := t.Meter.Int64Counter("cardamomfront.gateway.refusals",
 		metric.WithDescription("Requests that were not served, by reason and status."))
 	tries, err3 := t.Meter.Int64Counter("cardamomfront.gateway.tries",
-		metric.WithDescription("Tries at endpoints, by service, outcome and whether the object was known there."))
+		metric.WithDescription("Tries at endpoints, by service, outcome and what was known of the object there."))
 	latency, err4 := t.Meter.Float64Histogram("cardamomfront.gateway.duration",
 		metric.WithUnit("s"), metric.WithDescription("Time from a request's header to its final answer, by route and outcome."))
 	if err := errors.Join(err1, err2, err3, err4); err != nil {
@@ -59,5 +59,5 @@
 // tried counts one try.
 func (m *metrics) tried(x *exchange, o placing.Outcome, c *placing.Choice, _ time.Duration) {
 	m.tries.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("service", x.service), attribute.String("outcome", o.String()), attribute.Bool("warm", c.Warm)))
+		attribute.String("service", x.service), attribute.String("outcome", o.String()), attribute.String("known", c.Known)))
 }
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -315,7 +315,7 @@
 	fields := logrus.Fields{
 		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": number,
 		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "domain": c.Endpoint.FailureDomain,
-		"object": x.caller.Object, "warm": c.Warm, "running": c.Running, "candidates": c.Candidates,
+		"object": x.caller.Object, "known": c.Known, "running": c.Running, "candidates": c.Candidates,
 		"wait_ms": c.Wait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
 	}
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -43,8 +43,8 @@
 	Expected time.Duration
 	// Wait is the part of it that is spent in the endpoint's queue.
 	Wait time.Duration
-	// Warm says that the endpoint is known to have handled the object.
-	Warm bool
+	// Known is what is known of the object there: "warm", "home" or "cold".
+	Known string
 	// Running is how many requests were known to be there.
 	Running int
 	// Candidates is how many endpoints could have been chosen.
@@ -199,6 +199,10 @@
 			known = e.knows(object, homes[e.region] == e, now, p.rules)
 		}
 		c := p.expect(g, e, w, known, price, now)
+		if known == warmthHome && !e.used && !e.cold(now) {
+			// Somebody has to be the first at an endpoint that has joined.
+			c.score = p.expect(g, e, w, warmthWarm, price, now).score
+		}
 		if best.e == nil || c.score < best.score {
 			best = c
 		}
@@ -310,7 +314,7 @@
 		Region:     c.e.region,
 		Expected:   seconds(c.expected),
 		Wait:       seconds(c.wait),
-		Warm:       c.warmth == warmthWarm,
+		Known:      c.warmth.String(),
 		Running:    c.e.running(now, p.rules),
 		Candidates: count,
 		group:      g,
@@ -325,9 +329,10 @@
 		rate, _ := p.coldRate(c.e, q.Service)
 		c.e.takeCold(now, rate)
 	}
-	if q.Object != "" {
-		c.e.remember(object, now, p.rules)
+	if q.Object != "" && c.e.remember(object, now, p.rules) {
+		g.note(Warmed{Endpoint: c.e.Incarnation(), Object: object}, now)
 	}
+	c.e.used = true
 	c.e.started(now)
 	return choice
 }
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -32,6 +32,8 @@
 	told   int
 	toldAt time.Time
 	warm   map[uint64]time.Time
+	// used says that some instance of the region has sent it a request.
+	used bool
 
 	slowdown  float64
 	failures  float64
@@ -104,9 +106,17 @@
 	return warmthCold
 }
 
-// remember notes that an object was sent there.
-func (e *endpoint) remember(object uint64, now time.Time, r Rules) {
+// remember notes that an object was sent there and says whether that is news.
+func (e *endpoint) remember(object uint64, now time.Time, r Rules) bool {
+	sent, ok := e.warm[object]
 	e.warm[object] = now
+	e.used = true
+	e.shrink(now, r)
+	return !ok || now.Sub(sent) > r.WarmFor/2
+}
+
+// shrink forgets the object that was sent longest ago, if there are too many.
+func (e *endpoint) shrink(now time.Time, r Rules) {
 	if len(e.warm) <= r.WarmObjects {
 		return
 	}
--- a/steer/placing/estimate.go
+++ b/steer/placing/estimate.go
@@ -30,6 +30,18 @@
 	warmths
 )
 
+// String names the warmth for logs and metrics.
+func (k warmth) String() string {
+	switch k {
+	case warmthWarm:
+		return "warm"
+	case warmthHome:
+		return "home"
+	default:
+		return "cold"
+	}
+}
+
 // work holds the mean time of work of one route at one service, in seconds, by
 // warmth.
 type work struct {
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -57,6 +57,7 @@
 	ordered   []*endpoint
 	work      map[string]*work // by route
 	slot      float64          // mean time of work of all routes, in seconds
+	news      []news           // objects sent to endpoints of late
 }
 
 // New returns a placer that knows no endpoint.
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -5,8 +5,8 @@
 // Rules are the limits and weights of the choice.
 type Rules struct {
 	// WarmObjects is how many objects an endpoint is taken to remember. The
-	// smallest memory of the users' endpoints is 21; objects that other
-	// instances send take a part of it.
+	// smallest memory of the users' endpoints is 21; objects that instances of
+	// other regions send take a part of it.
 	WarmObjects int
 	// WarmFor is how long an object is taken to be remembered. An object that
 	// is asked for less often is pushed out by others in that time.
@@ -51,7 +51,7 @@
 // DefaultRules returns the rules used when none are set.
 func DefaultRules() Rules {
 	return Rules{
-		WarmObjects:   16,
+		WarmObjects:   20,
 		WarmFor:       20 * time.Second,
 		QueueFactor:   3,
 		LoadFresh:     300 * time.Millisecond,
