--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 
 GOLANGCI_VERSION := v2.15.0
 BIN := $(CURDIR)/.bin
-MODULES := ./steer/... ./front/... ./tools/...
+MODULES := ./steer/... ./front/... ./platform/... ./tools/...
 
-.PHONY: all build test fmt format-check lint generate generate-check bench bench-check demo
+.PHONY: names all build test fmt format-check lint generate generate-check bench bench-check demo
 
 all: format-check generate-check lint test
 
@@ -15,10 +15,10 @@
 	scripts/test.sh
 
 fmt:
-	go tool gofumpt -w steer front tools
+	go tool gofumpt -w steer front platform tools
 
 format-check:
-	@out="$$(go tool gofumpt -l steer front tools)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	@out="$$(go tool gofumpt -l steer front platform tools)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 
 $(BIN)/golangci-lint-$(GOLANGCI_VERSION):
 	mkdir -p $(BIN)
@@ -35,6 +35,10 @@
 generate-check:
 	go tool wire diff ./front/...
 
+# The adapter alone knows the names of the wire.
+names:
+	scripts/names.sh
+
 # All figures at the usual length of a benchmark.
 bench:
 	go run ./tools/bench
