--- a/front/cmd/cardamomfront/gateway.go
+++ b/front/cmd/cardamomfront/gateway.go
@@ -29,6 +29,7 @@
 		Short: "Run one instance whose endpoints, operators and peers meet in the platform's store",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			hangups := gateway.Hangups()
 			settings, err := gateway.ReadSettings(file)
 			if err != nil {
 				return err
@@ -37,7 +38,7 @@
 				_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
 				return err
 			}
-			return runGateway(cmd.Context(), settings)
+			return runGateway(cmd.Context(), settings, file, hangups)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file; by default the one that "+settingsVariable+" names")
@@ -45,12 +46,13 @@
 	return cmd
 }
 
-// runGateway runs an instance until ctx ends.
-func runGateway(ctx context.Context, s *gateway.Settings) error {
+// runGateway runs an instance until ctx ends, and follows its settings file.
+func runGateway(ctx context.Context, s *gateway.Settings, file string, hangups <-chan os.Signal) error {
 	debug.SetMemoryLimit(memoryLimit)
 	g, err := gateway.New(s, platform.Parts(s.Store), os.Stdout)
 	if err != nil {
 		return err
 	}
+	go g.Follow(ctx, file, hangups)
 	return g.Run(ctx)
 }
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,10 +47,17 @@
 	endpointDialTimeout = 700 * time.Millisecond
 )
 
+// Store is a shared store whose address may change.
+type Store interface {
+	registry.Store
+	// SetAddress replaces the store's host and port.
+	SetAddress(address string)
+}
+
 // Parts are what an instance speaks with others.
 type Parts struct {
 	// Store is the shared store.
-	Store registry.Store
+	Store Store
 	// Decoder reads its rows.
 	Decoder Decoder
 	// Callers is the protocol with callers.
@@ -64,7 +72,7 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	settings *Settings
+	settings atomic.Pointer[Settings]
 	parts    Parts
 	handler  *handler
 	beliefs  *beliefs
@@ -97,7 +105,8 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{settings: s, parts: p, page: t.Page, writer: writer, logger: log, log: log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Name})}
+	g := &Gateway{parts: p, page: t.Page, writer: writer, logger: log, log: log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Name})}
+	g.settings.Store(s)
 	g.client = endpoint.NewClient(endpoint.Settings{
 		DialTimeout: endpointDialTimeout, Dial: p.Dial, Protocol: p.Endpoints, NoProbes: true,
 		Connections: health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdle},
@@ -114,7 +123,7 @@
 	g.peers.Handle(methodSync, g.mesh.handle)
 	g.handler = &handler{
 		protocol: p.Callers, beliefs: g.beliefs, metrics: counts, log: log.WithField("prefix", "request"),
-		sender: &sender{client: g.client, placer: placer, moves: g.moves, metrics: counts, budgets: newBudgets(s, g.mesh.size)},
+		sender: &sender{client: g.client, placer: placer, moves: g.moves, metrics: counts, budgets: newBudgets(g.settings.Load, g.mesh.size)},
 	}
 	return g, nil
 }
@@ -149,7 +158,7 @@
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
-	peers, err := g.peers.Listen(g.settings.Listen.Peers)
+	peers, err := g.peers.Listen(g.settings.Load().Listen.Peers)
 	if err != nil {
 		return err
 	}
@@ -158,7 +167,7 @@
 	for _, run := range components {
 		group.Go(func() error { return run(life) })
 	}
-	g.log.WithFields(logrus.Fields{"callers": g.settings.Listen.Callers, "store": g.settings.Store}).Info("Started.")
+	g.log.WithFields(logrus.Fields{"callers": g.settings.Load().Listen.Callers, "store": g.settings.Load().Store}).Info("Started.")
 	select {
 	case <-ctx.Done():
 	case <-life.Done():
@@ -207,7 +216,7 @@
 
 // listen opens all HTTP listeners, the callers' first.
 func (g *Gateway) listen() ([]*server, error) {
-	l := g.settings.Listen
+	l := g.settings.Load().Listen
 	chain := negroni.New()
 	chain.UseHandler(g.handler)
 	pages := []struct {
@@ -216,7 +225,7 @@
 	}{
 		{l.Callers, chain},
 		{l.Ready, g.parts.Ingress.Ready(g.ready)},
-		{l.Directory, g.parts.Ingress.Directory(g.mesh.find, g.settings.lifetime())},
+		{l.Directory, g.parts.Ingress.Directory(g.mesh.find, func() time.Duration { return g.settings.Load().lifetime() })},
 		{l.Metrics, g.page},
 	}
 	var servers []*server
@@ -253,9 +262,10 @@
 // stop carries out a planned stop: callers are sent elsewhere, requests that
 // are under way end, and only then does the process.
 func (g *Gateway) stop(ctx context.Context, servers []*server) {
-	g.log.WithField("grace_ms", g.settings.grace().Milliseconds()).Info("Stopping.")
+	grace := g.settings.Load().grace()
+	g.log.WithField("grace_ms", grace.Milliseconds()).Info("Stopping.")
 	begun := time.Now()
-	until := func(part float64) time.Time { return begun.Add(seconds(part * g.settings.Grace)) }
+	until := func(part float64) time.Time { return begun.Add(time.Duration(part * float64(grace))) }
 	g.mesh.leave()
 	go g.mesh.unregister(ctx)
 	sleepUntil(until(closeAfter))
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -49,7 +49,7 @@
 	Ready(ready func() bool) http.Handler
 	// Directory answers which instances a caller should use. find returns their
 	// addresses; an answer may be used for lifetime.
-	Directory(find func(Place) []string, lifetime time.Duration) http.Handler
+	Directory(find func(Place) []string, lifetime func() time.Duration) http.Handler
 }
 
 // Decoder turns rows of the store's tables into this project's terms. Faults
--- /dev/null
+++ b/front/gateway/reload.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// reloadEvery is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadEvery = 2 * time.Second
+
+// Hangups returns a channel of the SIGHUPs that this process gets. Without it
+// the first one ends the process.
+func Hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// Follow takes in changes of the settings file until ctx ends: at once after a
+// hangup, otherwise within reloadEvery.
+func (g *Gateway) Follow(ctx context.Context, file string, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	var last []byte // the file may have changed since the settings were read
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			asked = true
+		case <-ticker.C:
+		}
+		content, err := os.ReadFile(file)
+		if err != nil {
+			g.log.WithError(err).Warn("Settings file can't be read, the last one stays in force.")
+			continue
+		}
+		if !asked && bytes.Equal(content, last) {
+			continue
+		}
+		last = content
+		g.reload(file, content)
+	}
+}
+
+// reload puts new settings in force, as far as that is possible without a
+// restart.
+func (g *Gateway) reload(file string, content []byte) {
+	s, err := DecodeSettings(file, content)
+	if err != nil {
+		g.log.WithError(err).Error("Settings are faulty, the last ones stay in force.")
+		return
+	}
+	old := g.settings.Load()
+	if s.Log.Level != "" {
+		if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
+			g.logger.SetLevel(level)
+		}
+	}
+	if s.Store != old.Store {
+		g.parts.Store.SetAddress(s.Store)
+	}
+	g.settings.Store(s)
+	if reflect.DeepEqual(s, old) {
+		g.log.Info("Settings unchanged.")
+		return
+	}
+	restart := s.Name != old.Name || s.Region != old.Region || s.FailureDomain != old.FailureDomain || s.Listen != old.Listen
+	g.log.WithFields(logrus.Fields{"store": s.Store, "needs_restart": restart}).Info("Settings reloaded.")
+}
--- /dev/null
+++ b/front/gateway/reload_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+)
+
+const settingsText = `
+name: g1
+region: east
+failureDomain: east-1
+failureDomains: {east-1: east}
+listen: {callers: "127.0.0.1:1", ready: "127.0.0.1:2", directory: "127.0.0.1:3", peers: "127.0.0.1:4"}
+store: "127.0.0.1:5"
+lifetime: 2
+grace: 6
+retryRatio: 0.2
+retrySlack: 50
+`
+
+// addressStore is a store of which only the address matters.
+type addressStore struct {
+	registry.Store
+	address atomic.Value
+}
+
+func (s *addressStore) SetAddress(a string) { s.address.Store(a) }
+
+// noPages is an Ingress without pages.
+type noPages struct{}
+
+func (noPages) Ready(func() bool) http.Handler { return http.NotFoundHandler() }
+
+func (noPages) Directory(func(Place) []string, func() time.Duration) http.Handler {
+	return http.NotFoundHandler()
+}
+
+// newFollowed returns an instance that follows a settings file.
+func newFollowed(t *testing.T) (g *Gateway, file string, store *addressStore) {
+	t.Helper()
+	file = filepath.Join(t.TempDir(), "settings.yaml")
+	write(t, file, settingsText)
+	s, err := ReadSettings(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store = &addressStore{}
+	g, err = New(s, Parts{Store: store, Ingress: noPages{}}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	hangups := Hangups()
+	go func() {
+		defer close(done)
+		g.Follow(ctx, file, hangups)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g, file, store
+}
+
+func write(t *testing.T, file, text string) {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// wait waits for something that must come.
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Found by our own day settings-and-clocks: a SIGHUP ended the process.
+func TestHangupReloadsSettings(t *testing.T) {
+	g, file, store := newFollowed(t)
+	write(t, file, strings.NewReplacer("lifetime: 2", "lifetime: 4", ":5", ":55").Replace(settingsText))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the settings are not in force", func() bool {
+		return g.settings.Load().Lifetime == 4 && store.address.Load() == "127.0.0.1:55"
+	})
+}
+
+func TestChangedFileIsReloadedWithoutASignal(t *testing.T) {
+	g, file, _ := newFollowed(t)
+	write(t, file, strings.Replace(settingsText, "grace: 6", "grace: 3", 1))
+	wait(t, "the settings are not in force", func() bool { return g.settings.Load().Grace == 3 })
+}
+
+func TestFaultySettingsLeaveTheLastInForce(t *testing.T) {
+	g, file, _ := newFollowed(t)
+	for _, text := range []string{"", "name: [", strings.Replace(settingsText, "grace: 6", "grace: -1", 1), settingsText + "unknown: 1\n"} {
+		g.reload(file, []byte(text))
+		if g.settings.Load().Grace != 6 {
+			t.Errorf("faulty settings are in force: %q", text)
+		}
+	}
+}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -385,17 +385,17 @@
 
 // budgets bounds the tries beyond the first, by service.
 type budgets struct {
-	ratio float64
-	slack float64
-	size  func() int // instances that share the slack
+	settings func() *Settings
+	size     func() int // instances that share the slack
 
 	mu       sync.Mutex
+	made     *Settings // the settings that the budgets were made from
 	services map[string]*retry.Budget
 }
 
 // newBudgets returns budgets that size instances share.
-func newBudgets(s *Settings, size func() int) *budgets {
-	return &budgets{ratio: s.RetryRatio, slack: s.RetrySlack, size: size, services: make(map[string]*retry.Budget)}
+func newBudgets(settings func() *Settings, size func() int) *budgets {
+	return &budgets{settings: settings, size: size, services: make(map[string]*retry.Budget)}
 }
 
 // deposit notes a request to a service.
@@ -417,12 +417,17 @@
 
 // of returns a service's budget. The caller holds mu.
 func (b *budgets) of(service string) *retry.Budget {
+	now := b.settings()
+	if b.made != now {
+		b.made = now
+		clear(b.services)
+	}
 	budget := b.services[service]
 	if budget != nil {
 		return budget
 	}
-	burst := max(1, int(b.slack*budgetShare/float64(max(1, b.size()))))
-	budget, err := retry.NewBudget(retry.BudgetSettings{Ratio: b.ratio * budgetShare, Burst: burst})
+	burst := max(1, int(now.RetrySlack*budgetShare/float64(max(1, b.size()))))
+	budget, err := retry.NewBudget(retry.BudgetSettings{Ratio: now.RetryRatio * budgetShare, Burst: burst})
 	if err != nil {
 		return nil
 	}
