--- a/front/operator/explain/command.go
+++ b/front/operator/explain/command.go
@@ -38,7 +38,7 @@
 		Use:   "explain ADDRESS",
 		Short: "Say why requests are refused at an instance, and where they go",
 		Long: "Say why requests are refused at an instance, and where they go. ADDRESS is the\n" +
-			"instance's operator listener. docs/OPERATING.md says what to do for each reason.",
+			"instance's operator listener. docs/OPERATIONS.md says what to do for each reason.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), timeout)
