Tried: less urgent requests wait for a part of the goal only; reverted

Cause: the routes' and teams' priority plays no part in placing. Try: a request whose service had a more urgent one within 2 s waits in queues up to 0.8 of its goal. Open: rank by payoff for each second of a slot. Also: linter findings.

--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -66,17 +66,6 @@
 	return x.team.Name
 }
 
-// priority returns the request's rank; 0 is the highest.
-func (x *exchange) priority() int {
-	if x.team != nil {
-		return x.team.Priority*priorityStep + x.route.Priority
-	}
-	return x.route.Priority
-}
-
-// priorityStep puts each team priority before all priorities of routes.
-const priorityStep = 1000
-
 // handler serves callers.
 type handler struct {
 	protocol CallerProtocol
--- a/steer/placing/warmed.go
+++ b/steer/placing/warmed.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
@@ -26,13 +27,8 @@
 
 // note keeps an object for the others and drops what was told long enough.
 func (g *group) note(w Warmed, now time.Time) {
-	kept := g.news[:0]
-	for _, n := range g.news {
-		if now.Sub(n.at) <= newsFor {
-			kept = append(kept, n)
-		}
-	}
-	g.news = append(kept, news{Warmed: w, at: now})
+	g.news = slices.DeleteFunc(g.news, func(n news) bool { return now.Sub(n.at) > newsFor })
+	g.news = append(g.news, news{Warmed: w, at: now})
 }
 
 // Warmed returns the objects that this instance has sent to endpoints of late,
