Model of placing: callers, instances and endpoints in virtual time

Beyond the slots the number of answers in time stays above that of the heaviest load. Found by a test: an endpoint that joined in another failure domain than the instance's got no first request; mended.

--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -201,7 +201,7 @@
 		c := p.expect(g, e, w, known, price, now)
 		if known == warmthHome && !e.used && !e.cold(now) {
 			// Somebody has to be the first at an endpoint that has joined.
-			c.score = p.expect(g, e, w, warmthWarm, price, now).score
+			c.score = p.expect(g, e, w, warmthWarm, price, now).score - joinBonus.Seconds()
 		}
 		if best.e == nil || c.score < best.score {
 			best = c
@@ -210,6 +210,10 @@
 	return best, count, full
 }
 
+// joinBonus makes up for the way to an endpoint in another failure domain of the
+// region.
+const joinBonus = 2 * sameRegionTrip
+
 // price returns what a second of a slot counts as, in seconds.
 func (p *Placer) price(g *group, q Query, now time.Time) float64 {
 	running, slots := 0, 0
--- /dev/null
+++ b/steer/placing/choose_test.go
@@ -0,0 +1,214 @@
+package placing
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+const testGoal = 500 * time.Millisecond
+
+// fixture is one placer of a fleet in two regions.
+type fixture struct {
+	*Placer
+	now time.Time
+}
+
+var testRegions = map[string]string{"e1": "east", "e2": "east", "w1": "west"}
+
+func newFixture(self string, endpoints ...catalog.Endpoint) *fixture {
+	f := &fixture{now: epoch, Placer: New(DefaultRules(), Locality{Self: self, Region: "east", FailureDomain: "e1", Regions: testRegions})}
+	f.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdFor: 3 * time.Second, ColdRate: 2.5}})
+	f.Update(f.now, endpoints)
+	return f
+}
+
+func endpointAt(id, domain string) catalog.Endpoint {
+	return catalog.Endpoint{ID: id, Service: "s", Address: id, FailureDomain: domain, Version: "v1", Slots: 3}
+}
+
+func (f *fixture) choose(change func(q *Query)) (*Choice, error) {
+	q := Query{Service: "s", Route: "r", Object: "7", Goal: testGoal, GoalLeft: testGoal, Limit: 5 * time.Second}
+	if change != nil {
+		change(&q)
+	}
+	return f.Choose(f.now, q)
+}
+
+// target returns the endpoint that would be chosen, or the refusal's reason.
+func (f *fixture) target(change func(q *Query)) string {
+	c, err := f.choose(change)
+	var r *Refusal
+	if errors.As(err, &r) {
+		return string(r.Reason)
+	}
+	defer f.Done(f.now, c, OutcomeUnknown, 0, -1)
+	return c.Endpoint.ID
+}
+
+func TestWhereARequestMayGo(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		setup  func(f *fixture)
+		change func(q *Query)
+		want   string
+	}{
+		{"its region first", nil, nil, "a"},
+		{"a home elsewhere", nil, func(q *Query) { q.Homes = []string{"west"} }, "b"},
+		{"no home has endpoints", nil, func(q *Query) { q.Homes = []string{"north"} }, "no-endpoint"},
+		{"another version", nil, func(q *Query) { q.Versions = func(v string) bool { return v == "v2" } }, "no-endpoint"},
+		{"tried before", nil, func(q *Query) { q.Tried = []catalog.Incarnation{{ID: "a"}} }, "b"},
+		{"its domain is closed", func(f *fixture) { f.SetClosed(f.now, map[string]bool{"e1": true}) }, nil, "b"},
+		{"an unknown service", nil, func(q *Query) { q.Service = "x" }, "no-endpoint"},
+		{"too little time for any", nil, func(q *Query) { q.Limit = time.Millisecond }, "too-late"},
+		{"it left", func(f *fixture) {
+			gone := endpointAt("a", "e1")
+			gone.Leaving = true
+			f.Update(f.now, []catalog.Endpoint{gone, endpointAt("b", "w1")})
+		}, nil, "b"},
+		{"it was started anew", func(f *fixture) {
+			fresh := endpointAt("a", "e1")
+			fresh.Born = 5
+			f.Update(f.now, []catalog.Endpoint{fresh})
+		}, nil, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture("i", endpointAt("a", "e1"), endpointAt("b", "w1"))
+			if c.setup != nil {
+				c.setup(f)
+			}
+			if got := f.target(c.change); got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// An endpoint that can't be reached rests, and then one request finds out
+// whether it is back.
+func TestUnreachableEndpointIsTriedByOne(t *testing.T) {
+	f := newFixture("i", endpointAt("a", "e1"))
+	c, err := f.choose(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Done(f.now, c, OutcomeUnreachable, 0, -1)
+	if got := f.target(nil); got != "no-room" {
+		t.Errorf("at rest: %s", got)
+	}
+	f.now = f.now.Add(DefaultRules().FirstRest)
+	trial, err := f.choose(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.target(nil); got != "no-room" {
+		t.Errorf("during the trial: %s", got)
+	}
+	f.Done(f.now, trial, OutcomeAnswered, 50*time.Millisecond, -1)
+	if got := f.target(nil); got != "a" {
+		t.Errorf("after the trial: %s", got)
+	}
+}
+
+// All instances together send a cold endpoint no more than the users allow in
+// any second, whichever of them know it to be cold from its entry, from a zone
+// that opens again, or from a restart of their own.
+func TestColdEndpointGetsLittle(t *testing.T) {
+	const (
+		coldPerS   = 2.5
+		coldExcess = 1.5
+		coldSlack  = 5
+	)
+	for _, n := range []int{1, 3, 8, 64} {
+		var members []Member
+		for i := range n {
+			members = append(members, Member{Name: fmt.Sprint("i", i), Region: "east"})
+		}
+		cold := endpointAt("a", "e1")
+		cold.ColdUntil = epoch.Add(20 * time.Second)
+		var fleet []*fixture
+		for _, m := range members {
+			f := newFixture(m.Name, cold)
+			f.SetFleet(members)
+			fleet = append(fleet, f)
+		}
+		var sent []time.Time
+		for at := time.Duration(0); at < 10*time.Second; at += 20 * time.Millisecond {
+			for _, f := range fleet {
+				f.now = epoch.Add(at)
+				if c, err := f.choose(nil); err == nil {
+					sent = append(sent, f.now)
+					f.Done(f.now, c, OutcomeAnswered, 300*time.Millisecond, 0)
+				}
+			}
+		}
+		first, most := 0, 0
+		for last, at := range sent {
+			for at.Sub(sent[first]) >= time.Second {
+				first++
+			}
+			most = max(most, last-first+1)
+		}
+		if bound := coldPerS*coldExcess + coldSlack; float64(most) > bound {
+			t.Errorf("%d instances sent %d requests in a second, %.1f allowed", n, most, bound)
+		}
+		if len(sent) < 10 {
+			t.Errorf("%d instances sent only %d requests in ten seconds", n, len(sent))
+		}
+	}
+}
+
+func TestDomainThatOpensIsColdAtFirst(t *testing.T) {
+	f := newFixture("i", endpointAt("a", "e1"))
+	f.SetClosed(f.now, map[string]bool{"e1": true})
+	f.SetClosed(f.now, nil)
+	sent := 0
+	for range 20 {
+		if _, err := f.choose(nil); err == nil {
+			sent++
+		}
+	}
+	if sent != 1 {
+		t.Errorf("%d requests at once to an endpoint that may be cold", sent)
+	}
+}
+
+// An endpoint that has joined gets a first request though the others know the
+// object.
+func TestJoinedEndpointGetsItsFirstRequest(t *testing.T) {
+	f := newFixture("i", endpointAt("a", "e1"))
+	for object := range 40 {
+		f.target(func(q *Query) { q.Object = fmt.Sprint(object) })
+	}
+	f.Update(f.now, []catalog.Endpoint{endpointAt("a", "e1"), endpointAt("b", "e2")})
+	got := map[string]int{}
+	for object := range 40 {
+		got[f.target(func(q *Query) { q.Object = fmt.Sprint(object) })]++
+	}
+	if got["b"] == 0 {
+		t.Errorf("requests by endpoint: %v", got)
+	}
+}
+
+// Instances of a region that tell each other what they sent choose the same
+// endpoint for an object.
+func TestInstancesAgreeOnAnObject(t *testing.T) {
+	all := []catalog.Endpoint{endpointAt("a", "e1"), endpointAt("b", "e2"), endpointAt("c", "e2")}
+	one, two := newFixture("i1", all...), newFixture("i2", all...)
+	for object := range 30 {
+		ask := func(q *Query) { q.Object = fmt.Sprint(object) }
+		// The first is sent away from its home.
+		home := one.target(ask)
+		away := one.target(func(q *Query) {
+			ask(q)
+			q.Tried = []catalog.Incarnation{{ID: home}}
+		})
+		two.TakeWarmed(two.now, one.Warmed(one.now))
+		if got := two.target(ask); got != home && got != away {
+			t.Errorf("object %d: %s, known at %s and %s", object, got, home, away)
+		}
+	}
+}
--- /dev/null
+++ b/steer/placing/load_test.go
@@ -0,0 +1,82 @@
+package placing
+
+import (
+	"testing"
+	"time"
+)
+
+// kano and ganguly are the users' services at their largest load: the whole
+// service's requests at three times their mean rate in a wave's peak with a
+// burst.
+func kano(rate float64) load {
+	return load{
+		regions: []modelRegion{{"kano", 3, 6}, {"kaduna", 3, 2}, {"sokoto", 2, 6}},
+		slots:   3, queue: 9, memory: 21, cold: 880 * time.Millisecond, warm: 264 * time.Millisecond,
+		goal: 600 * time.Millisecond, limit: 2500 * time.Millisecond, objects: 24, rate: rate, until: 30 * time.Second,
+	}
+}
+
+func ganguly(rate float64) load {
+	return load{
+		regions: []modelRegion{{"kolkata", 4, 2}, {"siliguri", 3, 8}, {"bardhaman", 3, 8}},
+		slots:   6, queue: 18, memory: 37, cold: 640 * time.Millisecond, warm: 192 * time.Millisecond,
+		goal: 500 * time.Millisecond, limit: 1200 * time.Millisecond, objects: 53, rate: rate, until: 30 * time.Second,
+	}
+}
+
+// part is how much of an all-knowing dispatcher's payoff callers must get.
+const part = 0.9
+
+// What callers get is close to what an all-knowing dispatcher would give them
+// and more than any simple policy gives, as a whole and in the region that is
+// served worst, at the load of a usual day and of the heaviest.
+func TestCallersGetNearlyWhatIsPossible(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load load
+	}{
+		{"kano, usual", kano(61)},
+		{"kano, heaviest", kano(110)},
+		{"ganguly, usual", ganguly(214)},
+		{"ganguly, heaviest", ganguly(400)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(c.load, 1)
+			got := m.run(newPlaced(m))
+			limit := newModel(c.load, 1).run(pick(allKnowing))
+			t.Logf("placed:      %v", got)
+			t.Logf("all-knowing: %v", limit)
+			if got.payoff() < part*limit.payoff() {
+				t.Errorf("payoff %.3f, an all-knowing dispatcher gives %.3f", got.payoff(), limit.payoff())
+			}
+			for name, p := range baselines {
+				other := newModel(c.load, 1).run(p)
+				t.Logf("%s: %v", name, other)
+				if got.payoff() < other.payoff() || got.worstRegion < other.worstRegion {
+					t.Errorf("%s gives %v; placed %v", name, other, got)
+				}
+			}
+		})
+	}
+}
+
+// Beyond what the slots can carry, the number of answers in time does not fall
+// below that of the heaviest load that they can: requests that are too many are
+// refused and don't make others late.
+func TestOverloadTakesNothingAway(t *testing.T) {
+	for name, at := range map[string]func(rate float64) load{"kano": kano, "ganguly": ganguly} {
+		inGoal := func(rate float64) int {
+			m := newModel(at(rate), 2)
+			f := m.run(newPlaced(m))
+			t.Logf("%s at %.0f a second: %v", name, rate, f)
+			return f.inGoal
+		}
+		most := map[string]float64{"kano": 110, "ganguly": 400}[name]
+		heaviest := inGoal(most)
+		for _, times := range []float64{1.5, 2.5} {
+			if n := inGoal(times * most); n < heaviest {
+				t.Errorf("%s: %d answers in time at %.1f times the load, %d at the load", name, n, times, heaviest)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/steer/placing/model_test.go
@@ -0,0 +1,452 @@
+package placing
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// The model plays callers, instances and endpoints of one service in virtual
+// time. Endpoints have slots, a queue, a memory of objects and shed what does
+// not fit; instances know the endpoints' loads by what they send, by answers
+// and by what the others tell twice a second.
+
+// load is one deployment under one load.
+type load struct {
+	regions     []modelRegion
+	slots       int
+	queue       int
+	memory      int           // objects that an endpoint remembers
+	cold, warm  time.Duration // work on an object that it does not and does know
+	goal, limit time.Duration
+	objects     int     // of each region
+	rate        float64 // requests a second, over all regions
+	until       time.Duration
+}
+
+// modelRegion has its instances and endpoints.
+type modelRegion struct {
+	name      string
+	instances int
+	endpoints int
+}
+
+// tellEvery is the time between two exchanges between instances.
+const tellEvery = 500 * time.Millisecond
+
+// Round trips of the model.
+const (
+	nearTrip = 3 * time.Millisecond
+	farTrip  = 40 * time.Millisecond
+)
+
+// modelEndpoint is one endpoint as it really is.
+type modelEndpoint struct {
+	catalog.Endpoint
+	region  string
+	running int
+	waiting []*modelRequest
+	known   []int // objects, the last one used last
+	sent    int   // requests that policies know to be there
+}
+
+// modelRequest is one attempt of a caller.
+type modelRequest struct {
+	object   int
+	region   int
+	first    time.Duration // when the caller first asked
+	retried  bool
+	instance int
+	choice   *Choice
+	at       *modelEndpoint
+	sentAt   time.Duration
+	trip     time.Duration
+}
+
+// policy decides where a request goes.
+type policy interface {
+	// choose returns an endpoint, or nil and when to come back.
+	choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration)
+	// done says how a request ended.
+	done(m *model, r *modelRequest, o Outcome)
+	// tell is called every tellEvery.
+	tell(m *model)
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// figures are what callers got.
+type figures struct {
+	asked, inGoal, late, refused int
+	times                        []time.Duration
+	worstRegion                  float64
+}
+
+// payoff is what the users count: a late answer is worth a fifth.
+func (f figures) payoff() float64 {
+	return (float64(f.inGoal) + 0.2*float64(f.late)) / float64(max(1, f.asked))
+}
+
+// quantile returns a quantile of the times of answers.
+func (f figures) quantile(q float64) time.Duration {
+	if len(f.times) == 0 {
+		return 0
+	}
+	return f.times[int(q*float64(len(f.times)-1))]
+}
+
+func (f figures) String() string {
+	return fmt.Sprintf("payoff %.3f, worst region %.3f, in goal %d, late %d, refused %d of %d, p50 %d ms, p99 %d ms",
+		f.payoff(), f.worstRegion, f.inGoal, f.late, f.refused, f.asked,
+		f.quantile(0.5).Milliseconds(), f.quantile(0.99).Milliseconds())
+}
+
+// model is one run.
+type model struct {
+	load
+	r         *rand.Rand
+	policy    policy
+	now       time.Duration
+	events    events
+	seq       int
+	endpoints []*modelEndpoint
+	instances []Member
+	byRegion  [][]int // instances of each region
+	perRegion []figures
+}
+
+// epoch is the model's time zero.
+var epoch = time.Unix(100_000, 0)
+
+func (m *model) clock() time.Time { return epoch.Add(m.now) }
+
+// after schedules f.
+func (m *model) after(d time.Duration, f func()) {
+	m.seq++
+	heap.Push(&m.events, event{at: m.now + d, seq: m.seq, do: f})
+}
+
+// newModel builds a deployment. The policy is set before run.
+func newModel(l load, seed uint64) *model {
+	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions))}
+	for i, region := range l.regions {
+		for j := range region.instances {
+			m.byRegion[i] = append(m.byRegion[i], len(m.instances))
+			m.instances = append(m.instances, Member{Name: fmt.Sprintf("%s-i%d", region.name, j), Region: region.name})
+		}
+		for j := range region.endpoints {
+			id := fmt.Sprintf("%s-e%d", region.name, j)
+			m.endpoints = append(m.endpoints, &modelEndpoint{region: region.name, Endpoint: catalog.Endpoint{
+				ID: id, Service: "s", Address: id, FailureDomain: region.name, Version: "v1", Slots: l.slots,
+			}})
+		}
+	}
+	return m
+}
+
+// run plays the load.
+func (m *model) run(p policy) figures {
+	m.policy = p
+	m.after(m.gap(), m.arrive)
+	m.after(tellEvery, m.tellAll)
+	for m.events.Len() > 0 {
+		e := heap.Pop(&m.events).(event)
+		m.now = e.at
+		e.do()
+	}
+	return m.sum()
+}
+
+// gap returns the time until the next request.
+func (m *model) gap() time.Duration {
+	return time.Duration(m.r.ExpFloat64() / m.rate * float64(time.Second))
+}
+
+func (m *model) tellAll() {
+	m.policy.tell(m)
+	if m.now < m.until {
+		m.after(tellEvery, m.tellAll)
+	}
+}
+
+// arrive is a caller's first attempt.
+func (m *model) arrive() {
+	if m.now < m.until {
+		m.after(m.gap(), m.arrive)
+	} else {
+		return
+	}
+	region := m.r.IntN(len(m.regions))
+	m.attempt(&modelRequest{object: region*m.objects + m.r.IntN(m.objects), region: region, first: m.now})
+}
+
+// attempt brings a request to an instance of its region.
+func (m *model) attempt(r *modelRequest) {
+	r.instance = m.byRegion[r.region][m.r.IntN(len(m.byRegion[r.region]))]
+	e, retry := m.policy.choose(m, r)
+	if e == nil {
+		m.refuse(r, retry)
+		return
+	}
+	r.at, r.sentAt, r.trip = e, m.now, farTrip
+	if e.region == m.regions[r.region].name {
+		r.trip = nearTrip
+	}
+	e.sent++
+	m.after(r.trip/2, func() { m.reach(r) })
+}
+
+// refuse lets the caller come back once.
+func (m *model) refuse(r *modelRequest, retry time.Duration) {
+	left := m.limit - (m.now - r.first)
+	if r.retried || left <= 0 {
+		m.perRegion[r.region].asked++
+		m.perRegion[r.region].refused++
+		return
+	}
+	r.retried = true
+	m.after(min(max(retry, 50*time.Millisecond), left/3), func() { m.attempt(r) })
+}
+
+// reach brings a request to its endpoint.
+func (m *model) reach(r *modelRequest) {
+	e := r.at
+	switch {
+	case e.running < m.slots:
+		m.work(r)
+	case len(e.waiting) < m.queue:
+		e.waiting = append(e.waiting, r)
+	default:
+		m.after(r.trip/2, func() {
+			e.sent--
+			m.policy.done(m, r, OutcomeShed)
+			m.refuse(r, 100*time.Millisecond)
+		})
+	}
+}
+
+// work runs a request.
+func (m *model) work(r *modelRequest) {
+	e := r.at
+	e.running++
+	d := m.cold
+	if i := slices.Index(e.known, r.object); i >= 0 {
+		d = m.warm
+		e.known = slices.Delete(e.known, i, i+1)
+	}
+	e.known = append(e.known, r.object)
+	if len(e.known) > m.memory {
+		e.known = e.known[1:]
+	}
+	d = time.Duration(float64(d) * (0.85 + 0.3*m.r.Float64()))
+	m.after(d, func() {
+		e.running--
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			m.work(next)
+		}
+		m.after(r.trip/2, func() { m.answer(r) })
+	})
+}
+
+// answer brings an answer to its caller.
+func (m *model) answer(r *modelRequest) {
+	r.at.sent--
+	m.policy.done(m, r, OutcomeAnswered)
+	f := &m.perRegion[r.region]
+	f.asked++
+	took := m.now - r.first
+	f.times = append(f.times, took)
+	if took <= m.goal {
+		f.inGoal++
+	} else {
+		f.late++
+	}
+}
+
+// sum joins the figures of the regions.
+func (m *model) sum() figures {
+	all := figures{worstRegion: 1}
+	for _, f := range m.perRegion {
+		all.asked += f.asked
+		all.inGoal += f.inGoal
+		all.late += f.late
+		all.refused += f.refused
+		all.times = append(all.times, f.times...)
+		all.worstRegion = min(all.worstRegion, f.payoff())
+	}
+	slices.Sort(all.times)
+	return all
+}
+
+// placed is the policy of this package: one Placer for each instance.
+// testRules are the rules of the placers.
+var testRules = DefaultRules()
+
+type placed struct{ placers []*Placer }
+
+func newPlaced(m *model) *placed {
+	p := &placed{}
+	regions := map[string]string{}
+	for _, r := range m.regions {
+		regions[r.name] = r.name
+	}
+	var all []catalog.Endpoint
+	for _, e := range m.endpoints {
+		all = append(all, e.Endpoint)
+	}
+	for _, i := range m.instances {
+		placer := New(testRules, Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
+		placer.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdRate: 5}})
+		placer.SetFleet(m.instances)
+		placer.Update(epoch, all)
+		for _, r := range m.regions {
+			placer.SetTrip(r.name, farTrip)
+		}
+		p.placers = append(p.placers, placer)
+	}
+	return p
+}
+
+func (p *placed) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
+	c, err := p.placers[r.instance].Choose(m.clock(), Query{
+		Service: "s", Route: "r", Object: fmt.Sprint(r.object), Goal: m.goal,
+		GoalLeft: m.goal - (m.now - r.first), Limit: m.limit - (m.now - r.first),
+	})
+	if err != nil {
+		return nil, err.(*Refusal).Retry
+	}
+	r.choice = c
+	for _, e := range m.endpoints {
+		if e.ID == c.Endpoint.ID {
+			return e, 0
+		}
+	}
+	return nil, 0
+}
+
+func (p *placed) done(m *model, r *modelRequest, o Outcome) {
+	p.placers[r.instance].Done(m.clock(), r.choice, o, m.now-r.sentAt, r.at.running+len(r.at.waiting))
+}
+
+func (p *placed) tell(m *model) {
+	for i, from := range p.placers {
+		loads, warmed := from.Loads(), from.Warmed(m.clock())
+		for j, to := range p.placers {
+			if i == j {
+				continue
+			}
+			to.SetOthers(m.instances[i].Name, loads)
+			if m.instances[i].Region == m.instances[j].Region {
+				to.TakeWarmed(m.clock(), warmed)
+			}
+		}
+	}
+}
+
+// pick is a policy without memory.
+type pick func(m *model, r *modelRequest) *modelEndpoint
+
+func (p pick) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
+	e := p(m, r)
+	return e, m.warm
+}
+func (pick) done(*model, *modelRequest, Outcome) {}
+func (pick) tell(*model)                         {}
+
+// near returns the endpoints of the request's region.
+func near(m *model, r *modelRequest) []*modelEndpoint {
+	var all []*modelEndpoint
+	for _, e := range m.endpoints {
+		if e.region == m.regions[r.region].name {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// baselines are the policies to compare with. All but the last know only what
+// every load balancer knows; their loads are those of this moment.
+var baselines = map[string]pick{
+	"random":                func(m *model, _ *modelRequest) *modelEndpoint { return m.endpoints[m.r.IntN(len(m.endpoints))] },
+	"least in flight, near": func(m *model, r *modelRequest) *modelEndpoint { return least(near(m, r)) },
+	"power of two choices": func(m *model, _ *modelRequest) *modelEndpoint {
+		return least([]*modelEndpoint{m.endpoints[m.r.IntN(len(m.endpoints))], m.endpoints[m.r.IntN(len(m.endpoints))]})
+	},
+	"rendezvous": func(m *model, r *modelRequest) *modelEndpoint { return rendezvous(m.endpoints, r.object) },
+	"rendezvous, near": func(m *model, r *modelRequest) *modelEndpoint {
+		return rendezvous(near(m, r), r.object)
+	},
+}
+
+func least(all []*modelEndpoint) *modelEndpoint {
+	return slices.MinFunc(all, func(a, b *modelEndpoint) int { return cmp.Compare(a.sent, b.sent) })
+}
+
+func rendezvous(all []*modelEndpoint, object int) *modelEndpoint {
+	return slices.MaxFunc(all, func(a, b *modelEndpoint) int {
+		return cmp.Compare(mix(uint64(len(a.ID))*31+hashOf(a.ID), uint64(object)), mix(uint64(len(b.ID))*31+hashOf(b.ID), uint64(object)))
+	})
+}
+
+func hashOf(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(s) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+// allKnowing sees at once what each endpoint has and knows, and refuses what
+// would be late for its queue alone.
+func allKnowing(m *model, r *modelRequest) *modelEndpoint {
+	var best *modelEndpoint
+	var soonest time.Duration
+	for _, e := range m.endpoints {
+		d := m.cold
+		if slices.Contains(e.known, r.object) {
+			d = m.warm
+		}
+		trip := farTrip
+		if e.region == m.regions[r.region].name {
+			trip = nearTrip
+		}
+		wait := time.Duration(0)
+		if over := e.sent - m.slots + 1; over > 0 {
+			wait = m.warm * time.Duration(over) / time.Duration(m.slots)
+		}
+		if at := trip + wait + d; best == nil || at < soonest {
+			best, soonest = e, at
+		}
+	}
+	if best.sent >= m.slots && m.now-r.first+soonest > m.goal {
+		return nil
+	}
+	return best
+}
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -57,7 +57,7 @@
 		LoadFresh:     300 * time.Millisecond,
 		BusyFrom:      0.5,
 		BusyTo:        0.9,
-		SlotPrice:     2,
+		SlotPrice:     3,
 		FirstRest:     500 * time.Millisecond,
 		LongestRest:   2 * time.Second,
 		ShedRest:      150 * time.Millisecond,
