--- a/front/gateway/beliefs.go
+++ b/front/gateway/beliefs.go
@@ -30,9 +30,9 @@
 	closed   map[string]bool
 }
 
-func newBeliefs(d Decoder, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, m *moves, log logrus.FieldLogger) *beliefs {
+func newBeliefs(parts Parts, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, m *moves, log *logrus.Logger) *beliefs {
 	return &beliefs{
-		decoder:  d,
+		decoder:  parts.Decoder,
 		placer:   p,
 		limiter:  l,
 		client:   c,
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,9 +15,6 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
-	"github.com/cardamomfront/cardamomfront/steer/health"
-	"github.com/cardamomfront/cardamomfront/steer/placing"
-	"github.com/cardamomfront/cardamomfront/steer/quota"
 )
 
 const (
@@ -72,7 +67,7 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	settings atomic.Pointer[Settings]
+	settings *liveSettings
 	parts    Parts
 	handler  *handler
 	beliefs  *beliefs
@@ -86,58 +81,6 @@
 	log      logrus.FieldLogger
 }
 
-// New returns an instance that is not running. It logs to out.
-func New(s *Settings, p Parts, out io.Writer) (*Gateway, error) {
-	writer := telemetry.NewBoundedWriter(out)
-	log, err := telemetry.NewLog(s.Log, writer)
-	if err != nil {
-		return nil, err
-	}
-	t, err := telemetry.NewMetrics()
-	if err != nil {
-		return nil, err
-	}
-	counts, err := newMetrics(t)
-	if err != nil {
-		return nil, err
-	}
-	observer, err := endpoint.CountOutcomes(ignoreOutcomes{}, t.Meter)
-	if err != nil {
-		return nil, err
-	}
-	g := &Gateway{parts: p, page: t.Page, writer: writer, logger: log, log: log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Name})}
-	g.settings.Store(s)
-	g.client = endpoint.NewClient(endpoint.Settings{
-		DialTimeout: endpointDialTimeout, Dial: p.Dial, Protocol: p.Endpoints, NoProbes: true,
-		Connections: health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdle},
-	}, observer)
-	placer := placing.New(placing.DefaultRules(), placing.Locality{
-		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains,
-	})
-	limiter := quota.New()
-	g.moves = newMoves(p.Store, p.Decoder, func() bool { return g.mesh.leads() }, log)
-	g.beliefs = newBeliefs(p.Decoder, placer, limiter, g.client, g.moves, log)
-	g.mesh = newMesh(s, p.Store, placer, limiter, g.moves, g.beliefs.ready, log)
-	g.peers = peer.NewServer(nil, log)
-	g.peers.PlainNetwork = true
-	g.peers.Handle(methodSync, g.mesh.handle)
-	g.handler = &handler{
-		protocol: p.Callers, beliefs: g.beliefs, metrics: counts, log: log.WithField("prefix", "request"),
-		sender: &sender{client: g.client, placer: placer, moves: g.moves, metrics: counts, budgets: newBudgets(g.settings.Load, g.mesh.size)},
-	}
-	return g, nil
-}
-
-// endpointIdle is how long an idle connection to an endpoint is used. Endpoints
-// of the users close them after ten seconds.
-const endpointIdle = 8 * time.Second
-
-// ignoreOutcomes takes no part in judging endpoints: placing does so.
-type ignoreOutcomes struct{}
-
-// Observe implements endpoint.Observer.
-func (ignoreOutcomes) Observe(string, health.Outcome, time.Duration) {}
-
 // Run serves until ctx ends and then stops in order. Errors: a listener that
 // can't be opened, or the first failure of a part.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -128,25 +128,28 @@
 }
 
 // newMesh returns a mesh that knows no other instance.
-func newMesh(s *Settings, store registry.Store, p *placing.Placer, l *quota.Limiter, mv *moves, ready func() bool, log logrus.FieldLogger) *mesh {
+func newMesh(s *Settings, parts Parts, p *placing.Placer, l *quota.Limiter, mv *moves, b *beliefs, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.PlainNetwork = true
-	return &mesh{
+	m := &mesh{
 		self: state{
 			Name: s.Name, Peers: s.Listen.Peers, Callers: s.Listen.Callers,
 			Region: s.Region, FailureDomain: s.FailureDomain, Started: time.Now().UnixNano(),
 		},
-		store:   store,
+		store:   parts.Store,
 		caller:  client,
 		placer:  p,
 		limiter: l,
 		moves:   mv,
-		ready:   ready,
+		ready:   b.ready,
+		reaches: func() time.Time { return time.Time{} },
 		log:     log.WithField("prefix", "mesh"),
 		members: make(map[string]*member),
 		loops:   make(map[string]bool),
 		wake:    make(chan struct{}),
 	}
+	mv.leads = m.leads
+	return m
 }
 
 // isLeaving says whether this instance is about to stop.
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -39,11 +39,13 @@
 	loaded   bool
 }
 
-func newMoves(s registry.Store, d Decoder, leads func() bool, log logrus.FieldLogger) *moves {
+// newMoves returns moves of which this instance records none: newMesh says when
+// it leads.
+func newMoves(p Parts, log *logrus.Logger) *moves {
 	return &moves{
-		store:    s,
-		decoder:  d,
-		leads:    leads,
+		store:    p.Store,
+		decoder:  p.Decoder,
+		leads:    func() bool { return false },
 		log:      log.WithField("prefix", "moves"),
 		running:  make(map[string]*rollout.Move),
 		recorded: make(map[string]catalog.Outcome),
--- /dev/null
+++ b/front/gateway/providers.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+)
+
+// endpointIdle is how long an idle connection to an endpoint is used. Endpoints
+// of the users close them after ten seconds.
+const endpointIdle = 8 * time.Second
+
+// liveSettings are the settings in force.
+type liveSettings struct{ atomic.Pointer[Settings] }
+
+func newLiveSettings(s *Settings) *liveSettings {
+	live := &liveSettings{}
+	live.Store(s)
+	return live
+}
+
+func newWriter(out io.Writer) *telemetry.BoundedWriter { return telemetry.NewBoundedWriter(out) }
+
+func newLog(s *Settings, w *telemetry.BoundedWriter) (*logrus.Logger, error) {
+	return telemetry.NewLog(s.Log, w)
+}
+
+// ignoreOutcomes takes no part in judging endpoints: placing does so.
+type ignoreOutcomes struct{}
+
+// Observe implements endpoint.Observer.
+func (ignoreOutcomes) Observe(string, health.Outcome, time.Duration) {}
+
+func newClient(p Parts, t *telemetry.Metrics) (*endpoint.Client, error) {
+	observer, err := endpoint.CountOutcomes(ignoreOutcomes{}, t.Meter)
+	if err != nil {
+		return nil, err
+	}
+	return endpoint.NewClient(endpoint.Settings{
+		DialTimeout: endpointDialTimeout,
+		Dial:        p.Dial,
+		Protocol:    p.Endpoints,
+		NoProbes:    true,
+		Connections: health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdle},
+	}, observer), nil
+}
+
+func newPlacer(s *Settings) *placing.Placer {
+	return placing.New(placing.DefaultRules(), placing.Locality{
+		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains,
+	})
+}
+
+func newPeerServer(m *mesh, log *logrus.Logger) *peer.Server {
+	s := peer.NewServer(nil, log)
+	s.PlainNetwork = true
+	s.Handle(methodSync, m.handle)
+	return s
+}
+
+func newSender(c *endpoint.Client, p *placing.Placer, mv *moves, m *metrics, b *budgets) *sender {
+	return &sender{client: c, placer: p, moves: mv, metrics: m, budgets: b}
+}
+
+func newHandler(p Parts, b *beliefs, s *sender, m *metrics, log *logrus.Logger) *handler {
+	return &handler{protocol: p.Callers, beliefs: b, sender: s, metrics: m, log: log.WithField("prefix", "request")}
+}
+
+// newGateway joins the parts of an instance.
+func newGateway(s *liveSettings, p Parts, h *handler, b *beliefs, mv *moves, m *mesh, c *endpoint.Client, peers *peer.Server, t *telemetry.Metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+	return &Gateway{
+		settings: s,
+		parts:    p,
+		handler:  h,
+		beliefs:  b,
+		moves:    mv,
+		mesh:     m,
+		client:   c,
+		peers:    peers,
+		page:     http.Handler(t.Page),
+		writer:   w,
+		logger:   log,
+		log:      log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Load().Name}),
+	}
+}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -385,7 +385,7 @@
 
 // budgets bounds the tries beyond the first, by service.
 type budgets struct {
-	settings func() *Settings
+	settings *liveSettings
 	size     func() int // instances that share the slack
 
 	mu       sync.Mutex
@@ -394,8 +394,8 @@
 }
 
 // newBudgets returns budgets that size instances share.
-func newBudgets(settings func() *Settings, size func() int) *budgets {
-	return &budgets{settings: settings, size: size, services: make(map[string]*retry.Budget)}
+func newBudgets(s *liveSettings, m *mesh) *budgets {
+	return &budgets{settings: s, size: m.size, services: make(map[string]*retry.Budget)}
 }
 
 // deposit notes a request to a service.
@@ -417,7 +417,7 @@
 
 // of returns a service's budget. The caller holds mu.
 func (b *budgets) of(service string) *retry.Budget {
-	now := b.settings()
+	now := b.settings.Load()
 	if b.made != now {
 		b.made = now
 		clear(b.services)
