--- a/front/endpoint/answer.go
+++ b/front/endpoint/answer.go
@@ -19,6 +19,8 @@
 	// Load is the endpoint's own word on how many requests it has, running and
 	// waiting; -1 when it gave none.
 	Load int
+	// Fresh says that the connection carried no request before.
+	Fresh bool
 	// Header holds the headers to be passed on.
 	Header http.Header
 	// ContentLength is the body's length in bytes, or -1 when not known.
--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -52,6 +52,8 @@
 	// Load is the endpoint's own word on how many requests it has, where Reason
 	// is ReasonShed; -1 when it gave none.
 	Load int
+	// Fresh says that the connection carried no request before.
+	Fresh bool
 	// Header holds the headers of another instance that failed to relay the
 	// request; it is nil otherwise.
 	Header http.Header
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -187,7 +187,7 @@
 		return nil, err
 	}
 	x.client.observer.Observe(x.address, outcomeOf(resp.StatusCode), elapsed)
-	a := &Answer{Address: x.address, Load: x.load(resp), Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	a := &Answer{Address: x.address, Load: x.load(resp), Fresh: x.conn.fresh, Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
 	if x.relayed {
 		a.Address = resp.Header.Get(HeaderRelayEndpoint)
 	}
@@ -209,7 +209,7 @@
 
 // refuse returns an error for an answer that must not be passed on.
 func (x *exchange) refuse(resp *http.Response, id string) *Error {
-	e := &Error{Address: x.address}
+	e := &Error{Address: x.address, Fresh: x.conn.fresh}
 	protocol := x.client.settings.Protocol
 	switch echoed := protocol.Echoed(resp, x.request); {
 	case echoed != "" && echoed != protocol.Expected(x.request, id):
@@ -235,7 +235,7 @@
 // failed returns the error of an exchange that got no answer, with its proved
 // verdict, and blames the connection, the endpoint or nobody.
 func (x *exchange) failed(err error) *Error {
-	e := &Error{Address: x.address, Err: err}
+	e := &Error{Address: x.address, Fresh: x.conn.fresh, Err: err}
 	written := x.conn.net.seal()
 	x.abandon()
 	if !written {
@@ -250,7 +250,7 @@
 
 // cut returns the error of an answer that ended before it was whole.
 func (x *exchange) cut(err error) *Error {
-	e := &Error{Address: x.address, Err: err, Reason: x.reason(ReasonCut)}
+	e := &Error{Address: x.address, Fresh: x.conn.fresh, Err: err, Reason: x.reason(ReasonCut)}
 	x.blame(e.Reason)
 	return e
 }
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -319,8 +319,12 @@
 		"wait_ms": c.Wait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
 	}
-	if a != nil {
-		fields["status"] = a.Status
+	var failed *endpoint.Error
+	switch {
+	case a != nil:
+		fields["status"], fields["fresh"] = a.Status, a.Fresh
+	case errors.As(err, &failed):
+		fields["fresh"] = failed.Fresh
 	}
 	entry := x.log.WithFields(fields)
 	if err != nil {
