Large fleets: sums of regions between hubs; moves judged by slowness relative to what is usual

Change: above 16 instances an instance exchanges states with its own region; two hubs of each region exchange sums with the other regions' and pass them on once a second. Endpoints' own word stands in for loads of other regions. Tests: 45 instances in virtual time know each other, with at most 24 calls a second between regions, also after both hubs of a region die; quotas hold. Times are now relative to what is usual for the request there. (3) The mesh waits for its exchanges when it ends.

--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	syncEvery = 500 * time.Millisecond
 	// syncTimeout bounds one exchange, with the making of a connection.
 	syncTimeout = time.Second
+	// stateDelay is how old another instance's word is at most when the next
+	// one comes, with the way.
+	stateDelay = 600 * time.Millisecond
 	// silentAfter is how long an instance that is not heard of counts as alive:
 	// three exchanges and a slow one.
 	silentAfter = 2 * time.Second
@@ -76,6 +80,10 @@
 	Warmed []warmedState `json:"w,omitempty"`
 	// Moves is what it saw of the moves under way.
 	Moves []moveState `json:"m,omitempty"`
+	// Own is the sum of its region, for hubs of other regions.
+	Own *regionState `json:"or,omitempty"`
+	// Others are the sums of other regions, from a hub to its own region.
+	Others []regionState `json:"os,omitempty"`
 }
 
 // loadState is the number of requests at an endpoint.
@@ -104,8 +112,10 @@
 // member is another instance as this one knows it.
 type member struct {
 	state
-	heard time.Time // zero when it was never heard of
-	trip  time.Duration
+	heard   time.Time // zero when it was never heard of
+	failed  time.Time // when it was last not reached
+	relayed time.Time // when it was last told of other regions
+	trip    time.Duration
 }
 
 // mesh exchanges states with all other instances.
@@ -122,9 +132,11 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	regions map[string]*heardRegion
 	loops   map[string]bool
 	leaving bool
 	wake    chan struct{} // closed when the state should be told at once
+	work    sync.WaitGroup
 }
 
 // newMesh returns a mesh that knows no other instance.
@@ -145,6 +157,7 @@
 		reaches: func() time.Time { return time.Time{} },
 		log:     log.WithField("prefix", "mesh"),
 		members: make(map[string]*member),
+		regions: make(map[string]*heardRegion),
 		loops:   make(map[string]bool),
 		wake:    make(chan struct{}),
 	}
@@ -169,13 +182,14 @@
 		return nil, fmt.Errorf("state of an instance names no instance")
 	}
 	m.take(s, 0)
-	return m.state(s.Region), nil
+	return m.state(s.Name, s.Region), nil
 }
 
 // Run registers this instance and exchanges states until ctx ends.
 func (m *mesh) Run(ctx context.Context) error {
 	m.register(ctx)
 	every(ctx, syncEvery, m.refresh)
+	m.work.Wait()
 	return nil
 }
 
@@ -186,7 +200,7 @@
 		m.log.WithError(err).Error("This instance's row can't be encoded.")
 		return
 	}
-	go func() {
+	m.work.Go(func() {
 		for ctx.Err() == nil {
 			err := m.store.Put(ctx, tableInstances, m.self.Name, value)
 			if err == nil {
@@ -199,7 +213,7 @@
 			case <-time.After(registerPause):
 			}
 		}
-	}()
+	})
 }
 
 // unregister removes this instance's row.
@@ -244,7 +258,7 @@
 		return
 	}
 	m.loops[name] = true
-	go m.exchange(ctx, name)
+	m.work.Go(func() { m.exchange(ctx, name) })
 }
 
 // drop forgets an instance. The caller holds mu.
@@ -267,7 +281,9 @@
 			m.mu.Unlock()
 			return
 		}
-		asks := m.self.Name < name || m.leaving || time.Since(other.heard) > 2*syncEvery
+		now := time.Now()
+		asks := m.self.Name < name || m.leaving || now.Sub(other.heard) > 2*syncEvery
+		asks = asks && m.exchangesWith(other, now)
 		address, region, wake := other.Peers, other.Region, m.wake
 		m.mu.Unlock()
 		if asks {
@@ -288,15 +304,25 @@
 	defer cancel()
 	begun := time.Now()
 	var answer state
-	if err := m.caller.Call(ctx, address, methodSync, m.state(region), &answer); err != nil {
+	if err := m.caller.Call(ctx, address, methodSync, m.state(name, region), &answer); err != nil {
 		m.log.WithError(err).WithField("instance", name).Debug("Instance not reached.")
+		m.notReached(name)
 		return
 	}
 	m.take(answer, time.Since(begun))
 }
 
+// notReached notes that an instance did not answer.
+func (m *mesh) notReached(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if other := m.members[name]; other != nil {
+		other.failed = time.Now()
+	}
+}
+
 // state returns what this instance tells another one, in a region.
-func (m *mesh) state(region string) state {
+func (m *mesh) state(to, region string) state {
 	now := time.Now()
 	s := m.self
 	s.Ready = m.ready()
@@ -304,10 +330,17 @@
 		s.ReachesMS = max(1, now.Sub(since).Milliseconds())
 	}
 	s.Demand = m.limiter.Demand(now)
+	near := region == s.Region
+	m.mu.Lock()
+	large := m.large()
+	m.mu.Unlock()
 	for _, l := range m.placer.Loads() {
+		if large && !near {
+			break // endpoints tell their own load
+		}
 		s.Loads = append(s.Loads, loadState{ID: l.Endpoint.ID, Born: l.Endpoint.Born, Running: l.Running})
 	}
-	if region == s.Region {
+	if near {
 		for _, w := range m.placer.Warmed(now) {
 			s.Warmed = append(s.Warmed, warmedState{ID: w.Endpoint.ID, Born: w.Endpoint.Born, Object: w.Object})
 		}
@@ -316,6 +349,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s.Leaving = m.leaving
+	switch {
+	case !large:
+	case near:
+		s.Others = m.relayed(to, now)
+	default:
+		s.Own = m.ownRegion(s, now)
+		s.Demand, s.Moves = nil, nil // they are in the sum
+	}
 	return s
 }
 
@@ -336,13 +377,20 @@
 		return // an answer of a process that was replaced
 	}
 	back := now.Sub(other.heard) > silentAfter
-	other.state, other.heard = s, now
+	other.state, other.heard, other.failed = s, now, time.Time{}
 	m.measure(other, trip)
 	m.mu.Unlock()
+	for _, sum := range s.Others {
+		m.takeRegion(sum, now)
+	}
+	if s.Own != nil {
+		m.takeRegion(*s.Own, now)
+		return
+	}
 	if back {
 		m.log.WithFields(logrus.Fields{"instance": s.Name, "started": s.Started}).Info("Instance heard.")
 	}
-	m.limiter.SetOther(s.Name, s.Demand, now)
+	m.limiter.SetOther(s.Name, s.Demand, now, stateDelay)
 	loads := make([]placing.Load, 0, len(s.Loads))
 	for _, l := range s.Loads {
 		loads = append(loads, placing.Load{Endpoint: catalog.Incarnation{ID: l.ID, Born: l.Born}, Running: l.Running})
@@ -391,7 +439,7 @@
 			trips[other.Region] = other.trip
 		}
 	}
-	m.limiter.SetFleet(holders)
+	m.limiter.SetFleet(holders, m.sources(now))
 	m.placer.SetFleet(fleet)
 	for region, trip := range trips {
 		m.placer.SetTrip(region, trip)
@@ -471,8 +519,12 @@
 			add(other.state)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(near) == 0 {
+		near = far
 	}
-	return far
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near[:min(len(near), mostAddresses)]
 }
+
+// mostAddresses is how many addresses callers use of one answer.
+const mostAddresses = 64
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -326,3 +326,12 @@
 		}
 	}
 }
+
+// forget drops what an instance saw, where a sum holds it now.
+func (m *moves) forget(instance string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, move := range m.running {
+		move.Forget(instance)
+	}
+}
--- /dev/null
+++ b/front/gateway/regions_test.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/quota"
+)
+
+// network carries calls between the instances of a test.
+type network struct {
+	mu    sync.Mutex
+	at    map[string]*mesh // by address
+	dead  map[string]bool
+	calls int // between regions
+}
+
+var errDead = errors.New("nobody answers")
+
+// way is the one-way time of a call.
+const way = 20 * time.Millisecond
+
+// lineTo is the network as one instance uses it.
+type lineTo struct {
+	*network
+	self, region string
+}
+
+func (l lineTo) Call(ctx context.Context, addr, _ string, params, result any) error {
+	l.mu.Lock()
+	m, dead := l.at[addr], l.dead[addr] || l.dead[l.self]
+	l.mu.Unlock()
+	time.Sleep(way)
+	if dead || m == nil {
+		<-ctx.Done()
+		return errDead
+	}
+	text, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := m.handle(ctx, text)
+	if err != nil {
+		return err
+	}
+	back, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	time.Sleep(way)
+	l.mu.Lock()
+	if l.region != m.self.Region {
+		l.calls++
+	}
+	l.mu.Unlock()
+	return json.Unmarshal(back, result)
+}
+
+// newNetwork starts instances in three regions and tells them of each other.
+func newNetwork(t *testing.T, perRegion int, quotas map[string]quota.Quota) (*network, []*mesh) {
+	n := &network{at: map[string]*mesh{}, dead: map[string]bool{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var all []*mesh
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		for _, m := range all {
+			m.work.Wait()
+		}
+	})
+	rows := map[string]registry.Row{}
+	for _, region := range []string{"east", "north", "west"} {
+		for i := range perRegion {
+			name := fmt.Sprintf("%s-%d", region, i)
+			s := &Settings{Name: name, Region: region, FailureDomain: region + "-1", Listen: ListenSettings{Peers: name, Callers: "callers of " + name}}
+			limiter := quota.New()
+			limiter.SetQuotas(time.Now(), quotas)
+			mv := newMoves(Parts{}, log)
+			b := &beliefs{}
+			m := newMesh(s, Parts{}, placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region}), limiter, mv, b, log)
+			m.ready = func() bool { return true }
+			m.caller = lineTo{network: n, self: name, region: region}
+			n.at[name] = m
+			all = append(all, m)
+			value, err := json.Marshal(memberRow{Peers: name, Region: region})
+			if err != nil {
+				t.Fatal(err)
+			}
+			rows[name] = registry.Row{Key: name, Value: value}
+		}
+	}
+	for _, m := range all {
+		m.seeInstances(ctx)(time.Now(), rows)
+		wg.Go(func() { every(ctx, syncEvery, m.refresh) })
+	}
+	return n, all
+}
+
+// between returns how many calls went between regions since the last time.
+func (n *network) between() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	calls := n.calls
+	n.calls = 0
+	return calls
+}
+
+// consistent checks what each living instance holds of the fleet.
+func (n *network) consistent(all []*mesh, alive int) error {
+	leaders := 0
+	for _, m := range all {
+		if n.dead[m.self.Name] {
+			continue
+		}
+		if m.size() != alive {
+			return fmt.Errorf("%s knows %d of %d", m.self.Name, m.size(), alive)
+		}
+		if m.leads() {
+			leaders++
+		}
+		for _, a := range m.find(Place{Region: "west"}) {
+			if n.dead[a[len("callers of "):]] {
+				return fmt.Errorf("%s names %s", m.self.Name, a)
+			}
+		}
+	}
+	if leaders != 1 {
+		return fmt.Errorf("%d instances lead", leaders)
+	}
+	return nil
+}
+
+// In a large fleet every instance knows all others, with few calls between
+// regions, and goes on doing so when those that speak for a region die.
+func TestLargeFleetKnowsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perRegion = 15
+		n, all := newNetwork(t, perRegion, nil)
+		time.Sleep(5 * time.Second)
+		if err := n.consistent(all, 3*perRegion); err != nil {
+			t.Fatal(err)
+		}
+		n.between()
+		time.Sleep(10 * time.Second)
+		// Two hubs in each of three regions are twelve pairs.
+		most := 12 * int(10*time.Second/syncEvery)
+		if calls := n.between(); calls > most {
+			t.Errorf("%d calls between regions in 10 s, want at most %d", calls, most)
+		}
+		west := all[2*perRegion]
+		west.mu.Lock()
+		hubs := west.hubs("west", time.Now())
+		west.mu.Unlock()
+		n.mu.Lock()
+		for _, name := range hubs {
+			n.dead[name] = true
+		}
+		n.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if err := n.consistent(all, 3*perRegion-len(hubs)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Quotas hold over a large fleet, where other regions are known by sums.
+func TestQuotaHoldsOverALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quota.Quota{Rate: 60, Burst: 60}
+		_, all := newNetwork(t, 15, map[string]quota.Quota{"t": q})
+		time.Sleep(3 * time.Second)
+		var admitted []time.Time
+		ask := func(rate float64, d time.Duration) {
+			gap := time.Duration(float64(time.Second) / rate)
+			for i := range int(d / gap) {
+				if all[(i*7)%len(all)].limiter.Take("t", time.Now()).Allowed {
+					admitted = append(admitted, time.Now())
+				}
+				time.Sleep(gap)
+			}
+		}
+		ask(36, 8*time.Second)
+		if share := float64(len(admitted)) / (36 * 8); share < 0.99 {
+			t.Errorf("%.3f of the requests inside the quota were let through", share)
+		}
+		ask(300, 15*time.Second)
+		bound := (q.Rate*5+q.Burst)*1.1 + 20 // the users' bound
+		first := 0
+		for last, at := range admitted {
+			for at.Sub(admitted[first]) >= 5*time.Second {
+				first++
+			}
+			if n := last - first + 1; float64(n) > bound {
+				t.Fatalf("%d requests in 5 s, %.0f allowed", n, bound)
+			}
+		}
+	})
+}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -250,10 +250,13 @@
 	return -1
 }
 
+// leastTime keeps noise out of comparisons of very short times.
+const leastTime = 50 * time.Millisecond
+
 // note tells a move how a try ended.
 func note(move *rollout.Move, c *placing.Choice, o placing.Outcome, elapsed time.Duration) {
 	failed := o == placing.OutcomeFailed || o == placing.OutcomeSilent
-	move.Ended(c.Endpoint.Version, o == placing.OutcomeAnswered, failed, elapsed)
+	move.Ended(c.Endpoint.Version, o == placing.OutcomeAnswered, failed, max(elapsed, leastTime).Seconds()/max(c.Usual, leastTime).Seconds())
 }
 
 // noteVerdict takes in what a try says about whether the request has run.
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -41,6 +41,8 @@
 	Region string
 	// Expected is the time in which an answer is expected.
 	Expected time.Duration
+	// Usual is Expected for an endpoint that is not slower than others.
+	Usual time.Duration
 	// Wait is the part of it that is spent in the endpoint's queue.
 	Wait time.Duration
 	// Known is what is known of the object there: "warm", "home" or "cold".
@@ -91,6 +93,7 @@
 	e        *endpoint
 	score    float64
 	expected float64
+	usual    float64 // at an endpoint that is not slower than others
 	soonest  float64 // if the object is known there after all
 	wait     float64
 	warmth   warmth
@@ -306,6 +309,7 @@
 	}
 	c.plain = c.wait == 0 && !e.cold(now)
 	c.expected = c.trip + c.wait + service
+	c.usual = c.trip + (c.wait+service)/slowness
 	c.soonest = c.trip + c.wait + w.mean[warmthWarm]
 	c.score = c.expected + price*service + e.failures*p.rules.FailureCost.Seconds()
 	return c
@@ -317,6 +321,7 @@
 		Endpoint:   c.e.Endpoint,
 		Region:     c.e.region,
 		Expected:   seconds(c.expected),
+		Usual:      seconds(c.usual),
 		Wait:       seconds(c.wait),
 		Known:      c.warmth.String(),
 		Running:    c.e.running(now, p.rules),
--- a/steer/quota/quota.go
+++ b/steer/quota/quota.go
@@ -40,13 +40,9 @@
 	// token. The rest covers the error of the guess at what others let through
 	// since they last told.
 	idlePart = 0.8
-	// blindTime is how old the others' word is at most, with the way.
-	blindTime = 600 * time.Millisecond
 	// deepestDebt bounds what an instance owes for requests that needed no
 	// token, in its part of the burst. It is about what a window allows.
 	deepestDebt = 5
-	// freshFor is how old the others' word may be for that.
-	freshFor = 1200 * time.Millisecond
 )
 
 // Quota is what a team may send over all instances together.
@@ -68,19 +64,29 @@
 // Demand is what one instance sees of each team.
 type Demand map[string]Usage
 
-// told is another instance's demand and when it was told.
+// Add adds another instance's demand.
+func (d Demand) Add(o Demand) {
+	for team, u := range o {
+		sum := d[team]
+		d[team] = Usage{Rate: sum.Rate + u.Rate, Admitted: sum.Admitted + u.Admitted}
+	}
+}
+
+// told is the demand of another instance, or of several together.
 type told struct {
 	demand Demand
 	at     time.Time
+	delay  time.Duration
 }
 
 // Limiter is one instance's part of all quotas.
 type Limiter struct {
-	mu     sync.Mutex
-	quotas map[string]Quota
-	teams  map[string]*bucket
-	others map[string]told
-	fleet  int // instances that hold a part, this one included
+	mu      sync.Mutex
+	quotas  map[string]Quota
+	teams   map[string]*bucket
+	others  map[string]told
+	fleet   int // instances that hold a part, this one included
+	sources int // how many others' demands make up that of all
 }
 
 // bucket is one team's tokens at this instance.
@@ -118,18 +124,20 @@
 	}
 }
 
-// SetFleet takes in how many instances hold a part, this one included.
-func (l *Limiter) SetFleet(n int) {
+// SetFleet takes in how many instances hold a part, this one included, and how
+// many demands of others make up that of all.
+func (l *Limiter) SetFleet(n, sources int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet = max(1, n)
+	l.fleet, l.sources = max(1, n), sources
 }
 
-// SetOther takes in the demand that another instance sees.
-func (l *Limiter) SetOther(instance string, d Demand, now time.Time) {
+// SetOther takes in the demand that another instance, or several together, saw
+// at a moment. A newer word comes within delay.
+func (l *Limiter) SetOther(name string, d Demand, at time.Time, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.others[instance] = told{demand: d, at: now}
+	l.others[name] = told{demand: d, at: at, delay: delay}
 }
 
 // Forget gives up the part of an instance that is gone.
@@ -176,21 +184,21 @@
 // team that one more is within its quota, whatever they have let through since
 // they last told.
 func (l *Limiter) idle(team string, q Quota, b *bucket, now time.Time) bool {
-	if len(l.others)+1 < l.fleet {
+	if len(l.others) < l.sources {
 		return false
 	}
-	used, rate := float64(b.admitted.sum(now)), b.demand
+	used, blind := float64(b.admitted.sum(now)), 0.0
 	for _, o := range l.others {
-		if now.Sub(o.at) > freshFor {
+		if now.Sub(o.at) > 2*o.delay {
 			return false
 		}
 		used += float64(o.demand[team].Admitted)
-		rate += o.demand[team].Rate
+		blind += o.demand[team].Rate * o.delay.Seconds()
 	}
 	// The others are taken to let through as many as this instance does, by
 	// their parts: a team that begins to send more does so everywhere.
 	more := float64(max(0, b.admitted.recent(now)-1)) / l.part(team, b)
-	blind := max(more, rate*blindTime.Seconds())
+	blind = max(blind, more)
 	return used+blind <= idlePart*(q.Rate*Window.Seconds()+q.Burst)+firstAllowance
 }
 
--- a/steer/quota/quota_test.go
+++ b/steer/quota/quota_test.go
@@ -14,6 +14,9 @@
 	slack  = 20
 )
 
+// tellDelay is how old the others' word is at most.
+const tellDelay = 600 * time.Millisecond
+
 var start = time.Unix(5000, 0)
 
 // fleet is a number of instances that tell each other their demand, with a
@@ -30,7 +33,7 @@
 	for range n {
 		l := New()
 		l.SetQuotas(start, map[string]Quota{"t": q})
-		l.SetFleet(n)
+		l.SetFleet(n, n-1)
 		f.members = append(f.members, l)
 	}
 	return f
@@ -42,7 +45,7 @@
 		d := a.Demand(now)
 		for j, b := range f.members {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				b.SetOther(fmt.Sprint(i), d, now)
+				b.SetOther(fmt.Sprint(i), d, now, tellDelay)
 			}
 		}
 	}
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -58,15 +58,16 @@
 	Answers int
 	// Failures is how many of them failed.
 	Failures int
-	// Seconds is the sum of the times of the others.
-	Seconds float64
+	// Slowness is the sum of the times of the others, each relative to what was
+	// usual for its request at such an endpoint.
+	Slowness float64
 }
 
 // add adds another tally.
 func (t *Tally) add(o Tally) {
 	t.Answers += o.Answers
 	t.Failures += o.Failures
-	t.Seconds += o.Seconds
+	t.Slowness += o.Slowness
 }
 
 // failureShare returns the share of failures; a tally without answers has none.
@@ -77,13 +78,13 @@
 	return float64(t.Failures) / float64(t.Answers)
 }
 
-// meanSeconds returns the mean time of good answers.
-func (t Tally) meanSeconds() float64 {
+// meanSlowness returns the mean of the good answers.
+func (t Tally) meanSlowness() float64 {
 	good := t.Answers - t.Failures
 	if good <= 0 {
 		return 0
 	}
-	return t.Seconds / float64(good)
+	return t.Slowness / float64(good)
 }
 
 // Evidence is what one instance, or all, saw of a move.
@@ -94,6 +95,12 @@
 	New Tally
 }
 
+// Add adds what another instance saw.
+func (e *Evidence) Add(o Evidence) {
+	e.Old.add(o.Old)
+	e.New.add(o.New)
+}
+
 // Move is one service's move as one instance sees it.
 type Move struct {
 	order catalog.Order
@@ -206,8 +213,9 @@
 }
 
 // Ended takes in how a try at a version ended. Outcomes that say nothing about
-// the version have neither ok nor failed.
-func (m *Move) Ended(version string, ok, failed bool, elapsed time.Duration) {
+// the version have neither ok nor failed. slowness is its time relative to what
+// was usual: endpoints of a new version know no object yet, which is no fault.
+func (m *Move) Ended(version string, ok, failed bool, slowness float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := &m.own.New
@@ -221,7 +229,7 @@
 		t.Failures++
 	case ok:
 		t.Answers++
-		t.Seconds += elapsed.Seconds()
+		t.Slowness += slowness
 	}
 }
 
@@ -232,11 +240,18 @@
 	return m.own
 }
 
-// SetOther takes in what another instance saw.
-func (m *Move) SetOther(instance string, e Evidence) {
+// SetOther takes in what another instance, or several together, saw.
+func (m *Move) SetOther(name string, e Evidence) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.others[name] = e
+}
+
+// Forget drops what an instance saw, where a sum holds it now.
+func (m *Move) Forget(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.others[instance] = e
+	delete(m.others, name)
 }
 
 // Judgement is what one instance holds of a move.
@@ -257,8 +272,7 @@
 	defer m.mu.Unlock()
 	all := m.own
 	for _, e := range m.others {
-		all.Old.add(e.Old)
-		all.New.add(e.New)
+		all.Add(e)
 	}
 	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
 	j := Judgement{Bad: all.bad(), Expired: part >= 1, Evidence: all}
@@ -275,5 +289,5 @@
 		return true
 	}
 	good := e.New.Answers - e.New.Failures
-	return good >= slowSamples && e.Old.meanSeconds() > 0 && e.New.meanSeconds() > slowFactor*e.Old.meanSeconds()
+	return good >= slowSamples && e.Old.meanSlowness() > 0 && e.New.meanSlowness() > slowFactor*e.Old.meanSlowness()
 }
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -56,7 +56,7 @@
 		if failed && version == "v2" {
 			p.badAnswers++
 		}
-		m.Ended(version, !failed, failed, took)
+		m.Ended(version, !failed, failed, took.Seconds()/usual.Seconds())
 		if at%tellEvery < time.Second/perSecond {
 			tell(fleet)
 		}
@@ -159,12 +159,12 @@
 	end := begun.Add(duration * 95 / 100)
 	m := New(catalog.Order{To: "v2", Duration: duration}, begun)
 	m.Started("v2")
-	m.Ended("v2", true, false, usual)
+	m.Ended("v2", true, false, 1)
 	m.Started("v1")
 	if m.Judge(end).Complete {
 		t.Error("complete while an old endpoint still works")
 	}
-	m.Ended("v1", true, false, usual)
+	m.Ended("v1", true, false, 1)
 	if !m.Judge(end).Complete {
 		t.Error("not complete though no old endpoint works")
 	}
