--- /dev/null
+++ b/front/gateway/giveup.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// giveUp returns the final answer to a request that no further endpoint is
+// tried for. refused is why none was chosen, nil when none was asked for.
+func (s *sender) giveUp(ctx context.Context, x *exchange, last failure, refused error) (*heldAnswer, *refusal) {
+	if last.answer != nil && !falsePromise(last.answer.Status) {
+		return last.answer, nil
+	}
+	r := &refusal{reason: reasonFailed, err: errors.Join(last.err, refused)}
+	var p *placing.Refusal
+	if errors.As(refused, &p) {
+		r.reason, r.expected, r.retry = reason(p.Reason), p.Expected, p.Retry
+	}
+	if last.answer != nil {
+		r.reason = reasonFalsePromise
+	}
+	switch {
+	case ctx.Err() != nil && errors.Is(x.request.Context().Err(), context.Canceled):
+		r.reason = reasonCallerLeft
+	case ctx.Err() != nil:
+		r.reason = reasonDeadline
+	}
+	r.status = statusOf(ctx, x)
+	if r.status != http.StatusServiceUnavailable {
+		r.retry = 0
+		return nil, r
+	}
+	if refused == nil {
+		r.reason = reasonNotRun
+	}
+	r.retry = spread(max(r.retry, leastRetry))
+	return nil, r
+}
+
+// spread returns a time between three and five quarters of d, so that callers
+// who were refused together don't come back together.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
+// statusOf returns the status that says what is known of a request that was
+// given up on.
+func statusOf(ctx context.Context, x *exchange) int {
+	switch {
+	case x.verdict == verdict.NotRun:
+		return http.StatusServiceUnavailable
+	case ctx.Err() != nil:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -52,6 +52,7 @@
 	streamed bool   // the body is too large to be held
 	verdict  verdict.Verdict
 	tries    int
+	kept     bool // all lines on it are logged
 	log      logrus.FieldLogger
 }
 
@@ -72,6 +73,7 @@
 	beliefs  *beliefs
 	sender   *sender
 	metrics  *metrics
+	lines    *lineBudget
 	stopping atomic.Bool // answers close their connection
 	refusing atomic.Bool // new requests are refused
 	points   atomic.Uint64
@@ -82,6 +84,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{caller: h.protocol.Parse(r), arrived: time.Now(), request: r, verdict: verdict.NotRun}
 	x.log = h.log.WithField("request", x.caller.ID)
+	x.kept = h.lines.keep(x.arrived)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -271,6 +274,23 @@
 
 // refuse answers a request that was not served.
 func (h *handler) refuse(w http.ResponseWriter, x *exchange, r *refusal) {
+	h.metrics.refused(x, r)
+	h.logRefusal(x, r)
+	if errors.Is(x.request.Context().Err(), context.Canceled) {
+		panic(http.ErrAbortHandler) // nobody is there to read an answer
+	}
+	h.protocol.Identify(w.Header(), x.caller.ID)
+	if r.retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(r.retry.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(r.status)
+}
+
+// logRefusal logs a refusal with what decided it.
+func (h *handler) logRefusal(x *exchange, r *refusal) {
+	if !x.kept && !h.lines.failure(time.Now()) {
+		return
+	}
 	fields := logrus.Fields{
 		"reason": r.reason, "status": r.status, "verdict": x.verdict.String(),
 		"tries": x.tries, "ms": time.Since(x.arrived).Milliseconds(), "team": x.teamName(),
@@ -290,13 +310,4 @@
 		entry = entry.WithError(r.err)
 	}
 	entry.Info("Request refused.")
-	h.metrics.refused(x, r)
-	if errors.Is(x.request.Context().Err(), context.Canceled) {
-		panic(http.ErrAbortHandler) // nobody is there to read an answer
-	}
-	h.protocol.Identify(w.Header(), x.caller.ID)
-	if r.retry > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(r.retry.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(r.status)
 }
--- /dev/null
+++ b/front/gateway/lines_test.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+)
+
+// A flood is bounded, failures go before successes, and the log says how much
+// was left out.
+func TestLinesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(&out)
+	b := newLineBudget(log)
+	now := time.Unix(1000, 0)
+	kept, failures := 0, 0
+	for range 1000 {
+		if b.keep(now) {
+			kept++
+			continue
+		}
+		if b.failure(now) {
+			failures++
+		}
+	}
+	if kept != keptPerSecond || failures != failuresPerSecond {
+		t.Errorf("%d requests kept, %d failures beside", kept, failures)
+	}
+	b.keep(now.Add(time.Second))
+	var line struct {
+		Lines int `json:"lines"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil || line.Lines != 1000-kept-failures {
+		t.Errorf("line %q: %v", strings.TrimSpace(out.String()), err)
+	}
+}
+
+// stuck is a reader of the log that never reads.
+type stuck struct{ until chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.until
+	return len(p), nil
+}
+
+// BenchmarkLogTry is what the log costs a request that is answered at once.
+func BenchmarkLogTry(b *testing.B) {
+	until := make(chan struct{})
+	defer close(until)
+	for name, out := range map[string]io.Writer{"read": io.Discard, "stuck": stuck{until}} {
+		b.Run(name, func(b *testing.B) {
+			w := telemetry.NewBoundedWriter(out)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = w.Run(ctx) }()
+			log, err := telemetry.NewLog(telemetry.LogSettings{Format: "json"}, w)
+			if err != nil {
+				b.Fatal(err)
+			}
+			t, err := telemetry.NewMetrics()
+			if err != nil {
+				b.Fatal(err)
+			}
+			m, err := newMetrics(t)
+			if err != nil {
+				b.Fatal(err)
+			}
+			s := &sender{metrics: m, lines: newLineBudget(log)}
+			x := &exchange{kept: true, log: log.WithField("request", "9c41d07be2a35f68"), route: &catalog.Route{Name: "r"}, catalog: &catalog.Catalog{Version: "1"}}
+			c := &placing.Choice{Endpoint: catalog.Endpoint{ID: "i-7f3a91c2", Version: "v1"}}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.logTry(x, c, placing.OutcomeAnswered, nil, nil, time.Second, 1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/front/gateway/outcome.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/rollout"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// loadOf returns the endpoint's own word on how many requests it has, or -1.
+func loadOf(a *heldAnswer, err error) int {
+	var e *endpoint.Error
+	switch {
+	case err == nil:
+		return a.Load
+	case errors.As(err, &e) && e.Reason == endpoint.ReasonShed:
+		return e.Load
+	}
+	return -1
+}
+
+// leastTime keeps noise out of comparisons of very short times.
+const leastTime = 50 * time.Millisecond
+
+// note tells a move how a try ended.
+func note(move *rollout.Move, c *placing.Choice, o placing.Outcome, elapsed time.Duration) {
+	failed := o == placing.OutcomeFailed || o == placing.OutcomeSilent
+	move.Ended(c.Endpoint.Version, o == placing.OutcomeAnswered, failed, max(elapsed, leastTime).Seconds()/max(c.Usual, leastTime).Seconds())
+}
+
+// noteVerdict takes in what a try says about whether the request has run.
+func (x *exchange) noteVerdict(err error) {
+	var e *endpoint.Error
+	switch {
+	case err == nil:
+		x.verdict = verdict.Ran
+	case errors.As(err, &e) && e.Verdict == verdict.NotRun:
+	default:
+		x.verdict = x.verdict.Worse(verdict.MayHaveRun)
+	}
+}
+
+// falsePromise says whether a status promises that the request has not run.
+// An endpoint that has not proved it can't have it passed on.
+func falsePromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// outcomeOf returns what a try says about the endpoint.
+func outcomeOf(ctx context.Context, a *heldAnswer, err error, elapsed time.Duration, c *placing.Choice) placing.Outcome {
+	if err == nil {
+		if a.Status >= http.StatusInternalServerError {
+			return placing.OutcomeFailed
+		}
+		return placing.OutcomeAnswered
+	}
+	var e *endpoint.Error
+	if !errors.As(err, &e) {
+		return placing.OutcomeFailed
+	}
+	switch e.Reason {
+	case endpoint.ReasonShed:
+		return placing.OutcomeShed
+	case endpoint.ReasonMisdirected:
+		return placing.OutcomeGone
+	case endpoint.ReasonUnreachable:
+		return placing.OutcomeUnreachable
+	case endpoint.ReasonSilent, endpoint.ReasonDeadline, endpoint.ReasonCanceled:
+		if ctx.Err() != nil && elapsed < 2*c.Expected {
+			return placing.OutcomeUnknown // there was too little time
+		}
+		return placing.OutcomeSilent
+	case endpoint.ReasonCallerBody, endpoint.ReasonUnsendable:
+		return placing.OutcomeUnknown
+	case endpoint.ReasonBroken, endpoint.ReasonCut, endpoint.ReasonCrossed, endpoint.ReasonUnframed, endpoint.ReasonFlawed:
+	}
+	return placing.OutcomeFailed
+}
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -67,12 +67,16 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, mv *moves, m *metrics, b *budgets) *sender {
-	return &sender{client: c, placer: p, moves: mv, metrics: m, budgets: b}
+func newSender(c *endpoint.Client, p *placing.Placer, mv *moves, m *metrics, b *budgets, l *lineBudget) *sender {
+	return &sender{client: c, placer: p, moves: mv, metrics: m, budgets: b, lines: l}
 }
 
-func newHandler(p Parts, b *beliefs, s *sender, m *metrics, log *logrus.Logger) *handler {
-	return &handler{protocol: p.Callers, beliefs: b, sender: s, metrics: m, log: log.WithField("prefix", "request")}
+func newLineBudget(log *logrus.Logger) *lineBudget {
+	return &lineBudget{log: log.WithField("prefix", "request")}
+}
+
+func newHandler(p Parts, b *beliefs, s *sender, m *metrics, l *lineBudget, log *logrus.Logger) *handler {
+	return &handler{protocol: p.Callers, beliefs: b, sender: s, metrics: m, lines: l, log: log.WithField("prefix", "request")}
 }
 
 // newGateway joins the parts of an instance.
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -27,6 +27,7 @@
 		newMesh,
 		newPeerServer,
 		newBudgets,
+		newLineBudget,
 		newSender,
 		newHandler,
 		newGateway,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -40,8 +40,9 @@
 	}
 	gatewayMesh := newMesh(s, p, placer, limiter, gatewayMoves, gatewayBeliefs, logger)
 	gatewayBudgets := newBudgets(gatewayLiveSettings, gatewayMesh)
-	gatewaySender := newSender(client, placer, gatewayMoves, gatewayMetrics, gatewayBudgets)
-	gatewayHandler := newHandler(p, gatewayBeliefs, gatewaySender, gatewayMetrics, logger)
+	gatewayLineBudget := newLineBudget(logger)
+	gatewaySender := newSender(client, placer, gatewayMoves, gatewayMetrics, gatewayBudgets, gatewayLineBudget)
+	gatewayHandler := newHandler(p, gatewayBeliefs, gatewaySender, gatewayMetrics, gatewayLineBudget, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gateway := newGateway(gatewayLiveSettings, p, gatewayHandler, gatewayBeliefs, gatewayMoves, gatewayMesh, client, peerServer, telemetryMetrics, boundedWriter, logger)
 	return gateway, nil
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -1,93 +1,11 @@
 package placing
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/cardamomfront/cardamomfront/steer/catalog"
 )
 
-// Query asks for an endpoint for one try of a request.
-type Query struct {
-	// Service is where the request goes.
-	Service string
-	// Route names the route; times of work are learned by it.
-	Route string
-	// Object names what the request is about, "" when nothing is known.
-	Object string
-	// Versions says which versions may be chosen; nil means all.
-	Versions func(version string) bool
-	// Homes are the regions that may serve the request; empty means all.
-	Homes []string
-	// Tried are the endpoints that earlier tries failed at.
-	Tried []catalog.Incarnation
-	// Goal is the route's response-time goal; times of work that are not
-	// known yet are guessed from it.
-	Goal time.Duration
-	// GoalLeft is the time left until the goal; it may be negative.
-	GoalLeft time.Duration
-	// Limit is the time left until the request's deadline.
-	Limit time.Duration
-}
-
-// Choice is an endpoint with the right to send one request to it. Done must be
-// called once for each.
-type Choice struct {
-	// Endpoint is where the request goes.
-	Endpoint catalog.Endpoint
-	// Region is the endpoint's region.
-	Region string
-	// Expected is the time in which an answer is expected.
-	Expected time.Duration
-	// Usual is Expected for an endpoint that is not slower than others.
-	Usual time.Duration
-	// Wait is the part of it that is spent in the endpoint's queue.
-	Wait time.Duration
-	// Known is what is known of the object there: "warm", "home" or "cold".
-	Known string
-	// Running is how many requests were known to be there.
-	Running int
-	// Candidates is how many endpoints could have been chosen.
-	Candidates int
-
-	group  *group
-	state  *endpoint
-	route  string
-	warmth warmth
-	start  time.Time
-	plain  bool // no queue, no slowness: its time tells how long work takes
-	trip   float64
-}
-
-// Refusal says that no endpoint was chosen.
-type Refusal struct {
-	// Reason says why.
-	Reason Reason
-	// Expected is the earliest expected answer, 0 when there is no endpoint.
-	Expected time.Duration
-	// Retry is when there may be room.
-	Retry time.Duration
-	// Known is how many endpoints of the service are known.
-	Known int
-}
-
-// Reason is why no endpoint was chosen.
-type Reason string
-
-const (
-	// ReasonNoEndpoint means that no endpoint may serve the request.
-	ReasonNoEndpoint Reason = "no-endpoint"
-	// ReasonNoRoom means that each endpoint has all the requests it may have.
-	ReasonNoRoom Reason = "no-room"
-	// ReasonTooLate means that no answer is expected in time.
-	ReasonTooLate Reason = "too-late"
-)
-
-// Error implements error.
-func (r *Refusal) Error() string { return "placing: " + string(r.Reason) }
-
 // candidate is an endpoint with its expected times, in seconds.
 type candidate struct {
 	e        *endpoint
@@ -217,84 +135,6 @@
 // region.
 const joinBonus = 2 * sameRegionTrip
 
-// price returns what a second of a slot counts as, in seconds.
-func (p *Placer) price(g *group, q Query, now time.Time) float64 {
-	running, slots := 0, 0
-	for _, e := range g.ordered {
-		if p.allowed(e, q) && !now.Before(e.restUntil) {
-			running += e.running(now, p.rules)
-			slots += e.Slots
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	busy := (float64(running)/float64(slots) - p.rules.BusyFrom) / (p.rules.BusyTo - p.rules.BusyFrom)
-	return p.rules.SlotPrice * min(1, max(0, busy))
-}
-
-// allowed says whether the request may go to the endpoint at all.
-func (p *Placer) allowed(e *endpoint, q Query) bool {
-	switch {
-	case p.closed[e.FailureDomain]:
-		return false
-	case q.Versions != nil && !q.Versions(e.Version):
-		return false
-	case len(q.Homes) > 0 && !slices.Contains(q.Homes, e.region):
-		return false
-	}
-	return !slices.Contains(q.Tried, e.Incarnation())
-}
-
-// hasRoom says whether the endpoint may get one more request now.
-func (p *Placer) hasRoom(e *endpoint, q Query, now time.Time) bool {
-	if now.Before(e.restUntil) || e.onTrial && len(e.starts) > 0 {
-		return false
-	}
-	if float64(e.running(now, p.rules)) >= float64(e.Slots)*p.rules.QueueFactor {
-		return false
-	}
-	if !e.cold(now) {
-		return true
-	}
-	rate, sender := p.coldRate(e, q.Service)
-	if !sender {
-		return false
-	}
-	e.fillCold(now, rate)
-	return e.coldTokens >= 1
-}
-
-// coldRate returns how many requests a second this instance may send to a cold
-// endpoint, and whether it may send any.
-func (p *Placer) coldRate(e *endpoint, service string) (float64, bool) {
-	near := 0
-	for _, m := range p.fleet {
-		if m.Region == e.region {
-			near++
-		}
-	}
-	own := mix(e.hash, xxhash.Sum64String(p.here.Self))
-	if near > 0 && p.here.Region != e.region {
-		return 0, false
-	}
-	ahead, senders := 0, 0
-	for _, m := range p.fleet {
-		if near > 0 && m.Region != e.region {
-			continue
-		}
-		senders++
-		if m.Name != p.here.Self && mix(e.hash, xxhash.Sum64String(m.Name)) > own {
-			ahead++
-		}
-	}
-	senders = min(senders, p.rules.ColdSenders)
-	if ahead >= senders {
-		return 0, false
-	}
-	return p.services[service].ColdRate * p.rules.ColdRateShare / float64(senders), true
-}
-
 // expect works out when an answer is to be expected from an endpoint.
 func (p *Placer) expect(g *group, e *endpoint, w *work, known warmth, price float64, now time.Time) candidate {
 	e.decay(now, p.rules.Forget)
