--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -90,7 +89,7 @@
 		mesh:     m,
 		client:   c,
 		peers:    peers,
-		page:     http.Handler(t.Page),
+		page:     t.Page,
 		writer:   w,
 		logger:   log,
 		log:      log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Load().Name}),
