Ask a second endpoint earlier: after 0.8 of the goal

Cause: requests whose answers are lost were saved after 0.8 s at the earliest, late on routes with a goal of 0.5 or 0.6 s. Change: after 2.5 times the expected time, and not before 0.8 of the goal.

--- a/front/gateway/race.go
+++ b/front/gateway/race.go
@@ -97,11 +97,17 @@
 	number := r.tries
 	go func() { r.results <- r.sender.try(r.ctx, r.exchange, choice, number) }()
 	if r.route.Idempotent && !r.streamed {
-		r.silence.Reset(max(silenceFactor*choice.Expected, leastSilence))
+		r.silence.Reset(silenceAfter(choice.Expected, r.route.Goal))
 	}
 	return nil
 }
 
+// silenceAfter returns how long an endpoint may be silent before another one is
+// asked as well.
+func silenceAfter(expected, goal time.Duration) time.Duration {
+	return time.Duration(max(silenceFactor*float64(expected), silencePart*float64(goal)))
+}
+
 // hedge asks another endpoint while the silent one goes on: its answer counts
 // if it comes first.
 func (r *race) hedge() {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -19,9 +19,10 @@
 	maxTries = 4
 	// silenceFactor is by how many times an idempotent request's answer may be
 	// later than expected before another endpoint is asked as well.
-	silenceFactor = 3
-	// leastSilence is the least time after which that is done.
-	leastSilence = 800 * time.Millisecond
+	silenceFactor = 2.5
+	// silencePart is the part of the goal before which that is not done: a later
+	// answer earns a fifth, an earlier try costs the budget of those in need.
+	silencePart = 0.8
 	// leastLeft is the least time that another try must have.
 	leastLeft = 100 * time.Millisecond
 	// budgetShare is the part of the allowed tries that the instances use
