--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
+	"github.com/cardamomfront/cardamomfront/front/operator/trace"
 )
 
 func main() { os.Exit(cli.Execute(root(), command.ExitCode)) }
@@ -25,6 +26,6 @@
 		SilenceErrors: true,
 	}
 	command.Add(cmd)
-	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command(), explain.Command())
+	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command(), explain.Command(), trace.Command())
 	return cmd
 }
