Order nothing by clocks that are set: starts, windows of quotas, time of contact

Cause, found by reading: an instance that starts anew with its clock set back had a start before that of its former process, and the others took its states for late ones, for ever. The windows of quotas and the time since when the store is reached were counted on the time of day as well. Ruled out: deadlines and judgements, which use the steady clock. Change: a start tells processes apart and orders none; the rest counts on the steady clock. An answer to HEAD keeps the endpoint's length.

--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -231,7 +231,12 @@
 	}
 	h.metrics.answered(x, a.Status)
 	if a.whole {
-		header.Set("Content-Length", strconv.Itoa(len(a.body)))
+		if x.request.Method != http.MethodHead {
+			a.ContentLength = int64(len(a.body))
+		}
+		if a.ContentLength >= 0 && hasBody(a.Status) {
+			header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+		}
 		w.WriteHeader(a.Status)
 		if _, err := w.Write(a.body); err != nil {
 			x.log.WithError(err).Info("Caller left before its answer.")
@@ -255,6 +260,11 @@
 	}
 }
 
+// hasBody says whether an answer with a status may have a body (RFC 9110, 6.4.1).
+func hasBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // hold reads an answer's body, unless it is too large to be held. Errors:
 // *endpoint.Error.
 func hold(a *endpoint.Answer) (*heldAnswer, error) {
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -43,6 +43,7 @@
 // member is another instance as this one knows it.
 type member struct {
 	state
+	former  int64     // the start of the process that this one replaced
 	heard   time.Time // zero when it was never heard of
 	failed  time.Time // when it was last not reached
 	relayed time.Time // when it was last told of other regions
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -30,7 +30,8 @@
 	// Region and FailureDomain say where it is.
 	Region        string `json:"r"`
 	FailureDomain string `json:"d"`
-	// Started is its start in nanoseconds since the Unix epoch.
+	// Started is its start in nanoseconds since the Unix epoch. It tells
+	// processes apart and orders none: clocks are set.
 	Started int64 `json:"s"`
 	// Ready says that it takes requests.
 	Ready bool `json:"ok,omitempty"`
@@ -128,10 +129,13 @@
 		other = &member{}
 		m.members[s.Name] = other
 	}
-	if s.Started < other.Started {
+	if s.Started == other.former && s.Started != other.Started {
 		m.mu.Unlock()
 		return // an answer of a process that was replaced
 	}
+	if s.Started != other.Started {
+		other.former = other.Started
+	}
 	back := now.Sub(other.heard) > silentAfter
 	other.state, other.heard, other.failed = s, now, time.Time{}
 	m.measure(other, trip)
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -56,8 +56,7 @@
 	answered time.Time
 	returned time.Time // when the store last came back
 	failures int
-	contact  atomic.Int64
-	since    atomic.Int64 // since when the store has answered each call
+	since    atomic.Pointer[time.Time] // since when the store has answered each call
 }
 
 // NewWatcher returns a watcher that gives see all rows after each change. see
@@ -74,19 +73,11 @@
 	}
 }
 
-// Contact returns when the store last answered, the zero time before.
-func (w *Watcher) Contact() time.Time {
-	if n := w.contact.Load(); n != 0 {
-		return time.Unix(0, n)
-	}
-	return time.Time{}
-}
-
 // Since returns since when the store has answered each call, the zero time
 // while it does not.
 func (w *Watcher) Since() time.Time {
-	if n := w.since.Load(); n != 0 {
-		return time.Unix(0, n)
+	if since := w.since.Load(); since != nil {
+		return *since
 	}
 	return time.Time{}
 }
@@ -138,11 +129,10 @@
 		w.returned = now
 		w.failures = 0
 	}
-	if w.since.Load() == 0 {
-		w.since.Store(now.UnixNano())
+	if w.since.Load() == nil {
+		w.since.Store(&now)
 	}
 	w.answered = now
-	w.contact.Store(now.UnixNano())
 	changed := w.take(batch, now)
 	w.after = max(w.after, batch.Revision)
 	w.full = false
@@ -171,7 +161,7 @@
 		return 0
 	}
 	w.failures++
-	w.since.Store(0)
+	w.since.Store(nil)
 	if w.failures == 1 {
 		if w.answered.IsZero() {
 			w.answered = time.Now()
--- a/steer/quota/quota_test.go
+++ b/steer/quota/quota_test.go
@@ -156,3 +156,18 @@
 		}
 	}
 }
+
+// Steps count from the first request and not from the time of day, which is set
+// now and then.
+func TestTallyForgetsAfterTheWindow(t *testing.T) {
+	var c tally
+	for i := range 10 {
+		c.add(start.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	if n := c.sum(start.Add(Window - time.Second)); n != 10 {
+		t.Errorf("%d within the window, want 10", n)
+	}
+	if n := c.sum(start.Add(Window + time.Second)); n != 0 {
+		t.Errorf("%d after the window, want 0", n)
+	}
+}
--- a/steer/quota/tally.go
+++ b/steer/quota/tally.go
@@ -10,7 +10,8 @@
 // tally counts what was let through in the last Window.
 type tally struct {
 	counts [tallySteps]int
-	step   int64 // the newest step, counted from the Unix epoch
+	begun  time.Time // steps count from here, so that a clock that is set changes none
+	step   int64     // the newest step
 }
 
 // add counts one.
@@ -37,7 +38,10 @@
 
 // advance drops the steps that lie further back than Window.
 func (t *tally) advance(now time.Time) {
-	step := now.UnixNano() / int64(Window/tallySteps)
+	if t.begun.IsZero() {
+		t.begun = now
+	}
+	step := int64(now.Sub(t.begun) / (Window / tallySteps))
 	if step-t.step >= tallySteps {
 		t.counts = [tallySteps]int{}
 		t.step = step
