--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,4 @@
 
 demo: build
 	scripts/demo.sh
+	scripts/demo-platform.sh
--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
 	"github.com/cardamomfront/cardamomfront/front/operator/trace"
+	"github.com/cardamomfront/cardamomfront/platform/standin"
 )
 
 func main() { os.Exit(cli.Execute(root(), command.ExitCode)) }
@@ -26,6 +27,8 @@
 		SilenceErrors: true,
 	}
 	command.Add(cmd)
-	cmd.AddCommand(request.Command(), serve.Command(), capacity.Command(), explain.Command(), trace.Command())
+	stands := serve.Command()
+	stands.AddCommand(standin.Command())
+	cmd.AddCommand(request.Command(), stands, capacity.Command(), explain.Command(), trace.Command())
 	return cmd
 }
--- /dev/null
+++ b/scripts/demo-platform.sh
@@ -0,0 +1,97 @@
+#!/usr/bin/env bash
+# Runs three gateways on loopback addresses against the stand-in of the users'
+# platform: asks the directory, sends requests, follows a refused one by its id
+# through the logs, and stops a gateway in order. The last line is
+# "demo-platform: ok" and counts.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+dir=$(mktemp -d)
+pids=()
+requests=0
+finish() {
+	code=$?
+	for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+	if [ "$code" -ne 0 ]; then
+		tail -n 20 "$dir"/*.log >&2 || true
+		echo "demo-platform: failed" >&2
+	fi
+	rm -rf "$dir"
+	exit "$code"
+}
+trap finish EXIT
+fail() { echo "demo-platform: $*" >&2; exit 1; }
+
+# settings N ZONE writes a gateway's settings.
+settings() {
+	cat >"$dir/g$1.yaml" <<YAML
+name: g$1
+region: ${2%-*}
+failureDomain: $2
+failureDomains: {east-1: east, west-1: west}
+listen:
+  callers: "127.0.30.$1:17880"
+  ready: "127.0.30.$1:17881"
+  directory: "127.0.30.$1:17882"
+  peers: "127.0.30.$1:17883"
+  metrics: "127.0.30.$1:17884"
+store: "127.0.30.9:17890"
+lifetime: 2
+grace: 3
+retryRatio: 0.2
+retrySlack: 50
+log: {format: json}
+YAML
+}
+
+# status URL HEADERS... prints the status of a request.
+status() {
+	local url=$1
+	shift
+	curl -s -o "$dir/body" -w '%{http_code}' "${@/#/-H}" "$url" || true
+}
+
+bin/cardamomctl serve store --listen 127.0.30.9:17890 >"$dir/store.log" 2>&1 &
+pids+=($!)
+for n in 1 2 3; do
+	zone=east-1
+	if [ "$n" = 3 ]; then zone=west-1; fi
+	settings "$n" "$zone"
+	bin/cardamomfront gateway --settings "$dir/g$n.yaml" --check >/dev/null || fail "faulty settings"
+	bin/cardamomfront gateway --settings "$dir/g$n.yaml" >"$dir/g$n.log" 2>&1 &
+	pids+=($!)
+done
+for n in 1 2 3; do
+	for _ in $(seq 100); do
+		[ "$(status "http://127.0.30.$n:17881/readyz")" = 200 ] && break
+		sleep 0.1
+	done
+	[ "$(status "http://127.0.30.$n:17881/readyz")" = 200 ] || fail "gateway $n is not ready"
+done
+
+key=$(sed -n 's/.*key //p' "$dir/store.log")
+for _ in $(seq 50); do
+	[ "$(status 'http://127.0.30.3:17882/resolve?name=app.example&region=east&zone=east-1')" = 200 ] || fail "no directory"
+	if [ "$(grep -o '127.0.30' "$dir/body" | wc -l)" = 2 ]; then break; fi
+	sleep 0.1
+done
+[ "$(grep -o '127.0.30' "$dir/body" | wc -l)" = 2 ] || fail "the directory names $(cat "$dir/body")"
+for n in $(seq 30); do
+	got=$(status "http://127.0.30.$((n % 3 + 1)):17880/status/$n" "Host: app.example" "Request-Id: demo-$n" "Affinity-Key: $((n % 5))" "Authorization: Token $key")
+	[ "$got" = 200 ] || fail "request $n: $got"
+	requests=$((requests + 1))
+done
+got=$(status http://127.0.30.1:17880/status/x "Host: app.example" "Request-Id: demo-bad" "Authorization: Token no-key")
+[ "$got" = 401 ] || fail "a request with an unknown key: $got"
+for _ in $(seq 50); do
+	bin/cardamomctl trace demo-bad "$dir"/g*.log >"$dir/trace"
+	grep -q "no such route or key" "$dir/trace" && break
+	sleep 0.1
+done
+grep -q "no such route or key" "$dir/trace" || fail "trace: $(cat "$dir/trace")"
+grep -q "$key" "$dir"/g*.log && fail "a log holds the key"
+curl -s http://127.0.30.1:17884/metrics | grep -q cardamomfront_gateway_answers_total || fail "no metrics"
+kill -TERM "${pids[1]}"
+wait "${pids[1]}" || fail "a gateway did not stop in order"
+grep -q '"Stopped."' "$dir/g1.log" || fail "a gateway did not say that it stopped"
+echo "demo-platform: ok ($requests requests, 3 gateways, 4 endpoints, 1 request traced)"
