--- a/front/gateway/budgets.go
+++ b/front/gateway/budgets.go
@@ -52,7 +52,7 @@
 	burst := max(1, int(now.RetrySlack*budgetShare/float64(max(1, b.size()))))
 	budget, err := retry.NewBudget(retry.BudgetSettings{Ratio: now.RetryRatio * budgetShare, Burst: burst})
 	if err != nil {
-		return nil
+		return nil // the settings' check leaves no such ratio
 	}
 	b.services[service] = budget
 	return budget
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -32,8 +32,8 @@
 	// is killed. Required.
 	Grace float64 `yaml:"grace" validate:"gt=0"`
 	// RetryRatio is the number of tries beyond the first that each request
-	// allows for, over all instances. Required.
-	RetryRatio float64 `yaml:"retryRatio" validate:"gt=0"`
+	// allows for, over all instances; 0.01 to 1. Required.
+	RetryRatio float64 `yaml:"retryRatio" validate:"gte=0.01,lte=1"`
 	// RetrySlack is the number of such tries that is allowed beyond, over all
 	// instances. Required.
 	RetrySlack float64 `yaml:"retrySlack" validate:"gte=0"`
