--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -6,21 +6,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-dir=$(mktemp -d)
-pids=()
-requests=0
-finish() {
-	code=$?
-	for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-	if [ "$code" -ne 0 ]; then
-		tail -n 20 "$dir"/*.log >&2 || true
-		echo "demo-platform: failed" >&2
-	fi
-	rm -rf "$dir"
-	exit "$code"
-}
-trap finish EXIT
-fail() { echo "demo-platform: $*" >&2; exit 1; }
+demo=demo-platform
+. scripts/demo-lib.sh
 
 # settings N ZONE writes a gateway's settings.
 settings() {
@@ -51,15 +38,13 @@
 	curl -s -o "$dir/body" -w '%{http_code}' "${@/#/-H}" "$url" || true
 }
 
-bin/cardamomctl serve store --listen 127.0.30.9:17890 >"$dir/store.log" 2>&1 &
-pids+=($!)
+spawn store bin/cardamomctl serve store --listen 127.0.30.9:17890
 for n in 1 2 3; do
 	zone=east-1
 	if [ "$n" = 3 ]; then zone=west-1; fi
 	settings "$n" "$zone"
 	bin/cardamomfront gateway --settings "$dir/g$n.yaml" --check >/dev/null || fail "faulty settings"
-	bin/cardamomfront gateway --settings "$dir/g$n.yaml" >"$dir/g$n.log" 2>&1 &
-	pids+=($!)
+	spawn "g$n" bin/cardamomfront gateway --settings "$dir/g$n.yaml"
 done
 for n in 1 2 3; do
 	for _ in $(seq 100); do
