--- a/front/broker/lead.go
+++ b/front/broker/lead.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
+	"github.com/cardamomfront/cardamomfront/front/storage/brokers"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
 )
--- a/front/broker/resume_test.go
+++ b/front/broker/resume_test.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/brokers"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
--- a/front/broker/service.go
+++ b/front/broker/service.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
+	"github.com/cardamomfront/cardamomfront/front/storage/brokers"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
--- a/front/broker/succession.go
+++ b/front/broker/succession.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
+	"github.com/cardamomfront/cardamomfront/front/storage/brokers"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
--- a/front/caller/attempts.go
+++ b/front/caller/attempts.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
+	"github.com/cardamomfront/cardamomfront/front/storage/attempts"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
--- a/front/caller/attempts_test.go
+++ b/front/caller/attempts_test.go
@@ -18,9 +18,9 @@
 	"github.com/urfave/negroni/v3"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
-	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/attempts"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 	"github.com/cardamomfront/cardamomfront/steer/document"
--- a/front/caller/entries.go
+++ b/front/caller/entries.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/http"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
--- a/front/caller/keys.go
+++ b/front/caller/keys.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 )
 
 // staleRetryAfter is when a caller may come back to an instance whose
--- a/front/caller/keyuses.go
+++ b/front/caller/keyuses.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 )
 
 // recheckEvery is the time between two checks of the keys of requests that are
--- a/front/caller/routes.go
+++ b/front/caller/routes.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
--- a/front/caller/stages_test.go
+++ b/front/caller/stages_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
--- a/front/caller/versions.go
+++ b/front/caller/versions.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/steer/admission"
 )
 
--- a/front/caller/versions_test.go
+++ b/front/caller/versions_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/steer/admission"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
--- a/front/e2e/limits_test.go
+++ b/front/e2e/limits_test.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/shares"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/shares"
 	"github.com/cardamomfront/cardamomfront/steer/share"
 )
 
@@ -109,7 +109,7 @@
 // rows returns how many instances have a row in the table.
 func (f *fleet) rows(t *testing.T) int {
 	t.Helper()
-	client := platform.NewClient(platform.Settings{URL: "http://" + f.platform})
+	client := storage.NewClient(storage.Settings{URL: "http://" + f.platform})
 	rows, err := client.Scan(context.Background(), membership.InstancesPrefix(environment))
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +120,7 @@
 // holder returns the instance that holds the ward's rate.
 func (f *fleet) holder(t *testing.T) *testInstance {
 	t.Helper()
-	client := platform.NewClient(platform.Settings{URL: "http://" + f.platform})
+	client := storage.NewClient(storage.Settings{URL: "http://" + f.platform})
 	row, err := client.Get(context.Background(), shares.Key(environment, "ward-01"))
 	if err != nil {
 		t.Fatal(err)
--- a/front/instance/dispatch.go
+++ b/front/instance/dispatch.go
@@ -12,8 +12,8 @@
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
--- a/front/instance/fleet.go
+++ b/front/instance/fleet.go
@@ -8,10 +8,10 @@
 
 	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/brokers"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/brokers"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/membership"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -42,7 +42,7 @@
 // ValidUntil implements broker.Fleet.
 func (f fleetView) ValidUntil() time.Time { return *f.right.until.Load() }
 
-func newBroker(s *Settings, k *membership.Keeper, r *right, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger) *broker.Service {
+func newBroker(s *Settings, k *membership.Keeper, r *right, table storage.Service, source configuration.Source, c *peer.Client, srv *peer.Server, log *logrus.Logger) *broker.Service {
 	inForce := func() *document.Index { return source.Current().Index }
 	b := broker.New(fleetView{k, r}, brokers.NewRows(table, s.Environment), inForce, c, log)
 	b.Register(srv)
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -16,12 +16,12 @@
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/attempts"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/shares"
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/attempts"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/shares"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 	"github.com/cardamomfront/cardamomfront/steer/retry"
@@ -43,12 +43,12 @@
 	return telemetry.NewLog(s.Log, w)
 }
 
-func newPlatform(s *Settings, m *telemetry.Metrics) (*platform.Client, error) {
+func newPlatform(s *Settings, m *telemetry.Metrics) (*storage.Client, error) {
 	traffic, err := telemetry.NewTraffic(m, "platform")
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewClient(platform.Settings{
+	return storage.NewClient(storage.Settings{
 		URL:     s.Platform.URL,
 		Timeout: s.Platform.Timeout.Std(),
 		Dial:    traffic.Dial,
@@ -127,7 +127,7 @@
 }
 
 // newShifts returns the manager of the document's shifts and drains.
-func newShifts(s *Settings, n Name, table platform.Service, source configuration.Source, c *peer.Client, srv *peer.Server, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
+func newShifts(s *Settings, n Name, table storage.Service, source configuration.Source, c *peer.Client, srv *peer.Server, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*shifts.Manager, error) {
 	meters, err := shifts.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
@@ -151,7 +151,7 @@
 	return manager, nil
 }
 
-func newAttempts(s *Settings, n Name, table platform.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
+func newAttempts(s *Settings, n Name, table storage.Service, m *telemetry.Metrics, log *logrus.Logger) (*attempts.Recorder, error) {
 	return attempts.New(attempts.DefaultSettings(), table, s.Environment, string(n), m.Meter, log)
 }
 
--- a/front/instance/settings.go
+++ b/front/instance/settings.go
@@ -8,7 +8,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
--- a/front/instance/sharing.go
+++ b/front/instance/sharing.go
@@ -10,10 +10,10 @@
 	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/shares"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/shares"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 	steermembership "github.com/cardamomfront/cardamomfront/steer/membership"
@@ -84,7 +84,7 @@
 	}
 }
 
-func newKeeper(s *Settings, n Name, store platform.Service, c *peer.Client, srv *peer.Server, l *limit.Limiter, r *right, source configuration.Source, busy *load, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*membership.Keeper, error) {
+func newKeeper(s *Settings, n Name, store storage.Service, c *peer.Client, srv *peer.Server, l *limit.Limiter, r *right, source configuration.Source, busy *load, d *directory, log *logrus.Logger, m *telemetry.Metrics) (*membership.Keeper, error) {
 	meters, err := membership.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
@@ -106,7 +106,7 @@
 	return keeper, nil
 }
 
-func newAgent(s *Settings, table platform.Service, c *peer.Client, srv *peer.Server, k *membership.Keeper, source configuration.Source, l *limit.Limiter, log *logrus.Logger, m *telemetry.Metrics) (*shares.Agent, error) {
+func newAgent(s *Settings, table storage.Service, c *peer.Client, srv *peer.Server, k *membership.Keeper, source configuration.Source, l *limit.Limiter, log *logrus.Logger, m *telemetry.Metrics) (*shares.Agent, error) {
 	meters, err := shares.NewMeters(m.Meter)
 	if err != nil {
 		return nil, err
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 )
@@ -37,8 +37,8 @@
 
 var platformSet = wire.NewSet(
 	newPlatform,
-	wire.Bind(new(platform.Service), new(*platform.Client)),
-	wire.Bind(new(configuration.Store), new(*platform.Client)),
+	wire.Bind(new(storage.Service), new(*storage.Client)),
+	wire.Bind(new(configuration.Store), new(*storage.Client)),
 )
 
 var peerSet = wire.NewSet(newPeerTLS, newPeerTraffic, newPeerServer, newPeerClient)
--- a/front/operator/command/command.go
+++ b/front/operator/command/command.go
@@ -12,8 +12,8 @@
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -45,7 +45,7 @@
 // session is one command's way to the platform and to the instances.
 type session struct {
 	settings  Settings
-	table     *platform.Client
+	table     *storage.Client
 	promoter  *configuration.Promoter
 	instances *operator.Client
 }
@@ -57,7 +57,7 @@
 		return nil, nil, nil, err
 	}
 	ctx, cancel := context.WithTimeout(parent, f.timeout)
-	client := platform.NewClient(platform.Settings{URL: settings.Platform})
+	client := storage.NewClient(storage.Settings{URL: settings.Platform})
 	transport := &http.Transport{}
 	s := &session{
 		settings:  settings,
--- a/front/operator/command/command_test.go
+++ b/front/operator/command/command_test.go
@@ -18,9 +18,9 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -50,7 +50,7 @@
 }
 
 func (w *world) start(domain string) {
-	client := platform.NewClient(platform.Settings{URL: w.platform})
+	client := storage.NewClient(storage.Settings{URL: w.platform})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	meters, err := configuration.NewMeters(noop.Meter{})
--- a/front/operator/command/documents.go
+++ b/front/operator/command/documents.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
--- a/front/operator/command/errors.go
+++ b/front/operator/command/errors.go
@@ -7,7 +7,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
--- a/front/operator/command/output.go
+++ b/front/operator/command/output.go
@@ -6,7 +6,7 @@
 	"io"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 )
 
 // Forms of the output.
--- a/front/operator/command/shifts.go
+++ b/front/operator/command/shifts.go
@@ -4,7 +4,7 @@
 	"net/http"
 
 	"github.com/cardamomfront/cardamomfront/front/operator/shiftcmd"
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 // openShifts resolves the settings for the commands on shifts.
@@ -13,7 +13,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	client := platform.NewClient(platform.Settings{URL: settings.Platform})
+	client := storage.NewClient(storage.Settings{URL: settings.Platform})
 	transport := &http.Transport{}
 	access := &shiftcmd.Access{
 		Table:       client,
--- a/front/operator/edit.go
+++ b/front/operator/edit.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
--- a/front/operator/explain/page.go
+++ b/front/operator/explain/page.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
 )
--- a/front/operator/handler.go
+++ b/front/operator/handler.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
--- a/front/operator/rollout.go
+++ b/front/operator/rollout.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/storage/membership"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
--- a/front/operator/rollout_test.go
+++ b/front/operator/rollout_test.go
@@ -12,10 +12,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
@@ -117,8 +117,8 @@
 
 func putRow(t *testing.T, store *standin.Store, name, value string) {
 	t.Helper()
-	write := platform.Write{Key: members.InstancesPrefix("e") + name, Value: []byte(value)}
-	if _, err := store.Commit(t.Context(), []platform.Write{write}); err != nil {
+	write := storage.Write{Key: members.InstancesPrefix("e") + name, Value: []byte(value)}
+	if _, err := store.Commit(t.Context(), []storage.Write{write}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/front/operator/roster.go
+++ b/front/operator/roster.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sync"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	members "github.com/cardamomfront/cardamomfront/front/storage/membership"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
@@ -25,9 +25,9 @@
 }
 
 // Roster returns the instances that have a row in the table, and those at the
-// further addresses. Errors: *platform.Error, or that of a row that can't be
+// further addresses. Errors: *storage.Error, or that of a row that can't be
 // read.
-func Roster(ctx context.Context, table platform.Table, environment string, addrs []string) ([]Listed, error) {
+func Roster(ctx context.Context, table storage.Table, environment string, addrs []string) ([]Listed, error) {
 	rows, err := table.Scan(ctx, members.InstancesPrefix(environment))
 	if err != nil {
 		return nil, err
@@ -70,7 +70,7 @@
 	return joined
 }
 
-func listedRow(row platform.Row) (Listed, error) {
+func listedRow(row storage.Row) (Listed, error) {
 	r, err := membership.DecodeRecord(row.Value)
 	if err != nil {
 		return Listed{}, fmt.Errorf("row %s: %w", row.Key, err)
--- a/front/operator/serve/platform.go
+++ b/front/operator/serve/platform.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 )
 
 func platformCommand() *cobra.Command {
--- a/front/operator/shiftcmd/command.go
+++ b/front/operator/shiftcmd/command.go
@@ -11,14 +11,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
 // Access is a command's way to the platform and to the instances.
 type Access struct {
 	// Table is the platform's table.
-	Table platform.Table
+	Table storage.Table
 	// Environment names the environment.
 	Environment string
 	// Instances are the operator listeners known besides those in the table.
--- a/front/operator/shiftcmd/gather.go
+++ b/front/operator/shiftcmd/gather.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/operator"
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
--- a/front/operator/shiftcmd/movement.go
+++ b/front/operator/shiftcmd/movement.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/shifts"
+	"github.com/cardamomfront/cardamomfront/front/storage/shifts"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
--- a/front/operator/status.go
+++ b/front/operator/status.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
--- a/front/platform/attempts/addedtime_test.go
+++ b/front/storage/attempts/addedtime_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
--- a/front/platform/attempts/bench_test.go
+++ b/front/storage/attempts/bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
--- a/front/platform/attempts/cleanup.go
+++ b/front/storage/attempts/cleanup.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -49,7 +49,7 @@
 		return nil
 	}
 	_, err = r.table.Commit(ctx, deletes)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return nil // another instance was here; the part comes up again
 	}
@@ -59,14 +59,14 @@
 	return err
 }
 
-func (r *Recorder) expired(rows []platform.Row, current uint64) []platform.Write {
-	var deletes []platform.Write
+func (r *Recorder) expired(rows []storage.Row, current uint64) []storage.Write {
+	var deletes []storage.Write
 	for _, row := range rows {
 		record, err := attempt.DecodeRecord(row.Value)
 		if err != nil || !attempt.Expired(record.Epoch, current, r.settings.KeepEpochs) {
 			continue
 		}
-		deletes = append(deletes, platform.Write{Key: row.Key, Expected: row.Version, Delete: true})
+		deletes = append(deletes, storage.Write{Key: row.Key, Expected: row.Version, Delete: true})
 		if len(deletes) == r.settings.CleanupRows {
 			break
 		}
--- a/front/platform/attempts/dispatch.go
+++ b/front/storage/attempts/dispatch.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -134,20 +134,20 @@
 	defer cancel()
 	r.metrics.sent(len(encoded))
 	_, err = r.table.Commit(ctx, encoded)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		r.silence.heard(time.Now())
 		r.settle(tx.OnConflict(standing(conflict.Actual)))
 		r.readConflicting(tx)
 		return true
 	}
-	var failure *platform.Error
+	var failure *storage.Error
 	switch {
 	case err == nil:
 		r.silence.heard(time.Now())
 		r.settle(tx.OnWritten())
 		return true
-	case errors.As(err, &failure) && failure.Effect == platform.EffectNone:
+	case errors.As(err, &failure) && failure.Effect == storage.EffectNone:
 		tx.OnRefused()
 	default:
 		tx.OnUnknown()
--- a/front/platform/attempts/epochs.go
+++ b/front/storage/attempts/epochs.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -115,8 +115,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.table.Commit(ctx, []platform.Write{{Key: r.rows.epoch(), Expected: version, Value: value}})
-	var conflict *platform.ConflictError
+	_, err = r.table.Commit(ctx, []storage.Write{{Key: r.rows.epoch(), Expected: version, Value: value}})
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) && conflict.Actual.Version > 0 {
 		if actual, decodeErr := decodeEpoch(conflict.Actual.Value); decodeErr == nil {
 			r.epochs.observe(actual, time.Now())
--- a/front/platform/attempts/fakes_test.go
+++ b/front/storage/attempts/fakes_test.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -70,19 +70,19 @@
 }
 
 func (r *remoteTable) unknown(err error) error {
-	return &platform.Error{Op: "commit", Effect: platform.EffectUnknown, Err: err}
+	return &storage.Error{Op: "commit", Effect: storage.EffectUnknown, Err: err}
 }
 
-// Get implements platform.Table.
-func (r *remoteTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (r *remoteTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	if r.dead.Load() || !pause(ctx, 2*r.oneWay) {
-		return platform.Row{}, r.unknown(errDead)
+		return storage.Row{}, r.unknown(errDead)
 	}
 	return r.Store.Get(ctx, key)
 }
 
-// Commit implements platform.Table.
-func (r *remoteTable) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+// Commit implements storage.Table.
+func (r *remoteTable) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	if !pause(ctx, r.oneWay) || r.dead.Load() {
 		return nil, r.unknown(errDead)
 	}
@@ -101,7 +101,7 @@
 		}()
 		return nil, r.unknown(errLost)
 	case draw < f.lost+f.swallowed+f.late+f.refused:
-		return nil, &platform.Error{Op: "commit", Effect: platform.EffectNone, Status: 503}
+		return nil, &storage.Error{Op: "commit", Effect: storage.EffectNone, Status: 503}
 	}
 	versions, err := r.Store.Commit(ctx, writes)
 	if !pause(ctx, r.oneWay) || r.dead.Load() {
@@ -111,7 +111,7 @@
 }
 
 // apply carries out writes whose answer nobody gets.
-func (r *remoteTable) apply(writes []platform.Write) {
+func (r *remoteTable) apply(writes []storage.Write) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, _ = r.Store.Commit(ctx, writes)
@@ -127,7 +127,7 @@
 }
 
 // startRecorder runs a recorder until the returned function is called.
-func startRecorder(t *testing.T, settings Settings, table platform.Table, instance string) (*Recorder, func()) {
+func startRecorder(t *testing.T, settings Settings, table storage.Table, instance string) (*Recorder, func()) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/front/platform/attempts/overhttp_test.go
+++ b/front/storage/attempts/overhttp_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"testing"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 )
 
 // TestLostAnswersOverHTTP begins each key at two instances at once, over the
@@ -21,7 +21,7 @@
 	defer server.Close()
 	var recorders []*Recorder
 	for i := range 2 {
-		client := platform.NewClient(platform.Settings{URL: server.URL})
+		client := storage.NewClient(storage.Settings{URL: server.URL})
 		defer client.Close()
 		r, stop := startRecorder(t, DefaultSettings(), client, fmt.Sprint("kano-", i))
 		defer stop()
--- a/front/platform/attempts/recorder.go
+++ b/front/storage/attempts/recorder.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -25,7 +25,7 @@
 // long as it is used.
 type Recorder struct {
 	settings Settings
-	table    platform.Table
+	table    storage.Table
 	rows     rowNames
 	instance string
 	log      *logrus.Entry
@@ -44,7 +44,7 @@
 
 // New returns a recorder for one environment; instance is the name of this
 // process.
-func New(settings Settings, table platform.Table, environment, instance string, meter metric.Meter, log logrus.FieldLogger) (*Recorder, error) {
+func New(settings Settings, table storage.Table, environment, instance string, meter metric.Meter, log logrus.FieldLogger) (*Recorder, error) {
 	m, err := newMetrics(meter)
 	if err != nil {
 		return nil, err
--- a/front/platform/attempts/rows.go
+++ b/front/storage/attempts/rows.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/attempt"
 )
 
@@ -45,7 +45,7 @@
 }
 
 // standing reads a row; content that can't be read has an empty state.
-func standing(row platform.Row) attempt.Standing {
+func standing(row storage.Row) attempt.Standing {
 	s := attempt.Standing{Key: row.Key, Version: row.Version}
 	if row.Version == 0 {
 		return s
@@ -57,14 +57,14 @@
 }
 
 // writes encodes changes for the table.
-func writes(changes []*attempt.Change) ([]platform.Write, error) {
-	encoded := make([]platform.Write, len(changes))
+func writes(changes []*attempt.Change) ([]storage.Write, error) {
+	encoded := make([]storage.Write, len(changes))
 	for i, c := range changes {
 		value, err := c.Record.Encode()
 		if err != nil {
 			return nil, err
 		}
-		encoded[i] = platform.Write{Key: c.Key, Expected: c.Expected, Value: value}
+		encoded[i] = storage.Write{Key: c.Key, Expected: c.Expected, Value: value}
 	}
 	return encoded, nil
 }
--- a/front/platform/brokers/brokers.go
+++ b/front/storage/brokers/brokers.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
 )
 
@@ -46,16 +46,16 @@
 
 // Rows are the rows of one environment.
 type Rows struct {
-	table  platform.Table
+	table  storage.Table
 	prefix string
 }
 
 // NewRows returns the rows of an environment.
-func NewRows(table platform.Table, environment string) *Rows {
+func NewRows(table storage.Table, environment string) *Rows {
 	return &Rows{table: table, prefix: environment + "/brokers/"}
 }
 
-// Scan reads all rows as one consistent read. Errors: *platform.Error, or a row
+// Scan reads all rows as one consistent read. Errors: *storage.Error, or a row
 // that can't be decoded.
 func (r *Rows) Scan(ctx context.Context) ([]Row, error) {
 	stored, err := r.table.Scan(ctx, r.prefix)
@@ -75,12 +75,12 @@
 
 // Write writes a group's row if its version is still row.Version; 0 means that
 // there is none. Whether an unknown outcome took effect shows at the next Scan.
-// Errors: *platform.ConflictError, *platform.Error.
+// Errors: *storage.ConflictError, *storage.Error.
 func (r *Rows) Write(ctx context.Context, row Row) error {
 	content, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode broker row %s: %w", row.Group, err)
 	}
-	_, err = r.table.Commit(ctx, []platform.Write{{Key: r.prefix + row.Group.String(), Expected: row.Version, Value: content}})
+	_, err = r.table.Commit(ctx, []storage.Write{{Key: r.prefix + row.Group.String(), Expected: row.Version, Value: content}})
 	return err
 }
--- a/front/platform/client_test.go
+++ b/front/storage/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -10,18 +10,18 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 )
 
 // callTimeout bounds a call in these tests; only a frozen call reaches it.
 const callTimeout = 300 * time.Millisecond
 
-func newClient(t testing.TB, handler http.Handler) *platform.Client {
+func newClient(t testing.TB, handler http.Handler) *storage.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	client := platform.NewClient(platform.Settings{URL: server.URL})
+	client := storage.NewClient(storage.Settings{URL: server.URL})
 	t.Cleanup(client.Close)
 	return client
 }
@@ -33,7 +33,7 @@
 	overHTTP := standin.NewStore()
 	services := []struct {
 		desc    string
-		service platform.Service
+		service storage.Service
 		store   *standin.Store
 	}{
 		{"store", store, store},
@@ -48,35 +48,35 @@
 	}
 }
 
-func checkTable(t *testing.T, table platform.Table) {
+func checkTable(t *testing.T, table storage.Table) {
 	ctx := context.Background()
 	row, err := table.Get(ctx, "kano/none")
 	if err != nil || row.Version != 0 {
 		t.Fatalf("Get of no row = %+v, %v", row, err)
 	}
-	mustCommit(t, table, platform.Write{Key: "kano/a b?&", Value: []byte("one")})
+	mustCommit(t, table, storage.Write{Key: "kano/a b?&", Value: []byte("one")})
 	mustCommit(t, table,
-		platform.Write{Key: "kano/a b?&", Expected: 1, Value: []byte("two")},
-		platform.Write{Key: "kano/z", Value: []byte("new")})
+		storage.Write{Key: "kano/a b?&", Expected: 1, Value: []byte("two")},
+		storage.Write{Key: "kano/z", Value: []byte("new")})
 	row, err = table.Get(ctx, "kano/a b?&")
 	if err != nil || row.Version != 2 || string(row.Value) != "two" {
 		t.Fatalf("Get = %+v, %v, want version 2 and value two", row, err)
 	}
-	checkConflict(t, table, platform.Write{Key: "kano/z", Expected: 7, Value: []byte("x")})
+	checkConflict(t, table, storage.Write{Key: "kano/z", Expected: 7, Value: []byte("x")})
 	checkConflict(t, table,
-		platform.Write{Key: "kano/q", Value: []byte("x")},
-		platform.Write{Key: "kano/z", Value: []byte("x")})
+		storage.Write{Key: "kano/q", Value: []byte("x")},
+		storage.Write{Key: "kano/z", Value: []byte("x")})
 	rows, err := table.Scan(ctx, "kano/")
 	if err != nil || len(rows) != 2 || rows[0].Key != "kano/a b?&" || rows[1].Key != "kano/z" {
 		t.Fatalf("Scan = %+v, %v, want two rows in order and no kano/q", rows, err)
 	}
-	mustCommit(t, table, platform.Write{Key: "kano/z", Expected: 1, Delete: true})
+	mustCommit(t, table, storage.Write{Key: "kano/z", Expected: 1, Delete: true})
 	if row, err = table.Get(ctx, "kano/z"); err != nil || row.Version != 0 {
 		t.Fatalf("Get after delete = %+v, %v", row, err)
 	}
 }
 
-func mustCommit(t *testing.T, table platform.Table, writes ...platform.Write) {
+func mustCommit(t *testing.T, table storage.Table, writes ...storage.Write) {
 	t.Helper()
 	versions, err := table.Commit(context.Background(), writes)
 	if err != nil || len(versions) != len(writes) {
@@ -89,10 +89,10 @@
 	}
 }
 
-func checkConflict(t *testing.T, table platform.Table, writes ...platform.Write) {
+func checkConflict(t *testing.T, table storage.Table, writes ...storage.Write) {
 	t.Helper()
 	_, err := table.Commit(context.Background(), writes)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if !errors.As(err, &conflict) {
 		t.Fatalf("Commit = %v, want a conflict", err)
 	}
@@ -101,24 +101,24 @@
 	}
 }
 
-func checkObjects(t *testing.T, objects platform.Objects) {
+func checkObjects(t *testing.T, objects storage.Objects) {
 	ctx := context.Background()
 	digest, err := objects.PutObject(ctx, []byte("document"))
-	if err != nil || digest != platform.Digest([]byte("document")) {
+	if err != nil || digest != storage.Digest([]byte("document")) {
 		t.Fatalf("PutObject = %q, %v", digest, err)
 	}
 	content, err := objects.GetObject(ctx, digest)
 	if err != nil || string(content) != "document" {
 		t.Fatalf("GetObject = %q, %v", content, err)
 	}
-	_, err = objects.GetObject(ctx, platform.Digest([]byte("other")))
-	var failure *platform.Error
+	_, err = objects.GetObject(ctx, storage.Digest([]byte("other")))
+	var failure *storage.Error
 	if !errors.As(err, &failure) || failure.Status != http.StatusNotFound {
 		t.Fatalf("GetObject of no object = %v, want status 404", err)
 	}
 }
 
-func checkInstances(t *testing.T, instances platform.Instances, store *standin.Store) {
+func checkInstances(t *testing.T, instances storage.Instances, store *standin.Store) {
 	store.PutInstance("b", false)
 	store.PutInstance("a", false)
 	store.PutInstance("b", true)
@@ -139,13 +139,13 @@
 	tests := []struct {
 		desc    string
 		faults  standin.Faults
-		effect  platform.Effect
+		effect  storage.Effect
 		written bool
 	}{
-		{"refused", standin.Faults{Refuse: true}, platform.EffectNone, false},
-		{"connection broken", standin.Faults{Down: true}, platform.EffectUnknown, false},
-		{"frozen", standin.Faults{Freeze: true}, platform.EffectUnknown, false},
-		{"answer lost", standin.Faults{LoseAnswers: 1}, platform.EffectUnknown, true},
+		{"refused", standin.Faults{Refuse: true}, storage.EffectNone, false},
+		{"connection broken", standin.Faults{Down: true}, storage.EffectUnknown, false},
+		{"frozen", standin.Faults{Freeze: true}, storage.EffectUnknown, false},
+		{"answer lost", standin.Faults{LoseAnswers: 1}, storage.EffectUnknown, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -154,7 +154,7 @@
 			store.SetFaults(tt.faults)
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			defer cancel()
-			_, err := client.Commit(ctx, []platform.Write{{Key: "k", Value: []byte("v")}})
+			_, err := client.Commit(ctx, []storage.Write{{Key: "k", Value: []byte("v")}})
 			checkEffect(t, err, tt.effect)
 			store.SetFaults(standin.Faults{})
 			row, err := client.Get(context.Background(), "k")
@@ -165,9 +165,9 @@
 	}
 }
 
-func checkEffect(t *testing.T, err error, want platform.Effect) {
+func checkEffect(t *testing.T, err error, want storage.Effect) {
 	t.Helper()
-	var failure *platform.Error
+	var failure *storage.Error
 	if !errors.As(err, &failure) || failure.Effect != want {
 		t.Fatalf("error = %v, want effect %v", err, want)
 	}
@@ -180,9 +180,9 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	client := platform.NewClient(platform.Settings{URL: "http://" + address})
-	_, err = client.Commit(context.Background(), []platform.Write{{Key: "k"}})
-	checkEffect(t, err, platform.EffectNone)
+	client := storage.NewClient(storage.Settings{URL: "http://" + address})
+	_, err = client.Commit(context.Background(), []storage.Write{{Key: "k"}})
+	checkEffect(t, err, storage.EffectNone)
 }
 
 // TestForeignAnswers gives the client answers that a sound service would not.
@@ -191,15 +191,15 @@
 		desc   string
 		status int
 		body   string
-		effect platform.Effect
+		effect storage.Effect
 	}{
-		{"server error without a word", 500, "oops", platform.EffectUnknown},
-		{"server error with its word", 503, `{"noEffect":true}`, platform.EffectNone},
-		{"client error", 400, "", platform.EffectNone},
-		{"success that is no JSON", 200, "<html>", platform.EffectUnknown},
-		{"too few versions", 200, `{"versions":[1]}`, platform.EffectUnknown},
-		{"larger than the limit", 200, `{"versions":[1,` + strings.Repeat(" ", 1024) + `1]}`, platform.EffectUnknown},
-		{"redirect", 302, "", platform.EffectUnknown},
+		{"server error without a word", 500, "oops", storage.EffectUnknown},
+		{"server error with its word", 503, `{"noEffect":true}`, storage.EffectNone},
+		{"client error", 400, "", storage.EffectNone},
+		{"success that is no JSON", 200, "<html>", storage.EffectUnknown},
+		{"too few versions", 200, `{"versions":[1]}`, storage.EffectUnknown},
+		{"larger than the limit", 200, `{"versions":[1,` + strings.Repeat(" ", 1024) + `1]}`, storage.EffectUnknown},
+		{"redirect", 302, "", storage.EffectUnknown},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -208,8 +208,8 @@
 				_, _ = w.Write([]byte(tt.body))
 			}))
 			defer server.Close()
-			client := platform.NewClient(platform.Settings{URL: server.URL, MaxAnswer: 512})
-			_, err := client.Commit(context.Background(), []platform.Write{{Key: "a"}, {Key: "b"}})
+			client := storage.NewClient(storage.Settings{URL: server.URL, MaxAnswer: 512})
+			_, err := client.Commit(context.Background(), []storage.Write{{Key: "a"}, {Key: "b"}})
 			checkEffect(t, err, tt.effect)
 		})
 	}
@@ -230,9 +230,9 @@
 	store := standin.NewStore()
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
-	client := platform.NewClient(platform.Settings{URL: server.URL, MaxWrite: 10})
-	_, err := client.Commit(context.Background(), []platform.Write{{Key: "a", Value: make([]byte, 11)}})
-	checkEffect(t, err, platform.EffectNone)
+	client := storage.NewClient(storage.Settings{URL: server.URL, MaxWrite: 10})
+	_, err := client.Commit(context.Background(), []storage.Write{{Key: "a", Value: make([]byte, 11)}})
+	checkEffect(t, err, storage.EffectNone)
 	if writes := store.Counts().Writes; writes != 0 {
 		t.Fatalf("%d writes reached the store, want 0", writes)
 	}
--- a/front/platform/configuration/fleet_test.go
+++ b/front/storage/configuration/fleet_test.go
@@ -18,8 +18,8 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -192,20 +192,20 @@
 	return s.m.noRead.Load() || s.m.fleet.isApart(s.m.place.FailureDomain, "kano-b")
 }
 
-// Get implements platform.Table.
-func (s memberStore) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (s memberStore) Get(ctx context.Context, key string) (storage.Row, error) {
 	if s.cut() {
 		<-ctx.Done()
-		return platform.Row{}, &platform.Error{Op: "get", Effect: platform.EffectNone, Err: ctx.Err()}
+		return storage.Row{}, &storage.Error{Op: "get", Effect: storage.EffectNone, Err: ctx.Err()}
 	}
 	return s.Store.Get(ctx, key)
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (s memberStore) GetObject(ctx context.Context, digest string) ([]byte, error) {
 	if s.cut() {
 		<-ctx.Done()
-		return nil, &platform.Error{Op: "get object", Effect: platform.EffectNone, Err: ctx.Err()}
+		return nil, &storage.Error{Op: "get object", Effect: storage.EffectNone, Err: ctx.Err()}
 	}
 	return s.Store.GetObject(ctx, digest)
 }
--- a/front/platform/configuration/head.go
+++ b/front/storage/configuration/head.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -52,14 +52,14 @@
 
 // decodeHead reads a head row. A row that does not exist gives the zero
 // promotion.
-func decodeHead(row platform.Row) (Promotion, error) {
+func decodeHead(row storage.Row) (Promotion, error) {
 	var head Promotion
 	err := decodeRow(row, &head)
 	return head, err
 }
 
 // decodeRow reads a row that may not exist into value.
-func decodeRow(row platform.Row, value any) error {
+func decodeRow(row storage.Row, value any) error {
 	if row.Version == 0 {
 		return nil
 	}
--- a/front/platform/configuration/promote.go
+++ b/front/storage/configuration/promote.go
@@ -10,15 +10,15 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
 // Store is the part of the platform's service that this package uses.
 type Store interface {
-	platform.Table
-	platform.Objects
+	storage.Table
+	storage.Objects
 }
 
 // Request asks for a promotion.
@@ -103,7 +103,7 @@
 )
 
 // Current returns the promotion in force and its document; the zero promotion
-// when there is none. Errors: *platform.Error.
+// when there is none. Errors: *storage.Error.
 func (p *Promoter) Current(ctx context.Context, environment string) (Promotion, []byte, error) {
 	row, err := p.store.Get(ctx, HeadKey(environment))
 	if err != nil {
@@ -119,7 +119,7 @@
 
 // Promote checks a document and puts it in force. It tries until ctx ends.
 // Errors: *document.Error, *EnvironmentError, *WithdrawnError and
-// *ConflictError change nothing; *UnknownOutcomeError may have; *platform.Error changed nothing.
+// *ConflictError change nothing; *UnknownOutcomeError may have; *storage.Error changed nothing.
 func (p *Promoter) Promote(ctx context.Context, r Request) (Promotion, error) {
 	doc, err := document.Decode(r.File, r.Content)
 	if err != nil {
@@ -221,7 +221,7 @@
 
 // write moves the head row on and records the promotion and the withdrawn keys
 // with it.
-func (a *attempt) write(ctx context.Context, row, past platform.Row, h history) (Promotion, error) {
+func (a *attempt) write(ctx context.Context, row, past storage.Row, h history) (Promotion, error) {
 	next := Promotion{
 		Head:      generation.Head{Generation: a.request.Expect + 1, Digest: a.digest},
 		Operation: a.request.Operation,
@@ -241,15 +241,15 @@
 	}
 	writes = append(
 		writes,
-		platform.Write{Key: HeadKey(a.request.Environment), Expected: row.Version, Value: head},
-		platform.Write{Key: historyKey(a.request.Environment), Expected: past.Version, Value: promotions},
+		storage.Write{Key: HeadKey(a.request.Environment), Expected: row.Version, Value: head},
+		storage.Write{Key: historyKey(a.request.Environment), Expected: past.Version, Value: promotions},
 	)
 	_, err = a.store.Commit(ctx, writes)
 	if err == nil {
 		return next, nil
 	}
-	var failure *platform.Error
-	if errors.As(err, &failure) && failure.Effect == platform.EffectUnknown {
+	var failure *storage.Error
+	if errors.As(err, &failure) && failure.Effect == storage.EffectUnknown {
 		a.uncertain = true
 	}
 	return Promotion{}, err
--- a/front/platform/configuration/promote_test.go
+++ b/front/storage/configuration/promote_test.go
@@ -14,8 +14,8 @@
 	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -109,10 +109,10 @@
 // silentAfterWrite is a store that answers nothing once a head row was written.
 type silentAfterWrite struct{ *standin.Store }
 
-func (s silentAfterWrite) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+func (s silentAfterWrite) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	_, _ = s.Store.Commit(ctx, writes)
 	s.SetFaults(standin.Faults{Refuse: true})
-	return nil, &platform.Error{Op: "commit", Effect: platform.EffectUnknown}
+	return nil, &storage.Error{Op: "commit", Effect: storage.EffectUnknown}
 }
 
 func TestPromoteSaysWhenTheOutcomeIsUnknown(t *testing.T) {
@@ -128,7 +128,7 @@
 		store := standin.NewStore()
 		store.SetFaults(standin.Faults{Refuse: true})
 		_, err := NewPromoter(store).Promote(ctx, request(t, 0, "op-1", "ana"))
-		var failure *platform.Error
+		var failure *storage.Error
 		if !errors.As(err, &failure) {
 			t.Errorf("store that refuses everything: %v", err)
 		}
--- a/front/platform/configuration/relay_test.go
+++ b/front/storage/configuration/relay_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 )
 
 const (
--- a/front/platform/configuration/watcher.go
+++ b/front/storage/configuration/watcher.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/generation"
 )
 
@@ -121,7 +121,7 @@
 
 // answer is what a read of the head row brought.
 type answer struct {
-	row platform.Row
+	row storage.Row
 	err error
 }
 
@@ -153,7 +153,7 @@
 	}
 }
 
-func (w *Watcher) readAnswered(ctx context.Context, started time.Time, row platform.Row) {
+func (w *Watcher) readAnswered(ctx context.Context, started time.Time, row storage.Row) {
 	head, err := decodeHead(row)
 	if err != nil {
 		w.log.WithError(err).Error("Head row can't be read.")
--- a/front/platform/configuration/withdrawn.go
+++ b/front/storage/configuration/withdrawn.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 )
 
@@ -38,7 +38,7 @@
 func withdrawnPrefix(environment string) string { return environment + "/withdrawn/" }
 
 // checkWithdrawn refuses a document that holds a withdrawn key.
-func checkWithdrawn(ctx context.Context, table platform.Table, doc *document.Document) error {
+func checkWithdrawn(ctx context.Context, table storage.Table, doc *document.Document) error {
 	rows, err := table.Scan(ctx, withdrawnPrefix(doc.Environment))
 	if err != nil {
 		return err
@@ -62,14 +62,14 @@
 }
 
 // withdrawnWrites returns the writes that record withdrawn keys.
-func withdrawnWrites(environment string, keys []WithdrawnKey) ([]platform.Write, error) {
-	writes := make([]platform.Write, 0, len(keys))
+func withdrawnWrites(environment string, keys []WithdrawnKey) ([]storage.Write, error) {
+	writes := make([]storage.Write, 0, len(keys))
 	for _, key := range keys {
 		value, err := json.Marshal(key)
 		if err != nil {
 			return nil, err
 		}
-		writes = append(writes, platform.Write{Key: withdrawnPrefix(environment) + key.Digest, Value: value})
+		writes = append(writes, storage.Write{Key: withdrawnPrefix(environment) + key.Digest, Value: value})
 	}
 	return writes, nil
 }
--- a/front/platform/fuzz_test.go
+++ b/front/storage/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"net/http"
 	"testing"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 // FuzzAnswers gives the client whatever status, entity tag and body: it must
@@ -31,7 +31,7 @@
 			return
 		}
 		status, tag, body = s, e, b
-		for _, writes := range [][]platform.Write{{{Key: "a"}}, {{Key: "a"}, {Key: "b"}}} {
+		for _, writes := range [][]storage.Write{{{Key: "a"}}, {{Key: "a"}, {Key: "b"}}} {
 			versions, err := client.Commit(context.Background(), writes)
 			checkFuzzed(t, s, writes, versions, err)
 		}
@@ -40,10 +40,10 @@
 	})
 }
 
-func checkFuzzed(t *testing.T, status int, writes []platform.Write, versions []uint64, err error) {
+func checkFuzzed(t *testing.T, status int, writes []storage.Write, versions []uint64, err error) {
 	t.Helper()
-	var conflict *platform.ConflictError
-	var failure *platform.Error
+	var conflict *storage.ConflictError
+	var failure *storage.Error
 	switch {
 	case err == nil:
 		if status >= 300 || len(versions) != len(writes) {
@@ -54,7 +54,7 @@
 			t.Fatalf("status %d taken for a conflict", status)
 		}
 	case errors.As(err, &failure):
-		if failure.Effect == platform.EffectNone && status < 400 {
+		if failure.Effect == storage.EffectNone && status < 400 {
 			t.Fatalf("status %d taken for no effect: %v", status, err)
 		}
 	default:
--- a/front/platform/instances.go
+++ b/front/storage/instances.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"context"
--- a/front/platform/membership/fleet_test.go
+++ b/front/storage/membership/fleet_test.go
@@ -14,8 +14,8 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
@@ -178,35 +178,35 @@
 		return nil
 	}
 	<-ctx.Done()
-	return &platform.Error{Op: op, Err: ctx.Err()}
+	return &storage.Error{Op: op, Err: ctx.Err()}
 }
 
-// Scan implements platform.Table.
-func (w *way) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (w *way) Scan(ctx context.Context, prefix string) ([]storage.Row, error) {
 	if err := w.blocked(ctx, "scan"); err != nil {
 		return nil, err
 	}
 	return w.Store.Scan(ctx, prefix)
 }
 
-// Get implements platform.Table.
-func (w *way) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (w *way) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := w.blocked(ctx, "get"); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return w.Store.Get(ctx, key)
 }
 
-// Commit implements platform.Table.
-func (w *way) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+// Commit implements storage.Table.
+func (w *way) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	if err := w.blocked(ctx, "commit"); err != nil {
 		return nil, err
 	}
 	return w.Store.Commit(ctx, writes)
 }
 
-// ListInstances implements platform.Instances.
-func (w *way) ListInstances(ctx context.Context) ([]platform.ListedInstance, error) {
+// ListInstances implements storage.Instances.
+func (w *way) ListInstances(ctx context.Context) ([]storage.ListedInstance, error) {
 	if err := w.blocked(ctx, "list"); err != nil {
 		return nil, err
 	}
--- a/front/platform/membership/keeper.go
+++ b/front/storage/membership/keeper.go
@@ -11,14 +11,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
 // Store is what a Keeper needs of the platform.
 type Store interface {
-	platform.Table
-	platform.Instances
+	storage.Table
+	storage.Instances
 }
 
 // Tenant is told of the instance's lease: what it holds may be used until then.
--- a/front/platform/membership/look.go
+++ b/front/storage/membership/look.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
@@ -118,7 +118,7 @@
 func (k *Keeper) evict(ctx context.Context, claim membership.Claim) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err := k.store.Commit(ctx, []platform.Write{{
+	_, err := k.store.Commit(ctx, []storage.Write{{
 		Key:      InstanceKey(k.settings.Environment, claim.Holder),
 		Expected: claim.Version,
 		Delete:   true,
--- a/front/platform/membership/messages.go
+++ b/front/storage/membership/messages.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
--- a/front/platform/membership/renew.go
+++ b/front/storage/membership/renew.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 )
 
@@ -22,7 +22,7 @@
 	if err != nil || write.Key == "" {
 		return err
 	}
-	versions, err := k.store.Commit(ctx, []platform.Write{write})
+	versions, err := k.store.Commit(ctx, []storage.Write{write})
 	count(k.meters.writes, err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -57,13 +57,13 @@
 }
 
 // nextWrite begins a renewal. The key is empty when the instance has gone.
-func (k *Keeper) nextWrite() (platform.Write, time.Time, error) {
+func (k *Keeper) nextWrite() (storage.Write, time.Time, error) {
 	now := time.Now()
 	report := k.reporter.Report(now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.gone {
-		return platform.Write{}, now, nil
+		return storage.Write{}, now, nil
 	}
 	if k.lease.NameSpent() {
 		k.register()
@@ -87,16 +87,16 @@
 	}
 	value, err := record.Encode()
 	key := InstanceKey(k.settings.Environment, record.Name)
-	return platform.Write{Key: key, Expected: k.lease.Version(), Value: value}, asked, err
+	return storage.Write{Key: key, Expected: k.lease.Version(), Value: value}, asked, err
 }
 
 // takeOutcome takes in what became of a renewal. The lock is held.
-func (k *Keeper) takeOutcome(write platform.Write, asked time.Time, versions []uint64, err error) {
+func (k *Keeper) takeOutcome(write storage.Write, asked time.Time, versions []uint64, err error) {
 	if write.Key != InstanceKey(k.settings.Environment, k.name()) || k.gone {
 		return
 	}
-	var conflict *platform.ConflictError
-	var failed *platform.Error
+	var conflict *storage.ConflictError
+	var failed *storage.Error
 	switch {
 	case err == nil:
 		if k.lease.Version() == 0 {
@@ -107,7 +107,7 @@
 		k.lease.Observed(conflict.Actual.Version)
 	case errors.As(err, &conflict):
 		k.lose()
-	case errors.As(err, &failed) && failed.Effect == platform.EffectNone:
+	case errors.As(err, &failed) && failed.Effect == storage.EffectNone:
 		k.lease.NotCommitted()
 	default:
 		k.lease.Uncertain()
@@ -152,7 +152,7 @@
 	k.mu.Lock()
 	k.gone = true
 	k.tenant.SetLease(time.Time{}, k.epoch+1)
-	write := platform.Write{
+	write := storage.Write{
 		Key:      InstanceKey(k.settings.Environment, k.name()),
 		Expected: k.lease.Version(),
 		Delete:   true,
@@ -163,7 +163,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err := k.store.Commit(ctx, []platform.Write{write})
+	_, err := k.store.Commit(ctx, []storage.Write{write})
 	count(k.meters.writes, err)
 	return err
 }
--- a/front/platform/shares/agent.go
+++ b/front/storage/shares/agent.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
@@ -32,7 +32,7 @@
 // Agent keeps this instance's parts of all teams.
 type Agent struct {
 	settings Settings
-	table    platform.Table
+	table    storage.Table
 	peers    peer.Caller
 	members  Members
 	source   configuration.Source
@@ -70,7 +70,7 @@
 }
 
 // NewAgent returns an agent that is not running.
-func NewAgent(s Settings, table platform.Table, peers peer.Caller, members Members, source configuration.Source, l *limit.Limiter, log logrus.FieldLogger, m *Meters) *Agent {
+func NewAgent(s Settings, table storage.Table, peers peer.Caller, members Members, source configuration.Source, l *limit.Limiter, log logrus.FieldLogger, m *Meters) *Agent {
 	return &Agent{
 		settings: s,
 		table:    table,
@@ -251,7 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	found := make(map[string]platform.Row, len(rows))
+	found := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		found[row.Key] = row
 	}
--- a/front/platform/shares/agent_test.go
+++ b/front/storage/shares/agent_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/share"
 )
 
@@ -173,7 +173,7 @@
 		key := Key(environment, "ward-01")
 		row, _ := f.store.Get(context.Background(), key)
 		value, _ := share.Division{Holdings: []share.Holding{{Instance: "i1", Units: share.Whole}}}.Encode()
-		if _, err := f.store.Commit(context.Background(), []platform.Write{{Key: key, Expected: row.Version, Value: value}}); err != nil {
+		if _, err := f.store.Commit(context.Background(), []storage.Write{{Key: key, Expected: row.Version, Value: value}}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(20 * time.Second)
--- a/front/platform/shares/balance.go
+++ b/front/storage/shares/balance.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	members "github.com/cardamomfront/cardamomfront/front/storage/membership"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/entry"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
@@ -203,9 +203,9 @@
 		return
 	}
 	key := Key(a.settings.Environment, c.team)
-	versions, err := a.table.Commit(ctx, []platform.Write{{Key: key, Expected: c.base, Value: value}})
-	var conflict *platform.ConflictError
-	var failed *platform.Error
+	versions, err := a.table.Commit(ctx, []storage.Write{{Key: key, Expected: c.base, Value: value}})
+	var conflict *storage.ConflictError
+	var failed *storage.Error
 	switch {
 	case err == nil:
 		telemetry.Count(a.meters.writes, telemetry.OutcomeOK)
@@ -215,7 +215,7 @@
 	case errors.As(err, &conflict):
 		telemetry.Count(a.meters.writes, outcomeConflict)
 		a.drop(c)
-	case errors.As(err, &failed) && failed.Effect == platform.EffectNone && !a.isPending(c):
+	case errors.As(err, &failed) && failed.Effect == storage.EffectNone && !a.isPending(c):
 		telemetry.Count(a.meters.writes, telemetry.OutcomeFailed)
 		a.drop(c)
 	default:
--- a/front/platform/shares/fleet_test.go
+++ b/front/storage/shares/fleet_test.go
@@ -18,10 +18,10 @@
 	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	members "github.com/cardamomfront/cardamomfront/front/platform/membership"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	members "github.com/cardamomfront/cardamomfront/front/storage/membership"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/limit"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
@@ -227,24 +227,24 @@
 		return nil
 	}
 	<-ctx.Done()
-	return &platform.Error{Op: op, Err: ctx.Err()}
+	return &storage.Error{Op: op, Err: ctx.Err()}
 }
 
-// Scan implements platform.Table.
-func (w *way) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (w *way) Scan(ctx context.Context, prefix string) ([]storage.Row, error) {
 	if err := w.blocked(ctx, "scan"); err != nil {
 		return nil, err
 	}
 	return w.Store.Scan(ctx, prefix)
 }
 
-// Commit implements platform.Table.
-func (w *way) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+// Commit implements storage.Table.
+func (w *way) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	if err := w.blocked(ctx, "commit"); err != nil {
 		return nil, err
 	}
 	if strings.HasPrefix(writes[0].Key, Prefix(environment)) && w.n.vanish.Add(-1) >= 0 {
-		return nil, &platform.Error{Op: "commit"}
+		return nil, &storage.Error{Op: "commit"}
 	}
 	return w.Store.Commit(ctx, writes)
 }
--- a/front/platform/shifts/event.go
+++ b/front/storage/shifts/event.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
@@ -43,12 +43,12 @@
 
 // writes returns the transaction of a proposal: the record and, for a step, its
 // event.
-func (m *Manager) writes(now time.Time, mv *movement, p shift.Proposal) ([]platform.Write, error) {
+func (m *Manager) writes(now time.Time, mv *movement, p shift.Proposal) ([]storage.Write, error) {
 	record, err := json.Marshal(p.Record)
 	if err != nil {
 		return nil, fmt.Errorf("encode record of %s: %w", mv.name, err)
 	}
-	all := []platform.Write{{
+	all := []storage.Write{{
 		Key:      rowKey(m.settings.Environment, mv.name),
 		Expected: p.Expected,
 		Value:    record,
@@ -61,5 +61,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode event of %s: %w", mv.name, err)
 	}
-	return append(all, platform.Write{Key: eventKey(m.settings.Environment, event), Value: content}), nil
+	return append(all, storage.Write{Key: eventKey(m.settings.Environment, event), Value: content}), nil
 }
--- a/front/platform/shifts/fleet_test.go
+++ b/front/storage/shifts/fleet_test.go
@@ -16,9 +16,9 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/document"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
@@ -62,7 +62,7 @@
 
 // gate is one instance's way to the table, which can freeze.
 type gate struct {
-	platform.Table
+	storage.Table
 	mu     sync.Mutex
 	frozen chan struct{}
 	held   error // of the last commit that was held up
@@ -89,7 +89,7 @@
 }
 
 // Commit waits while the instance is frozen; then the write goes on its way.
-func (g *gate) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+func (g *gate) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	g.mu.Lock()
 	frozen := g.frozen
 	g.mu.Unlock()
--- a/front/platform/shifts/history.go
+++ b/front/storage/shifts/history.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
@@ -17,9 +17,9 @@
 	Record shift.Record
 }
 
-// Records returns all records of an environment by name. Errors: *platform.Error,
+// Records returns all records of an environment by name. Errors: *storage.Error,
 // or that of a row that can't be read.
-func Records(ctx context.Context, table platform.Table, environment string) ([]Recorded, error) {
+func Records(ctx context.Context, table storage.Table, environment string) ([]Recorded, error) {
 	rows, err := table.Scan(ctx, rowPrefix(environment))
 	if err != nil {
 		return nil, err
@@ -36,8 +36,8 @@
 }
 
 // Events returns the steps of all movements of an environment, oldest first.
-// Rows of other kinds of event are passed over. Errors: *platform.Error.
-func Events(ctx context.Context, table platform.Table, environment string) ([]Event, error) {
+// Rows of other kinds of event are passed over. Errors: *storage.Error.
+func Events(ctx context.Context, table storage.Table, environment string) ([]Event, error) {
 	rows, err := table.Scan(ctx, eventPrefix(environment))
 	if err != nil {
 		return nil, err
--- a/front/platform/shifts/manager.go
+++ b/front/storage/shifts/manager.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/configuration"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
@@ -53,7 +53,7 @@
 // and Moved may be called by many goroutines.
 type Manager struct {
 	settings  Settings
-	table     platform.Table
+	table     storage.Table
 	source    Source
 	peers     peer.Caller
 	directory configuration.Directory
@@ -71,7 +71,7 @@
 
 // Dependencies are what a manager works with.
 type Dependencies struct {
-	Table     platform.Table
+	Table     storage.Table
 	Source    Source
 	Peers     peer.Caller
 	Directory configuration.Directory
--- a/front/platform/shifts/manager_test.go
+++ b/front/storage/shifts/manager_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
@@ -70,7 +70,7 @@
 		}
 		holder.gate.thaw()
 		sleep(time.Second)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if held := holder.gate.lastHeld(); !errors.As(held, &conflict) {
 			t.Errorf("the frozen holder's write ended with %v, want a conflict", held)
 		}
--- a/front/platform/shifts/table.go
+++ b/front/storage/shifts/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 	"github.com/cardamomfront/cardamomfront/steer/shift"
 )
 
@@ -36,7 +36,7 @@
 
 // read returns the rows of all records by name, and when the read began: the
 // rows were in force at some time after that.
-func (m *Manager) read(ctx context.Context) (map[string]platform.Row, time.Time, bool) {
+func (m *Manager) read(ctx context.Context) (map[string]storage.Row, time.Time, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
@@ -46,7 +46,7 @@
 		m.log.WithError(err).Debug("Records can't be read.")
 		return nil, began, false
 	}
-	byName := make(map[string]platform.Row, len(rows))
+	byName := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		byName[nameOf(m.settings.Environment, row.Key)] = row
 	}
@@ -54,7 +54,7 @@
 }
 
 // decodeRecord returns the record in a row; a missing row holds a pending one.
-func decodeRecord(row platform.Row) (shift.Record, error) {
+func decodeRecord(row storage.Row) (shift.Record, error) {
 	var r shift.Record
 	if row.Version == 0 {
 		return r, nil
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	versions, err := m.table.Commit(ctx, writes)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	switch {
 	case err == nil:
 		mv.SeeRow(now, p.Record, versions[0])
@@ -94,7 +94,7 @@
 }
 
 // seeActual takes the record that another instance wrote in the meantime.
-func (m *Manager) seeActual(now time.Time, mv *movement, actual platform.Row) {
+func (m *Manager) seeActual(now time.Time, mv *movement, actual storage.Row) {
 	if actual.Key != rowKey(m.settings.Environment, mv.name) {
 		return
 	}
--- a/front/platform/silent_test.go
+++ b/front/storage/silent_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
-	"github.com/cardamomfront/cardamomfront/front/platform/standin"
+	"github.com/cardamomfront/cardamomfront/front/storage"
+	"github.com/cardamomfront/cardamomfront/front/storage/standin"
 )
 
 // muteListener accepts connections that can be made silent, while new ones
@@ -73,7 +73,7 @@
 	server.Listener = listener
 	server.Start()
 	defer server.Close()
-	client := platform.NewClient(platform.Settings{URL: server.URL, Timeout: 10 * time.Second})
+	client := storage.NewClient(storage.Settings{URL: server.URL, Timeout: 10 * time.Second})
 	defer client.Close()
 	openConnections(t, client, store)
 	if n := listener.muteAll(); n < 4 {
@@ -84,13 +84,13 @@
 	if _, err := client.Get(ctx, "k"); err == nil {
 		t.Fatal("a silent connection answered")
 	}
-	if _, err := client.Commit(context.Background(), []platform.Write{{Key: "k", Value: []byte("v")}}); err != nil {
+	if _, err := client.Commit(context.Background(), []storage.Write{{Key: "k", Value: []byte("v")}}); err != nil {
 		t.Fatalf("the call after a silent connection: %v", err)
 	}
 }
 
 // openConnections leaves several idle connections behind.
-func openConnections(t *testing.T, client *platform.Client, store *standin.Store) {
+func openConnections(t *testing.T, client *storage.Client, store *standin.Store) {
 	t.Helper()
 	store.SetFaults(standin.Faults{Delay: 100 * time.Millisecond})
 	defer store.SetFaults(standin.Faults{})
--- a/front/platform/standin/faults.go
+++ b/front/storage/standin/faults.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 var (
@@ -58,7 +58,7 @@
 	s.counts.Reads++
 	f := s.faults
 	s.mu.Unlock()
-	return f.enter(ctx, op, platform.EffectNone)
+	return f.enter(ctx, op, storage.EffectNone)
 }
 
 func (s *Store) enterWrite(ctx context.Context, op string) error {
@@ -66,21 +66,21 @@
 	s.counts.Writes++
 	f := s.faults
 	s.mu.Unlock()
-	return f.enter(ctx, op, platform.EffectUnknown)
+	return f.enter(ctx, op, storage.EffectUnknown)
 }
 
 // enter waits and fails as the faults say. The effect is what a client knows
 // of a call that got no answer.
-func (f Faults) enter(ctx context.Context, op string, silent platform.Effect) error {
+func (f Faults) enter(ctx context.Context, op string, silent storage.Effect) error {
 	if f.Refuse {
-		return &platform.Error{Op: op, Effect: platform.EffectNone, Status: http.StatusServiceUnavailable, Err: errRefused}
+		return &storage.Error{Op: op, Effect: storage.EffectNone, Status: http.StatusServiceUnavailable, Err: errRefused}
 	}
 	if f.Down {
-		return &platform.Error{Op: op, Effect: silent, Err: ErrDown}
+		return &storage.Error{Op: op, Effect: silent, Err: ErrDown}
 	}
 	if f.Freeze {
 		<-ctx.Done()
-		return &platform.Error{Op: op, Effect: silent, Err: ctx.Err()}
+		return &storage.Error{Op: op, Effect: silent, Err: ctx.Err()}
 	}
 	if f.Delay > 0 {
 		return f.wait(ctx, op, silent)
@@ -88,14 +88,14 @@
 	return nil
 }
 
-func (f Faults) wait(ctx context.Context, op string, silent platform.Effect) error {
+func (f Faults) wait(ctx context.Context, op string, silent storage.Effect) error {
 	timer := time.NewTimer(f.Delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return &platform.Error{Op: op, Effect: silent, Err: ctx.Err()}
+		return &storage.Error{Op: op, Effect: silent, Err: ctx.Err()}
 	}
 }
 
@@ -107,5 +107,5 @@
 		return nil
 	}
 	s.faults.LoseAnswers--
-	return &platform.Error{Op: op, Effect: platform.EffectUnknown, Err: ErrLost}
+	return &storage.Error{Op: op, Effect: storage.EffectUnknown, Err: ErrLost}
 }
--- a/front/platform/standin/handler.go
+++ b/front/storage/standin/handler.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 // Paths of the stand-in that the platform does not have.
@@ -22,18 +22,18 @@
 // maxBody bounds what a client sends, in bytes.
 const maxBody = 64 << 20
 
-// Handler serves the store over HTTP as platform.Client expects it, and the
+// Handler serves the store over HTTP as storage.Client expects it, and the
 // faults and counts below "/standin/".
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathRows, s.serveScan)
-	mux.HandleFunc("GET "+platform.PathRow, s.serveGet)
-	mux.HandleFunc("PUT "+platform.PathRow, s.servePut)
-	mux.HandleFunc("DELETE "+platform.PathRow, s.serveDelete)
-	mux.HandleFunc("POST "+platform.PathTransactions, s.serveTransaction)
-	mux.HandleFunc("PUT "+platform.PathObjects+"{digest}", s.servePutObject)
-	mux.HandleFunc("GET "+platform.PathObjects+"{digest}", s.serveGetObject)
-	mux.HandleFunc("GET "+platform.PathInstances, s.serveInstances)
+	mux.HandleFunc("GET "+storage.PathRows, s.serveScan)
+	mux.HandleFunc("GET "+storage.PathRow, s.serveGet)
+	mux.HandleFunc("PUT "+storage.PathRow, s.servePut)
+	mux.HandleFunc("DELETE "+storage.PathRow, s.serveDelete)
+	mux.HandleFunc("POST "+storage.PathTransactions, s.serveTransaction)
+	mux.HandleFunc("PUT "+storage.PathObjects+"{digest}", s.servePutObject)
+	mux.HandleFunc("GET "+storage.PathObjects+"{digest}", s.serveGetObject)
+	mux.HandleFunc("GET "+storage.PathInstances, s.serveInstances)
 	mux.HandleFunc("GET "+PathFaults, s.serveFaults)
 	mux.HandleFunc("PUT "+PathFaults, s.serveSetFaults)
 	mux.HandleFunc("GET "+PathCounts, s.serveCounts)
@@ -43,25 +43,25 @@
 }
 
 func (s *Store) serveScan(w http.ResponseWriter, r *http.Request) {
-	rows, err := s.Scan(r.Context(), r.URL.Query().Get(platform.QueryPrefix))
+	rows, err := s.Scan(r.Context(), r.URL.Query().Get(storage.QueryPrefix))
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.ScanAnswer{Rows: rows})
+	writeJSON(w, http.StatusOK, storage.ScanAnswer{Rows: rows})
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
-	row, err := s.Get(r.Context(), r.URL.Query().Get(platform.QueryKey))
+	row, err := s.Get(r.Context(), r.URL.Query().Get(storage.QueryKey))
 	if err != nil {
 		writeError(w, err)
 		return
 	}
 	if row.Version == 0 {
-		writeJSON(w, http.StatusNotFound, platform.ErrorAnswer{Reason: "no such row"})
+		writeJSON(w, http.StatusNotFound, storage.ErrorAnswer{Reason: "no such row"})
 		return
 	}
-	w.Header().Set("ETag", platform.EntityTag(row.Version))
+	w.Header().Set("ETag", storage.EntityTag(row.Version))
 	writeJSON(w, http.StatusOK, row)
 }
 
@@ -75,13 +75,13 @@
 		writeBadRequest(w, err)
 		return
 	}
-	write := platform.Write{Key: r.URL.Query().Get(platform.QueryKey), Expected: expected, Value: value}
-	versions, err := s.Commit(r.Context(), []platform.Write{write})
+	write := storage.Write{Key: r.URL.Query().Get(storage.QueryKey), Expected: expected, Value: value}
+	versions, err := s.Commit(r.Context(), []storage.Write{write})
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.EntityTag(versions[0]))
+	w.Header().Set("ETag", storage.EntityTag(versions[0]))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -90,8 +90,8 @@
 	if !ok {
 		return
 	}
-	write := platform.Write{Key: r.URL.Query().Get(platform.QueryKey), Expected: expected, Delete: true}
-	if _, err := s.Commit(r.Context(), []platform.Write{write}); err != nil {
+	write := storage.Write{Key: r.URL.Query().Get(storage.QueryKey), Expected: expected, Delete: true}
+	if _, err := s.Commit(r.Context(), []storage.Write{write}); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -106,10 +106,10 @@
 	}
 	tag := r.Header.Get("If-Match")
 	if tag == "" {
-		writeJSON(w, http.StatusPreconditionRequired, platform.ErrorAnswer{Reason: "a write needs If-Match or If-None-Match: *"})
+		writeJSON(w, http.StatusPreconditionRequired, storage.ErrorAnswer{Reason: "a write needs If-Match or If-None-Match: *"})
 		return 0, false
 	}
-	version, err := platform.ParseEntityTag(tag)
+	version, err := storage.ParseEntityTag(tag)
 	if err != nil {
 		writeBadRequest(w, err)
 		return 0, false
@@ -123,7 +123,7 @@
 		writeBadRequest(w, err)
 		return
 	}
-	var request platform.TransactionRequest
+	var request storage.TransactionRequest
 	if err := json.Unmarshal(body, &request); err != nil {
 		writeBadRequest(w, err)
 		return
@@ -133,7 +133,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.TransactionAnswer{Versions: versions})
+	writeJSON(w, http.StatusOK, storage.TransactionAnswer{Versions: versions})
 }
 
 func (s *Store) servePutObject(w http.ResponseWriter, r *http.Request) {
@@ -142,8 +142,8 @@
 		writeBadRequest(w, err)
 		return
 	}
-	if platform.Digest(content) != r.PathValue("digest") {
-		writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Reason: "content does not match its digest"})
+	if storage.Digest(content) != r.PathValue("digest") {
+		writeJSON(w, http.StatusBadRequest, storage.ErrorAnswer{Reason: "content does not match its digest"})
 		return
 	}
 	if _, err := s.PutObject(r.Context(), content); err != nil {
@@ -169,7 +169,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.InstancesAnswer{Instances: list})
+	writeJSON(w, http.StatusOK, storage.InstancesAnswer{Instances: list})
 }
 
 func (s *Store) serveFaults(w http.ResponseWriter, _ *http.Request) {
@@ -193,7 +193,7 @@
 }
 
 func (s *Store) servePutInstance(w http.ResponseWriter, r *http.Request) {
-	var entry platform.ListedInstance
+	var entry storage.ListedInstance
 	if err := json.NewDecoder(r.Body).Decode(&entry); err != nil {
 		writeBadRequest(w, err)
 		return
@@ -210,27 +210,27 @@
 // writeError answers as the platform would; where the fault is that no answer
 // comes, it breaks the connection.
 func writeError(w http.ResponseWriter, err error) {
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
-		writeJSON(w, http.StatusPreconditionFailed, platform.ErrorAnswer{
+		writeJSON(w, http.StatusPreconditionFailed, storage.ErrorAnswer{
 			Reason:   "a row has another version",
-			Conflict: &platform.ConflictAnswer{Key: conflict.Key, Expected: conflict.Expected, Actual: conflict.Actual},
+			Conflict: &storage.ConflictAnswer{Key: conflict.Key, Expected: conflict.Expected, Actual: conflict.Actual},
 		})
 		return
 	}
-	var failure *platform.Error
-	if !errors.As(err, &failure) || failure.Status == 0 && failure.Effect == platform.EffectUnknown || errors.Is(err, ErrDown) {
+	var failure *storage.Error
+	if !errors.As(err, &failure) || failure.Status == 0 && failure.Effect == storage.EffectUnknown || errors.Is(err, ErrDown) {
 		panic(http.ErrAbortHandler)
 	}
 	status := failure.Status
 	if status == 0 {
 		status = http.StatusBadRequest
 	}
-	writeJSON(w, status, platform.ErrorAnswer{Reason: err.Error(), NoEffect: failure.Effect == platform.EffectNone})
+	writeJSON(w, status, storage.ErrorAnswer{Reason: err.Error(), NoEffect: failure.Effect == storage.EffectNone})
 }
 
 func writeBadRequest(w http.ResponseWriter, err error) {
-	writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Reason: err.Error()})
+	writeJSON(w, http.StatusBadRequest, storage.ErrorAnswer{Reason: err.Error()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, answer any) {
--- a/front/platform/standin/instances.go
+++ b/front/storage/standin/instances.go
@@ -6,27 +6,27 @@
 	"strings"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 // instanceChange is one change of the list of instances.
 type instanceChange struct {
 	at      time.Time
-	entry   platform.ListedInstance
+	entry   storage.ListedInstance
 	removed bool
 }
 
 // PutInstance lists an instance or changes its entry, as of now.
 func (s *Store) PutInstance(name string, leaving bool) {
-	s.changeInstance(platform.ListedInstance{Name: name, Leaving: leaving}, false)
+	s.changeInstance(storage.ListedInstance{Name: name, Leaving: leaving}, false)
 }
 
 // RemoveInstance takes an instance off the list, as of now.
 func (s *Store) RemoveInstance(name string) {
-	s.changeInstance(platform.ListedInstance{Name: name}, true)
+	s.changeInstance(storage.ListedInstance{Name: name}, true)
 }
 
-func (s *Store) changeInstance(entry platform.ListedInstance, removed bool) {
+func (s *Store) changeInstance(entry storage.ListedInstance, removed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -34,16 +34,16 @@
 	s.changes = append(s.changes, instanceChange{at: now, entry: entry, removed: removed})
 }
 
-// ListInstances implements platform.Instances: the list as it stood before
+// ListInstances implements storage.Instances: the list as it stood before
 // Faults.InstancesLag.
-func (s *Store) ListInstances(ctx context.Context) ([]platform.ListedInstance, error) {
+func (s *Store) ListInstances(ctx context.Context) ([]storage.ListedInstance, error) {
 	if err := s.enterRead(ctx, "list instances"); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	asOf := s.now().Add(-s.faults.InstancesLag)
-	listed := make(map[string]platform.ListedInstance)
+	listed := make(map[string]storage.ListedInstance)
 	for _, change := range s.changes {
 		if change.at.After(asOf) {
 			break
@@ -57,11 +57,11 @@
 	return sortedInstances(listed), nil
 }
 
-func sortedInstances(listed map[string]platform.ListedInstance) []platform.ListedInstance {
-	list := make([]platform.ListedInstance, 0, len(listed))
+func sortedInstances(listed map[string]storage.ListedInstance) []storage.ListedInstance {
+	list := make([]storage.ListedInstance, 0, len(listed))
 	for _, entry := range listed {
 		list = append(list, entry)
 	}
-	slices.SortFunc(list, func(a, b platform.ListedInstance) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b storage.ListedInstance) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
--- a/front/platform/standin/store.go
+++ b/front/storage/standin/store.go
@@ -1,7 +1,7 @@
 // Package standin is an in-memory stand-in for the platform's service, for
 // tests and for a first run on one machine. It keeps nothing.
 //
-// Store is a platform.Service by itself, for tests inside one process; Handler
+// Store is a storage.Service by itself, for tests inside one process; Handler
 // serves the same store over HTTP.
 package standin
 
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomfront/cardamomfront/front/platform"
+	"github.com/cardamomfront/cardamomfront/front/storage"
 )
 
 var (
@@ -40,20 +40,20 @@
 	now func() time.Time
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	objects map[string][]byte
 	changes []instanceChange
 	faults  Faults
 	counts  Counts
 }
 
-var _ platform.Service = (*Store)(nil)
+var _ storage.Service = (*Store)(nil)
 
 // NewStore returns an empty store without faults.
 func NewStore() *Store {
 	return &Store{
 		now:     time.Now,
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]storage.Row),
 		objects: make(map[string][]byte),
 	}
 }
@@ -65,28 +65,28 @@
 	return s.counts
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (s *Store) Scan(ctx context.Context, prefix string) ([]storage.Row, error) {
 	if err := s.enterRead(ctx, "scan"); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []platform.Row
+	var found []storage.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) {
 			row.Value = slices.Clone(row.Value)
 			found = append(found, row)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	return found, nil
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (s *Store) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := s.enterRead(ctx, "get"); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,16 +96,16 @@
 }
 
 // row returns a row, with version 0 when it does not exist.
-func (s *Store) row(key string) platform.Row {
+func (s *Store) row(key string) storage.Row {
 	row, found := s.rows[key]
 	if !found {
-		return platform.Row{Key: key}
+		return storage.Row{Key: key}
 	}
 	return row
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, writes []platform.Write) ([]uint64, error) {
+// Commit implements storage.Table.
+func (s *Store) Commit(ctx context.Context, writes []storage.Write) ([]uint64, error) {
 	if err := s.enterWrite(ctx, "commit"); err != nil {
 		return nil, err
 	}
@@ -119,9 +119,9 @@
 	return versions, nil
 }
 
-func (s *Store) apply(writes []platform.Write) ([]uint64, error) {
+func (s *Store) apply(writes []storage.Write) ([]uint64, error) {
 	if err := checkWrites(writes); err != nil {
-		return nil, &platform.Error{Op: "commit", Effect: platform.EffectNone, Err: err}
+		return nil, &storage.Error{Op: "commit", Effect: storage.EffectNone, Err: err}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,7 +129,7 @@
 		actual := s.row(w.Key)
 		if actual.Version != w.Expected {
 			s.counts.Conflicts++
-			return nil, &platform.ConflictError{Key: w.Key, Expected: w.Expected, Actual: actual}
+			return nil, &storage.ConflictError{Key: w.Key, Expected: w.Expected, Actual: actual}
 		}
 	}
 	versions := make([]uint64, len(writes))
@@ -140,18 +140,18 @@
 }
 
 // write carries out one checked write and returns the row's new version.
-func (s *Store) write(w platform.Write) uint64 {
+func (s *Store) write(w storage.Write) uint64 {
 	s.counts.RowsWritten++
 	if w.Delete {
 		delete(s.rows, w.Key)
 		return 0
 	}
-	row := platform.Row{Key: w.Key, Version: w.Expected + 1, Value: slices.Clone(w.Value)}
+	row := storage.Row{Key: w.Key, Version: w.Expected + 1, Value: slices.Clone(w.Value)}
 	s.rows[w.Key] = row
 	return row.Version
 }
 
-func checkWrites(writes []platform.Write) error {
+func checkWrites(writes []storage.Write) error {
 	seen := make(map[string]struct{}, len(writes))
 	for _, w := range writes {
 		if w.Key == "" || w.Delete && w.Expected == 0 {
@@ -165,12 +165,12 @@
 	return nil
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements storage.Objects.
 func (s *Store) PutObject(ctx context.Context, content []byte) (string, error) {
 	if err := s.enterWrite(ctx, "put object"); err != nil {
 		return "", err
 	}
-	digest := platform.Digest(content)
+	digest := storage.Digest(content)
 	s.mu.Lock()
 	s.objects[digest] = slices.Clone(content)
 	s.mu.Unlock()
@@ -180,7 +180,7 @@
 	return digest, nil
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements storage.Objects.
 func (s *Store) GetObject(ctx context.Context, digest string) ([]byte, error) {
 	if err := s.enterRead(ctx, "get object"); err != nil {
 		return nil, err
@@ -189,7 +189,7 @@
 	defer s.mu.Unlock()
 	content, found := s.objects[digest]
 	if !found {
-		return nil, &platform.Error{Op: "get object", Effect: platform.EffectNone, Status: http.StatusNotFound, Err: errNoSuchObject}
+		return nil, &storage.Error{Op: "get object", Effect: storage.EffectNone, Status: http.StatusNotFound, Err: errNoSuchObject}
 	}
 	return slices.Clone(content), nil
 }
--- a/front/platform/platform.go
+++ b/front/storage/storage.go
@@ -1,9 +1,9 @@
-// Package platform is the way to the platform's service: its transactional
+// Package storage is the way to the platform's service: its transactional
 // table, its object store and its list of instances.
 //
 // The interfaces here are the whole contract. Client speaks them over HTTP; an
 // adapter for another platform replaces this package.
-package platform
+package storage
 
 import (
 	"context"
--- a/front/platform/wire.go
+++ b/front/storage/wire.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 // Paths of the service. A row is named by the query parameter "key", a range
 // by the query parameter "prefix", an object by the last part of its path.
--- a/steer/attempt/record.go
+++ b/steer/attempt/record.go
@@ -13,7 +13,7 @@
 // Designing Data-Intensive Applications, chapter 8).
 //
 // The package is pure: it plans group commits and settles their results. The
-// package front/platform/attempts carries them out.
+// package front/storage/attempts carries them out.
 package attempt
 
 import (
