End-to-end tests: choose ports that nobody is given meanwhile

The tests took a port that the system gave them, closed it, and started the process later; in between the system may give it to another test beside. Ruled out: a fault of the instance (it named the address and ended); the same kind of choice made a test of platform/ fail before. Change: ports below the system's own range, each chosen once in a run. Not shown by a run that fails first: two tests meet at a port by chance.

--- a/front/e2e/processes_test.go
+++ b/front/e2e/processes_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -148,15 +150,37 @@
 	return out
 }
 
+// Ports of the processes lie below those that the system gives to connections,
+// so that none is taken between its choice and its use. Each is chosen once.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+)
+
+// nextPort counts the ports chosen; it begins anywhere, as other runs of these
+// tests may go on beside.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32N(ports))
+	return &n
+}()
+
 // freeAddress returns an address on ip that nobody listens on.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		address := fmt.Sprintf("%s:%d", ip, firstPort+nextPort.Add(1)%ports)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // somebody listens there
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("no free port on %s", ip)
+	return ""
 }
 
 // eventually waits until done says that it is done.
