Drop sums of regions that nobody tells any more; remove what nothing reads

Cause, found by reading the whole change: in a large fleet a region's sum counts as one of the others' demands. When the fleet got small again, or a region ended for good, its last sum stayed: it took a part of each quota that nobody held, and no request could do without a token. Change: sums go after 15 s without news, and all at once in a small fleet. Fields that nothing reads are gone (orders of moves, health path, connections, uploads, known endpoints of a refusal).

--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -99,6 +99,7 @@
 			trips[other.Region] = other.trip
 		}
 	}
+	m.dropSums(now)
 	m.limiter.SetFleet(holders, m.sources(now))
 	m.placer.SetFleet(fleet)
 	for region, trip := range trips {
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -34,7 +34,6 @@
 
 	mu       sync.Mutex
 	running  map[string]*rollout.Move
-	orders   map[string]catalog.Order
 	recorded map[string]catalog.Outcome
 	read     time.Time
 	loaded   bool
@@ -58,7 +57,6 @@
 func (m *moves) setOrders(now time.Time, orders map[string]catalog.Order) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.orders = orders
 	for service, o := range orders {
 		known := m.running[service]
 		if known != nil && known.Order().Revision == o.Revision {
--- a/front/gateway/regions.go
+++ b/front/gateway/regions.go
@@ -196,7 +196,7 @@
 		m.moves.forget(s.Name)
 	}
 	m.mu.Unlock()
-	name := "region " + sum.Region
+	name := nameOfSum(sum.Region)
 	m.limiter.SetOther(name, sum.Demand, at, regionDelay)
 	m.moves.takeStates(name, sum.Moves, at)
 }
@@ -218,3 +218,19 @@
 	}
 	return n + len(regions)
 }
+
+// nameOfSum names a region's sum where single instances are named otherwise.
+func nameOfSum(region string) string { return "region " + region }
+
+// dropSums drops the sums of regions that nobody has told for long, and all when
+// every instance tells its own. The caller holds mu.
+func (m *mesh) dropSums(now time.Time) {
+	for region, h := range m.regions {
+		if m.large() && now.Sub(h.at) <= goneAfter {
+			continue
+		}
+		delete(m.regions, region)
+		m.limiter.Forget(nameOfSum(region))
+		m.moves.forget(nameOfSum(region))
+	}
+}
--- a/front/gateway/regions_test.go
+++ b/front/gateway/regions_test.go
@@ -210,3 +210,23 @@
 		}
 	})
 }
+
+// A region's sum is dropped when the fleet has become small enough for all to
+// tell each other directly, and when nobody has told it for long. Counted on, it
+// would take a part of each quota that nobody holds.
+func TestSumOfARegionIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newNetwork(t, 1, map[string]quota.Quota{"t": {Rate: 100, Burst: 100}})
+		m := all[0]
+		time.Sleep(time.Second)
+		m.takeRegion(regionState{Region: "gone", Demand: quota.Demand{"t": {Rate: 900, Admitted: 4500}}}, time.Now())
+		part := 0.0
+		for range 100 {
+			part = m.limiter.Take("t", time.Now()).Part
+			time.Sleep(50 * time.Millisecond)
+		}
+		if part < 0.9 {
+			t.Errorf("part %.2f of a quota that nobody else uses", part)
+		}
+	})
+}
--- a/steer/catalog/catalog.go
+++ b/steer/catalog/catalog.go
@@ -40,8 +40,6 @@
 	Prefix string
 	// Idempotent says that a request may run more than once.
 	Idempotent bool
-	// Upload says that bodies are large.
-	Upload bool
 	// Timeout is how long a request may be kept waiting; 0 is no bound.
 	Timeout time.Duration
 	// Goal is the response time within which an answer is worth most.
@@ -72,10 +70,6 @@
 type Service struct {
 	// Name is unique in the catalog.
 	Name string
-	// HealthPath answers liveness checks.
-	HealthPath string
-	// MaxConns is how many connections one endpoint accepts.
-	MaxConns int
 	// ColdFor is how long an endpoint is cold after its start.
 	ColdFor time.Duration
 	// ColdRate is how many requests a second a cold endpoint bears, over all
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -35,10 +35,10 @@
 	homes := p.homesOf(g, q, object)
 	best, count, full := p.best(g, q, w, object, homes, now)
 	if best.e == nil {
-		return nil, p.noCandidate(g, w, full)
+		return nil, noCandidate(w, full)
 	}
 	if late := best.late(q); late > 0 {
-		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late), Known: len(g.ordered)}
+		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late)}
 	}
 	return p.reserve(g, q, best, object, count, now), nil
 }
@@ -61,8 +61,8 @@
 const lateGoalPart = 2
 
 // noCandidate says why nothing could be chosen.
-func (p *Placer) noCandidate(g *group, w *work, full bool) *Refusal {
-	r := &Refusal{Reason: ReasonNoEndpoint, Known: len(g.ordered)}
+func noCandidate(w *work, full bool) *Refusal {
+	r := &Refusal{Reason: ReasonNoEndpoint}
 	if full {
 		r.Reason = ReasonNoRoom
 		r.Retry = seconds(w.mean[warmthWarm])
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -66,8 +66,6 @@
 	Expected time.Duration
 	// Retry is when there may be room.
 	Retry time.Duration
-	// Known is how many endpoints of the service are known.
-	Known int
 }
 
 // Reason is why no endpoint was chosen.
