A move's outcome counts for its own order only and ends by its time

Found by a state machine over the record of a move (rapid; writes lost, refused and done late, a silent store, restarts, several leaders, orders given again).

Cause 1: an outcome was written on the condition of the record alone. An instance that had not seen a newer order for the same version, or whose write was done late, recorded the old order's outcome, and it counted for the new one. Cause 2: when a move began was known only to living instances. Cause 3: an instance that had not read the records yet sent to the version that an order names, also where it had been taken back.

Ruled out: the time of day of the order (clocks differ); a field in the operators' row of the outcome (theirs to define).

Change: outcomes are written on the condition of the record and of the order's row. The announcement also records the beginning by the store's clock in a table of our own; whoever records outcomes reads it first, and tells the others. A version that is met late gets at most the share before the last step until a tenth of the move's time has passed.

--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -13,16 +12,9 @@
 	"github.com/cardamomfront/cardamomfront/steer/rollout"
 )
 
-const (
-	// judgeEvery is the time between two judgements of the moves; a bad
-	// version gets requests until the next one.
-	judgeEvery = 100 * time.Millisecond
-	// readOutcomesEvery is the time between two readings of recorded outcomes
-	// while a move is under way.
-	readOutcomesEvery = time.Second
-	// recordTimeout bounds the recording of an outcome.
-	recordTimeout = 2 * time.Second
-)
+// judgeEvery is the time between two judgements of the moves; a bad version gets
+// requests until the next one.
+const judgeEvery = 100 * time.Millisecond
 
 // moves carries out the operators' orders to move services to new versions.
 type moves struct {
@@ -30,13 +22,16 @@
 	decoder Decoder
 	leads   func() bool // whether this instance records what all decide alike
 	hurry   func()      // tells the other instances at once
+	now     func() time.Time
 	log     logrus.FieldLogger
 
 	mu       sync.Mutex
 	running  map[string]*rollout.Move
 	recorded map[string]catalog.Outcome
-	read     time.Time
-	loaded   bool
+	loaded   bool              // whether outcomes were read at all
+	asked    time.Time         // when they were last asked for
+	clock    storeClock        // of the last reading
+	placed   map[string]uint64 // revisions of the orders whose beginning was read
 }
 
 // newMoves returns moves of which this instance records none: newMesh says when
@@ -47,9 +42,11 @@
 		decoder:  p.Decoder,
 		leads:    func() bool { return false },
 		hurry:    func() {},
+		now:      time.Now,
 		log:      log.WithField("prefix", "moves"),
 		running:  make(map[string]*rollout.Move),
 		recorded: make(map[string]catalog.Outcome),
+		placed:   make(map[string]uint64),
 	}
 }
 
@@ -74,33 +71,6 @@
 	}
 }
 
-// settle applies a recorded outcome to the move that it belongs to. The caller
-// holds mu.
-func (m *moves) settle(move *rollout.Move) {
-	o := move.Order()
-	r, ok := m.recorded[o.Service]
-	if ok && r.To == o.To && r.Revision > o.Revision {
-		move.Record(r.Result)
-	}
-}
-
-// setRecorded takes in the recorded outcomes.
-func (m *moves) setRecorded(outcomes map[string]catalog.Outcome) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.loaded = true
-	for service, o := range outcomes {
-		if former := m.recorded[service]; former.Revision >= o.Revision {
-			continue
-		}
-		m.recorded[service] = o
-		m.log.WithFields(logrus.Fields{"service": service, "to": o.To, "result": o.Result.String(), "revision": o.Revision}).Info("Outcome recorded.")
-		if move := m.running[service]; move != nil {
-			m.settle(move)
-		}
-	}
-}
-
 // ended tells a move how a try ended.
 func (m *moves) ended(move *rollout.Move, version string, ok, failed bool, slowness float64) {
 	move.Ended(time.Now(), version, ok, failed, slowness)
@@ -120,7 +90,7 @@
 // the best first. fresh is false for a request that was tried before.
 func (m *moves) versions(service string, now time.Time, fresh bool) []func(string) bool {
 	m.mu.Lock()
-	move, recorded, ok := m.running[service], catalog.Outcome{}, false
+	move, recorded, ok, loaded := m.running[service], catalog.Outcome{}, false, m.loaded
 	if move == nil {
 		recorded, ok = m.recorded[service]
 	}
@@ -142,7 +112,7 @@
 		return []func(string) bool{isNew, nil}
 	case move == nil:
 		return []func(string) bool{nil}
-	case fresh && move.TakesNew(now):
+	case loaded && fresh && move.TakesNew(now):
 		return []func(string) bool{isNew, isOld}
 	}
 	return []func(string) bool{isOld, isNew}
@@ -187,122 +157,6 @@
 	}
 }
 
-// step reads outcomes where they may have changed, and records what was judged.
-// A bad version is recorded by whoever finds it; what time decides, by one.
-func (m *moves) step(ctx context.Context, now time.Time) {
-	if m.due(now) {
-		m.readRecorded(ctx)
-	}
-	for service, move := range m.unrecorded() {
-		j := move.Judge(now)
-		switch {
-		case move.Result() == catalog.ResultTakenBack:
-			m.record(ctx, service, move, catalog.ResultTakenBack)
-		case !m.leads():
-		case j.Expired:
-			m.record(ctx, service, move, catalog.ResultTakenBack)
-		case j.Complete:
-			m.record(ctx, service, move, catalog.ResultCompleted)
-		case !m.announced(service, move):
-			m.record(ctx, service, move, catalog.ResultRunning)
-		}
-	}
-}
-
-// due says whether the recorded outcomes should be read now.
-func (m *moves) due(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	wanted := !m.loaded
-	for service, move := range m.running {
-		wanted = wanted || m.pending(service, move)
-	}
-	if !wanted || now.Sub(m.read) < readOutcomesEvery {
-		return false
-	}
-	m.read = now
-	return true
-}
-
-// pending says whether a move has no final outcome on record. The caller holds
-// mu.
-func (m *moves) pending(service string, move *rollout.Move) bool {
-	r, ok := m.recorded[service]
-	o := move.Order()
-	return !ok || r.To != o.To || r.Revision <= o.Revision || r.Result == catalog.ResultRunning
-}
-
-// unrecorded returns the moves without a final outcome on record.
-func (m *moves) unrecorded() map[string]*rollout.Move {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	left := make(map[string]*rollout.Move)
-	if !m.loaded {
-		return left
-	}
-	for service, move := range m.running {
-		if m.pending(service, move) {
-			left[service] = move
-		}
-	}
-	return left
-}
-
-// readRecorded reads the recorded outcomes.
-func (m *moves) readRecorded(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	_, _, table := m.decoder.Tables()
-	batch, err := m.store.Read(ctx, table)
-	if err != nil {
-		m.log.WithError(err).Warn("Outcomes could not be read.")
-		return
-	}
-	rows := make(map[string]registry.Row, len(batch.Rows))
-	for _, row := range batch.Rows {
-		rows[row.Key] = row
-	}
-	outcomes, faults := m.decoder.Outcomes(rows)
-	for _, fault := range faults {
-		m.log.WithError(fault).Warn("Row passed over.")
-	}
-	m.setRecorded(outcomes)
-}
-
-// announced says whether it is on record that a move is under way.
-func (m *moves) announced(service string, move *rollout.Move) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	r, ok := m.recorded[service]
-	o := move.Order()
-	return ok && r.To == o.To && r.Revision > o.Revision
-}
-
-// record writes an outcome on the condition that the record is as it was read.
-func (m *moves) record(ctx context.Context, service string, move *rollout.Move, result catalog.Result) {
-	m.mu.Lock()
-	known := m.recorded[service]
-	m.mu.Unlock()
-	fields := logrus.Fields{"service": service, "to": move.Order().To, "result": result.String(), "on_revision": known.Revision}
-	key, value, err := m.decoder.Outcome(service, catalog.Outcome{To: move.Order().To, Result: result})
-	if err != nil {
-		m.log.WithError(err).Error("Outcome can't be encoded.")
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	_, _, table := m.decoder.Tables()
-	err = m.store.Write(ctx, table, key, value, known.Revision)
-	var conflict *registry.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		m.log.WithError(err).WithFields(fields).Warn("Outcome could not be recorded.")
-	}
-	if err == nil {
-		m.log.WithFields(fields).Info("Outcome written.")
-	}
-	m.readRecorded(ctx)
-}
-
 // states returns what this instance saw of the moves under way.
 func (m *moves) states(now time.Time) []moveState {
 	m.mu.Lock()
--- /dev/null
+++ b/front/gateway/record.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/rollout"
+)
+
+const (
+	// tableMoves holds when moves began, by service.
+	tableMoves = "cardamomfront-moves"
+	// readOutcomesEvery is the time between two readings of recorded outcomes
+	// while a move is under way.
+	readOutcomesEvery = time.Second
+	// recordTimeout bounds the recording of an outcome.
+	recordTimeout = 2 * time.Second
+)
+
+// beginning is a row of tableMoves. It outlives the instances that saw the order
+// come.
+type beginning struct {
+	// Order is the revision of the order.
+	Order uint64 `json:"order"`
+	// BegunMS is what the store's clock showed at the beginning.
+	BegunMS int64 `json:"begun_ms"`
+}
+
+// storeClock is what the store's clock showed at a moment of this process.
+type storeClock struct {
+	shows time.Duration
+	at    time.Time
+}
+
+// of returns what the store's clock showed at a moment.
+func (c storeClock) of(at time.Time) time.Duration { return c.shows + at.Sub(c.at) }
+
+// moment returns when the store's clock showed a time.
+func (c storeClock) moment(shown time.Duration) time.Time { return c.at.Add(shown - c.shows) }
+
+// step reads outcomes where they may have changed, and records what was judged.
+// A bad version is recorded by whoever finds it; what time decides, by one.
+func (m *moves) step(ctx context.Context, now time.Time) {
+	if m.due(now) {
+		m.readRecorded(ctx)
+		m.readBeginnings(ctx)
+	}
+	for service, move := range m.unrecorded() {
+		j := move.Judge(now)
+		switch {
+		case move.Result() == catalog.ResultTakenBack:
+			m.record(ctx, service, move, catalog.ResultTakenBack)
+		case !m.leads():
+		case j.Expired:
+			m.record(ctx, service, move, catalog.ResultTakenBack)
+		case !m.announced(service, move):
+			m.record(ctx, service, move, catalog.ResultRunning)
+		case j.Complete && m.isPlaced(move):
+			m.record(ctx, service, move, catalog.ResultCompleted)
+		}
+	}
+}
+
+// due says whether the recorded outcomes should be read now.
+func (m *moves) due(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := !m.loaded
+	for service, move := range m.running {
+		wanted = wanted || m.pending(service, move)
+	}
+	if !wanted || now.Sub(m.asked) < readOutcomesEvery {
+		return false
+	}
+	m.asked = now
+	return true
+}
+
+// pending says whether a move has no final outcome on record. The caller holds
+// mu.
+func (m *moves) pending(service string, move *rollout.Move) bool {
+	r, ok := m.recorded[service]
+	o := move.Order()
+	return !ok || r.To != o.To || r.Revision <= o.Revision || r.Result == catalog.ResultRunning
+}
+
+// unrecorded returns the moves without a final outcome on record.
+func (m *moves) unrecorded() map[string]*rollout.Move {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	left := make(map[string]*rollout.Move)
+	if !m.loaded {
+		return left
+	}
+	for service, move := range m.running {
+		if m.pending(service, move) {
+			left[service] = move
+		}
+	}
+	return left
+}
+
+// readRecorded reads the recorded outcomes.
+func (m *moves) readRecorded(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	_, _, table := m.decoder.Tables()
+	batch, err := m.store.Read(ctx, table)
+	if err != nil {
+		m.log.WithError(err).Warn("Outcomes could not be read.")
+		return
+	}
+	rows := make(map[string]registry.Row, len(batch.Rows))
+	for _, row := range batch.Rows {
+		rows[row.Key] = row
+	}
+	outcomes, faults := m.decoder.Outcomes(rows)
+	for _, fault := range faults {
+		m.log.WithError(fault).Warn("Row passed over.")
+	}
+	m.setRecorded(outcomes, batch)
+}
+
+// readBeginnings reads when the announced moves began, once for each, where this
+// instance records their outcome: it may have met them late. It tells the
+// others.
+func (m *moves) readBeginnings(ctx context.Context) {
+	if !m.leads() {
+		return
+	}
+	wanted := false
+	for service, move := range m.unrecorded() {
+		wanted = wanted || m.announced(service, move) && !m.isPlaced(move)
+	}
+	if !wanted {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	batch, err := m.store.Read(ctx, tableMoves)
+	if err != nil {
+		m.log.WithError(err).Warn("Beginnings of moves could not be read.")
+		return
+	}
+	clock := storeClock{shows: batch.Clock, at: m.now()}
+	for _, row := range batch.Rows {
+		var b beginning
+		if err := json.Unmarshal(row.Value, &b); err != nil {
+			m.log.WithError(err).WithField("row", row.Key).Warn("Row passed over.")
+			continue
+		}
+		m.place(row.Key, b, clock)
+	}
+}
+
+// place takes in when a move began.
+func (m *moves) place(service string, b beginning, clock storeClock) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	move := m.running[service]
+	if move == nil || move.Order().Revision != b.Order {
+		return
+	}
+	m.placed[service] = b.Order
+	move.Begun(clock.moment(time.Duration(b.BegunMS) * time.Millisecond))
+	m.log.WithFields(logrus.Fields{
+		"service": service, "to": move.Order().To, "age_ms": clock.at.Sub(move.Beginning()).Milliseconds(), "revision": b.Order,
+	}).Info("Beginning of the move read.")
+}
+
+// isPlaced says whether the recorded beginning of a move is known.
+func (m *moves) isPlaced(move *rollout.Move) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.placed[move.Order().Service] == move.Order().Revision
+}
+
+// announced says whether it is on record that a move is under way.
+func (m *moves) announced(service string, move *rollout.Move) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.recorded[service]
+	o := move.Order()
+	return ok && r.To == o.To && r.Revision > o.Revision
+}
+
+// record writes an outcome on the condition that the record is as it was read
+// and that the order is still in force.
+func (m *moves) record(ctx context.Context, service string, move *rollout.Move, result catalog.Result) {
+	m.mu.Lock()
+	known, clock := m.recorded[service], m.clock
+	m.mu.Unlock()
+	o := move.Order()
+	fields := logrus.Fields{"service": service, "to": o.To, "result": result.String(), "on_revision": known.Revision, "order": o.Revision}
+	key, value, err := m.decoder.Outcome(service, catalog.Outcome{To: o.To, Result: result})
+	if err != nil {
+		m.log.WithError(err).Error("Outcome can't be encoded.")
+		return
+	}
+	operator, _, table := m.decoder.Tables()
+	row := registry.RowName{Table: table, Key: key}
+	change := registry.Change{
+		Conditions: []registry.Condition{
+			{RowName: row, Revision: known.Revision},
+			{RowName: registry.RowName{Table: operator, Key: o.Key}, Revision: o.Revision},
+		},
+		Rows: []registry.NewRow{{RowName: row, Value: value}},
+	}
+	if result == catalog.ResultRunning {
+		text, err := json.Marshal(beginning{Order: o.Revision, BegunMS: clock.of(move.Beginning()).Milliseconds()})
+		if err != nil {
+			m.log.WithError(err).Error("Beginning can't be encoded.")
+			return
+		}
+		change.Rows = append(change.Rows, registry.NewRow{RowName: registry.RowName{Table: tableMoves, Key: service}, Value: text})
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err = m.store.Write(ctx, change)
+	var conflict *registry.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		m.log.WithError(err).WithFields(fields).Warn("Outcome could not be recorded.")
+	}
+	if err == nil {
+		m.log.WithFields(fields).Info("Outcome written.")
+	}
+	m.readRecorded(ctx)
+}
+
+// settle applies a recorded outcome to the move that it belongs to. The caller
+// holds mu.
+func (m *moves) settle(move *rollout.Move) {
+	o := move.Order()
+	r, ok := m.recorded[o.Service]
+	if ok && r.To == o.To && r.Revision > o.Revision {
+		move.Record(r.Result)
+	}
+}
+
+// setRecorded takes in the recorded outcomes, which are all that a reading held.
+func (m *moves) setRecorded(outcomes map[string]catalog.Outcome, b registry.Batch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loaded = true
+	m.clock = storeClock{shows: b.Clock, at: m.now()}
+	for service, former := range m.recorded {
+		if _, ok := outcomes[service]; !ok && former.Revision <= b.Revision {
+			delete(m.recorded, service)
+		}
+	}
+	for service, o := range outcomes {
+		if former := m.recorded[service]; former.Revision >= o.Revision {
+			continue
+		}
+		m.recorded[service] = o
+		m.log.WithFields(logrus.Fields{"service": service, "to": o.To, "result": o.Result.String(), "revision": o.Revision}).Info("Outcome recorded.")
+		if move := m.running[service]; move != nil {
+			m.settle(move)
+		}
+	}
+}
--- a/front/registry/registry.go
+++ b/front/registry/registry.go
@@ -27,6 +27,40 @@
 	// Revision is the store's version at the reading, from which changes are
 	// asked for next.
 	Revision uint64
+	// Clock is the store's steady clock at the reading. It goes on while
+	// instances restart.
+	Clock time.Duration
+}
+
+// RowName names a row.
+type RowName struct {
+	// Table is the name of its table.
+	Table string
+	// Key names it in the table.
+	Key string
+}
+
+// Condition is what must hold of a row for a change to be made.
+type Condition struct {
+	RowName
+	// Revision is the one that the row must have; 0 says that it must not
+	// exist.
+	Revision uint64
+}
+
+// NewRow is a row that a change writes.
+type NewRow struct {
+	RowName
+	// Value is what it shall hold.
+	Value []byte
+}
+
+// Change is made whole or not at all.
+type Change struct {
+	// Conditions must all hold.
+	Conditions []Condition
+	// Rows are written.
+	Rows []NewRow
 }
 
 // Store is a transactional store. Errors: *GapError, *ConflictError,
@@ -37,9 +71,10 @@
 	// Changes returns what has changed in a table after a revision. It waits up
 	// to wait for a change.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Batch, error)
-	// Write writes a row whose revision is expected to be revision; 0 means
-	// that it does not exist.
-	Write(ctx context.Context, table, key string, value []byte, revision uint64) error
+	// Write makes a change if its conditions hold. After an error other than
+	// *ConflictError and *UnavailableError it may have been made, or may be
+	// made later.
+	Write(ctx context.Context, c Change) error
 	// Put writes a row whatever it held.
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Remove removes a row whatever it held.
@@ -59,16 +94,16 @@
 	return fmt.Sprintf("table %s: the history after revision %d is gone", e.Table, e.After)
 }
 
-// ConflictError says that a row did not have the expected revision. Nothing was
+// ConflictError says that a condition of a change did not hold. Nothing was
 // written.
 type ConflictError struct {
-	// Table and Key name the row.
-	Table, Key string
+	// Conditions are all that the change had.
+	Conditions []Condition
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("table %s: row %s has another revision", e.Table, e.Key)
+	return fmt.Sprintf("a row has another revision than expected: %v", e.Conditions)
 }
 
 // UnavailableError says that the store refused a call without doing anything.
--- a/front/registry/watch_test.go
+++ b/front/registry/watch_test.go
@@ -101,9 +101,9 @@
 	return Batch{Rows: rows, Revision: s.revision}, nil
 }
 
-func (s *fakeStore) Write(context.Context, string, string, []byte, uint64) error { return nil }
-func (s *fakeStore) Put(context.Context, string, string, []byte) error           { return nil }
-func (s *fakeStore) Remove(context.Context, string, string) error                { return nil }
+func (s *fakeStore) Write(context.Context, Change) error               { return nil }
+func (s *fakeStore) Put(context.Context, string, string, []byte) error { return nil }
+func (s *fakeStore) Remove(context.Context, string, string) error      { return nil }
 
 func quietLog() logrus.FieldLogger {
 	log := logrus.New()
--- a/steer/catalog/endpoint.go
+++ b/steer/catalog/endpoint.go
@@ -48,6 +48,8 @@
 	To string
 	// Duration is how long the move may take.
 	Duration time.Duration
+	// Key is that of the operator's row that holds it.
+	Key string
 	// Revision tells orders for one service apart; a higher one is newer.
 	Revision uint64
 }
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -63,6 +63,15 @@
 	latestAt   = 0.97
 )
 
+// An instance that meets a move late, as after a restart, has seen nothing of
+// the new version. For a part of the move's time it sends no more than
+// shareUnseen there, the share before the last step, and does not complete the
+// move.
+const (
+	unseenFor   = 0.1
+	shareUnseen = 0.4
+)
+
 // Tally counts how one version answered.
 type Tally struct {
 	// Answers is the number of tries that ended.
@@ -139,6 +148,7 @@
 
 	mu      sync.Mutex
 	begun   time.Time
+	met     time.Time // when this instance met the move
 	result  catalog.Result
 	own     Evidence
 	ownAt   time.Time // when the late evidence was last brought up to date
@@ -153,15 +163,17 @@
 	at time.Time
 }
 
-// New returns a move that began at begun.
-func New(o catalog.Order, begun time.Time) *Move {
-	return &Move{order: o, begun: begun, ownAt: begun, others: make(map[string]heard)}
+// New returns a move that this instance met at a moment, before which it may
+// have begun.
+func New(o catalog.Order, met time.Time) *Move {
+	return &Move{order: o, begun: met, met: met, ownAt: met, others: make(map[string]heard)}
 }
 
 // Order returns the operator's order.
 func (m *Move) Order() catalog.Order { return m.order }
 
-// Begun takes in an earlier beginning that another instance has seen.
+// Begun takes in an earlier beginning that another instance has seen or that is
+// on record.
 func (m *Move) Begun(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -231,16 +243,24 @@
 
 // share returns the new version's share at now.
 func (m *Move) share(now time.Time) float64 {
-	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
+	part := m.part(now, m.begun)
 	share := 0.0
 	for _, s := range steps {
 		if part >= s.from {
 			share = s.share
 		}
 	}
+	if m.part(now, m.met) < unseenFor {
+		share = min(share, shareUnseen)
+	}
 	return share
 }
 
+// part returns which part of the move's time has passed since a moment.
+func (m *Move) part(now, since time.Time) float64 {
+	return now.Sub(since).Seconds() / m.order.Duration.Seconds()
+}
+
 // Started notes a try at a version.
 func (m *Move) Started(version string) {
 	m.mu.Lock()
@@ -325,9 +345,10 @@
 		e.forget(max(0, now.Sub(h.at)))
 		all.Add(e)
 	}
-	part := now.Sub(m.begun).Seconds() / m.order.Duration.Seconds()
+	part := m.part(now, m.begun)
 	j := Judgement{Bad: all.bad(), Expired: part >= 1, Evidence: all}
 	due := part >= completeAt && all.OldRunning == 0 || part >= latestAt
+	due = due && m.part(now, m.met) >= unseenFor
 	j.Complete = m.result == catalog.ResultRunning && !j.Bad && !j.Expired && due && all.New.Answers > all.New.Failures
 	return j
 }
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -181,3 +181,34 @@
 		t.Error("not complete though no old endpoint works")
 	}
 }
+
+// An instance that meets a move when its time is nearly over has seen nothing
+// of the new version and does not give it everything at once.
+func TestMoveMetLateIsSeenFirst(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	for _, c := range []struct {
+		met, at  time.Duration // after the beginning
+		most     float64
+		complete bool
+	}{
+		{met: 0, at: 12 * time.Second, most: 1},
+		{met: 0, at: 13 * time.Second, most: 1, complete: true},
+		{met: 11900 * time.Millisecond, at: 12 * time.Second, most: shareUnseen},
+		{met: 11900 * time.Millisecond, at: 13400 * time.Millisecond, most: 1, complete: true},
+		{met: 13 * time.Second, at: 13900 * time.Millisecond, most: shareUnseen},
+		{met: 13 * time.Second, at: 14500 * time.Millisecond, most: 1},
+		{met: 5 * time.Second, at: 6 * time.Second, most: 0.05},
+	} {
+		m := New(catalog.Order{Service: "s", To: "v2", Duration: duration, Revision: 1}, begun.Add(c.met))
+		m.Begun(begun)
+		now := begun.Add(c.at)
+		m.Started("v2")
+		m.Ended(now, "v2", true, false, 1)
+		if got := m.share(now); got != c.most {
+			t.Errorf("met after %s: the share after %s is %g, want %g", c.met, c.at, got, c.most)
+		}
+		if got := m.Judge(now).Complete; got != c.complete {
+			t.Errorf("met after %s: complete after %s is %t", c.met, c.at, got)
+		}
+	}
+}
