--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 BIN := $(CURDIR)/.bin
 MODULES := ./steer/... ./front/... ./platform/... ./tools/...
 
-.PHONY: names all build test fmt format-check lint generate generate-check bench bench-check demo
+.PHONY: names all build test race fmt format-check lint generate generate-check bench bench-check demo
 
-all: format-check generate-check lint test
+all: format-check generate-check lint test race
 
 build:
 	go build -o bin/ ./front/cmd/...
@@ -14,6 +14,15 @@
 test:
 	scripts/test.sh
 
+# The packages whose goroutines share memory. Others are pure, or start
+# commands, which the detector doesn't see into.
+RACE := ./front/gateway ./front/registry ./front/endpoint/... ./front/peer ./front/broker \
+	./front/caller/... ./front/dispatch ./front/telemetry ./front/storage ./front/storage/attempts \
+	./front/storage/membership ./front/storage/shares ./front/storage/shifts ./platform/...
+
+race:
+	scripts/test.sh -race -short $(RACE)
+
 fmt:
 	go tool gofumpt -w steer front platform tools
 
--- a/front/storage/membership/fleet_test.go
+++ b/front/storage/membership/fleet_test.go
@@ -54,7 +54,11 @@
 	f := &fleet{t: t, store: standin.NewStore()}
 	f.cut(func(string, string) bool { return false })
 	for i := range n {
-		f.start(fmt.Sprintf("i%d", i), []string{"kano", "kaduna", "sokoto"}[i%3])
+		f.add(fmt.Sprintf("i%d", i), []string{"kano", "kaduna", "sokoto"}[i%3])
+	}
+	// They look for each other as soon as they run.
+	for _, n := range f.nodes {
+		f.run(n)
 	}
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
@@ -67,7 +71,7 @@
 
 func (f *fleet) cut(apart func(a, b string) bool) { f.apart.Store(&apart) }
 
-func (f *fleet) start(process, region string) *node {
+func (f *fleet) add(process, region string) {
 	n := &node{fleet: f, region: region}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -80,11 +84,13 @@
 		Region: region, FailureDomain: region + "-a", Timing: membership.DefaultSettings(),
 	}
 	n.Keeper = NewKeeper(s, &way{Store: f.store, n: n}, n, n, n, log, meters)
+	f.nodes = append(f.nodes, n)
+}
+
+func (f *fleet) run(n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	f.nodes = append(f.nodes, n)
 	f.ended.Go(func() { _ = n.Run(ctx) })
-	return n
 }
 
 // SetLease implements Tenant.
--- a/front/storage/shares/fleet_test.go
+++ b/front/storage/shares/fleet_test.go
@@ -112,7 +112,11 @@
 		f.counts[team.Name] = &whole{quota: q, tokens: q.Burst, at: time.Now()}
 	}
 	for i := range n {
-		f.start(fmt.Sprintf("i%d", i), []string{"kano", "kaduna"}[i%2])
+		f.add(fmt.Sprintf("i%d", i), []string{"kano", "kaduna"}[i%2])
+	}
+	// They look for each other as soon as they run.
+	for _, n := range f.nodes {
+		f.run(n)
 	}
 	t.Cleanup(func() {
 		for _, n := range f.nodes {
@@ -125,7 +129,7 @@
 
 func (f *fleet) cut(apart func(a, b string) bool) { f.apart.Store(&apart) }
 
-func (f *fleet) start(process, region string) *node {
+func (f *fleet) add(process, region string) {
 	n := &node{fleet: f, region: region, limiter: limit.NewLimiter(), methods: map[string]peer.Method{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -148,12 +152,14 @@
 	n.agent = NewAgent(settings, way, n, known, f.source, n.limiter, log, agentMeters)
 	n.keeper.Register(n)
 	n.agent.Register(n)
+	f.nodes = append(f.nodes, n)
+}
+
+func (f *fleet) run(n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	f.nodes = append(f.nodes, n)
 	f.ended.Go(func() { _ = n.keeper.Run(ctx) })
 	f.ended.Go(func() { _ = n.agent.Run(ctx) })
-	return n
 }
 
 // Handle implements the registries of keeper and agent.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs all tests but those that KNOWN-RED.txt lists, and prints what it passes
 # over. End-to-end tests build the commands themselves, which the test cache
-# can't see; so nothing is taken from the cache.
+# can't see; so nothing is taken from the cache. Options and packages may follow.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 red=$(grep -vE '^[[:space:]]*(#|$)' KNOWN-RED.txt || true)
@@ -12,4 +12,10 @@
 	names=$(cut -d'|' -f1 <<<"$red" | tr -d ' ' | paste -sd'|')
 	skip=(-skip "^($names)\$")
 fi
-exec go test -count=1 -timeout 20m "${skip[@]}" "$@" ./steer/... ./front/... ./platform/... ./tools/...
+options=()
+while [[ "${1:-}" == -* ]]; do
+	options+=("$1")
+	shift
+done
+[ $# -gt 0 ] || set -- ./steer/... ./front/... ./platform/... ./tools/...
+exec go test -count=1 -timeout 20m "${skip[@]}" "${options[@]}" "$@"
