Moves end in time though their order is heard of late

Ruled out: a version taken back in error (it was completed, 0.7 s late).

Change: every answer of the store shows the revision that it has reached, so an order was given no later than the first answer that shows its revision, whichever table that was about. From 0.86 of the time on requests are not sent to old endpoints for want of room at the new ones. A move is complete at 0.93 of its time at the latest.

The test of completions looked at 0.95 of the time; the wait for old requests now ends at 0.93, so it looks at 0.92, and demands the completion at 0.95.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -127,6 +127,7 @@
 func (g *Gateway) components(ctx context.Context) []func(context.Context) error {
 	operator, endpoints, _ := g.parts.Decoder.Tables()
 	contact := new(registry.Contact)
+	g.moves.reached = contact.Reached
 	watch := func(r registry.Rule, see func(time.Time, map[string]registry.Row)) *registry.Watcher {
 		r.Contact = contact
 		return registry.NewWatcher(r, g.parts.Store, see, g.logger)
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -22,6 +22,9 @@
 	decoder Decoder
 	leads   func() bool // whether this instance records what all decide alike
 	hurry   func()      // tells the other instances at once
+	// reached returns the moment by which the store had reached a revision, the
+	// zero time if that is not known.
+	reached func(revision uint64) time.Time
 	now     func() time.Time
 	log     logrus.FieldLogger
 
@@ -42,6 +45,7 @@
 		decoder:  p.Decoder,
 		leads:    func() bool { return false },
 		hurry:    func() {},
+		reached:  func(uint64) time.Time { return time.Time{} },
 		now:      time.Now,
 		log:      log.WithField("prefix", "moves"),
 		running:  make(map[string]*rollout.Move),
@@ -60,8 +64,14 @@
 			continue
 		}
 		move := rollout.New(o, now)
+		if at := m.reached(o.Revision); !at.IsZero() {
+			move.Begun(at)
+		}
 		m.running[service] = move
-		m.log.WithFields(logrus.Fields{"service": service, "to": o.To, "duration": o.Duration.String(), "revision": o.Revision}).Info("Move ordered.")
+		m.log.WithFields(logrus.Fields{
+			"service": service, "to": o.To, "duration": o.Duration.String(), "revision": o.Revision,
+			"age_ms": now.Sub(move.Beginning()).Milliseconds(),
+		}).Info("Move ordered.")
 		m.settle(move)
 	}
 	for service := range m.running {
@@ -112,12 +122,19 @@
 		return []func(string) bool{isNew, nil}
 	case move == nil:
 		return []func(string) bool{nil}
-	case loaded && fresh && move.TakesNew(now):
+	case loaded && (fresh && move.TakesNew(now) || move.Closing(now)):
 		return []func(string) bool{isNew, isOld}
 	}
 	return []func(string) bool{isOld, isNew}
 }
 
+// closing says whether requests for a service must wait for room at the new
+// version.
+func (m *moves) closing(service string, now time.Time) bool {
+	move := m.move(service)
+	return move != nil && move.Closing(now)
+}
+
 // Run judges the moves and records outcomes until ctx ends. Recording waits for
 // the store and judging does not.
 func (m *moves) Run(ctx context.Context) error {
--- a/front/gateway/moves_test.go
+++ b/front/gateway/moves_test.go
@@ -375,6 +375,54 @@
 	})
 }
 
+// An order of which an instance hears late began when the store had reached its
+// revision, and ends in time by that.
+func TestOrderHeardOfLate(t *testing.T) {
+	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
+	w.instance, w.leading = make([]*moves, 1), []bool{true}
+	w.start(0)
+	w.give("v2")
+	given := w.now
+	w.instance[0].reached = func(revision uint64) time.Time {
+		if revision > w.revision {
+			return time.Time{}
+		}
+		return given
+	}
+	w.now = w.now.Add(duration / 5)
+	for range int(duration * 4 / 5 / time.Second) {
+		w.round(nobody)
+	}
+	if known, _ := w.record(); known.Result != catalog.ResultCompleted {
+		t.Errorf("%s after the order the move is %s", w.now.Sub(given), known.Result)
+	}
+}
+
+// Before the completion no request is sent to an old endpoint for want of room
+// at the new ones, nor sent again there.
+func TestNoWayBackBeforeTheCompletion(t *testing.T) {
+	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
+	w.instance, w.leading = make([]*moves, 1), make([]bool, 1)
+	w.start(0)
+	w.give("v2")
+	w.see(0)
+	w.step(0)
+	m := w.instance[0]
+	for _, c := range []struct {
+		part    float64
+		closing bool
+	}{{0.5, false}, {0.84, false}, {0.88, true}, {0.99, true}} {
+		now := w.now.Add(time.Duration(c.part * float64(duration)))
+		if again := m.versions(movedService, now, false); m.closing(movedService, now) != c.closing || again[0]("v2") != c.closing {
+			t.Errorf("at %g: closing %t, sent again to the new version first %t", c.part, m.closing(movedService, now), again[0]("v2"))
+		}
+	}
+	w.bad(0)
+	if now := w.now.Add(duration * 9 / 10); m.closing(movedService, now) {
+		t.Error("a bad version leaves no way back")
+	}
+}
+
 // An instance that has not read the records yet sends nothing new to the
 // version that an order names: the record may say that it was taken back.
 func TestNoNewVersionBeforeTheRecordsAreRead(t *testing.T) {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -71,10 +71,20 @@
 		if choice, err = s.placer.Choose(now, q); err == nil {
 			return choice, nil
 		}
+		// Old endpoints end with the requests that run there.
+		if isFull(err) && s.moves.closing(x.service, now) {
+			break
+		}
 	}
 	return nil, err
 }
 
+// isFull says whether there are endpoints and none has room.
+func isFull(err error) bool {
+	var r *placing.Refusal
+	return errors.As(err, &r) && r.Reason != placing.ReasonNoEndpoint
+}
+
 // try sends the request to one endpoint. It is the number-th of the request.
 func (s *sender) try(ctx context.Context, x *exchange, c *placing.Choice, number int) result {
 	move := s.moves.move(x.service)
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,11 +49,51 @@
 	Contact *Contact
 }
 
-// Contact lets the watchers of one store tell each other of its return. The
-// zero value is ready for use.
+// Contact is what the watchers of one store share: they tell each other of its
+// return and of the revisions that it has reached. The zero value is ready for
+// use.
 type Contact struct {
 	mu       sync.Mutex
 	returned chan struct{}
+	marks    []mark // in the order of revisions
+}
+
+// mark says that the store had reached a revision by a moment.
+type mark struct {
+	revision uint64
+	at       time.Time
+}
+
+// maxMarks bounds the marks: more than a minute of answers, each with a change.
+const maxMarks = 256
+
+// note takes in the revision that an answer has shown.
+func (c *Contact) note(revision uint64, at time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.marks); n > 0 && c.marks[n-1].revision >= revision {
+		return
+	}
+	if len(c.marks) == maxMarks {
+		c.marks = slices.Delete(c.marks, 0, maxMarks/4)
+	}
+	c.marks = append(c.marks, mark{revision, at})
+}
+
+// Reached returns the moment by which the store had surely reached a revision,
+// the zero time if that is not known. A change was made no later than that,
+// also when its own table's watcher hears of it late.
+func (c *Contact) Reached(revision uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.marks, func(m mark) bool { return m.revision >= revision })
+	if i < 0 || i == 0 && c.marks[0].revision > revision {
+		return time.Time{}
+	}
+	return c.marks[i].at
 }
 
 // next returns a channel that is closed at the store's next return.
@@ -202,6 +243,7 @@
 		w.since.Store(&now)
 	}
 	w.answered = now
+	w.rule.Contact.note(batch.Revision, now)
 	changed := w.take(batch, now)
 	w.after = max(w.after, batch.Revision)
 	w.full = false
--- a/front/registry/watch_test.go
+++ b/front/registry/watch_test.go
@@ -245,6 +245,37 @@
 	}
 }
 
+// A change that one table's watcher hears of late was made before any answer
+// showed the store at its revision.
+func TestRevisionsTellWhenAChangeWasMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.set("a", "1")
+		var contact Contact
+		run(t, s, Rule{Table: "polled", Pause: testPause, Contact: &contact})
+		time.Sleep(10 * time.Second)
+		made := time.Now()
+		s.set("b", "1")
+		time.Sleep(3 * time.Second)
+		for range 300 {
+			s.set("c", "1")
+			time.Sleep(testPause)
+		}
+		if at := contact.Reached(2); !at.IsZero() {
+			t.Errorf("the change of %s is said to be made by %s, which is forgotten by now", made, at)
+		}
+		made = time.Now()
+		s.set("d", "1")
+		time.Sleep(3 * time.Second)
+		if late := contact.Reached(303).Sub(made); late < 0 || late > testPause {
+			t.Errorf("the change was made at most %s after its time, want within the pause", late)
+		}
+		if at := contact.Reached(304); !at.IsZero() {
+			t.Errorf("a change to come was made by %s", at)
+		}
+	})
+}
+
 // A call that waits for changes while the store turns silent is not waited for
 // once another call has found the store back.
 func TestReturnOfTheStoreIsShared(t *testing.T) {
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -56,11 +56,15 @@
 // last one leaves a tenth of the time to say that the move is complete.
 var steps = []step{{0, 0.05}, {0.7, 0.15}, {0.76, 0.4}, {0.82, 1}}
 
-// completeAt is the part of the time at which a sound move is complete, if no
-// request runs at an old endpoint any more; at latestAt it is so in any case.
+// From closeAt on requests find no way back to old endpoints, which end at the
+// completion. completeAt is the part of the time at which a sound move is
+// complete, if no request runs at an old endpoint any more; at latestAt it is so
+// in any case. What is left bears an order that was heard of late and a slow
+// store.
 const (
+	closeAt    = 0.86
 	completeAt = 0.9
-	latestAt   = 0.97
+	latestAt   = 0.93
 )
 
 // An instance that meets a move late, as after a restart, has seen nothing of
@@ -241,6 +245,14 @@
 	return true
 }
 
+// Closing says whether requests must not go to old endpoints any more while new
+// ones are there.
+func (m *Move) Closing(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.result == catalog.ResultRunning && m.part(now, m.begun) >= closeAt && m.part(now, m.met) >= unseenFor
+}
+
 // share returns the new version's share at now.
 func (m *Move) share(now time.Time) float64 {
 	part := m.part(now, m.begun)
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -165,10 +165,12 @@
 	}
 }
 
-// Requests that still run at old endpoints would be cut by the completion.
+// Requests that still run at old endpoints would be cut by the completion; a
+// move that waits for them still ends with a twentieth of its time left, for
+// an order that was heard of late.
 func TestCompletionWaitsForOldRequests(t *testing.T) {
 	begun := time.Unix(1000, 0)
-	end := begun.Add(duration * 95 / 100)
+	end := begun.Add(duration * 92 / 100)
 	m := New(catalog.Order{To: "v2", Duration: duration}, begun)
 	m.Started("v2")
 	m.Ended(end, "v2", true, false, 1)
@@ -176,6 +178,9 @@
 	if m.Judge(end).Complete {
 		t.Error("complete while an old endpoint still works")
 	}
+	if !m.Judge(begun.Add(duration * 95 / 100)).Complete {
+		t.Error("a twentieth of the time is left and the move waits on")
+	}
 	m.Ended(end, "v1", true, false, 1)
 	if !m.Judge(end).Complete {
 		t.Error("not complete though no old endpoint works")
