Scarce slots go to those who can use no others, and to known objects

Change: the slots of regions to which some requests are bound have a price of their own for all others, by their use and by the share of these requests. With all slots in use an unknown object that would miss the goal is refused, its home too once a fifth of the requests are. The model has requests with a home and repeats exactly (ties of the oldest known object were broken by chance).

--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -33,11 +33,16 @@
 	w := g.workOf(q)
 	object := xxhash.Sum64String(q.Object)
 	homes := p.homesOf(g, q, object)
+	d := g.demand(q)
+	p.ask(g, d, q, now)
 	best, count, full := p.best(g, q, w, object, homes, now)
 	if best.e == nil {
+		d.took(full, p.rules)
 		return nil, noCandidate(w, full)
 	}
-	if late := best.late(q); late > 0 {
+	late := best.late(q, d.scarcity(p.rules))
+	d.took(late > 0, p.rules)
+	if late > 0 {
 		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late)}
 	}
 	return p.reserve(g, q, best, object, count, now), nil
@@ -47,10 +52,17 @@
 // be worth its slot; 0 or less is in time. Without a queue only the deadline
 // counts: a slot that is free is used, also for an answer after the goal. With
 // one, a request that can't reach the goal would make those behind it late.
-func (c candidate) late(q Query) float64 {
+// Scarce slots are not given for work that is expected to miss the goal because
+// nobody knows the object: those that do know theirs need a third of the time.
+func (c candidate) late(q Query, s scarcity) float64 {
 	late := c.soonest - q.Limit.Seconds()
+	goal := max(q.GoalLeft, q.Goal/lateGoalPart).Seconds()
 	if c.wait > 0 {
-		late = max(late, c.expected-q.Limit.Seconds(), c.soonest-max(q.GoalLeft, q.Goal/lateGoalPart).Seconds())
+		late = max(late, c.expected-q.Limit.Seconds(), c.soonest-goal)
+	}
+	unknown := s >= scarce && c.warmth == warmthCold || s == scarceLong && c.warmth == warmthHome
+	if unknown && q.Object != "" && c.soonest <= goal {
+		late = max(late, c.expected-goal)
 	}
 	return late
 }
@@ -105,7 +117,8 @@
 // best returns the candidate with the earliest expected answer, how many there
 // were, and whether others had no room.
 func (p *Placer) best(g *group, q Query, w *work, object uint64, homes map[string]*endpoint, now time.Time) (best candidate, count int, full bool) {
-	price := p.price(g, q, now)
+	usual := p.price(g.demand(q).busy)
+	prices := make(map[string]float64, len(p.trips)+1)
 	for _, e := range g.ordered {
 		if !p.allowed(e, q) {
 			continue
@@ -119,6 +132,11 @@
 		if q.Object != "" {
 			known = e.knows(object, homes[e.region] == e, now, p.rules)
 		}
+		price, ok := prices[e.region]
+		if !ok {
+			price = max(usual, p.reserved(g, e.region))
+			prices[e.region] = price
+		}
 		c := p.expect(g, e, w, known, price, now)
 		if known == warmthHome && !e.used && !e.cold(now) {
 			// Somebody has to be the first at an endpoint that has joined.
--- a/steer/placing/choose_test.go
+++ b/steer/placing/choose_test.go
@@ -212,3 +212,86 @@
 		}
 	}
 }
+
+// learned returns a fixture of one endpoint that works 0.1 s on an object it
+// knows and 0.8 s on others.
+func learned(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture("i", endpointAt("a", "e1"))
+	for range 100 {
+		for _, work := range []struct {
+			object string
+			took   time.Duration
+		}{{"known", 100 * time.Millisecond}, {fmt.Sprint(f.now.UnixNano()), 800 * time.Millisecond}} {
+			c, err := f.choose(func(q *Query) { q.Object, q.Goal, q.GoalLeft = work.object, time.Second, time.Second })
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.now = f.now.Add(work.took)
+			f.Done(f.now, c, OutcomeAnswered, work.took, 0)
+		}
+	}
+	return f
+}
+
+// With all slots in use and many requests refused, one for an object that would
+// miss the goal gives way to those whose objects are known. A free slot is used
+// for either.
+func TestScarceSlotsAreForKnownObjects(t *testing.T) {
+	f := learned(t)
+	ask := func(object string) string {
+		return f.target(func(q *Query) { q.Object = object })
+	}
+	if known, other := ask("known"), ask("first"); known != "a" || other != "a" {
+		t.Errorf("free slots: %s for a known object, %s for another", known, other)
+	}
+	for range 3 {
+		if _, err := f.choose(func(q *Query) { q.Object = "known" }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if known, other := ask("known"), ask("second"); known != "a" || other != "a" {
+		t.Errorf("nothing was refused yet: %s for a known object, %s for one at home here", known, other)
+	}
+	for range 20 {
+		f.target(func(q *Query) { q.Limit = time.Millisecond })
+	}
+	if known, other := ask("known"), ask("third"); known != "a" || other != "too-late" {
+		t.Errorf("many are refused: %s for a known object, %s for one at home here", known, other)
+	}
+	if got := f.target(func(q *Query) { q.Object = "" }); got != "a" {
+		t.Errorf("all slots in use: %s for a request that names no object", got)
+	}
+}
+
+// Requests that may go anywhere leave the slots of a region to those that may go
+// nowhere else, once there are many of these.
+func TestSlotsAreLeftToRequestsWithAHome(t *testing.T) {
+	near := func(homed int) string {
+		f := newFixture("i", endpointAt("a", "e1"), endpointAt("b", "w1"))
+		f.SetTrip("west", 20*time.Millisecond)
+		f.target(func(q *Query) { q.Homes = []string{"west"} }) // both have been used
+		for range 200 {
+			for i := range 10 {
+				f.target(func(q *Query) {
+					if i < homed {
+						q.Homes = []string{"east"}
+					}
+				})
+			}
+		}
+		for range 2 {
+			if _, err := f.choose(func(q *Query) { q.Homes = []string{"east"} }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.target(func(q *Query) { q.Homes = []string{"east"} })
+		return f.target(nil)
+	}
+	if got := near(0); got != "a" {
+		t.Errorf("few requests have a home: %s", got)
+	}
+	if got := near(5); got != "b" {
+		t.Errorf("half of the requests have a home: %s", got)
+	}
+}
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -123,7 +123,7 @@
 	var oldest uint64
 	at := now
 	for o, sent := range e.warm {
-		if sent.Before(at) {
+		if sent.Before(at) || sent.Equal(at) && o < oldest {
 			oldest, at = o, sent
 		}
 	}
--- a/steer/placing/load_test.go
+++ b/steer/placing/load_test.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -60,6 +61,44 @@
 	}
 }
 
+// withHomes lets a part of a load's requests run in one region only.
+func withHomes(l load, part float64, region int) load {
+	l.homed = part
+	l.regions = slices.Clone(l.regions)
+	l.regions[0], l.regions[region] = l.regions[region], l.regions[0]
+	return l
+}
+
+// Callers whose requests may run in the smallest region only get close to what
+// an all-knowing dispatcher would give them, and nobody else pays for it.
+func TestTeamAtHomeInASmallRegion(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load load
+	}{
+		{"kano, a tenth at home in kaduna", withHomes(kano(61), 0.1, 1)},
+		{"kano, a seventh", withHomes(kano(61), 0.15, 1)},
+		{"ganguly, a tenth at home in kolkata", withHomes(ganguly(214), 0.1, 0)},
+		{"ganguly, a seventh", withHomes(ganguly(214), 0.15, 0)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newModel(c.load, 1)
+			got := m.run(newPlaced(m))
+			limit := newModel(c.load, 1).run(pick(allKnowing))
+			t.Logf("placed:      %v", got)
+			t.Logf("all-knowing: %v", limit)
+			if got.homed < part*limit.homed || got.payoff() < part*limit.payoff() {
+				t.Errorf("payoff %.3f, of those with a home %.3f; all-knowing %.3f and %.3f", got.payoff(), got.homed, limit.payoff(), limit.homed)
+			}
+			for name, p := range baselines {
+				if other := newModel(c.load, 1).run(p); got.homed < other.homed || got.payoff() < other.payoff() {
+					t.Errorf("%s gives %v; placed %v", name, other, got)
+				}
+			}
+		})
+	}
+}
+
 // Beyond what the slots can carry, the number of answers in time does not fall
 // below that of the heaviest load that they can: requests that are too many are
 // refused and don't make others late.
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -27,6 +27,7 @@
 	goal, limit time.Duration
 	objects     int     // of each region
 	rate        float64 // requests a second, over all regions
+	homed       float64 // part of them that only the first region may serve
 	until       time.Duration
 }
 
@@ -62,6 +63,7 @@
 	region   int
 	first    time.Duration // when the caller first asked
 	retried  bool
+	homed    bool
 	instance int
 	choice   *Choice
 	at       *modelEndpoint
@@ -106,6 +108,7 @@
 	asked, inGoal, late, refused int
 	times                        []time.Duration
 	worstRegion                  float64
+	homed                        float64 // payoff of the requests with a home
 }
 
 // payoff is what the users count: a late answer is worth a fifth.
@@ -122,8 +125,8 @@
 }
 
 func (f figures) String() string {
-	return fmt.Sprintf("payoff %.3f, worst region %.3f, in goal %d, late %d, refused %d of %d, p50 %d ms, p99 %d ms",
-		f.payoff(), f.worstRegion, f.inGoal, f.late, f.refused, f.asked,
+	return fmt.Sprintf("payoff %.3f, worst region %.3f, homed %.3f, in goal %d, late %d, refused %d of %d, p50 %d ms, p99 %d ms",
+		f.payoff(), f.worstRegion, f.homed, f.inGoal, f.late, f.refused, f.asked,
 		f.quantile(0.5).Milliseconds(), f.quantile(0.99).Milliseconds())
 }
 
@@ -139,6 +142,7 @@
 	instances []Member
 	byRegion  [][]int // instances of each region
 	perRegion []figures
+	ofHomed   figures
 }
 
 // epoch is the model's time zero.
@@ -203,7 +207,8 @@
 		return
 	}
 	region := m.r.IntN(len(m.regions))
-	m.attempt(&modelRequest{object: region*m.objects + m.r.IntN(m.objects), region: region, first: m.now})
+	homed := m.homed > 0 && m.r.Float64() < m.homed
+	m.attempt(&modelRequest{object: region*m.objects + m.r.IntN(m.objects), region: region, homed: homed, first: m.now})
 }
 
 // attempt brings a request to an instance of its region.
@@ -226,8 +231,7 @@
 func (m *model) refuse(r *modelRequest, retry time.Duration) {
 	left := m.limit - (m.now - r.first)
 	if r.retried || left <= 0 {
-		m.perRegion[r.region].asked++
-		m.perRegion[r.region].refused++
+		m.count(r, func(f *figures) { f.refused++ })
 		return
 	}
 	r.retried = true
@@ -280,15 +284,32 @@
 func (m *model) answer(r *modelRequest) {
 	r.at.sent--
 	m.policy.done(m, r, OutcomeAnswered)
-	f := &m.perRegion[r.region]
-	f.asked++
 	took := m.now - r.first
-	f.times = append(f.times, took)
-	if took <= m.goal {
-		f.inGoal++
-	} else {
-		f.late++
+	m.count(r, func(f *figures) {
+		f.times = append(f.times, took)
+		if took <= m.goal {
+			f.inGoal++
+		} else {
+			f.late++
+		}
+	})
+}
+
+// count takes the end of a request into the figures that it belongs to.
+func (m *model) count(r *modelRequest, add func(*figures)) {
+	groups := []*figures{&m.perRegion[r.region]}
+	if r.homed {
+		groups = append(groups, &m.ofHomed)
 	}
+	for _, f := range groups {
+		f.asked++
+		add(f)
+	}
+}
+
+// allowed says whether a request may run at an endpoint.
+func (m *model) allowed(e *modelEndpoint, r *modelRequest) bool {
+	return !r.homed || e.region == m.regions[0].name
 }
 
 // sum joins the figures of the regions.
@@ -303,6 +324,7 @@
 		all.worstRegion = min(all.worstRegion, f.payoff())
 	}
 	slices.Sort(all.times)
+	all.homed = m.ofHomed.payoff()
 	return all
 }
 
@@ -336,10 +358,14 @@
 }
 
 func (p *placed) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
-	c, err := p.placers[r.instance].Choose(m.clock(), Query{
+	q := Query{
 		Service: "s", Route: "r", Object: fmt.Sprint(r.object), Goal: m.goal,
 		GoalLeft: m.goal - (m.now - r.first), Limit: m.limit - (m.now - r.first),
-	})
+	}
+	if r.homed {
+		q.Homes = []string{m.regions[0].name}
+	}
+	c, err := p.placers[r.instance].Choose(m.clock(), q)
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
 		return nil, refusal.Retry
@@ -382,26 +408,36 @@
 func (pick) done(*model, *modelRequest, Outcome) {}
 func (pick) tell(*model)                         {}
 
-// near returns the endpoints of the request's region.
+// possible returns the endpoints that may serve a request.
+func possible(m *model, r *modelRequest) []*modelEndpoint {
+	return slices.DeleteFunc(slices.Clone(m.endpoints), func(e *modelEndpoint) bool { return !m.allowed(e, r) })
+}
+
+// anyOf returns one of them.
+func anyOf(m *model, r *modelRequest) *modelEndpoint {
+	all := possible(m, r)
+	return all[m.r.IntN(len(all))]
+}
+
+// near returns those of the request's region, or all if there are none.
 func near(m *model, r *modelRequest) []*modelEndpoint {
-	var all []*modelEndpoint
-	for _, e := range m.endpoints {
-		if e.region == m.regions[r.region].name {
-			all = append(all, e)
-		}
+	all := possible(m, r)
+	own := slices.DeleteFunc(slices.Clone(all), func(e *modelEndpoint) bool { return e.region != m.regions[r.region].name })
+	if len(own) == 0 {
+		return all
 	}
-	return all
+	return own
 }
 
 // baselines are the policies to compare with. All but the last know only what
 // every load balancer knows; their loads are those of this moment.
 var baselines = map[string]pick{
-	"random":                func(m *model, _ *modelRequest) *modelEndpoint { return m.endpoints[m.r.IntN(len(m.endpoints))] },
+	"random":                anyOf,
 	"least in flight, near": func(m *model, r *modelRequest) *modelEndpoint { return least(near(m, r)) },
-	"power of two choices": func(m *model, _ *modelRequest) *modelEndpoint {
-		return least([]*modelEndpoint{m.endpoints[m.r.IntN(len(m.endpoints))], m.endpoints[m.r.IntN(len(m.endpoints))]})
+	"power of two choices": func(m *model, r *modelRequest) *modelEndpoint {
+		return least([]*modelEndpoint{anyOf(m, r), anyOf(m, r)})
 	},
-	"rendezvous": func(m *model, r *modelRequest) *modelEndpoint { return rendezvous(m.endpoints, r.object) },
+	"rendezvous": func(m *model, r *modelRequest) *modelEndpoint { return rendezvous(possible(m, r), r.object) },
 	"rendezvous, near": func(m *model, r *modelRequest) *modelEndpoint {
 		return rendezvous(near(m, r), r.object)
 	},
@@ -431,6 +467,9 @@
 	var best *modelEndpoint
 	var soonest time.Duration
 	for _, e := range m.endpoints {
+		if !m.allowed(e, r) {
+			continue
+		}
 		d := m.cold
 		if slices.Contains(e.known, r.object) {
 			d = m.warm
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -55,9 +55,10 @@
 	mu        sync.Mutex
 	endpoints map[catalog.Incarnation]*endpoint
 	ordered   []*endpoint
-	work      map[string]*work // by route
-	slot      float64          // mean time of work of all routes, in seconds
-	news      []news           // objects sent to endpoints of late
+	work      map[string]*work   // by route
+	slot      float64            // mean time of work of all routes, in seconds
+	news      []news             // objects sent to endpoints of late
+	demands   map[string]*demand // by the regions that may serve
 }
 
 // New returns a placer that knows no endpoint.
@@ -140,7 +141,7 @@
 	for name, endpoints := range byService {
 		g := p.groups[name]
 		if g == nil {
-			g = &group{endpoints: make(map[catalog.Incarnation]*endpoint), work: make(map[string]*work)}
+			g = &group{endpoints: make(map[catalog.Incarnation]*endpoint), work: make(map[string]*work), demands: make(map[string]*demand)}
 			p.groups[name] = g
 		}
 		g.update(now, endpoints, p.here)
--- a/steer/placing/room.go
+++ b/steer/placing/room.go
@@ -2,25 +2,109 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// price returns what a second of a slot counts as, in seconds.
-func (p *Placer) price(g *group, q Query, now time.Time) float64 {
-	running, slots := 0, 0
+// scarcity says how scarce slots are for a request.
+type scarcity uint8
+
+const (
+	// scarceNot means that slots are free.
+	scarceNot scarcity = iota
+	// scarce means that they are all in use.
+	scarce
+	// scarceLong means that many requests have been refused of late, too.
+	scarceLong
+)
+
+// scarcity says how scarce the slots are for the requests of a demand.
+func (d *demand) scarcity(r Rules) scarcity {
+	switch {
+	case d.busy < r.BusyTo:
+		return scarceNot
+	case d.refused < r.ManyRefused:
+		return scarce
+	}
+	return scarceLong
+}
+
+// demand is what is known of the requests that certain regions alone may serve.
+type demand struct {
+	regions []string // empty for all
+	share   float64  // of the service's requests
+	refused float64  // share of them that were refused
+	busy    float64  // part of the slots in use at the last one
+	slots   float64  // part of the service's slots that may serve them
+}
+
+// demand returns the demand that a request belongs to.
+func (g *group) demand(q Query) *demand {
+	key := strings.Join(q.Homes, ",")
+	d := g.demands[key]
+	if d == nil {
+		d = &demand{regions: q.Homes}
+		g.demands[key] = d
+	}
+	return d
+}
+
+// took takes in whether a request was refused.
+func (d *demand) took(refused bool, r Rules) {
+	if refused {
+		d.refused += r.RefusedWeight
+	}
+	d.refused /= 1 + r.RefusedWeight
+}
+
+// ask notes a request of a demand.
+func (p *Placer) ask(g *group, d *demand, q Query, now time.Time) {
+	for _, other := range g.demands {
+		if other == d {
+			other.share += p.rules.ShareWeight
+		}
+		other.share /= 1 + p.rules.ShareWeight
+	}
+	d.busy, d.slots = p.busy(g, q, now)
+}
+
+// reserved returns the price of a slot in a region by what the requests need
+// that no other region may serve: none where they are few for its slots.
+func (p *Placer) reserved(g *group, region string) float64 {
+	price := 0.0
+	for _, d := range g.demands {
+		if d.slots > 0 && slices.Contains(d.regions, region) {
+			price = max(price, p.price(d.busy)*min(1, d.share/d.slots))
+		}
+	}
+	return price
+}
+
+// price returns what a second of a slot counts as, in seconds, when a part of
+// the slots is in use.
+func (p *Placer) price(busy float64) float64 {
+	over := (busy - p.rules.BusyFrom) / (p.rules.BusyTo - p.rules.BusyFrom)
+	return p.rules.SlotPrice * min(1, max(0, over))
+}
+
+// busy returns which part of the slots is in use of the endpoints that may serve
+// a request, more than 1 where requests wait, and which part of the service's
+// slots these are.
+func (p *Placer) busy(g *group, q Query, now time.Time) (busy, part float64) {
+	running, slots, all := 0, 0, 0
 	for _, e := range g.ordered {
+		all += e.Slots
 		if p.allowed(e, q) && !now.Before(e.restUntil) {
 			running += e.running(now, p.rules)
 			slots += e.Slots
 		}
 	}
 	if slots == 0 {
-		return 0
+		return 0, 0
 	}
-	busy := (float64(running)/float64(slots) - p.rules.BusyFrom) / (p.rules.BusyTo - p.rules.BusyFrom)
-	return p.rules.SlotPrice * min(1, max(0, busy))
+	return float64(running) / float64(slots), float64(slots) / float64(all)
 }
 
 // allowed says whether the request may go to the endpoint at all.
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -23,6 +23,15 @@
 	BusyFrom, BusyTo float64
 	// SlotPrice is the most that a second of a slot counts as, in seconds.
 	SlotPrice float64
+	// ShareWeight is the weight of one request in the shares of the requests
+	// that only some regions may serve. About the last hundred count.
+	ShareWeight float64
+	// ManyRefused is the share of refused requests from which an object's home
+	// counts as unknown too, as long as all slots are in use.
+	ManyRefused float64
+	// RefusedWeight is the weight of one request in that share. About the last
+	// twenty of an instance count.
+	RefusedWeight float64
 	// FirstRest is how long an endpoint gets nothing after a failure to
 	// connect. Two failures in a row double it, up to LongestRest.
 	FirstRest time.Duration
@@ -58,6 +67,9 @@
 		BusyFrom:      0.5,
 		BusyTo:        0.9,
 		SlotPrice:     3,
+		ShareWeight:   0.01,
+		ManyRefused:   0.2,
+		RefusedWeight: 0.05,
 		FirstRest:     500 * time.Millisecond,
 		LongestRest:   2 * time.Second,
 		ShedRest:      150 * time.Millisecond,
