Metrics of the store's calls, of the ages of beliefs and of slots

Cause: the metrics told what became of requests, not what the decisions rested on: calls to the store by kind and outcome, how old each table is, the catalog's revision, instances, endpoints at rest, slots and queues were in the log alone or nowhere.

Ruled out: counting in the platform's client (the product's watchers tell gaps, conflicts and given-up calls apart in its own terms).

Change: the shared store is wrapped by a counter; gauges are read from the watchers, the mesh and the placer when the page is read.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -76,11 +77,24 @@
 	client   *endpoint.Client
 	peers    *peer.Server
 	page     http.Handler
+	metrics  *metrics
 	writer   *telemetry.BoundedWriter
 	logger   *logrus.Logger
 	log      logrus.FieldLogger
 }
 
+// New returns an instance that is not running. It logs to out.
+func New(s *Settings, p Parts, out io.Writer) (*Gateway, error) {
+	t, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	if p.Store, err = countCalls(p.Store, t); err != nil {
+		return nil, err
+	}
+	return assemble(s, p, t, out)
+}
+
 // Run serves until ctx ends and then stops in order. Errors: a listener that
 // can't be opened, or the first failure of a part.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -105,7 +119,10 @@
 	if err != nil {
 		return err
 	}
-	components := g.components(life)
+	components, err := g.components(life)
+	if err != nil {
+		return err
+	}
 	group.Go(func() error { return g.peers.Serve(life, peers) })
 	for _, run := range components {
 		group.Go(func() error { return run(life) })
@@ -124,19 +141,22 @@
 }
 
 // components returns the background work.
-func (g *Gateway) components(ctx context.Context) []func(context.Context) error {
+func (g *Gateway) components(ctx context.Context) ([]func(context.Context) error, error) {
 	operator, endpoints, _ := g.parts.Decoder.Tables()
 	contact := new(registry.Contact)
 	g.moves.reached = contact.Reached
+	var watchers []*registry.Watcher
 	watch := func(r registry.Rule, see func(time.Time, map[string]registry.Row)) *registry.Watcher {
 		r.Contact = contact
-		return registry.NewWatcher(r, g.parts.Store, see, g.logger)
+		w := registry.NewWatcher(r, g.parts.Store, see, g.logger)
+		watchers = append(watchers, w)
+		return w
 	}
 	watcher := watch(registry.Rule{
 		Table: endpoints, Pause: endpointsPause, Return: lapseReturn, Reachable: g.mesh.reachable,
 	}, g.beliefs.seeEndpoints)
 	g.mesh.reaches = watcher.Since
-	return []func(context.Context) error{
+	components := []func(context.Context) error{
 		watch(registry.Rule{Table: operator, Wait: operatorWait}, g.beliefs.seeOperator).Run,
 		watcher.Run,
 		watch(registry.Rule{Table: tableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)).Run,
@@ -144,6 +164,7 @@
 		g.moves.Run,
 		g.client.Run,
 	}
+	return components, g.metrics.show(g, watchers)
 }
 
 // server is a listener with its HTTP server.
--- /dev/null
+++ b/front/gateway/gauges.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+)
+
+// gauges show what an instance believes, whenever the metrics are read.
+type gauges struct {
+	age       metric.Float64ObservableGauge
+	revision  metric.Int64ObservableGauge
+	instances metric.Int64ObservableGauge
+	endpoints metric.Int64ObservableGauge
+	slots     metric.Int64ObservableGauge
+	running   metric.Int64ObservableGauge
+}
+
+// newGauges returns the gauges of a meter.
+func newGauges(m metric.Meter) (gauges, error) {
+	age, err1 := m.Float64ObservableGauge("cardamomfront.store.age",
+		metric.WithUnit("s"), metric.WithDescription("Time since the store last answered on a table, by table; -1 before."))
+	revision, err2 := m.Int64ObservableGauge("cardamomfront.catalog.revision",
+		metric.WithDescription("Revision of the catalog in force; 0 without one."))
+	instances, err3 := m.Int64ObservableGauge("cardamomfront.instances",
+		metric.WithDescription("Instances of the fleet that are taken to live, this one included."))
+	endpoints, err4 := m.Int64ObservableGauge("cardamomfront.endpoints",
+		metric.WithDescription("Endpoints that may get requests, by service and state."))
+	slots, err5 := m.Int64ObservableGauge("cardamomfront.slots",
+		metric.WithDescription("Requests that the endpoints can run at the same time, by service."))
+	running, err6 := m.Int64ObservableGauge("cardamomfront.running",
+		metric.WithDescription("Requests at the endpoints, queued ones included, by service, as far as known."))
+	return gauges{age, revision, instances, endpoints, slots, running}, errors.Join(err1, err2, err3, err4, err5, err6)
+}
+
+// show lets the metrics tell what an instance believes.
+func (m *metrics) show(g *Gateway, watchers []*registry.Watcher) error {
+	all, err := newGauges(m.meter)
+	if err != nil {
+		return err
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		now := time.Now()
+		for _, w := range watchers {
+			o.ObserveFloat64(all.age, ageOf(w, now), metric.WithAttributes(attribute.String("table", w.Table())))
+		}
+		if c := g.beliefs.catalog.Load(); c != nil {
+			o.ObserveInt64(all.revision, int64(c.Revision))
+		}
+		o.ObserveInt64(all.instances, int64(g.mesh.size()))
+		all.observeUse(o, g, now)
+		return nil
+	}, all.age, all.revision, all.instances, all.endpoints, all.slots, all.running)
+	return err
+}
+
+// ageOf returns how long ago the store answered a watcher, in seconds.
+func ageOf(w *registry.Watcher, now time.Time) float64 {
+	at := w.Answered()
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Seconds()
+}
+
+// observeUse tells the use of the endpoints.
+func (all gauges) observeUse(o metric.Observer, g *Gateway, now time.Time) {
+	for _, u := range g.beliefs.placer.Uses(now) {
+		service := attribute.String("service", u.Service)
+		o.ObserveInt64(all.slots, int64(u.Slots), metric.WithAttributes(service))
+		o.ObserveInt64(all.running, int64(u.Running), metric.WithAttributes(service))
+		for state, n := range map[string]int{"usable": u.Endpoints - u.Resting, "resting": u.Resting, "cold": u.Cold} {
+			o.ObserveInt64(all.endpoints, int64(n), metric.WithAttributes(service, attribute.String("state", state)))
+		}
+	}
+}
--- a/front/gateway/metrics.go
+++ b/front/gateway/metrics.go
@@ -19,6 +19,8 @@
 	refusals metric.Int64Counter
 	tries    metric.Int64Counter
 	latency  metric.Float64Histogram
+
+	meter metric.Meter
 }
 
 // newMetrics returns the instruments of this package.
@@ -34,7 +36,7 @@
 	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return nil, err
 	}
-	return &metrics{answers: answers, refusals: refusals, tries: tries, latency: latency}, nil
+	return &metrics{answers: answers, refusals: refusals, tries: tries, latency: latency, meter: t.Meter}, nil
 }
 
 // answered counts an answer that is passed on.
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -78,8 +79,26 @@
 	return &handler{protocol: p.Callers, beliefs: b, sender: s, metrics: m, lines: l, log: log.WithField("prefix", "request")}
 }
 
+// countedStore is a store whose calls are counted and whose address may change.
+type countedStore struct {
+	registry.Store
+	address func(string)
+}
+
+// SetAddress implements Store.
+func (s countedStore) SetAddress(address string) { s.address(address) }
+
+// countCalls returns a store that counts the calls to another.
+func countCalls(s Store, t *telemetry.Metrics) (Store, error) {
+	counted, err := registry.CountCalls(s, t.Meter)
+	if err != nil {
+		return nil, err
+	}
+	return countedStore{Store: counted, address: s.SetAddress}, nil
+}
+
 // newGateway joins the parts of an instance.
-func newGateway(s *liveSettings, p Parts, h *handler, b *beliefs, mv *moves, m *mesh, c *endpoint.Client, peers *peer.Server, t *telemetry.Metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, p Parts, h *handler, b *beliefs, mv *moves, m *mesh, c *endpoint.Client, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings: s,
 		parts:    p,
@@ -90,6 +109,7 @@
 		client:   c,
 		peers:    peers,
 		page:     t.Page,
+		metrics:  counts,
 		writer:   w,
 		logger:   log,
 		log:      log.WithFields(logrus.Fields{"prefix": "gateway", "instance": s.Load().Name}),
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -11,13 +11,12 @@
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 )
 
-// New returns an instance that is not running. It logs to out.
-func New(s *Settings, p Parts, out io.Writer) (*Gateway, error) {
+// assemble joins the parts of an instance.
+func assemble(s *Settings, p Parts, t *telemetry.Metrics, out io.Writer) (*Gateway, error) {
 	wire.Build(
 		newLiveSettings,
 		newWriter,
 		newLog,
-		telemetry.NewMetrics,
 		newMetrics,
 		newClient,
 		newPlacer,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -14,16 +14,12 @@
 
 // Injectors from wire.go:
 
-// New returns an instance that is not running. It logs to out.
-func New(s *Settings, p Parts, out io.Writer) (*Gateway, error) {
+// assemble joins the parts of an instance.
+func assemble(s *Settings, p Parts, t *telemetry.Metrics, out io.Writer) (*Gateway, error) {
 	gatewayLiveSettings := newLiveSettings(s)
 	placer := newPlacer(s)
 	limiter := quota.New()
-	telemetryMetrics, err := telemetry.NewMetrics()
-	if err != nil {
-		return nil, err
-	}
-	client, err := newClient(p, telemetryMetrics)
+	client, err := newClient(p, t)
 	if err != nil {
 		return nil, err
 	}
@@ -34,7 +30,7 @@
 	}
 	gatewayMoves := newMoves(p, logger)
 	gatewayBeliefs := newBeliefs(p, placer, limiter, client, gatewayMoves, logger)
-	gatewayMetrics, err := newMetrics(telemetryMetrics)
+	gatewayMetrics, err := newMetrics(t)
 	if err != nil {
 		return nil, err
 	}
@@ -44,6 +40,6 @@
 	gatewaySender := newSender(client, placer, gatewayMoves, gatewayMetrics, gatewayBudgets, gatewayLineBudget)
 	gatewayHandler := newHandler(p, gatewayBeliefs, gatewaySender, gatewayMetrics, gatewayLineBudget, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
-	gateway := newGateway(gatewayLiveSettings, p, gatewayHandler, gatewayBeliefs, gatewayMoves, gatewayMesh, client, peerServer, telemetryMetrics, boundedWriter, logger)
+	gateway := newGateway(gatewayLiveSettings, p, gatewayHandler, gatewayBeliefs, gatewayMoves, gatewayMesh, client, peerServer, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -138,6 +138,7 @@
 	returned time.Time // when the store last came back
 	failures int
 	since    atomic.Pointer[time.Time] // since when the store has answered each call
+	heard    atomic.Pointer[time.Time] // answered, for other goroutines
 }
 
 // NewWatcher returns a watcher that gives see all rows after each change. see
@@ -163,6 +164,17 @@
 	return time.Time{}
 }
 
+// Answered returns when the store last answered, the zero time before.
+func (w *Watcher) Answered() time.Time {
+	if at := w.heard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Table returns the name of the table.
+func (w *Watcher) Table() string { return w.rule.Table }
+
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -243,6 +255,7 @@
 		w.since.Store(&now)
 	}
 	w.answered = now
+	w.heard.Store(&now)
 	w.rule.Contact.note(batch.Revision, now)
 	changed := w.take(batch, now)
 	w.after = max(w.after, batch.Revision)
