Model: waves, a burst, callers that move, the worst two seconds, a slot broker

Cause: the model played a steady load only, so nothing compared placing with the limit where callers feel it most, in the worst seconds.

Change: loads rise and fall by half, double for two seconds and move between regions; placing must keep 0.9 of the limit's payoff and be ahead of each baseline in the worst two seconds, too. A further baseline hands out slots without regard to objects. Baselines that refuse let callers come back sooner than before, which helps them.

--- a/steer/placing/load_test.go
+++ b/steer/placing/load_test.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// withWaves lets a load rise and fall by half, doubles it for two seconds, and
+// lets callers move from the first region to the second and back.
+func withWaves(l load) load {
+	l.wave = 0.5
+	l.burst = span{8 * time.Second, 10 * time.Second}
+	l.move = span{14 * time.Second, 22 * time.Second}
+	return l
+}
+
 // part is how much of an all-knowing dispatcher's payoff callers must get.
 const part = 0.9
 
@@ -40,6 +49,8 @@
 		{"kano, heaviest", kano(110)},
 		{"ganguly, usual", ganguly(214)},
 		{"ganguly, heaviest", ganguly(400)},
+		{"kano, waves", withWaves(kano(80))},
+		{"ganguly, waves", withWaves(ganguly(280))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newModel(c.load, 1)
@@ -53,7 +64,7 @@
 			for name, p := range baselines {
 				other := newModel(c.load, 1).run(p)
 				t.Logf("%s: %v", name, other)
-				if got.payoff() < other.payoff() || got.worstRegion < other.worstRegion {
+				if got.payoff() < other.payoff() || got.worstRegion < other.worstRegion || got.worstWindow < other.worstWindow {
 					t.Errorf("%s gives %v; placed %v", name, other, got)
 				}
 			}
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 	objects     int     // of each region
 	rate        float64 // requests a second, over all regions
 	homed       float64 // part of them that only the first region may serve
+	wave        float64 // part of the rate by which it rises and falls in waves
+	burst       span    // the rate is doubled
+	move        span    // half of the first region's callers are in the second
 	until       time.Duration
 }
 
@@ -38,6 +42,21 @@
 	endpoints int
 }
 
+// span is a part of the time; the zero value is none.
+type span struct{ from, to time.Duration }
+
+func (s span) has(t time.Duration) bool { return t >= s.from && t < s.to }
+
+// wavePeriod is the time from one peak of a wave to the next.
+const wavePeriod = 12 * time.Second
+
+// warmUp is the time in which no endpoint knows an object yet; the worst time is
+// looked for after it.
+const warmUp = 4 * time.Second
+
+// windowLength is the time by which the worst time is judged.
+const windowLength = 2 * time.Second
+
 // tellEvery is the time between two exchanges between instances.
 const tellEvery = 500 * time.Millisecond
 
@@ -109,6 +128,7 @@
 	times                        []time.Duration
 	worstRegion                  float64
 	homed                        float64 // payoff of the requests with a home
+	worstWindow                  float64
 }
 
 // payoff is what the users count: a late answer is worth a fifth.
@@ -125,8 +145,8 @@
 }
 
 func (f figures) String() string {
-	return fmt.Sprintf("payoff %.3f, worst region %.3f, homed %.3f, in goal %d, late %d, refused %d of %d, p50 %d ms, p99 %d ms",
-		f.payoff(), f.worstRegion, f.homed, f.inGoal, f.late, f.refused, f.asked,
+	return fmt.Sprintf("payoff %.3f, worst region %.3f, worst window %.3f, homed %.3f, in goal %d, late %d, refused %d of %d, p50 %d ms, p99 %d ms",
+		f.payoff(), f.worstRegion, f.worstWindow, f.homed, f.inGoal, f.late, f.refused, f.asked,
 		f.quantile(0.5).Milliseconds(), f.quantile(0.99).Milliseconds())
 }
 
@@ -143,6 +163,7 @@
 	byRegion  [][]int // instances of each region
 	perRegion []figures
 	ofHomed   figures
+	windows   []figures // by the moment of the first attempt
 }
 
 // epoch is the model's time zero.
@@ -158,7 +179,7 @@
 
 // newModel builds a deployment. The policy is set before run.
 func newModel(l load, seed uint64) *model {
-	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions))}
+	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1)}
 	for i, region := range l.regions {
 		for j := range region.instances {
 			m.byRegion[i] = append(m.byRegion[i], len(m.instances))
@@ -189,7 +210,11 @@
 
 // gap returns the time until the next request.
 func (m *model) gap() time.Duration {
-	return time.Duration(m.r.ExpFloat64() / m.rate * float64(time.Second))
+	rate := m.rate * (1 + m.wave*math.Sin(2*math.Pi*m.now.Seconds()/wavePeriod.Seconds()))
+	if m.burst.has(m.now) {
+		rate *= 2
+	}
+	return time.Duration(m.r.ExpFloat64() / rate * float64(time.Second))
 }
 
 func (m *model) tellAll() {
@@ -208,7 +233,11 @@
 	}
 	region := m.r.IntN(len(m.regions))
 	homed := m.homed > 0 && m.r.Float64() < m.homed
-	m.attempt(&modelRequest{object: region*m.objects + m.r.IntN(m.objects), region: region, homed: homed, first: m.now})
+	object := region*m.objects + m.r.IntN(m.objects)
+	if region == 0 && m.move.has(m.now) && m.r.IntN(2) == 0 {
+		region = 1
+	}
+	m.attempt(&modelRequest{object: object, region: region, homed: homed, first: m.now})
 }
 
 // attempt brings a request to an instance of its region.
@@ -297,7 +326,7 @@
 
 // count takes the end of a request into the figures that it belongs to.
 func (m *model) count(r *modelRequest, add func(*figures)) {
-	groups := []*figures{&m.perRegion[r.region]}
+	groups := []*figures{&m.perRegion[r.region], &m.windows[r.first/windowLength]}
 	if r.homed {
 		groups = append(groups, &m.ofHomed)
 	}
@@ -325,6 +354,10 @@
 	}
 	slices.Sort(all.times)
 	all.homed = m.ofHomed.payoff()
+	all.worstWindow = 1
+	for _, f := range m.windows[warmUp/windowLength : len(m.windows)-1] {
+		all.worstWindow = min(all.worstWindow, f.payoff())
+	}
 	return all
 }
 
@@ -403,7 +436,7 @@
 
 func (p pick) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
 	e := p(m, r)
-	return e, m.warm
+	return e, m.warm / 2
 }
 func (pick) done(*model, *modelRequest, Outcome) {}
 func (pick) tell(*model)                         {}
@@ -437,6 +470,12 @@
 	"power of two choices": func(m *model, r *modelRequest) *modelEndpoint {
 		return least([]*modelEndpoint{anyOf(m, r), anyOf(m, r)})
 	},
+	"slots without objects": func(m *model, r *modelRequest) *modelEndpoint {
+		if e := least(possible(m, r)); e.sent < m.slots {
+			return e
+		}
+		return nil
+	},
 	"rendezvous": func(m *model, r *modelRequest) *modelEndpoint { return rendezvous(possible(m, r), r.object) },
 	"rendezvous, near": func(m *model, r *modelRequest) *modelEndpoint {
 		return rendezvous(near(m, r), r.object)
