Busy instances of a region tell each other twice as often

Ruled out: telling between regions as often (bytes there are the second largest price; the model gains no more by it); large fleets, where each instance has dozens of partners in its region.

Change: instances of one region of a small fleet exchange states every 250 ms while half of a service's slots are in use.

--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -23,6 +23,12 @@
 	// syncEvery is the time between two exchanges with one instance. Loads and
 	// demands of the others are on average half of it old.
 	syncEvery = 500 * time.Millisecond
+	// busyEvery is the same between instances of one region of a small fleet
+	// while endpoints are busy: at full load half a second is two requests' work.
+	busyEvery = 250 * time.Millisecond
+	// busyFrom is the part of a service's slots in use from which that holds.
+	// Below there is room for what others have sent meanwhile.
+	busyFrom = 0.5
 	// syncTimeout bounds one exchange, with the making of a connection.
 	syncTimeout = time.Second
 	// stateDelay is how old another instance's word is at most when the next
@@ -175,6 +181,7 @@
 		asks := m.self.Name < name || woken || now.Sub(other.heard) > 2*syncEvery
 		asks = asks && m.exchangesWith(other, now)
 		address, region, wake := other.Peers, other.Region, m.wake
+		pause := m.pause(region, now)
 		m.mu.Unlock()
 		if asks {
 			m.sync(ctx, name, address, region)
@@ -184,12 +191,26 @@
 			return
 		case <-wake:
 			woken = true
-		case <-time.After(syncEvery):
+		case <-time.After(pause):
 			woken = false
 		}
 	}
 }
 
+// pause returns the time until the next exchange with an instance of a region.
+// The caller holds mu.
+func (m *mesh) pause(region string, now time.Time) time.Duration {
+	if m.large() || region != m.self.Region {
+		return syncEvery
+	}
+	for _, u := range m.placer.Uses(now) {
+		if float64(u.Running) >= busyFrom*float64(u.Slots) && u.Slots > 0 {
+			return busyEvery
+		}
+	}
+	return syncEvery
+}
+
 // sync exchanges states once.
 func (m *mesh) sync(ctx context.Context, name, address, region string) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/front/gateway/mesh_test.go
+++ b/front/gateway/mesh_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
 )
 
 // An instance whose clock was set back between two of its processes is heard
@@ -26,3 +29,32 @@
 		}
 	})
 }
+
+// Instances of a region tell each other more often while endpoints are busy, and
+// not before.
+func TestBusyInstancesTellSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, all := newNetwork(t, 2, nil)
+		endpoint := catalog.Endpoint{ID: "e", Service: "s", Address: "e", FailureDomain: "east-1", Version: "v1", Slots: 2}
+		for _, m := range all {
+			m.placer.Update(time.Now(), []catalog.Endpoint{endpoint})
+		}
+		calls := func() (near, far int) {
+			n.between()
+			time.Sleep(10 * time.Second)
+			return n.inside(), n.between()
+		}
+		time.Sleep(time.Second)
+		restNear, restFar := calls()
+		for range 2 {
+			if _, err := all[0].placer.Choose(time.Now(), placing.Query{Service: "s", Route: "r", Goal: time.Second, GoalLeft: time.Second, Limit: time.Minute}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * syncEvery) // all have heard of it
+		near, far := calls()
+		if near < restNear*3/2 || far > restFar+1 {
+			t.Errorf("busy: %d calls inside and %d between regions; at rest %d and %d", near, far, restNear, restFar)
+		}
+	})
+}
--- a/front/gateway/regions_test.go
+++ b/front/gateway/regions_test.go
@@ -24,6 +24,7 @@
 	at    map[string]*mesh // by address
 	dead  map[string]bool
 	calls int // between regions
+	near  int // calls inside them
 }
 
 var errDead = errors.New("nobody answers")
@@ -62,6 +63,8 @@
 	l.mu.Lock()
 	if l.region != m.self.Region {
 		l.calls++
+	} else {
+		l.near++
 	}
 	l.mu.Unlock()
 	return json.Unmarshal(back, result)
@@ -115,10 +118,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	calls := n.calls
-	n.calls = 0
+	n.calls, n.near = 0, 0
 	return calls
 }
 
+// inside returns how many went inside regions in that time.
+func (n *network) inside() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.near
+}
+
 // consistent checks what each living instance holds of the fleet.
 func (n *network) consistent(all []*mesh, alive int) error {
 	leaders := 0
