cardamomctl fleet: what the instances share; refusals tell what they saw

Cause: operators had no view of the platform's store: catalog, moves, closed failure domains and instances were in the logs of single instances only. A refusal for lack of room said when an answer was expected and not at which service, how full its slots were, or why the best endpoint was no better.

Ruled out: pages on each instance (none is for control, and their addresses change); the commands of the product's own document, which read other rows.

Change: cardamomctl fleet status and fleet explain read the store by the one reader that the instances use. Refusals log service, object, use of the slots and the best candidate; trace says so in its sentence. The demo plays both.

--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -10,9 +10,11 @@
 	"github.com/cardamomfront/cardamomfront/front/operator/capacity"
 	"github.com/cardamomfront/cardamomfront/front/operator/command"
 	"github.com/cardamomfront/cardamomfront/front/operator/explain"
+	"github.com/cardamomfront/cardamomfront/front/operator/fleet"
 	"github.com/cardamomfront/cardamomfront/front/operator/request"
 	"github.com/cardamomfront/cardamomfront/front/operator/serve"
 	"github.com/cardamomfront/cardamomfront/front/operator/trace"
+	"github.com/cardamomfront/cardamomfront/platform"
 	"github.com/cardamomfront/cardamomfront/platform/standin"
 )
 
@@ -30,5 +32,8 @@
 	stands := serve.Command()
 	stands.AddCommand(standin.Command())
 	cmd.AddCommand(request.Command(), stands, capacity.Command(), explain.Command(), trace.Command())
+	cmd.AddCommand(fleet.Command(func(store string) fleet.Source {
+		return fleet.Source{Store: platform.NewStore(store), Decoder: platform.Decoder{}}
+	}))
 	return cmd
 }
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -159,7 +159,7 @@
 	components := []func(context.Context) error{
 		watch(registry.Rule{Table: operator, Wait: operatorWait}, g.beliefs.seeOperator).Run,
 		watcher.Run,
-		watch(registry.Rule{Table: tableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)).Run,
+		watch(registry.Rule{Table: TableInstances, Pause: instancesPause}, g.mesh.seeInstances(ctx)).Run,
 		g.mesh.Run,
 		g.moves.Run,
 		g.client.Run,
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -309,8 +310,14 @@
 		fields["route"] = x.route.Name
 		fields["catalog"] = x.catalog.Version
 	}
-	if r.expected > 0 {
-		fields["expected_ms"] = r.expected.Milliseconds()
+	if x.service != "" {
+		fields["service"] = x.service
+		fields["object"] = x.caller.Object
+	}
+	if p := r.placing; p != nil {
+		fields["expected_ms"], fields["wait_ms"] = p.Expected.Milliseconds(), p.Wait.Milliseconds()
+		fields["candidates"], fields["busy"] = p.Candidates, math.Round(100*p.Busy)/100
+		fields["known"], fields["endpoint"] = p.Known, p.Best
 	}
 	if r.retry > 0 {
 		fields["retry_ms"] = r.retry.Milliseconds()
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
@@ -15,9 +14,9 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		for name, row := range rows {
-			var r memberRow
-			if err := json.Unmarshal(row.Value, &r); err != nil || r.Peers == "" {
-				m.log.WithField("row", name).Warn("Row of an instance passed over.")
+			r, err := DecodeInstance(row)
+			if err != nil {
+				m.log.WithError(err).Warn("Row of an instance passed over.")
 				continue
 			}
 			if name != m.self.Name {
@@ -33,7 +32,7 @@
 }
 
 // meet begins exchanges with an instance. The caller holds mu.
-func (m *mesh) meet(ctx context.Context, name string, r memberRow) {
+func (m *mesh) meet(ctx context.Context, name string, r Instance) {
 	other := m.members[name]
 	if other == nil {
 		other = &member{state: state{Name: name, Region: r.Region}}
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// tableInstances holds a row for each instance.
-	tableInstances = "cardamomfront-instances"
+	// TableInstances holds a row for each instance, see DecodeInstance.
+	TableInstances = "cardamomfront-instances"
 	// methodSync exchanges the states of two instances.
 	methodSync = "gateway.sync"
 	// syncEvery is the time between two exchanges with one instance. Loads and
@@ -136,14 +136,14 @@
 
 // register writes this instance's row, as often as it takes.
 func (m *mesh) register(ctx context.Context) {
-	value, err := json.Marshal(memberRow{Peers: m.self.Peers, Region: m.self.Region})
+	value, err := json.Marshal(Instance{Peers: m.self.Peers, Region: m.self.Region})
 	if err != nil {
 		m.log.WithError(err).Error("This instance's row can't be encoded.")
 		return
 	}
 	m.work.Go(func() {
 		for ctx.Err() == nil {
-			err := m.store.Put(ctx, tableInstances, m.self.Name, value)
+			err := m.store.Put(ctx, TableInstances, m.self.Name, value)
 			if err == nil {
 				m.log.Info("Registered.")
 				return
@@ -159,7 +159,7 @@
 
 // unregister removes this instance's row.
 func (m *mesh) unregister(ctx context.Context) {
-	if err := m.store.Remove(ctx, tableInstances, m.self.Name); err != nil {
+	if err := m.store.Remove(ctx, TableInstances, m.self.Name); err != nil {
 		m.log.WithError(err).Warn("The row of this instance could not be removed.")
 	}
 }
--- a/front/gateway/refusal.go
+++ b/front/gateway/refusal.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+)
 
 // reason says in one word why a request was not served. It is the value of the
 // counters' reason attribute.
@@ -38,8 +42,7 @@
 	reason reason
 	// retry is when the caller should come back, 0 to say nothing.
 	retry time.Duration
-	// expected is the earliest expected answer, for a request that was refused
-	// for lack of room.
-	expected time.Duration
-	err      error
+	// placing is why no endpoint was chosen, nil where that is not the cause.
+	placing *placing.Refusal
+	err     error
 }
--- a/front/gateway/regions_test.go
+++ b/front/gateway/regions_test.go
@@ -99,7 +99,7 @@
 			m.caller = lineTo{network: n, self: name, region: region}
 			n.at[name] = m
 			all = append(all, m)
-			value, err := json.Marshal(memberRow{Peers: name, Region: region})
+			value, err := json.Marshal(Instance{Peers: name, Region: region})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -1,24 +1,46 @@
 package gateway
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/rollout"
 )
 
-// memberRow is an instance's row in the store.
-type memberRow struct {
+// Instance is an instance's row in the store.
+type Instance struct {
+	// Name is unique in the fleet. It is the row's key.
+	Name string `json:"-"`
 	// Peers is the address for other instances.
 	Peers string `json:"peers"`
 	// Region is where the instance is.
 	Region string `json:"region"`
 }
 
+// errNoPeers says that a row names no address.
+var errNoPeers = errors.New("no address for other instances")
+
+// DecodeInstance reads a row of TableInstances.
+func DecodeInstance(row registry.Row) (Instance, error) {
+	i := Instance{Name: row.Key}
+	err := json.Unmarshal(row.Value, &i)
+	if err == nil && i.Peers == "" {
+		err = errNoPeers
+	}
+	if err != nil {
+		return Instance{}, fmt.Errorf("row of instance %s: %w", row.Key, err)
+	}
+	return i, nil
+}
+
 // state is what instances tell each other.
 type state struct {
 	// Name names the instance.
--- /dev/null
+++ b/front/operator/fleet/command.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cardamomfront/cardamomfront/front/gateway"
+)
+
+// readTimeout bounds the reading of the state: four calls to a store that
+// answers in milliseconds, or in 0.2 s when it is slow.
+const readTimeout = 5 * time.Second
+
+// flags are those of the subcommands.
+type flags struct {
+	store    string
+	settings string
+	key      string
+}
+
+// Command returns the command "fleet". open returns the source at a store's
+// address.
+func Command(open func(store string) Source) *cobra.Command {
+	f := &flags{}
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Show what the instances share in the platform's store",
+	}
+	cmd.PersistentFlags().StringVar(&f.store, "store", "", "host and port of the store")
+	cmd.PersistentFlags().StringVar(&f.settings, "settings", "", "settings file of an instance; names the store and the regions")
+	cmd.AddCommand(statusCommand(f, open), explainCommand(f, open))
+	return cmd
+}
+
+func statusCommand(f *flags, open func(string) Source) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the catalog in force, endpoints, moves and instances",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, _, err := f.read(cmd.Context(), open)
+			if err != nil {
+				return err
+			}
+			return s.Write(cmd.OutOrStdout())
+		},
+	}
+}
+
+func explainCommand(f *flags, open func(string) Source) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "explain HOST/PATH",
+		Short: "Say what becomes of a request, by what the store holds",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			host, path, ok := strings.Cut(args[0], "/")
+			if !ok || host == "" {
+				return fmt.Errorf("%q names no host and path, as in app.example/status/7", args[0])
+			}
+			s, domains, err := f.read(cmd.Context(), open)
+			if err != nil {
+				return err
+			}
+			return s.Explain(cmd.OutOrStdout(), host, "/"+path, f.key, domains)
+		},
+	}
+	cmd.Flags().StringVar(&f.key, "key", "", "key that comes with the request")
+	return cmd
+}
+
+// read reads the state, and the regions of the failure domains where a settings
+// file names them.
+func (f *flags) read(ctx context.Context, open func(string) Source) (*Snapshot, map[string]string, error) {
+	store := f.store
+	var domains map[string]string
+	if f.settings != "" {
+		s, err := gateway.ReadSettings(f.settings)
+		if err != nil {
+			return nil, nil, err
+		}
+		domains = s.FailureDomains
+		if store == "" {
+			store = s.Store
+		}
+	}
+	if store == "" {
+		return nil, nil, fmt.Errorf("no store: give --store HOST:PORT or --settings FILE")
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s, err := Read(ctx, open(store))
+	return s, domains, err
+}
--- /dev/null
+++ b/front/operator/fleet/explain.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// Explain prints what becomes of a request to a host and path that comes with a
+// key, "" for none, by what the store holds. domains maps failure domains to
+// regions, as the instances' settings do; without it homes are named only.
+func (s *Snapshot) Explain(out io.Writer, host, path, key string, domains map[string]string) error {
+	_, err := io.WriteString(out, strings.Join(s.explain(host, path, key, domains), "\n")+"\n")
+	return err
+}
+
+func (s *Snapshot) explain(host, path, key string, domains map[string]string) []string {
+	if s.Catalog == nil {
+		return []string{"No catalog is in force: 503, not-ready."}
+	}
+	r := s.Catalog.Route(host, path)
+	if r == nil {
+		return []string{fmt.Sprintf("Catalog %s has no route for it: 404, no-route.", s.Catalog.Version)}
+	}
+	kind := "is sent once, and again only when it has surely not run"
+	if r.Idempotent {
+		kind = "may be sent again"
+	}
+	text := []string{fmt.Sprintf("Route %s, prefix %s: goal %s, timeout %s, at most %d endpoints; a request %s.",
+		r.Name, r.Prefix, r.Goal, r.Timeout, r.MaxEndpoints, kind)}
+	var team *catalog.Team
+	if s.Catalog.NeedsKeys() && !r.Open {
+		if team = s.Catalog.TeamOfKey(key); team == nil {
+			return append(text, "No team holds this key: 401, unknown-key.")
+		}
+		text = append(text, describeTeam(team))
+	}
+	homes, ok := catalog.Homes(r, team)
+	if !ok {
+		return append(text, "Route and team have no home region in common: 503, no-endpoint.")
+	}
+	if len(homes) > 0 {
+		text = append(text, "It may run only in: "+strings.Join(homes, ", ")+".")
+	}
+	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	for _, b := range r.Backends {
+		text = append(text, s.describeBackend(b, total, homes, domains))
+	}
+	return text
+}
+
+// describeTeam describes a team without its keys.
+func describeTeam(t *catalog.Team) string {
+	if t.Rate == 0 {
+		return fmt.Sprintf("Team %s, without a limit.", t.Name)
+	}
+	return fmt.Sprintf("Team %s: %g requests a second and %g at once over all instances; beyond that 429, quota.", t.Name, t.Rate, t.Burst)
+}
+
+// describeBackend describes where one service's part of the requests may run.
+func (s *Snapshot) describeBackend(b catalog.Backend, total float64, homes []string, domains map[string]string) string {
+	usable, slots, closed, leaving, away := 0, 0, 0, 0, 0
+	for _, e := range s.Endpoints {
+		region, known := domains[e.FailureDomain]
+		switch {
+		case e.Service != b.Service:
+		case e.Leaving:
+			leaving++
+		case slices.Contains(s.Closed, e.FailureDomain):
+			closed++
+		case known && len(homes) > 0 && !slices.Contains(homes, region):
+			away++
+		default:
+			usable++
+			slots += e.Slots
+		}
+	}
+	text := fmt.Sprintf("Service %s gets %.0f %%: %d endpoints with %d slots may serve", b.Service, 100*b.Weight/total, usable, slots)
+	for _, rest := range []struct {
+		n   int
+		why string
+	}{{leaving, "leave"}, {closed, "are in closed failure domains"}, {away, "are in other regions"}} {
+		if rest.n > 0 {
+			text += fmt.Sprintf(", %d %s", rest.n, rest.why)
+		}
+	}
+	if i := slices.IndexFunc(s.Moves, func(m Move) bool { return m.Order.Service == b.Service }); i >= 0 {
+		m := s.Moves[i]
+		text += fmt.Sprintf("; it moves to %s, %s", m.Order.To, m.Result)
+	}
+	return text + "."
+}
--- a/front/operator/trace/trace.go
+++ b/front/operator/trace/trace.go
@@ -40,6 +40,14 @@
 	Known string `json:"known"`
 	// Running is how many requests were known to be there.
 	Running int `json:"running"`
+	// Service is where the route leads.
+	Service string `json:"service"`
+	// Candidates, Busy and WaitMS are what a refusal for lack of room saw:
+	// endpoints that could take the request, the part of all slots in use, and
+	// the wait at the best one.
+	Candidates int     `json:"candidates"`
+	Busy       float64 `json:"busy"`
+	WaitMS     int64   `json:"wait_ms"`
 	// ExpectedMS and MS are what a try was expected to take and took.
 	ExpectedMS int64 `json:"expected_ms"`
 	MS         int64 `json:"ms"`
@@ -134,7 +142,9 @@
 	case last.Reason == "quota":
 		return fmt.Sprintf("Refused: the team had used its quota; this instance held %.3f of it with %.2f tokens left (%s).", last.Part, last.Tokens, where)
 	case last.Reason == "too-late" || last.Reason == "no-room":
-		return fmt.Sprintf("Refused for lack of room: an answer was expected after %d ms (%s).", last.ExpectedMS, where)
+		return fmt.Sprintf("Refused for lack of room at %s: %.0f %% of the slots were in use, %d endpoints could take it, "+
+			"the best after a wait of %d ms with the object %s, its answer after %d ms (%s).",
+			last.Service, 100*last.Busy, last.Candidates, last.WaitMS, cmp.Or(last.Known, "unknown"), last.ExpectedMS, where)
 	case last.Reason == "no-endpoint":
 		return fmt.Sprintf("Refused: no endpoint may serve it (%s).", where)
 	case last.Reason == "no-route" || last.Reason == "unknown-key":
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -75,6 +75,9 @@
 done
 grep -q "no such route or key" "$dir/trace" || fail "trace: $(cat "$dir/trace")"
 grep -q "$key" "$dir"/g*.log && fail "a log holds the key"
+bin/cardamomctl fleet status --settings "$dir/g1.yaml" >"$dir/status"
+grep -q "^Catalog .* teams" "$dir/status" || fail "fleet status: $(cat "$dir/status")"
+bin/cardamomctl fleet explain app.example/status/7 --key no-key --settings "$dir/g1.yaml" | grep -q "401, unknown-key" || fail "fleet explain"
 curl -s http://127.0.30.1:17884/metrics | grep -q cardamomfront_gateway_answers_total || fail "no metrics"
 kill -TERM "${pids[1]}"
 wait "${pids[1]}" || fail "a gateway did not stop in order"
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -38,12 +38,15 @@
 	best, count, full := p.best(g, q, w, object, homes, now)
 	if best.e == nil {
 		d.took(full, p.rules)
-		return nil, noCandidate(w, full)
+		return nil, noCandidate(w, full, d.busy)
 	}
 	late := best.late(q, d.scarcity(p.rules))
 	d.took(late > 0, p.rules)
 	if late > 0 {
-		return nil, &Refusal{Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late)}
+		return nil, &Refusal{
+			Reason: ReasonTooLate, Expected: seconds(best.expected), Retry: seconds(late), Best: best.e.ID,
+			Wait: seconds(best.wait), Known: best.warmth.String(), Candidates: count, Busy: d.busy,
+		}
 	}
 	return p.reserve(g, q, best, object, count, now), nil
 }
@@ -73,8 +76,8 @@
 const lateGoalPart = 2
 
 // noCandidate says why nothing could be chosen.
-func noCandidate(w *work, full bool) *Refusal {
-	r := &Refusal{Reason: ReasonNoEndpoint}
+func noCandidate(w *work, full bool, busy float64) *Refusal {
+	r := &Refusal{Reason: ReasonNoEndpoint, Busy: busy}
 	if full {
 		r.Reason = ReasonNoRoom
 		r.Retry = seconds(w.mean[warmthWarm])
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -66,6 +66,18 @@
 	Expected time.Duration
 	// Retry is when there may be room.
 	Retry time.Duration
+	// Best names the endpoint of the earliest answer, "" when none could take
+	// the request.
+	Best string
+	// Wait is the part of Expected that would be spent in its queue.
+	Wait time.Duration
+	// Known is what is known of the object there.
+	Known string
+	// Candidates is how many endpoints could take the request.
+	Candidates int
+	// Busy is the part in use of all slots that may serve it, more than 1 where
+	// requests wait.
+	Busy float64
 }
 
 // Reason is why no endpoint was chosen.
