A retry that finds no endpoint gives its token back

Cause: a second try takes a token of the service's budget before it looks for an endpoint. Where none could take it, as when all shed or rest, the token was spent and the next retry that had somewhere to go was refused.

Ruled out: choosing first (a choice reserves a slot and marks its object).

Change: the token is given back; never beyond the bucket. A test of the bucket; the race's two uses of it have none of their own.

--- a/front/gateway/budgets.go
+++ b/front/gateway/budgets.go
@@ -38,6 +38,15 @@
 	return budget != nil && budget.Take()
 }
 
+// giveBack gives back the right to a try that found no endpoint.
+func (b *budgets) giveBack(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if budget := b.of(service); budget != nil {
+		budget.GiveBack()
+	}
+}
+
 // of returns a service's budget. The caller holds mu.
 func (b *budgets) of(service string) *retry.Budget {
 	now := b.settings.Load()
--- a/front/gateway/race.go
+++ b/front/gateway/race.go
@@ -80,6 +80,9 @@
 			return r.sender.giveUp(r.ctx, r.exchange, r.last, nil)
 		}
 		if err := r.start(); err != nil {
+			if r.arrivals > 0 {
+				r.sender.budgets.giveBack(r.service)
+			}
 			return r.sender.giveUp(r.ctx, r.exchange, r.last, err)
 		}
 	}
@@ -118,6 +121,7 @@
 		return
 	}
 	if err := r.start(); err != nil {
+		r.sender.budgets.giveBack(r.service)
 		r.log.WithError(err).Debug("No other endpoint for a silent one.")
 	}
 }
@@ -128,7 +132,8 @@
 	return errors.As(err, &e) && e.Reason == endpoint.ReasonUnreachable
 }
 
-// again says whether another endpoint may be tried.
+// again says whether another endpoint may be tried. Where a try may have arrived
+// it takes a token of the budget for the next one.
 func (s *sender) again(ctx context.Context, x *exchange, arrivals int) bool {
 	switch {
 	case ctx.Err() != nil || time.Until(x.deadline) < leastLeft:
--- a/steer/retry/retry_test.go
+++ b/steer/retry/retry_test.go
@@ -138,3 +138,26 @@
 		}
 	}
 }
+
+// A token of a retry that was not sent pays for the next one, and never makes
+// the budget larger.
+func TestTokenOfARetryThatWasNotSent(t *testing.T) {
+	b, err := NewBudget(BudgetSettings{Ratio: 0.1, Burst: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if !b.Take() {
+			t.Fatal("a retry that was not sent has spent a token")
+		}
+		b.GiveBack()
+	}
+	b.GiveBack()
+	granted := 0
+	for b.Take() {
+		granted++
+	}
+	if granted != 2 {
+		t.Errorf("%d retries were granted, the budget is 2", granted)
+	}
+}
