--- a/front/gateway/moves_test.go
+++ b/front/gateway/moves_test.go
@@ -89,6 +89,15 @@
 	return w
 }
 
+// loneWorld is one instance, which records outcomes or doesn't, and no rapid
+// test.
+func loneWorld(leads bool) *moveWorld {
+	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
+	w.instance, w.leading = make([]*moves, 1), []bool{leads}
+	w.start(0)
+	return w
+}
+
 // start starts an instance that knows nothing.
 func (w *moveWorld) start(i int) {
 	log := logrus.New()
@@ -378,9 +387,7 @@
 // An order of which an instance hears late began when the store had reached its
 // revision, and ends in time by that.
 func TestOrderHeardOfLate(t *testing.T) {
-	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
-	w.instance, w.leading = make([]*moves, 1), []bool{true}
-	w.start(0)
+	w := loneWorld(true)
 	w.give("v2")
 	given := w.now
 	w.instance[0].reached = func(revision uint64) time.Time {
@@ -401,9 +408,7 @@
 // Before the completion no request is sent to an old endpoint for want of room
 // at the new ones, nor sent again there.
 func TestNoWayBackBeforeTheCompletion(t *testing.T) {
-	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
-	w.instance, w.leading = make([]*moves, 1), make([]bool, 1)
-	w.start(0)
+	w := loneWorld(false)
 	w.give("v2")
 	w.see(0)
 	w.step(0)
@@ -426,9 +431,7 @@
 // An instance that has not read the records yet sends nothing new to the
 // version that an order names: the record may say that it was taken back.
 func TestNoNewVersionBeforeTheRecordsAreRead(t *testing.T) {
-	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
-	w.instance, w.leading = make([]*moves, 1), make([]bool, 1)
-	w.start(0)
+	w := loneWorld(false)
 	w.give("v2")
 	w.see(0)
 	m := w.instance[0]
--- a/steer/placing/load_test.go
+++ b/steer/placing/load_test.go
@@ -37,6 +37,16 @@
 // part is how much of an all-knowing dispatcher's payoff callers must get.
 const part = 0.9
 
+// playBoth plays a load with the placers and with the all-knowing dispatcher.
+func playBoth(t *testing.T, l load) (got, limit figures) {
+	m := newModel(l, 1)
+	got = m.run(newPlaced(m))
+	limit = newModel(l, 1).run(pick(allKnowing))
+	t.Logf("placed:      %v", got)
+	t.Logf("all-knowing: %v", limit)
+	return got, limit
+}
+
 // What callers get is close to what an all-knowing dispatcher would give them
 // and more than any simple policy gives, as a whole and in the region that is
 // served worst, at the load of a usual day and of the heaviest.
@@ -53,11 +63,7 @@
 		{"ganguly, waves", withWaves(ganguly(280))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := newModel(c.load, 1)
-			got := m.run(newPlaced(m))
-			limit := newModel(c.load, 1).run(pick(allKnowing))
-			t.Logf("placed:      %v", got)
-			t.Logf("all-knowing: %v", limit)
+			got, limit := playBoth(t, c.load)
 			if got.payoff() < part*limit.payoff() {
 				t.Errorf("payoff %.3f, an all-knowing dispatcher gives %.3f", got.payoff(), limit.payoff())
 			}
@@ -93,11 +99,7 @@
 		{"ganguly, a seventh", withHomes(ganguly(214), 0.15, 0)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := newModel(c.load, 1)
-			got := m.run(newPlaced(m))
-			limit := newModel(c.load, 1).run(pick(allKnowing))
-			t.Logf("placed:      %v", got)
-			t.Logf("all-knowing: %v", limit)
+			got, limit := playBoth(t, c.load)
 			if got.homed < part*limit.homed || got.payoff() < part*limit.payoff() {
 				t.Errorf("payoff %.3f, of those with a home %.3f; all-knowing %.3f and %.3f", got.payoff(), got.homed, limit.payoff(), limit.homed)
 			}
