--- a/front/broker/lead.go
+++ b/front/broker/lead.go
@@ -94,7 +94,7 @@
 	})
 	if len(l.broker.Unheard()) == 0 || now.Sub(l.started) > row.FormerGrant+slots.DefaultGuard {
 		row.Unheard = nil
-		row.Excused = ""
+		row.Waived = ""
 	}
 	l.mustNote = slices.ContainsFunc(members, func(name string) bool {
 		return name != self && slices.Contains(l.row.Members, name)
--- a/front/broker/reports.go
+++ b/front/broker/reports.go
@@ -20,7 +20,7 @@
 		for _, name := range missing {
 			s.askForReport(g, l, name, addresses[name])
 		}
-		s.excuse(l, addresses)
+		s.waive(l, addresses)
 	}
 }
 
@@ -54,15 +54,15 @@
 	l.work(func(now time.Time) []slots.Outcome { return l.broker.TakeReport(r, now) })
 }
 
-// excuse gives up the former broker's report once it has been evicted.
-func (s *Service) excuse(l *lead, addresses map[string]string) {
+// waive gives up the former broker's report once it has been evicted.
+func (s *Service) waive(l *lead, addresses map[string]string) {
 	l.mu.Lock()
-	former := l.row.Excused
+	former := l.row.Waived
 	l.mu.Unlock()
 	if _, listed := addresses[former]; listed || former == "" {
 		return
 	}
-	l.work(func(now time.Time) []slots.Outcome { return l.broker.Excuse(former, now) })
+	l.work(func(now time.Time) []slots.Outcome { return l.broker.WaiveReport(former, now) })
 }
 
 // report answers a new broker.
--- a/front/broker/succession.go
+++ b/front/broker/succession.go
@@ -136,7 +136,7 @@
 	}
 	next.Unheard = union(row.Members, row.Unheard, []string{row.Holder})
 	if !row.Unnoted && len(row.Unheard) == 0 {
-		next.Excused = row.Holder
+		next.Waived = row.Holder
 	}
 	return next
 }
@@ -168,7 +168,7 @@
 	l.close()
 	next := claim(row, successor, row.Members, row.LongestGrant)
 	next.Unheard = l.holders()
-	next.Excused = ""
+	next.Waived = ""
 	s.write(ctx, next)
 	s.tellAll(methodLook)
 }
@@ -193,14 +193,14 @@
 func (s *Service) resume(ctx context.Context, row brokers.Row, l *lead) {
 	next := claim(row, s.fleet.Name(), row.Members, row.LongestGrant)
 	next.Unheard = l.holders()
-	next.Excused = ""
+	next.Waived = ""
 	s.write(ctx, next)
 	s.look()
 }
 
 // sameRow reports whether two rows of one broker say the same.
 func sameRow(a, b brokers.Row) bool {
-	return a.LongestGrant == b.LongestGrant && a.Unnoted == b.Unnoted && a.Excused == b.Excused &&
+	return a.LongestGrant == b.LongestGrant && a.Unnoted == b.Unnoted && a.Waived == b.Waived &&
 		slices.Equal(a.Members, b.Members) && slices.Equal(a.Unheard, b.Unheard)
 }
 
--- a/front/storage/brokers/brokers.go
+++ b/front/storage/brokers/brokers.go
@@ -37,9 +37,9 @@
 	// Unheard are the instances that may hold grants of earlier epochs and
 	// that the holder has not heard yet.
 	Unheard []string `json:"unheard,omitempty"`
-	// Excused is the one among Unheard whose grants all the others know of; it
+	// Waived is the one among Unheard whose grants all the others know of; it
 	// is empty when there is none.
-	Excused string `json:"excused,omitempty"`
+	Waived string `json:"waived,omitempty"`
 	// Version is the row's version in the table, not part of its content.
 	Version uint64 `json:"-"`
 }
--- a/front/storage/shares/agent_test.go
+++ b/front/storage/shares/agent_test.go
@@ -124,7 +124,7 @@
 	})
 }
 
-func TestAGiftWithALostAnswerIsSettled(t *testing.T) {
+func TestATransferWithALostAnswerIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		time.Sleep(settled)
@@ -143,7 +143,7 @@
 	})
 }
 
-func TestAGiftThatNeverArrivedIsSettled(t *testing.T) {
+func TestATransferThatNeverArrivedIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2)
 		time.Sleep(settled)
--- a/front/storage/shares/balance.go
+++ b/front/storage/shares/balance.go
@@ -18,11 +18,11 @@
 
 // change is one write of a team's division.
 type change struct {
-	team  string
-	base  uint64 // version on which the write is conditional
-	gift  limit.Gift
-	moves []share.Move
-	next  share.Division
+	team     string
+	base     uint64 // version on which the write is conditional
+	transfer limit.Transfer
+	moves    []share.Move
+	next     share.Division
 }
 
 // balance makes and writes this instance's changes of all teams.
@@ -84,14 +84,14 @@
 	if a.myTurn(v, self, all, gone) {
 		c.moves = freeParts(v.division, gone, claimants, targets)
 	}
-	a.addGift(c, v, self, claimants, targets)
+	a.addTransfer(c, v, self, claimants, targets)
 	if len(c.moves) == 0 {
 		return nil
 	}
 	next, err := v.division.Apply(c.moves)
 	if err != nil {
 		a.log.WithError(err).WithField("team", v.name).Error("Parts can't be moved.")
-		a.limiter.Release(time.Now(), v.name, c.gift)
+		a.limiter.Release(time.Now(), v.name, c.transfer)
 		return nil
 	}
 	c.next = next
@@ -151,10 +151,10 @@
 	return moves
 }
 
-// addGift sets aside what this instance has too much of, all of it when it is
+// addTransfer sets aside what this instance has too much of, all of it when it is
 // leaving, and adds the moves.
-func (a *Agent) addGift(c *change, v teamView, self identity, claimants []share.Claimant, targets []share.Units) {
-	moves := share.Gift(v.division, self.name, claimants, targets, share.GiftSlack)
+func (a *Agent) addTransfer(c *change, v teamView, self identity, claimants []share.Claimant, targets []share.Units) {
+	moves := share.Transfer(v.division, self.name, claimants, targets, share.TransferSlack)
 	if !isClaimant(claimants, self.name) && len(claimants) > 0 {
 		giveable := a.limiter.Giveable(time.Now(), v.name)
 		moves = share.Hand(v.division, self.name, min(giveable, v.division.Of(self.name)), claimants, targets)
@@ -163,15 +163,15 @@
 	if total == 0 {
 		return
 	}
-	gift, ok := a.limiter.Reserve(time.Now(), v.name, total)
+	transfer, ok := a.limiter.Reserve(time.Now(), v.name, total)
 	if !ok {
 		return
 	}
-	if gift.Version != v.version {
-		a.limiter.Release(time.Now(), v.name, gift)
+	if transfer.Version != v.version {
+		a.limiter.Release(time.Now(), v.name, transfer)
 		return
 	}
-	c.gift = gift
+	c.transfer = transfer
 	c.moves = append(c.moves, moves...)
 }
 
@@ -199,7 +199,7 @@
 	value, err := c.next.Encode()
 	if err != nil {
 		a.log.WithError(err).WithField("team", c.team).Error("Division can't be written.")
-		a.limiter.Release(time.Now(), c.team, c.gift)
+		a.limiter.Release(time.Now(), c.team, c.transfer)
 		return
 	}
 	key := Key(a.settings.Environment, c.team)
@@ -224,7 +224,7 @@
 	}
 }
 
-// keep remembers a change whose outcome is unknown: its gift stays aside.
+// keep remembers a change whose outcome is unknown: its transfer stays aside.
 func (a *Agent) keep(c *change) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -261,7 +261,7 @@
 // next read of the row settles it.
 func (a *Agent) drop(c *change) {
 	if !a.isPending(c) {
-		a.limiter.Release(time.Now(), c.team, c.gift)
+		a.limiter.Release(time.Now(), c.team, c.transfer)
 	}
 	a.forget(c)
 }
--- a/front/storage/shares/messages.go
+++ b/front/storage/shares/messages.go
@@ -58,7 +58,7 @@
 }
 
 // handOver tells those who gained by a written change, and sends them the
-// tokens of the gift.
+// tokens of the transfer.
 func (a *Agent) handOver(c *change, version uint64, self identity) {
 	gained := make(map[string]share.Units)
 	given := make(map[string]share.Units)
@@ -74,7 +74,7 @@
 		}
 		h := limit.Handover{Team: c.team, To: to, Version: version, Owned: c.next.Of(to), Units: units}
 		if given[to] > 0 {
-			h.Tokens = c.gift.TokensFor(given[to])
+			h.Tokens = c.transfer.TokensFor(given[to])
 		}
 		a.notify(to, methodHandover, h)
 	}
--- a/steer/limit/bucket.go
+++ b/steer/limit/bucket.go
@@ -10,14 +10,14 @@
 // Bucket is the token bucket of one team at one instance. It is not safe for
 // concurrent use.
 type Bucket struct {
-	quota   Quota
-	account share.Account
-	tokens  float64
-	last    time.Time
-	demand  demand
-	loans   loanBook
-	gift    Gift   // set aside and not settled
-	gains   []gain // parts that may still be followed by their tokens
+	quota    Quota
+	account  share.Account
+	tokens   float64
+	last     time.Time
+	demand   demand
+	loans    loanBook
+	transfer Transfer // set aside and not settled
+	gains    []gain   // parts that may still be followed by their tokens
 }
 
 // NewBucket returns a bucket without a part and without tokens.
@@ -124,6 +124,6 @@
 	b.account.Reset()
 	b.tokens = 0
 	b.loans = newLoanBook()
-	b.gift = Gift{}
+	b.transfer = Transfer{}
 	b.gains = nil
 }
--- a/steer/limit/limiter.go
+++ b/steer/limit/limiter.go
@@ -168,10 +168,10 @@
 	})
 }
 
-// Reserve sets units of a team aside for a gift that is written on the
-// condition that the row still has the gift's version. It reports whether it
+// Reserve sets units of a team aside for a transfer that is written on the
+// condition that the row still has the transfer's version. It reports whether it
 // could.
-func (l *Limiter) Reserve(now time.Time, team string, units share.Units) (g Gift, ok bool) {
+func (l *Limiter) Reserve(now time.Time, team string, units share.Units) (g Transfer, ok bool) {
 	l.with(team, func(b *Bucket) { g, ok = b.Reserve(now, units) })
 	return g, ok
 }
@@ -186,8 +186,8 @@
 	})
 }
 
-// Release takes back a gift that certainly was not written.
-func (l *Limiter) Release(now time.Time, team string, g Gift) {
+// Release takes back a transfer that certainly was not written.
+func (l *Limiter) Release(now time.Time, team string, g Transfer) {
 	l.with(team, func(b *Bucket) { b.Release(now, g) })
 }
 
--- a/steer/limit/measure_test.go
+++ b/steer/limit/measure_test.go
@@ -238,7 +238,7 @@
 		targets := share.Targets(t.quota.Resource(), row.division, claimants)
 		m.write(row, share.Hand(row.division, "", row.division.Free(), claimants, targets))
 		f.limiter.Observe(m.clock(), 1, t.name, row.version, row.division.Of(f.Name))
-		m.give(f, t, row, share.Gift(row.division, f.Name, claimants, targets, share.GiftSlack))
+		m.give(f, t, row, share.Transfer(row.division, f.Name, claimants, targets, share.TransferSlack))
 	}
 }
 
--- a/steer/limit/quotachange_test.go
+++ b/steer/limit/quotachange_test.go
@@ -40,15 +40,15 @@
 			borrower.Receive(now, loan)
 			return n + spend(borrower, now) + spend(lender, now)
 		}, 12},
-		{"gift that was not written", func() int {
+		{"transfer that was not written", func() int {
 			b := full(share.Whole)
-			gift, ok := b.Reserve(now, half)
+			transfer, ok := b.Reserve(now, half)
 			if !ok {
 				t.Fatal("nothing was set aside")
 			}
 			b.SetQuota(now, lowered)
 			n := spend(b, now)
-			b.Release(now, gift)
+			b.Release(now, transfer)
 			return n + spend(b, now)
 		}, 12},
 		{"loan given back by a borrower with the former quota", func() int {
--- a/steer/limit/safety_test.go
+++ b/steer/limit/safety_test.go
@@ -19,18 +19,18 @@
 // package membership holds; everything else may be lost, late, twice or
 // crossed.
 type fleet struct {
-	now      time.Duration
-	quota    Quota
-	row      share.Division
-	version  uint64
-	nodes    []*instance
-	reads    []read
-	gifts    []gift
-	requests []LoanRequest
-	loans    []Loan
-	returns  []Return
-	hands    []handover
-	inHand   []admitted
+	now       time.Duration
+	quota     Quota
+	row       share.Division
+	version   uint64
+	nodes     []*instance
+	reads     []read
+	transfers []transfer
+	requests  []LoanRequest
+	loans     []Loan
+	returns   []Return
+	hands     []handover
+	inHand    []admitted
 
 	// tokens is the bucket of the whole team: if it ever lacks a token, some
 	// window had more than rate times its length plus the burst.
@@ -55,11 +55,11 @@
 	units   share.Units
 }
 
-type gift struct {
+type transfer struct {
 	from, to *instance
 	epoch    uint64
 	written  bool
-	gift     Gift
+	transfer Transfer
 	moves    []share.Move
 }
 
@@ -125,20 +125,20 @@
 	}
 }
 
-// refuse answers a gift's write with a conflict, which proves that it was not
+// refuse answers a transfer's write with a conflict, which proves that it was not
 // written; the holder reads the row first or afterwards.
-func (f *fleet) refuse(g gift) {
+func (f *fleet) refuse(g transfer) {
 	if g.from.epoch != g.epoch || g.written {
 		return
 	}
 	if f.now%2 == 0 {
 		f.take(f.readRow(g.from))
 	}
-	g.from.limiter.Release(f.clock(g.from), team, g.gift)
+	g.from.limiter.Release(f.clock(g.from), team, g.transfer)
 }
 
-// hand sends the tokens of a gift that was just written.
-func (f *fleet) hand(to *instance, g Gift) {
+// hand sends the tokens of a transfer that was just written.
+func (f *fleet) hand(to *instance, g Transfer) {
 	f.hands = append(f.hands, handover{to: to, epoch: to.epoch, msg: Handover{
 		Team: team, To: f.member(to), Version: f.version, Owned: f.row.Of(f.member(to)), Units: g.Units, Tokens: g.Tokens,
 	}})
@@ -212,27 +212,27 @@
 				n, to := node(t), node(t)
 				units := share.Units(rapid.IntRange(1, 4000).Draw(t, "units"))
 				if g, ok := n.limiter.Reserve(f.clock(n), team, units); ok {
-					f.gifts = append(f.gifts, gift{from: n, epoch: n.epoch, gift: g, to: to, moves: []share.Move{{From: f.member(n), To: f.member(to), Units: units}}})
+					f.transfers = append(f.transfers, transfer{from: n, epoch: n.epoch, transfer: g, to: to, moves: []share.Move{{From: f.member(n), To: f.member(to), Units: units}}})
 				}
 			},
-			"gift is written": func(t *rapid.T) {
-				if len(f.gifts) == 0 {
+			"transfer is written": func(t *rapid.T) {
+				if len(f.transfers) == 0 {
 					return
 				}
-				i := rapid.IntRange(0, len(f.gifts)-1).Draw(t, "gift")
-				g := f.gifts[i]
-				if g.gift.Version != f.version {
+				i := rapid.IntRange(0, len(f.transfers)-1).Draw(t, "transfer")
+				g := f.transfers[i]
+				if g.transfer.Version != f.version {
 					f.refuse(g)
 					return
 				}
 				f.write(g.moves)
-				f.gifts[i].written = true
+				f.transfers[i].written = true
 				if rapid.Bool().Draw(t, "evicted or answered") {
 					f.take(f.readRow(g.from))
 				}
-				f.hand(g.to, g.gift)
+				f.hand(g.to, g.transfer)
 			},
-			"gift with a lost answer": func(t *rapid.T) {
+			"transfer with a lost answer": func(t *rapid.T) {
 				n, to := node(t), node(t)
 				f.reads = append(f.reads, f.readRow(n))
 				units := share.Units(rapid.IntRange(1000, 6000).Draw(t, "units"))
--- a/steer/limit/gift.go
+++ b/steer/limit/transfer.go
@@ -11,8 +11,8 @@
 // gainLife is how long after a gain its tokens may still follow.
 const gainLife = 10 * time.Second
 
-// Gift is a part that is set aside to be given to others for good.
-type Gift struct {
+// Transfer is a part that is set aside to be given to others for good.
+type Transfer struct {
 	// Version is the version of the row on which the write is conditional.
 	Version uint64
 	// Units is the size of the part.
@@ -21,8 +21,8 @@
 	Tokens float64
 }
 
-// TokensFor returns the tokens that go with units of the gift.
-func (g Gift) TokensFor(units share.Units) float64 {
+// TokensFor returns the tokens that go with units of the transfer.
+func (g Transfer) TokensFor(units share.Units) float64 {
 	return g.Tokens * float64(units) / float64(g.Units)
 }
 
@@ -66,31 +66,31 @@
 	}
 }
 
-// Reserve sets units aside for a gift, with their part of the tokens. One gift
+// Reserve sets units aside for a transfer, with their part of the tokens. One transfer
 // at a time can be set aside. It reports whether it could.
-func (b *Bucket) Reserve(now time.Time, units share.Units) (Gift, bool) {
+func (b *Bucket) Reserve(now time.Time, units share.Units) (Transfer, bool) {
 	b.advance(now)
 	usable := b.account.Usable()
 	if !b.account.Reserve(units) {
-		return Gift{}, false
+		return Transfer{}, false
 	}
 	tokens := b.tokens * math.Min(1, float64(units)/float64(usable))
 	b.tokens -= tokens
 	b.gains = nil
-	b.gift = Gift{Version: b.account.Version(), Units: units, Tokens: tokens}
-	return b.gift, true
+	b.transfer = Transfer{Version: b.account.Version(), Units: units, Tokens: tokens}
+	return b.transfer, true
 }
 
-// Release takes back a gift that certainly was not written. It does nothing
-// when the gift is settled already.
-func (b *Bucket) Release(now time.Time, g Gift) {
+// Release takes back a transfer that certainly was not written. It does nothing
+// when the transfer is settled already.
+func (b *Bucket) Release(now time.Time, g Transfer) {
 	b.advance(now)
-	if b.account.Reserved() == 0 || b.gift != g {
+	if b.account.Reserved() == 0 || b.transfer != g {
 		return
 	}
 	b.account.Release()
-	b.gain(b.gift.Tokens, b.gift.Units)
-	b.gift = Gift{}
+	b.gain(b.transfer.Tokens, b.transfer.Units)
+	b.transfer = Transfer{}
 }
 
 // Accept takes in a part and its tokens. What the part has gained since it came
--- a/steer/share/account.go
+++ b/steer/share/account.go
@@ -14,7 +14,7 @@
 	lent     []loan
 	borrowed []loan
 	version  uint64 // version of the row that owned was read from
-	base     uint64 // version of the row that a reserved gift was based on
+	base     uint64 // version of the row that a reserved transfer was based on
 }
 
 type loan struct {
@@ -47,8 +47,8 @@
 func (a *Account) Version() uint64 { return a.version }
 
 // Observe takes in the instance's units as read from the row at version. Older
-// versions are passed over. A newer version settles a reserved gift: the row
-// either has it or, as the gift was conditional on an older version, never
+// versions are passed over. A newer version settles a reserved transfer: the row
+// either has it or, as the transfer was conditional on an older version, never
 // will.
 func (a *Account) Observe(version uint64, owned Units) {
 	if version < a.version || version == 0 {
@@ -61,9 +61,9 @@
 	}
 }
 
-// Reserve sets units aside for a gift that is written on the condition that
+// Reserve sets units aside for a transfer that is written on the condition that
 // the row still has the account's version. It reports whether that many units
-// could be set aside; one gift at a time can be.
+// could be set aside; one transfer at a time can be.
 func (a *Account) Reserve(units Units) bool {
 	if a.reserved > 0 || units <= 0 || units > a.Giveable() {
 		return false
@@ -73,10 +73,10 @@
 	return true
 }
 
-// Release takes back a reserved gift that certainly was not written.
+// Release takes back a reserved transfer that certainly was not written.
 func (a *Account) Release() { a.reserved = 0 }
 
-// Reserved returns the units set aside for a gift.
+// Reserved returns the units set aside for a transfer.
 func (a *Account) Reserved() Units { return a.reserved }
 
 // Lend sets units aside until end.
--- a/steer/share/share_test.go
+++ b/steer/share/share_test.go
@@ -54,12 +54,12 @@
 			}
 		}
 		for _, c := range claimants {
-			after, err := d.Apply(Gift(d, c.Instance, claimants, Targets(Resource{Rate: rate, Holders: 10}, d, drawClaimantsLike(t, claimants)), 1))
+			after, err := d.Apply(Transfer(d, c.Instance, claimants, Targets(Resource{Rate: rate, Holders: 10}, d, drawClaimantsLike(t, claimants)), 1))
 			if err != nil {
 				t.Fatal(err)
 			}
 			if after.Check() != nil || after.Sum() != d.Sum() {
-				t.Fatalf("gift of %s turned %v into %v", c.Instance, d, after)
+				t.Fatalf("transfer of %s turned %v into %v", c.Instance, d, after)
 			}
 			d = after
 		}
@@ -96,11 +96,11 @@
 	}
 }
 
-func TestAccountKeepsAGiftAsideUntilTheRowMoves(t *testing.T) {
+func TestAccountKeepsATransferAsideUntilTheRowMoves(t *testing.T) {
 	var a Account
 	a.Observe(3, 1000)
 	if !a.Reserve(400) || a.Usable() != 600 {
-		t.Fatalf("usable %d after a gift of 400 of 1000", a.Usable())
+		t.Fatalf("usable %d after a transfer of 400 of 1000", a.Usable())
 	}
 	a.Observe(3, 1000) // the row as it was: the write may still arrive
 	if a.Usable() != 600 {
@@ -112,7 +112,7 @@
 	}
 	a.Observe(4, 600)
 	if a.Usable() != 600 || a.Reserved() != 0 {
-		t.Errorf("usable %d, reserved %d after the gift was seen", a.Usable(), a.Reserved())
+		t.Errorf("usable %d, reserved %d after the transfer was seen", a.Usable(), a.Reserved())
 	}
 }
 
--- a/steer/share/targets.go
+++ b/steer/share/targets.go
@@ -157,14 +157,14 @@
 	return moves
 }
 
-// GiftSlack is the difference from its target, in units, that a holder leaves
+// TransferSlack is the difference from its target, in units, that a holder leaves
 // alone.
-const GiftSlack Units = 800
+const TransferSlack Units = 800
 
-// Gift returns the moves by which a holder gives away what it has above its
+// Transfer returns the moves by which a holder gives away what it has above its
 // target. Differences below slack units are left alone, so that noise in the
 // demand moves nothing.
-func Gift(d Division, self string, claimants []Claimant, targets []Units, slack Units) []Move {
+func Transfer(d Division, self string, claimants []Claimant, targets []Units, slack Units) []Move {
 	for i, c := range claimants {
 		if c.Instance != self {
 			continue
--- a/steer/slots/fleet_test.go
+++ b/steer/slots/fleet_test.go
@@ -359,7 +359,7 @@
 				}
 				m.handle(b, func() []Outcome { return b.broker.TakeReport(r, m.now) })
 				if reign > m.settings.LongestGrant+m.settings.Guard {
-					m.handle(b, func() []Outcome { return b.broker.Excuse(former.name, m.now) })
+					m.handle(b, func() []Outcome { return b.broker.WaiveReport(former.name, m.now) })
 				}
 			})
 		})
--- a/steer/slots/recovery.go
+++ b/steer/slots/recovery.go
@@ -65,13 +65,13 @@
 	}}
 }
 
-// Excuse says that an instance will not report, and that all its grants are
+// WaiveReport says that an instance will not report, and that all its grants are
 // known from the reports of the others. It may be called for the former broker
 // alone, because a broker notes its own grants with another instance before it
 // uses them; it has no effect before every other instance has reported. Grants
 // that the former broker held from the broker before it are noted nowhere and
 // must have lapsed.
-func (b *Broker) Excuse(former string, now time.Time) []Outcome {
+func (b *Broker) WaiveReport(former string, now time.Time) []Outcome {
 	if len(b.unheard) != 1 || !b.unheard[former] {
 		return nil
 	}
