--- a/front/cmd/cardamomctl/main.go
+++ b/front/cmd/cardamomctl/main.go
@@ -33,7 +33,7 @@
 	stands.AddCommand(standin.Command())
 	cmd.AddCommand(request.Command(), stands, capacity.Command(), explain.Command(), trace.Command())
 	cmd.AddCommand(fleet.Command(func(store string) fleet.Source {
-		return fleet.Source{Store: platform.NewStore(store), Decoder: platform.Decoder{}}
+		return fleet.Source{Store: platform.NewStore(store), Codec: platform.Codec{}}
 	}))
 	return cmd
 }
--- a/front/gateway/beliefs.go
+++ b/front/gateway/beliefs.go
@@ -16,7 +16,7 @@
 
 // beliefs keeps what this instance holds true of catalog and endpoints.
 type beliefs struct {
-	decoder Decoder
+	codec   Codec
 	placer  *placing.Placer
 	limiter *quota.Limiter
 	client  *endpoint.Client
@@ -35,7 +35,7 @@
 
 func newBeliefs(parts Parts, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, m *moves, log *logrus.Logger) *beliefs {
 	return &beliefs{
-		decoder:  parts.Decoder,
+		codec:    parts.Codec,
 		placer:   p,
 		limiter:  l,
 		client:   c,
@@ -50,17 +50,17 @@
 // seeOperator takes in the operator's table.
 func (b *beliefs) seeOperator(now time.Time, rows map[string]registry.Row) {
 	b.takeCatalog(now, rows)
-	closed := b.decoder.Closed(rows)
+	closed := b.codec.Closed(rows)
 	b.placer.SetClosed(now, closed)
 	b.logClosed(closed)
-	orders, faults := b.decoder.Orders(rows)
+	orders, faults := b.codec.Orders(rows)
 	b.logFaults(faults)
 	b.moves.setOrders(now, orders)
 }
 
 // takeCatalog takes in a catalog that is newer than the one in force.
 func (b *beliefs) takeCatalog(now time.Time, rows map[string]registry.Row) {
-	c, err := b.decoder.Catalog(rows)
+	c, err := b.codec.Catalog(rows)
 	if err != nil {
 		b.log.WithError(err).Error("Catalog can't be read, the last one stays in force.")
 		return
@@ -120,7 +120,7 @@
 	current := make(map[catalog.Incarnation]catalog.Endpoint, len(rows))
 	faulty := make(map[string]uint64)
 	for key, row := range rows {
-		e, err := b.decoder.Endpoint(row, now)
+		e, err := b.codec.Endpoint(row, now)
 		if err != nil {
 			if b.revision[key] != row.Revision {
 				b.log.WithError(err).Warn("Entry passed over.")
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -54,8 +54,8 @@
 type Parts struct {
 	// Store is the shared store.
 	Store Store
-	// Decoder reads its rows.
-	Decoder Decoder
+	// Codec reads its rows.
+	Codec Codec
 	// Callers is the protocol with callers.
 	Callers CallerProtocol
 	// Endpoints is the protocol with endpoints.
@@ -142,7 +142,7 @@
 
 // components returns the background work.
 func (g *Gateway) components(ctx context.Context) ([]func(context.Context) error, error) {
-	operator, endpoints, _ := g.parts.Decoder.Tables()
+	operator, endpoints, _ := g.parts.Codec.Tables()
 	contact := new(registry.Contact)
 	g.moves.reached = contact.Reached
 	var watchers []*registry.Watcher
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -52,9 +52,9 @@
 	Directory(find func(Place) []string, lifetime func() time.Duration) http.Handler
 }
 
-// Decoder turns rows of the store's tables into this project's terms. Faults
+// Codec turns rows of the store's tables into this project's terms and back. Faults
 // concern single rows and leave the others as they are.
-type Decoder interface {
+type Codec interface {
 	// Tables names the tables of operators, endpoints and outcomes of moves.
 	Tables() (operator, endpoints, outcomes string)
 	// Catalog returns the newest catalog, nil when there is none.
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -18,10 +18,10 @@
 
 // moves carries out the operators' orders to move services to new versions.
 type moves struct {
-	store   registry.Store
-	decoder Decoder
-	leads   func() bool // whether this instance records what all decide alike
-	hurry   func()      // tells the other instances at once
+	store registry.Store
+	codec Codec
+	leads func() bool // whether this instance records what all decide alike
+	hurry func()      // tells the other instances at once
 	// reached returns the moment by which the store had reached a revision, the
 	// zero time if that is not known.
 	reached func(revision uint64) time.Time
@@ -42,7 +42,7 @@
 func newMoves(p Parts, log *logrus.Logger) *moves {
 	return &moves{
 		store:    p.Store,
-		decoder:  p.Decoder,
+		codec:    p.Codec,
 		leads:    func() bool { return false },
 		hurry:    func() {},
 		reached:  func(uint64) time.Time { return time.Time{} },
--- a/front/gateway/moves_test.go
+++ b/front/gateway/moves_test.go
@@ -23,14 +23,14 @@
 	tableRecords = "records"
 )
 
-// recordDecoder writes records as "VERSION RESULT".
-type recordDecoder struct{ Decoder }
+// recordCodec writes records as "VERSION RESULT".
+type recordCodec struct{ Codec }
 
-func (recordDecoder) Tables() (operator, endpoints, outcomes string) {
+func (recordCodec) Tables() (operator, endpoints, outcomes string) {
 	return tableOrders, "endpoints", tableRecords
 }
 
-func (recordDecoder) Outcomes(rows map[string]registry.Row) (map[string]catalog.Outcome, []error) {
+func (recordCodec) Outcomes(rows map[string]registry.Row) (map[string]catalog.Outcome, []error) {
 	outcomes := map[string]catalog.Outcome{}
 	for key, row := range rows {
 		to, name, _ := strings.Cut(string(row.Value), " ")
@@ -43,7 +43,7 @@
 	return outcomes, nil
 }
 
-func (recordDecoder) Outcome(service string, o catalog.Outcome) (string, []byte, error) {
+func (recordCodec) Outcome(service string, o catalog.Outcome) (string, []byte, error) {
 	return service, []byte(o.To + " " + o.Result.String()), nil
 }
 
@@ -102,7 +102,7 @@
 func (w *moveWorld) start(i int) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	m := newMoves(Parts{Store: w, Decoder: recordDecoder{}}, log)
+	m := newMoves(Parts{Store: w, Codec: recordCodec{}}, log)
 	m.now = func() time.Time { return w.now }
 	m.leads = func() bool { return w.leading[i] }
 	w.instance[i] = m
@@ -136,7 +136,7 @@
 
 // record returns the record and whether it is about the order in force.
 func (w *moveWorld) record() (catalog.Outcome, bool) {
-	outcomes, _ := recordDecoder{}.Outcomes(w.tables[tableRecords])
+	outcomes, _ := recordCodec{}.Outcomes(w.tables[tableRecords])
 	o, ok := outcomes[movedService]
 	order, ordered := w.order()
 	return o, ok && ordered && o.Revision > order.Revision
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -110,7 +110,7 @@
 func (m *moves) readRecorded(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	_, _, table := m.decoder.Tables()
+	_, _, table := m.codec.Tables()
 	batch, err := m.store.Read(ctx, table)
 	if err != nil {
 		m.log.WithError(err).Warn("Outcomes could not be read.")
@@ -120,7 +120,7 @@
 	for _, row := range batch.Rows {
 		rows[row.Key] = row
 	}
-	outcomes, faults := m.decoder.Outcomes(rows)
+	outcomes, faults := m.codec.Outcomes(rows)
 	for _, fault := range faults {
 		m.log.WithError(fault).Warn("Row passed over.")
 	}
@@ -198,12 +198,12 @@
 	m.mu.Unlock()
 	o := move.Order()
 	fields := logrus.Fields{"service": service, "to": o.To, "result": result.String(), "on_revision": known.Revision, "order": o.Revision}
-	key, value, err := m.decoder.Outcome(service, catalog.Outcome{To: o.To, Result: result})
+	key, value, err := m.codec.Outcome(service, catalog.Outcome{To: o.To, Result: result})
 	if err != nil {
 		m.log.WithError(err).Error("Outcome can't be encoded.")
 		return
 	}
-	operator, _, table := m.decoder.Tables()
+	operator, _, table := m.codec.Tables()
 	row := registry.RowName{Table: table, Key: key}
 	change := registry.Change{
 		Conditions: []registry.Condition{
--- a/front/operator/fleet/snapshot.go
+++ b/front/operator/fleet/snapshot.go
@@ -16,8 +16,8 @@
 type Source struct {
 	// Store is the shared store.
 	Store registry.Store
-	// Decoder reads its rows.
-	Decoder gateway.Decoder
+	// Codec reads its rows.
+	Codec gateway.Codec
 }
 
 // Snapshot is the state of a fleet, each table as of one moment.
@@ -49,7 +49,7 @@
 // Read reads the state of a fleet. Errors: the store's, and a catalog that can't
 // be read.
 func Read(ctx context.Context, s Source) (*Snapshot, error) {
-	operator, endpoints, outcomes := s.Decoder.Tables()
+	operator, endpoints, outcomes := s.Codec.Tables()
 	tables := make(map[string]map[string]registry.Row)
 	for _, table := range []string{operator, endpoints, outcomes, gateway.TableInstances} {
 		batch, err := s.Store.Read(ctx, table)
@@ -62,23 +62,23 @@
 		}
 		tables[table] = rows
 	}
-	c, err := s.Decoder.Catalog(tables[operator])
+	c, err := s.Codec.Catalog(tables[operator])
 	if err != nil {
 		return nil, err
 	}
 	snapshot := &Snapshot{Catalog: c}
-	for domain := range s.Decoder.Closed(tables[operator]) {
+	for domain := range s.Codec.Closed(tables[operator]) {
 		snapshot.Closed = append(snapshot.Closed, domain)
 	}
 	slices.Sort(snapshot.Closed)
-	snapshot.readEndpoints(s.Decoder, tables[endpoints])
-	snapshot.readMoves(s.Decoder, tables[operator], tables[outcomes])
+	snapshot.readEndpoints(s.Codec, tables[endpoints])
+	snapshot.readMoves(s.Codec, tables[operator], tables[outcomes])
 	snapshot.readInstances(tables[gateway.TableInstances])
 	return snapshot, nil
 }
 
 // readEndpoints reads the endpoints' entries.
-func (s *Snapshot) readEndpoints(d gateway.Decoder, rows map[string]registry.Row) {
+func (s *Snapshot) readEndpoints(d gateway.Codec, rows map[string]registry.Row) {
 	now := time.Now()
 	for _, row := range rows {
 		e, err := d.Endpoint(row, now)
@@ -96,7 +96,7 @@
 
 // readMoves reads orders and what is on record of them. A record counts for an
 // order when it names its version and is newer.
-func (s *Snapshot) readMoves(d gateway.Decoder, operator, records map[string]registry.Row) {
+func (s *Snapshot) readMoves(d gateway.Codec, operator, records map[string]registry.Row) {
 	orders, faults := d.Orders(operator)
 	outcomes, more := d.Outcomes(records)
 	s.Faults = append(append(s.Faults, faults...), more...)
