A move that was announced without its beginning is completed

Cause, seen on reading: whoever records a move's outcome waits for its recorded beginning. If an instance of the code before announced it, there is none, and a good move would be taken back at its end. A watcher that is stopped also said that the store was lost.

Change: a reading without the row ends the wait, with a line.

--- a/front/gateway/moves_test.go
+++ b/front/gateway/moves_test.go
@@ -64,7 +64,7 @@
 // moveWorld is some instances that carry out an operator's orders, and the store
 // between them, in virtual time.
 type moveWorld struct {
-	t        *rapid.T
+	t        rapid.TB
 	now      time.Time
 	revision uint64
 	tables   map[string]map[string]registry.Row
@@ -91,8 +91,8 @@
 
 // loneWorld is one instance, which records outcomes or doesn't, and no rapid
 // test.
-func loneWorld(leads bool) *moveWorld {
-	w := &moveWorld{now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
+func loneWorld(t *testing.T, leads bool) *moveWorld {
+	w := &moveWorld{t: t, now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}}
 	w.instance, w.leading = make([]*moves, 1), []bool{leads}
 	w.start(0)
 	return w
@@ -384,10 +384,26 @@
 	})
 }
 
+// A move that was announced without its beginning, by an instance of an older
+// version, is completed all the same.
+func TestAnnouncedWithoutABeginning(t *testing.T) {
+	w := loneWorld(t, true)
+	w.give("v2")
+	w.revision++
+	w.set(tableRecords, movedService, []byte("v2 running"))
+	w.begun = w.now
+	for range int(duration / time.Second) {
+		w.round(nobody)
+	}
+	if known, _ := w.record(); known.Result != catalog.ResultCompleted {
+		t.Errorf("the move ends %s", known.Result)
+	}
+}
+
 // An order of which an instance hears late began when the store had reached its
 // revision, and ends in time by that.
 func TestOrderHeardOfLate(t *testing.T) {
-	w := loneWorld(true)
+	w := loneWorld(t, true)
 	w.give("v2")
 	given := w.now
 	w.instance[0].reached = func(revision uint64) time.Time {
@@ -408,7 +424,7 @@
 // Before the completion no request is sent to an old endpoint for want of room
 // at the new ones, nor sent again there.
 func TestNoWayBackBeforeTheCompletion(t *testing.T) {
-	w := loneWorld(false)
+	w := loneWorld(t, false)
 	w.give("v2")
 	w.see(0)
 	w.step(0)
@@ -431,7 +447,7 @@
 // An instance that has not read the records yet sends nothing new to the
 // version that an order names: the record may say that it was taken back.
 func TestNoNewVersionBeforeTheRecordsAreRead(t *testing.T) {
-	w := loneWorld(false)
+	w := loneWorld(t, false)
 	w.give("v2")
 	w.see(0)
 	m := w.instance[0]
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -134,11 +134,13 @@
 	if !m.leads() {
 		return
 	}
-	wanted := false
+	wanted := make(map[string]*rollout.Move)
 	for service, move := range m.unrecorded() {
-		wanted = wanted || m.announced(service, move) && !m.isPlaced(move)
+		if m.announced(service, move) && !m.isPlaced(move) {
+			wanted[service] = move
+		}
 	}
-	if !wanted {
+	if len(wanted) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -157,6 +159,20 @@
 		}
 		m.place(row.Key, b, clock)
 	}
+	for service, move := range wanted {
+		if !m.isPlaced(move) {
+			// An instance of an older version announced it.
+			m.log.WithField("service", service).Warn("Beginning of the move is not on record.")
+			m.setPlaced(service, move.Order().Revision)
+		}
+	}
+}
+
+// setPlaced notes that no more is to be learned of a move's beginning.
+func (m *moves) setPlaced(service string, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.placed[service] = revision
 }
 
 // place takes in when a move began.
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -182,7 +182,7 @@
 		err := w.step(ctx, returned)
 		pause := w.pause()
 		switch {
-		case err == nil:
+		case err == nil || ctx.Err() != nil:
 		case isClosed(returned):
 			pause = 0
 		default:
