--- a/front/cmd/cardamomfront/gateway.go
+++ b/front/cmd/cardamomfront/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cardamomfront/cardamomfront/front/cmd/internal/hangup"
 	"github.com/cardamomfront/cardamomfront/front/gateway"
 	"github.com/cardamomfront/cardamomfront/platform"
 )
@@ -29,7 +30,6 @@
 		Short: "Run one instance whose endpoints, operators and peers meet in the platform's store",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			hangups := gateway.Hangups()
 			settings, err := gateway.ReadSettings(file)
 			if err != nil {
 				return err
@@ -38,7 +38,7 @@
 				_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
 				return err
 			}
-			return runGateway(cmd.Context(), settings, file, hangups)
+			return runGateway(cmd.Context(), settings, file)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", os.Getenv(settingsVariable), "settings file; by default the one that "+settingsVariable+" names")
@@ -47,12 +47,12 @@
 }
 
 // runGateway runs an instance until ctx ends, and follows its settings file.
-func runGateway(ctx context.Context, s *gateway.Settings, file string, hangups <-chan os.Signal) error {
+func runGateway(ctx context.Context, s *gateway.Settings, file string) error {
 	debug.SetMemoryLimit(memoryLimit)
 	g, err := gateway.New(s, platform.Parts(s.Store), os.Stdout)
 	if err != nil {
 		return err
 	}
-	go g.Follow(ctx, file, hangups)
+	go g.Follow(ctx, file, hangup.C)
 	return g.Run(ctx)
 }
--- a/front/gateway/reload.go
+++ b/front/gateway/reload.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,14 +14,6 @@
 // change without a signal.
 const reloadEvery = 2 * time.Second
 
-// Hangups returns a channel of the SIGHUPs that this process gets. Without it
-// the first one ends the process.
-func Hangups() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
 // Follow takes in changes of the settings file until ctx ends: at once after a
 // hangup, otherwise within reloadEvery.
 func (g *Gateway) Follow(ctx context.Context, file string, hangups <-chan os.Signal) {
--- a/front/gateway/reload_test.go
+++ b/front/gateway/reload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -61,7 +62,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	hangups := Hangups()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangups) })
 	go func() {
 		defer close(done)
 		g.Follow(ctx, file, hangups)
