Quota: a large fleet that hears of other regions late is played

Tried: a fleet of 88 that hears of all others every two seconds while a team begins to send eight times as much; it keeps the bound, so this is not the cause.

--- a/steer/quota/quota_test.go
+++ b/steer/quota/quota_test.go
@@ -26,10 +26,12 @@
 	cut      map[int]bool
 	admitted []time.Time
 	refused  int
+	every    time.Duration // time between two tellings
+	delay    time.Duration // what a word may be old
 }
 
 func newFleet(n int, q Quota) *fleet {
-	f := &fleet{cut: map[int]bool{}}
+	f := &fleet{cut: map[int]bool{}, every: 500 * time.Millisecond, delay: tellDelay}
 	for range n {
 		l := New()
 		l.SetQuotas(start, map[string]Quota{"t": q})
@@ -45,7 +47,7 @@
 		d := a.Demand(now)
 		for j, b := range f.members {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				b.SetOther(fmt.Sprint(i), d, now, tellDelay)
+				b.SetOther(fmt.Sprint(i), d, now, f.delay)
 			}
 		}
 	}
@@ -77,7 +79,7 @@
 func (f *fleet) load(r *rand.Rand, from, to time.Duration, rate float64, pick func() int) {
 	told := from
 	for at := from; at < to; at += time.Duration(r.ExpFloat64() / rate * float64(time.Second)) {
-		for ; told <= at; told += 500 * time.Millisecond {
+		for ; told <= at; told += f.every {
 			f.tell(start.Add(told))
 		}
 		f.ask(pick(), start.Add(at))
@@ -115,6 +117,28 @@
 	}
 }
 
+// In a large fleet instances hear of other regions as sums that are up to two
+// seconds old. A team that begins to send eight times as much is held to its
+// quota all the same.
+func TestQuotaHoldsThoughOthersAreHeardOfLate(t *testing.T) {
+	const (
+		instances = 88
+		sumsEvery = 2 * time.Second
+		sumsDelay = 2200 * time.Millisecond
+	)
+	q := Quota{Rate: 700, Burst: 120}
+	for seed := range uint64(10) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		f := newFleet(instances, q)
+		f.every, f.delay = sumsEvery, sumsDelay
+		f.load(r, 0, 6*time.Second, 440, func() int { return r.IntN(instances) })
+		f.load(r, 6*time.Second, 14*time.Second, 3500, func() int { return r.IntN(instances) })
+		if w := f.worst(q); w > 0 {
+			t.Errorf("seed %d: %.1f over the bound", seed, w)
+		}
+	}
+}
+
 // A team inside its quota is hardly ever refused, though an instance's part is
 // less than a token a second.
 func TestSmallTeamIsNotRefused(t *testing.T) {
