--- a/steer/quota/quota.go
+++ b/steer/quota/quota.go
@@ -87,6 +87,9 @@
 	others  map[string]told
 	fleet   int // instances that hold a part, this one included
 	sources int // how many others' demands make up that of all
+	// nearDelay is how old the word of an instance is at most that is heard of
+	// directly; sums are older.
+	nearDelay time.Duration
 }
 
 // New returns a limiter without quotas, in a fleet of one.
@@ -125,6 +128,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.others[name] = told{demand: d, at: at, delay: delay}
+	l.nearDelay = delay
+	for _, o := range l.others {
+		l.nearDelay = min(l.nearDelay, o.delay)
+	}
 }
 
 // Forget gives up the part of an instance that is gone.
--- a/steer/quota/quota_test.go
+++ b/steer/quota/quota_test.go
@@ -195,3 +195,82 @@
 		t.Errorf("%d after the window, want 0", n)
 	}
 }
+
+// regional is a fleet in regions. Inside one all tell each other twice a second;
+// the sums of the other regions come every two seconds.
+type regional struct {
+	*fleet
+	regions int
+	sums    []Demand // as the other regions have heard them
+}
+
+const (
+	sumsEvery = 2 * time.Second
+	sumsDelay = 2200 * time.Millisecond
+)
+
+// newRegional returns a fleet in regions of the same size.
+func newRegional(regions, perRegion int, q Quota) *regional {
+	f := &regional{fleet: newFleet(regions*perRegion, q), regions: regions}
+	for _, l := range f.members {
+		l.SetFleet(regions*perRegion, perRegion-1+regions-1)
+	}
+	return f
+}
+
+// tell exchanges demands in each region, and at times the sums between them.
+func (f *regional) tell(now time.Time) {
+	all := make([]Demand, len(f.members))
+	fresh := make([]Demand, f.regions)
+	for i, l := range f.members {
+		all[i] = l.Demand(now)
+		if fresh[i%f.regions] == nil {
+			fresh[i%f.regions] = Demand{}
+		}
+		fresh[i%f.regions].Add(all[i])
+	}
+	if now.Sub(start)%sumsEvery == 0 {
+		f.sums = fresh
+	}
+	for i, l := range f.members {
+		for j, d := range all {
+			if i != j && i%f.regions == j%f.regions {
+				l.SetOther(fmt.Sprint(j), d, now, tellDelay)
+			}
+		}
+		if now.Sub(start)%sumsEvery != 0 {
+			continue
+		}
+		for r, sum := range f.sums {
+			if r != i%f.regions {
+				l.SetOther(fmt.Sprint("region ", r), sum, now, sumsDelay)
+			}
+		}
+	}
+}
+
+// A team that begins to send eight times as much everywhere is held to its quota
+// though each instance hears of its own region before it hears of the others.
+func TestQuotaHoldsOverRegions(t *testing.T) {
+	q := Quota{Rate: 700, Burst: 120}
+	for seed := range uint64(5) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		f := newRegional(3, 29, q)
+		const every = 500 * time.Millisecond
+		told := time.Duration(0)
+		for at := time.Duration(0); at < 14*time.Second; {
+			rate := 440.0
+			if at > 6500*time.Millisecond {
+				rate = 3500
+			}
+			for ; told <= at; told += every {
+				f.tell(start.Add(told))
+			}
+			f.ask(r.IntN(len(f.members)), start.Add(at))
+			at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		}
+		if w := f.worst(q); w > 0 {
+			t.Errorf("seed %d: %.1f over the bound", seed, w)
+		}
+	}
+}
