Read-through: one copy of what stood twice, simpler where it was not

- A record concerns its order by one predicate in steer/catalog, not four.
- Settings files are read by one package, front/settings; the gateway's faults name line and column in their own fields as the other instance's do.
- A search holds what one choice of an endpoint needs, in place of eight parameters; the placer's shards are gone through by one function.
- Versions for a try are worked out in one look at the move, with whether a try that finds no room stays.
- A watcher without a contact gets one of its own, which ends three nil checks; the time that the store was away counts from the first call that failed.
- An empty key belongs to nobody by the catalog, not by the handler.
- cardamomctl fleet: a wrong command line has exit code 2, as elsewhere.

Seen and left: the event queue of three tests' models, placing.Outcome beside health.Outcome (other sets), the shapes of errors and meters of the product's own path.

--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -138,7 +138,7 @@
 	}
 	if x.catalog.NeedsKeys() && !x.route.Open {
 		x.team = x.catalog.TeamOfKey(x.caller.Key)
-		if x.team == nil || x.caller.Key == "" {
+		if x.team == nil {
 			return &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
 		}
 	}
--- a/front/gateway/moves.go
+++ b/front/gateway/moves.go
@@ -96,43 +96,40 @@
 	return m.running[service]
 }
 
-// versions says for one request which versions of a service are to be asked,
-// the best first. fresh is false for a request that was tried before.
-func (m *moves) versions(service string, now time.Time, fresh bool) []func(string) bool {
+// versions says for one try which versions of a service are to be asked.
+type versions struct {
+	// order are the versions, the best first; nil stands for all.
+	order []func(string) bool
+	// stay says that a try for which the first have no room goes nowhere else.
+	stay bool
+}
+
+// versions returns the versions for one try. fresh is false for a request that
+// was tried before.
+func (m *moves) versions(service string, now time.Time, fresh bool) versions {
 	m.mu.Lock()
-	move, recorded, ok, loaded := m.running[service], catalog.Outcome{}, false, m.loaded
-	if move == nil {
-		recorded, ok = m.recorded[service]
-	}
+	move, recorded, loaded := m.running[service], m.recorded[service], m.loaded
 	m.mu.Unlock()
 	to, result := recorded.To, recorded.Result
 	if move != nil {
 		to, result = move.Order().To, move.Result()
-		ok = true
-	}
-	if !ok {
-		return []func(string) bool{nil}
 	}
 	isNew := func(v string) bool { return v == to }
 	isOld := func(v string) bool { return v != to }
 	switch {
 	case result == catalog.ResultTakenBack:
-		return []func(string) bool{isOld}
+		return versions{order: []func(string) bool{isOld}}
 	case result == catalog.ResultCompleted:
-		return []func(string) bool{isNew, nil}
+		return versions{order: []func(string) bool{isNew, nil}}
 	case move == nil:
-		return []func(string) bool{nil}
-	case loaded && (fresh && move.TakesNew(now) || move.Closing(now)):
-		return []func(string) bool{isNew, isOld}
+		return versions{order: []func(string) bool{nil}}
+	case loaded && move.Closing(now):
+		// Old endpoints end with the requests that run there.
+		return versions{order: []func(string) bool{isNew, isOld}, stay: true}
+	case loaded && fresh && move.TakesNew(now):
+		return versions{order: []func(string) bool{isNew, isOld}}
 	}
-	return []func(string) bool{isOld, isNew}
-}
-
-// closing says whether requests for a service must wait for room at the new
-// version.
-func (m *moves) closing(service string, now time.Time) bool {
-	move := m.move(service)
-	return move != nil && move.Closing(now)
+	return versions{order: []func(string) bool{isOld, isNew}}
 }
 
 // Run judges the moves and records outcomes until ctx ends. Recording waits for
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -85,9 +85,8 @@
 // pending says whether a move has no final outcome on record. The caller holds
 // mu.
 func (m *moves) pending(service string, move *rollout.Move) bool {
-	r, ok := m.recorded[service]
-	o := move.Order()
-	return !ok || r.To != o.To || r.Revision <= o.Revision || r.Result == catalog.ResultRunning
+	r := m.recorded[service]
+	return !r.Concerns(move.Order()) || r.Result == catalog.ResultRunning
 }
 
 // unrecorded returns the moves without a final outcome on record.
@@ -116,11 +115,7 @@
 		m.log.WithError(err).Warn("Outcomes could not be read.")
 		return
 	}
-	rows := make(map[string]registry.Row, len(batch.Rows))
-	for _, row := range batch.Rows {
-		rows[row.Key] = row
-	}
-	outcomes, faults := m.codec.Outcomes(rows)
+	outcomes, faults := m.codec.Outcomes(batch.ByKey())
 	for _, fault := range faults {
 		m.log.WithError(fault).Warn("Row passed over.")
 	}
@@ -201,9 +196,7 @@
 func (m *moves) announced(service string, move *rollout.Move) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r, ok := m.recorded[service]
-	o := move.Order()
-	return ok && r.To == o.To && r.Revision > o.Revision
+	return m.recorded[service].Concerns(move.Order())
 }
 
 // record writes an outcome on the condition that the record is as it was read
@@ -252,9 +245,7 @@
 // settle applies a recorded outcome to the move that it belongs to. The caller
 // holds mu.
 func (m *moves) settle(move *rollout.Move) {
-	o := move.Order()
-	r, ok := m.recorded[o.Service]
-	if ok && r.To == o.To && r.Revision > o.Revision {
+	if r := m.recorded[move.Order().Service]; r.Concerns(move.Order()) {
 		move.Record(r.Result)
 	}
 }
--- a/front/gateway/reload_test.go
+++ b/front/gateway/reload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/settings"
 )
 
 const settingsText = `
@@ -111,6 +113,17 @@
 	wait(t, "the settings are not in force", func() bool { return g.settings.Load().Grace == 3 })
 }
 
+// A fault in the file of a running instance names its place.
+func TestFaultySettingsNameTheirPlace(t *testing.T) {
+	for _, text := range []string{"name: [", strings.Replace(settingsText, "grace: 6", "grace: -1", 1), settingsText + "unknown: 1\n"} {
+		_, err := DecodeSettings("g.yaml", []byte(text))
+		var fault *settings.Error
+		if !errors.As(err, &fault) || fault.Line == 0 || fault.Column == 0 || !strings.HasPrefix(err.Error(), "g.yaml:") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
 func TestFaultySettingsLeaveTheLastInForce(t *testing.T) {
 	g, file, _ := newFollowed(t)
 	for _, text := range []string{"", "name: [", strings.Replace(settingsText, "grace: 6", "grace: -1", 1), settingsText + "unknown: 1\n"} {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -65,14 +65,14 @@
 		q.Object = x.caller.Object
 	}
 	var err error
-	for _, versions := range s.moves.versions(x.service, now, len(tried) == 0) {
-		q.Versions = versions
+	versions := s.moves.versions(x.service, now, len(tried) == 0)
+	for _, accepts := range versions.order {
+		q.Versions = accepts
 		var choice *placing.Choice
 		if choice, err = s.placer.Choose(now, q); err == nil {
 			return choice, nil
 		}
-		// Old endpoints end with the requests that run there.
-		if isFull(err) && s.moves.closing(x.service, now) {
+		if versions.stay && isFull(err) {
 			break
 		}
 	}
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -1,13 +1,9 @@
 package gateway
 
 import (
-	"fmt"
-	"os"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
-
+	"github.com/cardamomfront/cardamomfront/front/settings"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
@@ -57,40 +53,21 @@
 	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port"`
 }
 
-// SettingsError is a fault in the settings file.
-type SettingsError struct {
-	// File is the path as given.
-	File string
-	// Err says what is wrong, with line and column where there are any.
-	Err error
-}
-
-// Error implements error.
-func (e *SettingsError) Error() string { return fmt.Sprintf("settings %s: %v", e.File, e.Err) }
-
-// Unwrap returns the cause.
-func (e *SettingsError) Unwrap() error { return e.Err }
-
-// ReadSettings reads and checks a settings file. Unknown fields are errors.
-// Errors: *SettingsError.
+// ReadSettings reads and checks a settings file. Errors: *settings.Error.
 func ReadSettings(file string) (*Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return nil, &SettingsError{File: file, Err: err}
+	var s Settings
+	if err := settings.Read(file, &s); err != nil {
+		return nil, err
 	}
-	return DecodeSettings(file, content)
+	return &s, nil
 }
 
 // DecodeSettings decodes and checks the content of a settings file. Errors:
-// *SettingsError.
+// *settings.Error.
 func DecodeSettings(file string, content []byte) (*Settings, error) {
 	var s Settings
-	check := validator.New(validator.WithRequiredStructEnabled())
-	if err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict(), yaml.Validator(check)); err != nil {
-		return nil, &SettingsError{File: file, Err: err}
-	}
-	if err := check.Struct(&s); err != nil {
-		return nil, &SettingsError{File: file, Err: err}
+	if err := settings.Decode(file, content, &s); err != nil {
+		return nil, err
 	}
 	return &s, nil
 }
--- a/front/instance/settings.go
+++ b/front/instance/settings.go
@@ -1,13 +1,7 @@
 package instance
 
 import (
-	"errors"
-	"fmt"
-	"os"
-
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
-
+	"github.com/cardamomfront/cardamomfront/front/settings"
 	"github.com/cardamomfront/cardamomfront/front/storage/configuration"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/document"
@@ -106,25 +100,6 @@
 	Drain document.Duration `yaml:"drain" validate:"gt=0"`
 }
 
-// SettingsError is a fault in the settings file. Its text names file, line and
-// column.
-type SettingsError struct {
-	// File is the path as given.
-	File string
-	// Line and Column count from 1; both are 0 when the fault has no place.
-	Line, Column int
-	// Message says what is wrong.
-	Message string
-}
-
-// Error implements error.
-func (e *SettingsError) Error() string {
-	if e.Line == 0 {
-		return fmt.Sprintf("%s: %s", e.File, e.Message)
-	}
-	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Message)
-}
-
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
@@ -142,45 +117,21 @@
 	}
 }
 
-// ReadSettings reads and checks a settings file. Errors: *SettingsError.
+// ReadSettings reads and checks a settings file. Errors: *settings.Error.
 func ReadSettings(file string) (*Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return nil, &SettingsError{File: file, Message: err.Error()}
+	s := DefaultSettings()
+	if err := settings.Read(file, &s); err != nil {
+		return nil, err
 	}
-	return DecodeSettings(file, content)
+	return &s, nil
 }
 
 // DecodeSettings decodes and checks the content of a settings file. Unknown
-// fields and missing units are errors. Errors: *SettingsError.
+// fields and missing units are errors. Errors: *settings.Error.
 func DecodeSettings(file string, content []byte) (*Settings, error) {
 	s := DefaultSettings()
-	check := validator.New(validator.WithRequiredStructEnabled())
-	err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict(), yaml.Validator(check))
-	if err != nil {
-		return nil, settingsError(file, err)
-	}
-	// The decoder does not check what an empty file or section leaves unset.
-	if err := check.Struct(&s); err != nil {
-		return nil, settingsError(file, err)
+	if err := settings.Decode(file, content, &s); err != nil {
+		return nil, err
 	}
 	return &s, nil
 }
-
-// settingsError gives a decoder's error its place in the file.
-func settingsError(file string, err error) *SettingsError {
-	var unit *document.Error
-	if errors.As(err, &unit) {
-		return &SettingsError{File: file, Line: unit.Line, Column: unit.Column, Message: unit.Message}
-	}
-	placed, ok := err.(yaml.Error) //nolint:errorlint // the decoder returns it unwrapped
-	if !ok {
-		return &SettingsError{File: file, Message: err.Error()}
-	}
-	e := &SettingsError{File: file, Message: placed.GetMessage()}
-	if token := placed.GetToken(); token != nil {
-		e.Line = token.Position.Line
-		e.Column = token.Position.Column
-	}
-	return e
-}
--- a/front/instance/settings_test.go
+++ b/front/instance/settings_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/front/settings"
 )
 
 const goodSettings = `environment: kano-trial
@@ -67,9 +69,9 @@
 				t.Fatal("the case changes nothing")
 			}
 			_, err := DecodeSettings("bad.yaml", []byte(content))
-			var fault *SettingsError
+			var fault *settings.Error
 			if !errors.As(err, &fault) {
-				t.Fatalf("error = %v, want *SettingsError", err)
+				t.Fatalf("error = %v, want *settings.Error", err)
 			}
 			if tt.line != 0 && fault.Line != tt.line || !strings.Contains(fault.Error(), tt.message) {
 				t.Errorf("error %q at line %d, want %q at line %d", fault, fault.Line, tt.message, tt.line)
@@ -84,9 +86,9 @@
 	f.Add([]byte("stop: {announce: 1e99h}"))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		s, err := DecodeSettings("fuzz.yaml", content)
-		var fault *SettingsError
+		var fault *settings.Error
 		if err != nil && !errors.As(err, &fault) {
-			t.Fatalf("error %T is no *SettingsError", err)
+			t.Fatalf("error %T is no *settings.Error", err)
 		}
 		if err == nil && (s.Environment == "" || s.Platform.URL == "") {
 			t.Fatalf("required fields are empty: %+v", s)
--- a/front/operator/fleet/command.go
+++ b/front/operator/fleet/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -9,12 +10,15 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cardamomfront/cardamomfront/front/gateway"
+	"github.com/cardamomfront/cardamomfront/front/operator/command"
 )
 
 // readTimeout bounds the reading of the state: four calls to a store that
 // answers in milliseconds, or in 0.2 s when it is slow.
 const readTimeout = 5 * time.Second
 
+var errNoStore = errors.New("no store: give --store HOST:PORT or --settings FILE")
+
 // flags are those of the subcommands.
 type flags struct {
 	store    string
@@ -59,7 +63,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			host, path, ok := strings.Cut(args[0], "/")
 			if !ok || host == "" {
-				return fmt.Errorf("%q names no host and path, as in app.example/status/7", args[0])
+				return &command.UsageError{Err: fmt.Errorf("%q names no host and path, as in app.example/status/7", args[0])}
 			}
 			s, domains, err := f.read(cmd.Context(), open)
 			if err != nil {
@@ -88,7 +92,7 @@
 		}
 	}
 	if store == "" {
-		return nil, nil, fmt.Errorf("no store: give --store HOST:PORT or --settings FILE")
+		return nil, nil, &command.UsageError{Err: errNoStore}
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/front/operator/fleet/snapshot.go
+++ b/front/operator/fleet/snapshot.go
@@ -56,11 +56,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("table %s: %w", table, err)
 		}
-		rows := make(map[string]registry.Row, len(batch.Rows))
-		for _, row := range batch.Rows {
-			rows[row.Key] = row
-		}
-		tables[table] = rows
+		tables[table] = batch.ByKey()
 	}
 	c, err := s.Codec.Catalog(tables[operator])
 	if err != nil {
@@ -94,17 +90,14 @@
 	})
 }
 
-// readMoves reads orders and what is on record of them. A record counts for an
-// order when it names its version and is newer.
+// readMoves reads orders and what is on record of them.
 func (s *Snapshot) readMoves(d gateway.Codec, operator, records map[string]registry.Row) {
 	orders, faults := d.Orders(operator)
 	outcomes, more := d.Outcomes(records)
 	s.Faults = append(append(s.Faults, faults...), more...)
 	for service, order := range orders {
-		o, ok := outcomes[service]
-		s.Moves = append(s.Moves, Move{
-			Order: order, Recorded: ok && o.To == order.To && o.Revision > order.Revision, Result: o.Result,
-		})
+		o := outcomes[service]
+		s.Moves = append(s.Moves, Move{Order: order, Recorded: o.Concerns(order), Result: o.Result})
 	}
 	slices.SortFunc(s.Moves, func(a, b Move) int { return cmp.Compare(a.Order.Service, b.Order.Service) })
 }
--- a/front/registry/registry.go
+++ b/front/registry/registry.go
@@ -32,6 +32,15 @@
 	Clock time.Duration
 }
 
+// ByKey returns the rows by their keys.
+func (b Batch) ByKey() map[string]Row {
+	rows := make(map[string]Row, len(b.Rows))
+	for _, row := range b.Rows {
+		rows[row.Key] = row
+	}
+	return rows
+}
+
 // RowName names a row.
 type RowName struct {
 	// Table is the name of its table.
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -45,7 +45,8 @@
 	// a break, the zero time when that is not known. It tells an outage of the
 	// store from one of this instance's way there. nil knows nothing.
 	Reachable func() time.Time
-	// Contact is shared by the watchers of one store, nil for none.
+	// Contact is shared by the watchers of one store; nil for a watcher of its
+	// own.
 	Contact *Contact
 }
 
@@ -69,9 +70,6 @@
 
 // note takes in the revision that an answer has shown.
 func (c *Contact) note(revision uint64, at time.Time) {
-	if c == nil {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n := len(c.marks); n > 0 && c.marks[n-1].revision >= revision {
@@ -98,9 +96,6 @@
 
 // next returns a channel that is closed at the store's next return.
 func (c *Contact) next() <-chan struct{} {
-	if c == nil {
-		return nil
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.returned == nil {
@@ -111,9 +106,6 @@
 
 // tell tells of the store's return.
 func (c *Contact) tell() {
-	if c == nil {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.returned != nil {
@@ -132,18 +124,20 @@
 	rows     map[string]Row
 	held     map[string]Row // removals that are held back
 	after    uint64
-	full     bool // the next call reads the whole table
-	answered time.Time
+	full     bool      // the next call reads the whole table
 	lost     time.Time // when the first of the failed calls began
 	returned time.Time // when the store last came back
 	failures int
 	since    atomic.Pointer[time.Time] // since when the store has answered each call
-	heard    atomic.Pointer[time.Time] // answered, for other goroutines
+	heard    atomic.Pointer[time.Time] // when the store last answered
 }
 
 // NewWatcher returns a watcher that gives see all rows after each change. see
 // must not keep or change the map.
 func NewWatcher(r Rule, s Store, see func(time.Time, map[string]Row), log logrus.FieldLogger) *Watcher {
+	if r.Contact == nil {
+		r.Contact = new(Contact)
+	}
 	return &Watcher{
 		rule:  r,
 		store: s,
@@ -244,7 +238,7 @@
 		return err
 	}
 	if w.failures > 0 {
-		w.log.WithFields(logrus.Fields{"away_ms": now.Sub(w.answered).Milliseconds()}).Warn("Store regained.")
+		w.log.WithFields(logrus.Fields{"away_ms": now.Sub(w.lost).Milliseconds()}).Warn("Store regained.")
 		w.returned = now
 		w.failures = 0
 		if now.Sub(w.lost) >= leastAway {
@@ -254,7 +248,6 @@
 	if w.since.Load() == nil {
 		w.since.Store(&now)
 	}
-	w.answered = now
 	w.heard.Store(&now)
 	w.rule.Contact.note(batch.Revision, now)
 	changed := w.take(batch, now)
@@ -293,9 +286,6 @@
 	w.since.Store(nil)
 	if w.failures == 1 {
 		w.lost = begun
-		if w.answered.IsZero() {
-			w.answered = time.Now()
-		}
 		w.log.WithError(err).Warn("Store lost.")
 	}
 	return min(failurePause*time.Duration(w.failures), longestPause)
--- /dev/null
+++ b/front/settings/settings.go
@@ -0,0 +1,73 @@
+// Package settings reads the settings files of processes. Unknown fields are
+// faults, and a fault names file, line and column.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+
+	"github.com/cardamomfront/cardamomfront/steer/document"
+)
+
+// Error is a fault in a settings file. Its text names file, line and column.
+type Error struct {
+	// File is the path as given.
+	File string
+	// Line and Column count from 1; both are 0 when the fault has no place.
+	Line, Column int
+	// Message says what is wrong.
+	Message string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.File, e.Message)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Message)
+}
+
+// Read reads, decodes and checks a settings file, see Decode.
+func Read(file string, into any) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{File: file, Message: err.Error()}
+	}
+	return Decode(file, content, into)
+}
+
+// Decode decodes the content of a settings file into a pointer to a struct, over
+// the defaults that it holds, and checks its "validate" tags. Errors: *Error.
+func Decode(file string, content []byte, into any) error {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	if err := yaml.UnmarshalWithOptions(content, into, yaml.Strict(), yaml.Validator(check)); err != nil {
+		return errorOf(file, err)
+	}
+	// The decoder does not check what an empty file or section leaves unset.
+	if err := check.Struct(into); err != nil {
+		return errorOf(file, err)
+	}
+	return nil
+}
+
+// errorOf gives a decoder's error its place in the file.
+func errorOf(file string, err error) *Error {
+	var unit *document.Error
+	if errors.As(err, &unit) {
+		return &Error{File: file, Line: unit.Line, Column: unit.Column, Message: unit.Message}
+	}
+	placed, ok := err.(yaml.Error) //nolint:errorlint // the decoder returns it unwrapped
+	if !ok {
+		return &Error{File: file, Message: err.Error()}
+	}
+	e := &Error{File: file, Message: placed.GetMessage()}
+	if token := placed.GetToken(); token != nil {
+		e.Line = token.Position.Line
+		e.Column = token.Position.Column
+	}
+	return e
+}
--- a/steer/catalog/catalog.go
+++ b/steer/catalog/catalog.go
@@ -103,7 +103,9 @@
 	c.keys = make(map[string]*Team)
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].Keys {
-			c.keys[key] = &c.Teams[i]
+			if key != "" { // a request without a key has none
+				c.keys[key] = &c.Teams[i]
+			}
 		}
 	}
 	return &c
--- /dev/null
+++ b/steer/catalog/catalog_test.go
@@ -0,0 +1,73 @@
+package catalog
+
+import "testing"
+
+func TestRouteWithTheLongestPrefix(t *testing.T) {
+	c := New(Catalog{Routes: []Route{
+		{Name: "all", Host: "app.example", Prefix: "/"},
+		{Name: "part", Host: "app.example", Prefix: "/part/"},
+		{Name: "other", Host: "other.example", Prefix: "/part/"},
+	}})
+	for _, x := range []struct{ host, path, want string }{
+		{"app.example", "/x", "all"},
+		{"APP.example", "/part/x", "part"},
+		{"app.example", "/part", "all"},
+		{"other.example", "/x", ""},
+		{"none.example", "/", ""},
+	} {
+		got := ""
+		if r := c.Route(x.host, x.path); r != nil {
+			got = r.Name
+		}
+		if got != x.want {
+			t.Errorf("%s%s: route %q, want %q", x.host, x.path, got, x.want)
+		}
+	}
+}
+
+// A request without a key belongs to no team, whatever a team's keys are.
+func TestEmptyKeyBelongsToNobody(t *testing.T) {
+	c := New(Catalog{Teams: []Team{{Name: "a", Keys: []string{"", "k"}}}})
+	if team := c.TeamOfKey(""); team != nil {
+		t.Errorf("team %s", team.Name)
+	}
+	if team := c.TeamOfKey("k"); team == nil || team.Name != "a" {
+		t.Errorf("team %v", team)
+	}
+}
+
+func TestRecordConcernsItsOrder(t *testing.T) {
+	o := Order{To: "v2", Revision: 5}
+	for _, x := range []struct {
+		record Outcome
+		want   bool
+	}{
+		{Outcome{To: "v2", Revision: 6}, true},
+		{Outcome{To: "v3", Revision: 6}, false},
+		{Outcome{To: "v2", Revision: 4}, false},
+		{Outcome{}, false},
+	} {
+		if got := x.record.Concerns(o); got != x.want {
+			t.Errorf("%+v: %t", x.record, got)
+		}
+	}
+}
+
+func TestHomesOfRouteAndTeam(t *testing.T) {
+	for _, x := range []struct {
+		route, team []string
+		want        int
+		ok          bool
+	}{
+		{nil, nil, 0, true},
+		{[]string{"a"}, nil, 1, true},
+		{nil, []string{"a", "b"}, 2, true},
+		{[]string{"a", "b"}, []string{"b", "c"}, 1, true},
+		{[]string{"a"}, []string{"b"}, 0, false},
+	} {
+		homes, ok := Homes(&Route{HomeRegions: x.route}, &Team{HomeRegions: x.team})
+		if len(homes) != x.want || ok != x.ok {
+			t.Errorf("%v and %v: %v, %t", x.route, x.team, homes, ok)
+		}
+	}
+}
--- a/steer/catalog/endpoint.go
+++ b/steer/catalog/endpoint.go
@@ -89,3 +89,7 @@
 	// Revision is the version of the record; 0 when there is none.
 	Revision uint64
 }
+
+// Concerns says whether the record is about an order: it names its version and
+// is newer.
+func (r Outcome) Concerns(o Order) bool { return r.To == o.To && r.Revision > o.Revision }
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -19,6 +19,19 @@
 	trip     float64
 }
 
+// search is the choice of an endpoint for one try.
+type search struct {
+	*Placer
+	group  *group
+	demand *demand
+	query  Query
+	work   *work
+	object uint64               // the hash of the query's
+	homes  map[string]*endpoint // the object's, by region
+	prices map[string]float64   // of a second of a slot, by region
+	now    time.Time
+}
+
 // Choose returns the endpoint with the earliest expected answer. Errors:
 // *Refusal.
 func (p *Placer) Choose(now time.Time, q Query) (*Choice, error) {
@@ -30,15 +43,17 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := g.workOf(q)
-	object := xxhash.Sum64String(q.Object)
-	homes := p.homesOf(g, q, object)
 	d := g.demand(q)
 	p.ask(g, d, q, now)
-	best, count, full := p.best(g, q, w, object, homes, now)
+	object := xxhash.Sum64String(q.Object)
+	s := &search{
+		Placer: p, group: g, demand: d, query: q, work: g.workOf(q), object: object,
+		homes: p.homesOf(g, q, object), prices: make(map[string]float64, len(p.trips)+1), now: now,
+	}
+	best, count, full := s.best()
 	if best.e == nil {
 		d.took(full, p.rules)
-		return nil, noCandidate(w, full, d.busy)
+		return nil, s.noCandidate(full)
 	}
 	late := best.late(q, d.scarcity(p.rules))
 	d.took(late > 0, p.rules)
@@ -48,7 +63,7 @@
 			Wait: seconds(best.wait), Known: best.warmth.String(), Candidates: count, Busy: d.busy,
 		}
 	}
-	return p.reserve(g, q, best, object, count, now), nil
+	return s.reserve(best, count), nil
 }
 
 // late returns by how many seconds a candidate's answer would come too late to
@@ -76,11 +91,11 @@
 const lateGoalPart = 2
 
 // noCandidate says why nothing could be chosen.
-func noCandidate(w *work, full bool, busy float64) *Refusal {
-	r := &Refusal{Reason: ReasonNoEndpoint, Busy: busy}
+func (s *search) noCandidate(full bool) *Refusal {
+	r := &Refusal{Reason: ReasonNoEndpoint, Busy: s.demand.busy}
 	if full {
 		r.Reason = ReasonNoRoom
-		r.Retry = seconds(w.mean[warmthWarm])
+		r.Retry = seconds(s.work.mean[warmthWarm])
 	}
 	return r
 }
@@ -119,31 +134,21 @@
 
 // best returns the candidate with the earliest expected answer, how many there
 // were, and whether others had no room.
-func (p *Placer) best(g *group, q Query, w *work, object uint64, homes map[string]*endpoint, now time.Time) (best candidate, count int, full bool) {
-	usual := p.price(g.demand(q).busy)
-	prices := make(map[string]float64, len(p.trips)+1)
-	for _, e := range g.ordered {
-		if !p.allowed(e, q) {
+func (s *search) best() (best candidate, count int, full bool) {
+	for _, e := range s.group.ordered {
+		if !s.allowed(e, s.query) {
 			continue
 		}
-		if !p.hasRoom(e, q, now) {
+		if !s.hasRoom(e, s.query, s.now) {
 			full = true
 			continue
 		}
 		count++
-		known := warmthCold
-		if q.Object != "" {
-			known = e.knows(object, homes[e.region] == e, now, p.rules)
-		}
-		price, ok := prices[e.region]
-		if !ok {
-			price = max(usual, p.reserved(g, e.region))
-			prices[e.region] = price
-		}
-		c := p.expect(g, e, w, known, price, now)
-		if known == warmthHome && !e.used && !e.cold(now) {
+		known := s.known(e)
+		c := s.expect(e, known)
+		if known == warmthHome && !e.used && !e.cold(s.now) {
 			// Somebody has to be the first at an endpoint that has joined.
-			c.score = p.expect(g, e, w, warmthWarm, price, now).score - joinBonus.Seconds()
+			c.score = s.expect(e, warmthWarm).score - joinBonus.Seconds()
 		}
 		if best.e == nil || c.score < best.score {
 			best = c
@@ -152,32 +157,50 @@
 	return best, count, full
 }
 
+// known returns what is known of the object at an endpoint.
+func (s *search) known(e *endpoint) warmth {
+	if s.query.Object == "" {
+		return warmthCold
+	}
+	return e.knows(s.object, s.homes[e.region] == e, s.now, s.rules)
+}
+
+// priceIn returns the price of a second of a slot in a region.
+func (s *search) priceIn(region string) float64 {
+	price, ok := s.prices[region]
+	if !ok {
+		price = max(s.price(s.demand.busy), s.reserved(s.group, region))
+		s.prices[region] = price
+	}
+	return price
+}
+
 // joinBonus makes up for the way to an endpoint in another failure domain of the
 // region.
 const joinBonus = 2 * sameRegionTrip
 
 // expect works out when an answer is to be expected from an endpoint.
-func (p *Placer) expect(g *group, e *endpoint, w *work, known warmth, price float64, now time.Time) candidate {
-	e.decay(now, p.rules.Forget)
-	c := candidate{e: e, warmth: known, trip: p.trip(e)}
-	slowness := e.slowness(now, w.mean[warmthCold])
-	service := w.mean[known] * slowness
-	if e.cold(now) {
-		service *= p.rules.ColdSlowdown
-	}
-	if waiting := e.running(now, p.rules) - e.Slots + 1; waiting > 0 {
-		c.wait = float64(waiting) / float64(max(1, e.Slots)) * g.slot * slowness
-	}
-	c.plain = c.wait == 0 && !e.cold(now)
+func (s *search) expect(e *endpoint, known warmth) candidate {
+	e.decay(s.now, s.rules.Forget)
+	c := candidate{e: e, warmth: known, trip: s.trip(e)}
+	slowness := e.slowness(s.now, s.work.mean[warmthCold])
+	service := s.work.mean[known] * slowness
+	if e.cold(s.now) {
+		service *= s.rules.ColdSlowdown
+	}
+	if waiting := e.running(s.now, s.rules) - e.Slots + 1; waiting > 0 {
+		c.wait = float64(waiting) / float64(max(1, e.Slots)) * s.group.slot * slowness
+	}
+	c.plain = c.wait == 0 && !e.cold(s.now)
 	c.expected = c.trip + c.wait + service
 	c.usual = c.trip + (c.wait+service)/slowness
-	c.soonest = c.trip + c.wait + w.mean[warmthWarm]
-	c.score = c.expected + price*service + e.failures*p.rules.FailureCost.Seconds()
+	c.soonest = c.trip + c.wait + s.work.mean[warmthWarm]
+	c.score = c.expected + s.priceIn(e.region)*service + e.failures*s.rules.FailureCost.Seconds()
 	return c
 }
 
 // reserve notes that a request goes to the candidate.
-func (p *Placer) reserve(g *group, q Query, c candidate, object uint64, count int, now time.Time) *Choice {
+func (s *search) reserve(c candidate, count int) *Choice {
 	choice := &Choice{
 		Endpoint:   c.e.Endpoint,
 		Region:     c.e.region,
@@ -185,25 +208,25 @@
 		Usual:      seconds(c.usual),
 		Wait:       seconds(c.wait),
 		Known:      c.warmth.String(),
-		Running:    c.e.running(now, p.rules),
+		Running:    c.e.running(s.now, s.rules),
 		Candidates: count,
-		group:      g,
+		group:      s.group,
 		state:      c.e,
-		route:      q.Route,
+		route:      s.query.Route,
 		warmth:     c.warmth,
-		start:      now,
+		start:      s.now,
 		plain:      c.plain,
 		trip:       c.trip,
 	}
-	if c.e.cold(now) {
-		rate, _ := p.coldRate(c.e, q.Service)
-		c.e.takeCold(now, rate)
+	if c.e.cold(s.now) {
+		rate, _ := s.coldRate(c.e, s.query.Service)
+		c.e.takeCold(s.now, rate)
 	}
-	if q.Object != "" && c.e.remember(object, now, p.rules) {
-		g.note(Warmed{Endpoint: c.e.Incarnation(), Object: object}, now)
+	if s.query.Object != "" && c.e.remember(s.object, s.now, s.rules) {
+		s.group.note(Warmed{Endpoint: c.e.Incarnation(), Object: s.object}, s.now)
 	}
 	c.e.used = true
-	c.e.started(now)
+	c.e.started(s.now)
 	return choice
 }
 
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -96,18 +96,14 @@
 
 // Loads returns the endpoints at which this instance has requests.
 func (p *Placer) Loads() []Load {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
 	var loads []Load
-	for _, g := range p.groups {
-		g.mu.Lock()
+	p.eachGroup(func(_ string, g *group) {
 		for in, e := range g.endpoints {
 			if len(e.starts) > 0 {
 				loads = append(loads, Load{Endpoint: in, Running: len(e.starts)})
 			}
 		}
-		g.mu.Unlock()
-	}
+	})
 	return loads
 }
 
@@ -117,18 +113,14 @@
 	for _, l := range loads {
 		running[l.Endpoint] = l.Running
 	}
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	for _, g := range p.groups {
-		g.mu.Lock()
+	p.eachGroup(func(_ string, g *group) {
 		for in, e := range g.endpoints {
 			delete(e.others, instance)
 			if n := running[in]; n > 0 {
 				e.others[instance] = n
 			}
 		}
-		g.mu.Unlock()
-	}
+	})
 }
 
 // String names the outcome for logs and metrics.
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -182,6 +182,17 @@
 	e.Endpoint = entry
 }
 
+// eachGroup calls f with each shard, locked.
+func (p *Placer) eachGroup(f func(service string, g *group)) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for service, g := range p.groups {
+		g.mu.Lock()
+		f(service, g)
+		g.mu.Unlock()
+	}
+}
+
 // group returns the shard of a service, or nil.
 func (p *Placer) group(service string) *group { return p.groups[service] }
 
--- /dev/null
+++ b/steer/placing/policies_test.go
@@ -0,0 +1,178 @@
+package placing
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// placed is the policy of this package: one Placer for each instance.
+type placed struct{ placers []*Placer }
+
+func newPlaced(m *model) *placed {
+	p := &placed{}
+	regions := map[string]string{}
+	for _, r := range m.regions {
+		regions[r.name] = r.name
+	}
+	var all []catalog.Endpoint
+	for _, e := range m.endpoints {
+		all = append(all, e.Endpoint)
+	}
+	for _, i := range m.instances {
+		placer := New(DefaultRules(), Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
+		placer.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdRate: 5}})
+		placer.SetFleet(m.instances)
+		placer.Update(epoch, all)
+		for _, r := range m.regions {
+			placer.SetTrip(r.name, farTrip)
+		}
+		p.placers = append(p.placers, placer)
+	}
+	return p
+}
+
+func (p *placed) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
+	q := Query{
+		Service: "s", Route: "r", Object: fmt.Sprint(r.object), Goal: m.goal,
+		GoalLeft: m.goal - (m.now - r.first), Limit: m.limit - (m.now - r.first),
+	}
+	if r.homed {
+		q.Homes = []string{m.regions[0].name}
+	}
+	c, err := p.placers[r.instance].Choose(m.clock(), q)
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal.Retry
+	}
+	r.choice = c
+	for _, e := range m.endpoints {
+		if e.ID == c.Endpoint.ID {
+			return e, 0
+		}
+	}
+	return nil, 0
+}
+
+func (p *placed) done(m *model, r *modelRequest, o Outcome) {
+	p.placers[r.instance].Done(m.clock(), r.choice, o, m.now-r.sentAt, r.at.running+len(r.at.waiting))
+}
+
+func (p *placed) tell(m *model) {
+	for i, from := range p.placers {
+		loads, warmed := from.Loads(), from.Warmed(m.clock())
+		for j, to := range p.placers {
+			if i == j {
+				continue
+			}
+			to.SetOthers(m.instances[i].Name, loads)
+			if m.instances[i].Region == m.instances[j].Region {
+				to.TakeWarmed(m.clock(), warmed)
+			}
+		}
+	}
+}
+
+// pick is a policy without memory.
+type pick func(m *model, r *modelRequest) *modelEndpoint
+
+func (p pick) choose(m *model, r *modelRequest) (*modelEndpoint, time.Duration) {
+	e := p(m, r)
+	return e, m.warm / 2
+}
+func (pick) done(*model, *modelRequest, Outcome) {}
+func (pick) tell(*model)                         {}
+
+// possible returns the endpoints that may serve a request.
+func possible(m *model, r *modelRequest) []*modelEndpoint {
+	return slices.DeleteFunc(slices.Clone(m.endpoints), func(e *modelEndpoint) bool { return !m.allowed(e, r) })
+}
+
+// anyOf returns one of them.
+func anyOf(m *model, r *modelRequest) *modelEndpoint {
+	all := possible(m, r)
+	return all[m.r.IntN(len(all))]
+}
+
+// near returns those of the request's region, or all if there are none.
+func near(m *model, r *modelRequest) []*modelEndpoint {
+	all := possible(m, r)
+	own := slices.DeleteFunc(slices.Clone(all), func(e *modelEndpoint) bool { return e.region != m.regions[r.region].name })
+	if len(own) == 0 {
+		return all
+	}
+	return own
+}
+
+// baselines are the policies to compare with. All but the last know only what
+// every load balancer knows; their loads are those of this moment.
+var baselines = map[string]pick{
+	"random":                anyOf,
+	"least in flight, near": func(m *model, r *modelRequest) *modelEndpoint { return least(near(m, r)) },
+	"power of two choices": func(m *model, r *modelRequest) *modelEndpoint {
+		return least([]*modelEndpoint{anyOf(m, r), anyOf(m, r)})
+	},
+	"slots without objects": func(m *model, r *modelRequest) *modelEndpoint {
+		if e := least(possible(m, r)); e.sent < m.slots {
+			return e
+		}
+		return nil
+	},
+	"rendezvous": func(m *model, r *modelRequest) *modelEndpoint { return rendezvous(possible(m, r), r.object) },
+	"rendezvous, near": func(m *model, r *modelRequest) *modelEndpoint {
+		return rendezvous(near(m, r), r.object)
+	},
+}
+
+func least(all []*modelEndpoint) *modelEndpoint {
+	return slices.MinFunc(all, func(a, b *modelEndpoint) int { return cmp.Compare(a.sent, b.sent) })
+}
+
+func rendezvous(all []*modelEndpoint, object int) *modelEndpoint {
+	return slices.MaxFunc(all, func(a, b *modelEndpoint) int {
+		return cmp.Compare(mix(uint64(len(a.ID))*31+hashOf(a.ID), uint64(object)), mix(uint64(len(b.ID))*31+hashOf(b.ID), uint64(object)))
+	})
+}
+
+func hashOf(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(s) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+// allKnowing sees at once what each endpoint has and knows, and refuses what
+// would be late for its queue alone.
+func allKnowing(m *model, r *modelRequest) *modelEndpoint {
+	var best *modelEndpoint
+	var soonest time.Duration
+	for _, e := range m.endpoints {
+		if !m.allowed(e, r) {
+			continue
+		}
+		d := m.cold
+		if slices.Contains(e.known, r.object) {
+			d = m.warm
+		}
+		trip := farTrip
+		if e.region == m.regions[r.region].name {
+			trip = nearTrip
+		}
+		wait := time.Duration(0)
+		if over := e.sent - m.slots + 1; over > 0 {
+			wait = m.warm * time.Duration(over) / time.Duration(m.slots)
+		}
+		if at := trip + wait + d; best == nil || at < soonest {
+			best, soonest = e, at
+		}
+	}
+	if best.sent >= m.slots && m.now-r.first+soonest > m.goal {
+		return nil
+	}
+	return best
+}
--- a/steer/placing/use.go
+++ b/steer/placing/use.go
@@ -21,11 +21,8 @@
 
 // Uses returns the use of each service's endpoints.
 func (p *Placer) Uses(now time.Time) []Use {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
 	var uses []Use
-	for service, g := range p.groups {
-		g.mu.Lock()
+	p.eachGroup(func(service string, g *group) {
 		u := Use{Service: service}
 		for _, e := range g.ordered {
 			if p.closed[e.FailureDomain] {
@@ -41,8 +38,7 @@
 				u.Cold++
 			}
 		}
-		g.mu.Unlock()
 		uses = append(uses, u)
-	}
+	})
 	return uses
 }
--- a/steer/placing/warmed.go
+++ b/steer/placing/warmed.go
@@ -34,32 +34,24 @@
 // Warmed returns the objects that this instance has sent to endpoints of late,
 // for the other instances of the region.
 func (p *Placer) Warmed(now time.Time) []Warmed {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
 	var all []Warmed
-	for _, g := range p.groups {
-		g.mu.Lock()
+	p.eachGroup(func(_ string, g *group) {
 		for _, n := range g.news {
 			if now.Sub(n.at) <= newsFor {
 				all = append(all, n.Warmed)
 			}
 		}
-		g.mu.Unlock()
-	}
+	})
 	return all
 }
 
 // TakeWarmed takes in what another instance has sent.
 func (p *Placer) TakeWarmed(now time.Time, all []Warmed) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	for _, g := range p.groups {
-		g.mu.Lock()
+	p.eachGroup(func(_ string, g *group) {
 		for _, w := range all {
 			if e := g.endpoints[w.Endpoint]; e != nil {
 				e.remember(w.Object, now, p.rules)
 			}
 		}
-		g.mu.Unlock()
-	}
+	})
 }
