--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -1,21 +1,14 @@
 package gateway
 
 import (
-	"bytes"
-	"context"
-	"errors"
-	"io"
-	"math"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
@@ -165,166 +158,3 @@
 	x.log = x.log.WithFields(logrus.Fields{"part": d.Part, "tokens": d.Tokens})
 	return &refusal{status: http.StatusTooManyRequests, reason: reasonQuota, retry: d.RetryAfter}
 }
-
-// holdBody reads the body, unless it is too large to be held.
-func (h *handler) holdBody(x *exchange) *refusal {
-	r := x.request
-	most := x.catalog.MaxBody
-	if most <= 0 {
-		most = defaultMaxBody
-	}
-	if r.ContentLength > most {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge}
-	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	if r.ContentLength > heldBodyBytes {
-		x.streamed = true
-		return nil
-	}
-	held, err := io.ReadAll(io.LimitReader(r.Body, heldBodyBytes+1))
-	switch {
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: reasonBody, err: err}
-	case len(held) > heldBodyBytes:
-		x.streamed = true
-		r.Body = http.MaxBytesReader(nil, joined{io.MultiReader(bytes.NewReader(held), r.Body), r.Body}, most)
-		return nil
-	}
-	x.body = held
-	return nil
-}
-
-// joined is a body of which a part was read before.
-type joined struct {
-	io.Reader
-	io.Closer
-}
-
-// outgoing returns the caller's request for one try.
-func (x *exchange) outgoing() *http.Request {
-	if x.streamed {
-		return x.request
-	}
-	r := *x.request
-	r.Body = http.NoBody
-	r.ContentLength = int64(len(x.body))
-	if len(x.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(x.body))
-	}
-	return &r
-}
-
-// heldAnswer is an endpoint's answer.
-type heldAnswer struct {
-	*endpoint.Answer
-	body    []byte // the whole body, when whole
-	whole   bool
-	release func() // ends the exchange of an answer that is not whole
-}
-
-// pass passes an answer on to the caller.
-func (h *handler) pass(w http.ResponseWriter, x *exchange, a *heldAnswer) {
-	header := w.Header()
-	for name, values := range a.Header {
-		header[name] = values
-	}
-	h.metrics.answered(x, a.Status)
-	if a.whole {
-		if x.request.Method != http.MethodHead {
-			a.ContentLength = int64(len(a.body))
-		}
-		if a.ContentLength >= 0 && hasBody(a.Status) {
-			header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
-		}
-		w.WriteHeader(a.Status)
-		if _, err := w.Write(a.body); err != nil {
-			x.log.WithError(err).Info("Caller left before its answer.")
-		}
-		return
-	}
-	defer a.release()
-	defer func() { _ = a.Body.Close() }()
-	if a.ContentLength >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
-	}
-	w.WriteHeader(a.Status)
-	_, err := w.Write(a.body)
-	if err == nil {
-		_, err = io.Copy(w, a.Body)
-	}
-	if err != nil {
-		x.log.WithError(err).Warn("Answer cut short.")
-		// Only a closed connection tells the caller that this is not the whole.
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// hasBody says whether an answer with a status may have a body (RFC 9110, 6.4.1).
-func hasBody(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
-// hold reads an answer's body, unless it is too large to be held. Errors:
-// *endpoint.Error.
-func hold(a *endpoint.Answer) (*heldAnswer, error) {
-	if a.ContentLength > heldAnswerBytes {
-		return &heldAnswer{Answer: a}, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, heldAnswerBytes+1))
-	if err != nil {
-		_ = a.Body.Close()
-		return nil, err
-	}
-	if len(body) > heldAnswerBytes {
-		return &heldAnswer{Answer: a, body: body}, nil
-	}
-	return &heldAnswer{Answer: a, body: body, whole: true}, a.Body.Close()
-}
-
-// refuse answers a request that was not served.
-func (h *handler) refuse(w http.ResponseWriter, x *exchange, r *refusal) {
-	h.metrics.refused(x, r)
-	h.logRefusal(x, r)
-	if errors.Is(x.request.Context().Err(), context.Canceled) {
-		panic(http.ErrAbortHandler) // nobody is there to read an answer
-	}
-	h.protocol.Identify(w.Header(), x.caller.ID)
-	if r.retry > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(r.retry.Seconds(), 'f', 3, 64))
-	}
-	w.WriteHeader(r.status)
-}
-
-// logRefusal logs a refusal with what decided it.
-func (h *handler) logRefusal(x *exchange, r *refusal) {
-	if !x.kept && !h.lines.failure(time.Now()) {
-		return
-	}
-	fields := logrus.Fields{
-		"reason": r.reason, "status": r.status, "verdict": x.verdict.String(),
-		"tries": x.tries, "ms": time.Since(x.arrived).Milliseconds(), "team": x.teamName(),
-	}
-	if x.route != nil {
-		fields["route"] = x.route.Name
-		fields["catalog"] = x.catalog.Version
-	}
-	if x.service != "" {
-		fields["service"] = x.service
-		fields["object"] = x.caller.Object
-	}
-	if p := r.placing; p != nil {
-		fields["expected_ms"], fields["wait_ms"] = p.Expected.Milliseconds(), p.Wait.Milliseconds()
-		fields["candidates"], fields["busy"] = p.Candidates, math.Round(100*p.Busy)/100
-		fields["known"], fields["endpoint"] = p.Known, p.Best
-	}
-	if r.retry > 0 {
-		fields["retry_ms"] = r.retry.Milliseconds()
-	}
-	entry := x.log.WithFields(fields)
-	if r.err != nil {
-		entry = entry.WithError(r.err)
-	}
-	entry.Info("Request refused.")
-}
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -206,40 +206,50 @@
 	known, clock := m.recorded[service], m.clock
 	m.mu.Unlock()
 	o := move.Order()
-	fields := logrus.Fields{"service": service, "to": o.To, "result": result.String(), "on_revision": known.Revision, "order": o.Revision}
-	key, value, err := m.codec.Outcome(service, catalog.Outcome{To: o.To, Result: result})
+	log := m.log.WithFields(logrus.Fields{"service": service, "to": o.To, "result": result.String(), "on_revision": known.Revision, "order": o.Revision})
+	change, err := m.changeTo(service, o, catalog.Outcome{To: o.To, Result: result, Revision: known.Revision})
+	if err == nil && result == catalog.ResultRunning {
+		err = addBeginning(&change, service, beginning{Order: o.Revision, BegunMS: clock.of(move.Beginning()).Milliseconds()})
+	}
 	if err != nil {
-		m.log.WithError(err).Error("Outcome can't be encoded.")
+		log.WithError(err).Error("Outcome can't be encoded.")
 		return
 	}
-	operator, _, table := m.codec.Tables()
-	row := registry.RowName{Table: table, Key: key}
-	change := registry.Change{
-		Conditions: []registry.Condition{
-			{RowName: row, Revision: known.Revision},
-			{RowName: registry.RowName{Table: operator, Key: o.Key}, Revision: o.Revision},
-		},
-		Rows: []registry.NewRow{{RowName: row, Value: value}},
-	}
-	if result == catalog.ResultRunning {
-		text, err := json.Marshal(beginning{Order: o.Revision, BegunMS: clock.of(move.Beginning()).Milliseconds()})
-		if err != nil {
-			m.log.WithError(err).Error("Beginning can't be encoded.")
-			return
-		}
-		change.Rows = append(change.Rows, registry.NewRow{RowName: registry.RowName{Table: tableMoves, Key: service}, Value: text})
-	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	err = m.store.Write(ctx, change)
 	var conflict *registry.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		m.log.WithError(err).WithFields(fields).Warn("Outcome could not be recorded.")
+	switch {
+	case err == nil:
+		log.Info("Outcome written.")
+	case !errors.As(err, &conflict):
+		log.WithError(err).Warn("Outcome could not be recorded.")
 	}
+	m.readRecorded(ctx)
+}
+
+// changeTo returns the change of the record from the revision that an outcome
+// names.
+func (m *moves) changeTo(service string, order catalog.Order, to catalog.Outcome) (registry.Change, error) {
+	key, value, err := m.codec.Outcome(service, to)
+	operator, _, table := m.codec.Tables()
+	row := registry.RowName{Table: table, Key: key}
+	return registry.Change{
+		Conditions: []registry.Condition{
+			{RowName: row, Revision: to.Revision},
+			{RowName: registry.RowName{Table: operator, Key: order.Key}, Revision: order.Revision},
+		},
+		Rows: []registry.NewRow{{RowName: row, Value: value}},
+	}, err
+}
+
+// addBeginning adds a move's beginning to the change that announces it.
+func addBeginning(c *registry.Change, service string, b beginning) error {
+	value, err := json.Marshal(b)
 	if err == nil {
-		m.log.WithFields(fields).Info("Outcome written.")
+		c.Rows = append(c.Rows, registry.NewRow{RowName: registry.RowName{Table: tableMoves, Key: service}, Value: value})
 	}
-	m.readRecorded(ctx)
+	return err
 }
 
 // settle applies a recorded outcome to the move that it belongs to. The caller
--- a/front/gateway/refusal.go
+++ b/front/gateway/refusal.go
@@ -1,8 +1,15 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 )
 
@@ -46,3 +53,49 @@
 	placing *placing.Refusal
 	err     error
 }
+
+// refuse answers a request that was not served.
+func (h *handler) refuse(w http.ResponseWriter, x *exchange, r *refusal) {
+	h.metrics.refused(x, r)
+	h.logRefusal(x, r)
+	if errors.Is(x.request.Context().Err(), context.Canceled) {
+		panic(http.ErrAbortHandler) // nobody is there to read an answer
+	}
+	h.protocol.Identify(w.Header(), x.caller.ID)
+	if r.retry > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(r.retry.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(r.status)
+}
+
+// logRefusal logs a refusal with what decided it.
+func (h *handler) logRefusal(x *exchange, r *refusal) {
+	if !x.kept && !h.lines.failure(time.Now()) {
+		return
+	}
+	fields := logrus.Fields{
+		"reason": r.reason, "status": r.status, "verdict": x.verdict.String(),
+		"tries": x.tries, "ms": time.Since(x.arrived).Milliseconds(), "team": x.teamName(),
+	}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+		fields["catalog"] = x.catalog.Version
+	}
+	if x.service != "" {
+		fields["service"] = x.service
+		fields["object"] = x.caller.Object
+	}
+	if p := r.placing; p != nil {
+		fields["expected_ms"], fields["wait_ms"] = p.Expected.Milliseconds(), p.Wait.Milliseconds()
+		fields["candidates"], fields["busy"] = p.Candidates, math.Round(100*p.Busy)/100
+		fields["known"], fields["endpoint"] = p.Known, p.Best
+	}
+	if r.retry > 0 {
+		fields["retry_ms"] = r.retry.Milliseconds()
+	}
+	entry := x.log.WithFields(fields)
+	if r.err != nil {
+		entry = entry.WithError(r.err)
+	}
+	entry.Info("Request refused.")
+}
