Rollouts: log the evidence by kind and why an attempt uses its version

Callers saw (EXPOSURE): a bad version reached too many requests. The logs could not tell apart whether the comparison hid it or whether requests reached it beyond its share.

Change, no decision touched: an outcome with regard to the version has a kind, so that a tally also counts error responses; the evidence is logged once a second and with each record; each attempt's line and counter say whether the version came by the rollout's share, by fallback or by its result.

--- a/front/gateway/lines_test.go
+++ b/front/gateway/lines_test.go
@@ -83,7 +83,7 @@
 			c := &placing.Choice{Endpoint: catalog.Endpoint{ID: "i-7f3a91c2", Version: "v1"}}
 			b.ReportAllocs()
 			for b.Loop() {
-				s.logAttempt(x, c, placing.OutcomeAnswered, nil, nil, time.Second, 1)
+				s.logAttempt(x, &placement{Choice: c, reason: versionAny}, placing.OutcomeAnswered, nil, nil, time.Second, 1)
 			}
 		})
 	}
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -29,10 +29,23 @@
 const minComparedTime = 50 * time.Millisecond
 
 // recordRolloutAttempt records the outcome of an attempt with a rollout.
-func (s *sender) recordRolloutAttempt(ro *rollout.Rollout, c *placing.Choice, o placing.Outcome, elapsed time.Duration) {
-	failed := o == placing.OutcomeFailed || o == placing.OutcomeTimedOut
+func (s *sender) recordRolloutAttempt(ro *rollout.Rollout, c *placing.Choice, o placing.Outcome, err error, elapsed time.Duration) {
 	slowness := max(elapsed, minComparedTime).Seconds() / max(c.Nominal, minComparedTime).Seconds()
-	s.rollouts.recordAttempt(ro, c.Endpoint.Version, o == placing.OutcomeAnswered, failed, slowness)
+	s.rollouts.recordAttempt(ro, c.Endpoint.Version, rolloutOutcome(o, err), slowness)
+}
+
+// rolloutOutcome returns the outcome of an attempt with regard to its
+// endpoint's version.
+func rolloutOutcome(o placing.Outcome, err error) rollout.Outcome {
+	switch {
+	case o == placing.OutcomeAnswered:
+		return rollout.OutcomeGood
+	case o == placing.OutcomeFailed && err == nil:
+		return rollout.OutcomeError
+	case o == placing.OutcomeFailed || o == placing.OutcomeTimedOut:
+		return rollout.OutcomeNoResponse
+	}
+	return rollout.OutcomeUnknown
 }
 
 // updateVerdict updates, with the result of an attempt, whether the request may
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -245,7 +245,7 @@
 	var conflict *registry.ConflictError
 	switch {
 	case err == nil:
-		log.Info("Rollout record written.")
+		log.WithFields(evidenceFields(ro.Evaluate(r.now()).Evidence)).Info("Rollout record written.")
 		// The operators may act on the record even if a restore of the store
 		// loses it before it is read.
 		ro.ApplyRecord(result)
--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -16,6 +16,10 @@
 // version gets requests until the next one.
 const evaluateInterval = 100 * time.Millisecond
 
+// logEvidenceInterval is the time between two log lines on the evidence of a
+// rollout in progress.
+const logEvidenceInterval = time.Second
+
 // rollouts carries out the operators' orders to roll services out to new
 // versions.
 type rollouts struct {
@@ -41,7 +45,10 @@
 	lastRead      time.Time                      // when records were last read
 	clock         clockReading                   // of the last read of the records
 	haltedAt      map[*rollout.Rollout]time.Time // when the rollback was first seen to be not on record
-	startRead     map[string]uint64              // revisions of the orders whose start time was read, by service
+	// evidenceLoggedAt is when the evidence was last logged. Only Run's evaluation
+	// uses it.
+	evidenceLoggedAt time.Time
+	startRead        map[string]uint64 // revisions of the orders whose start time was read, by service
 }
 
 // newRollouts returns rollouts without orders. newMesh sets isLeader and
@@ -120,8 +127,9 @@
 
 // recordAttempt records the outcome of an attempt. A failure of the new version
 // is reported to the peers at once.
-func (r *rollouts) recordAttempt(ro *rollout.Rollout, version string, ok, failed bool, slowness float64) {
-	ro.AttemptEnded(time.Now(), version, ok, failed, slowness)
+func (r *rollouts) recordAttempt(ro *rollout.Rollout, version string, outcome rollout.Outcome, slowness float64) {
+	ro.AttemptEnded(time.Now(), version, outcome, slowness)
+	failed := outcome == rollout.OutcomeError || outcome == rollout.OutcomeNoResponse
 	if failed && version == ro.Order().To && ro.Result() == catalog.RolloutRunning {
 		r.notifyPeers()
 	}
@@ -134,10 +142,31 @@
 	return r.active[service]
 }
 
+// versionReason is why an attempt goes to its version.
+type versionReason string
+
+const (
+	// versionAny means that no rollout restricts the versions.
+	versionAny versionReason = "any"
+	// versionByShare means that the rollout's share chose the version.
+	versionByShare versionReason = "share"
+	// versionFallback means that the preferred version had no endpoint with
+	// headroom.
+	versionFallback versionReason = "fallback"
+	// versionByResult means that the rollout has ended with this version.
+	versionByResult versionReason = "result"
+)
+
+// versionFilter selects versions; accepts is nil if it selects all.
+type versionFilter struct {
+	accepts func(string) bool
+	reason  versionReason
+}
+
 // versionPreference says which versions of a service one attempt may use.
 type versionPreference struct {
-	// filters select versions, the preferred ones first; nil selects all.
-	filters []func(string) bool
+	// filters select versions, the preferred ones first.
+	filters []versionFilter
 	// noFallback stops an attempt for which the first filter's endpoints have
 	// no headroom from using the next filter.
 	noFallback bool
@@ -155,20 +184,22 @@
 	}
 	isNew := func(v string) bool { return v == to }
 	isOld := func(v string) bool { return v != to }
+	newFirst := []versionFilter{{isNew, versionByShare}, {isOld, versionFallback}}
+	oldFirst := []versionFilter{{isOld, versionByShare}, {isNew, versionFallback}}
 	switch {
 	case result == catalog.RolloutRolledBack:
-		return versionPreference{filters: []func(string) bool{isOld}}
+		return versionPreference{filters: []versionFilter{{isOld, versionByResult}}}
 	case result == catalog.RolloutCompleted:
-		return versionPreference{filters: []func(string) bool{isNew, nil}}
+		return versionPreference{filters: []versionFilter{{isNew, versionByResult}, {nil, versionFallback}}}
 	case ro == nil:
-		return versionPreference{filters: []func(string) bool{nil}}
+		return versionPreference{filters: []versionFilter{{nil, versionAny}}}
 	case recordsLoaded && ro.DrainingOld(now):
 		// Old endpoints only finish the requests that run there.
-		return versionPreference{filters: []func(string) bool{isNew, isOld}, noFallback: true}
+		return versionPreference{filters: newFirst, noFallback: true}
 	case recordsLoaded && firstAttempt && ro.UseNewVersion(now):
-		return versionPreference{filters: []func(string) bool{isNew, isOld}}
+		return versionPreference{filters: newFirst}
 	}
-	return versionPreference{filters: []func(string) bool{isOld, isNew}}
+	return versionPreference{filters: oldFirst}
 }
 
 // Run evaluates the rollouts and records results until ctx ends. Recording
@@ -197,19 +228,33 @@
 
 // haltWorseVersions halts rollouts whose new version is worse than the old one.
 func (r *rollouts) haltWorseVersions(now time.Time) {
+	logDue := now.Sub(r.evidenceLoggedAt) >= logEvidenceInterval
+	if logDue {
+		r.evidenceLoggedAt = now
+	}
 	for service, ro := range r.pending() {
-		evaluation := ro.Evaluate(now)
-		if !evaluation.Worse || ro.Result() != catalog.RolloutRunning {
+		if ro.Result() != catalog.RolloutRunning {
 			continue
 		}
-		ro.Halt()
-		r.log.WithFields(logrus.Fields{
-			"service": service, "to": ro.Order().To, "old": evaluation.Evidence.Old, "new": evaluation.Evidence.New,
-			"age_ms": now.Sub(ro.StartTime()).Milliseconds(),
-		}).Warn("New version is worse, rollout halted.")
+		evaluation := ro.Evaluate(now)
+		log := r.log.WithFields(evidenceFields(evaluation.Evidence)).WithFields(logrus.Fields{
+			"service": service, "to": ro.Order().To, "age_ms": now.Sub(ro.StartTime()).Milliseconds(),
+		})
+		switch {
+		case evaluation.Worse:
+			ro.Halt()
+			log.Warn("New version is worse, rollout halted.")
+		case logDue:
+			log.Info("Rollout evaluated.")
+		}
 	}
 }
 
+// evidenceFields returns the log fields of the evidence on a rollout.
+func evidenceFields(e rollout.Evidence) logrus.Fields {
+	return logrus.Fields{"old": e.Old, "new": e.New}
+}
+
 // localReports returns this instance's reports on the rollouts in progress.
 func (r *rollouts) localReports(now time.Time) []rolloutReport {
 	r.mu.Lock()
--- a/front/gateway/rollouts_sim_test.go
+++ b/front/gateway/rollouts_sim_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/rollout"
 )
 
 const (
@@ -316,7 +317,7 @@
 	}
 	for range 20 {
 		ro.AttemptStarted(ro.Order().To)
-		ro.AttemptEnded(w.now, ro.Order().To, true, false, 1)
+		ro.AttemptEnded(w.now, ro.Order().To, rollout.OutcomeGood, 1)
 	}
 }
 
--- a/front/gateway/rollouts_test.go
+++ b/front/gateway/rollouts_test.go
@@ -199,8 +199,8 @@
 		noFallback bool
 	}{{0.5, false}, {0.84, false}, {0.88, true}, {0.99, true}} {
 		now := w.now.Add(time.Duration(c.elapsed * float64(duration)))
-		if retry := r.preferredVersions(testService, now, false); retry.noFallback != c.noFallback || retry.filters[0]("v2") != c.noFallback {
-			t.Errorf("at %g: no fallback %t, retry to the new version first %t", c.elapsed, retry.noFallback, retry.filters[0]("v2"))
+		if retry := r.preferredVersions(testService, now, false); retry.noFallback != c.noFallback || retry.filters[0].accepts("v2") != c.noFallback {
+			t.Errorf("at %g: no fallback %t, retry to the new version first %t", c.elapsed, retry.noFallback, retry.filters[0].accepts("v2"))
 		}
 	}
 	w.haltNewVersion(0)
@@ -218,11 +218,11 @@
 	r := w.instances[0]
 	r.get(testService).ObserveStart(w.now.Add(-duration * 19 / 20))
 	w.now = w.now.Add(duration / 5) // the full share is for the new version
-	if r.preferredVersions(testService, w.now, true).filters[0]("v2") {
+	if r.preferredVersions(testService, w.now, true).filters[0].accepts("v2") {
 		t.Error("the new version is preferred although no record was read")
 	}
 	w.step(0)
-	if !r.preferredVersions(testService, w.now, true).filters[0]("v2") {
+	if !r.preferredVersions(testService, w.now, true).filters[0].accepts("v2") {
 		t.Error("the old version is preferred although the record was read")
 	}
 }
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -49,9 +49,15 @@
 	return endpoint.Target{Address: e.Address, Incarnation: e.ID}
 }
 
+// placement is an endpoint chosen for one attempt.
+type placement struct {
+	*placing.Choice
+	reason versionReason
+}
+
 // chooseEndpoint reserves an endpoint of a version that the service's rollout
 // prefers.
-func (s *sender) chooseEndpoint(x *exchange, tried []catalog.Incarnation) (*placing.Choice, error) {
+func (s *sender) chooseEndpoint(x *exchange, tried []catalog.Incarnation) (*placement, error) {
 	now := time.Now()
 	homes, ok := catalog.HomeRegions(x.route, x.team)
 	if !ok {
@@ -71,11 +77,11 @@
 	}
 	var err error
 	preferred := s.rollouts.preferredVersions(x.service, now, len(tried) == 0)
-	for _, accepts := range preferred.filters {
-		q.Versions = accepts
+	for _, filter := range preferred.filters {
+		q.Versions = filter.accepts
 		var choice *placing.Choice
 		if choice, err = s.placer.Choose(now, q); err == nil {
-			return choice, nil
+			return &placement{Choice: choice, reason: filter.reason}, nil
 		}
 		if preferred.noFallback && hasNoHeadroom(err) {
 			break
@@ -91,7 +97,7 @@
 }
 
 // attempt sends the request to one endpoint. attemptNumber counts from 1.
-func (s *sender) attempt(ctx context.Context, x *exchange, c *placing.Choice, attemptNumber int) result {
+func (s *sender) attempt(ctx context.Context, x *exchange, c *placement, attemptNumber int) result {
 	ro := s.rollouts.get(x.service)
 	if ro != nil {
 		ro.AttemptStarted(c.Endpoint.Version)
@@ -105,16 +111,16 @@
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
 	})
-	s.applyRestrictions(x, c, response, err)
+	s.applyRestrictions(x, c.Choice, response, err)
 	var buffered *bufferedResponse
 	if err == nil {
 		buffered, err = bufferResponse(response)
 	}
 	elapsed := time.Since(start)
-	outcome := outcomeOf(ctx, buffered, err, elapsed, c)
-	s.placer.Done(time.Now(), c, outcome, elapsed, reportedLoad(buffered, err))
+	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
+	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
 	if ro != nil {
-		s.recordRolloutAttempt(ro, c, outcome, elapsed)
+		s.recordRolloutAttempt(ro, c.Choice, outcome, err, elapsed)
 	}
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
@@ -160,14 +166,14 @@
 }
 
 // logAttempt counts one attempt and logs it with the data behind the choice.
-func (s *sender) logAttempt(x *exchange, c *placing.Choice, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration, attemptNumber int) {
+func (s *sender) logAttempt(x *exchange, c *placement, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration, attemptNumber int) {
 	s.metrics.recordAttempt(x, o, c)
 	if !s.shouldLog(x, o) {
 		return
 	}
 	fields := logrus.Fields{
 		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": attemptNumber,
-		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "domain": c.Endpoint.FailureDomain,
+		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "version_by": c.reason, "domain": c.Endpoint.FailureDomain,
 		"object": x.caller.Object, "known": c.Warmth, "running": c.Running, "candidates": c.Candidates,
 		"wait_ms": c.QueueWait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -83,12 +83,43 @@
 	lateJoinShare  = 0.4
 )
 
+// Outcome is how an attempt ended, as far as it concerns the version.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown says nothing about the version.
+	OutcomeUnknown Outcome = iota
+	// OutcomeGood is a successful response.
+	OutcomeGood
+	// OutcomeError is an error response.
+	OutcomeError
+	// OutcomeNoResponse means that no complete, valid response arrived in time.
+	OutcomeNoResponse
+)
+
+// tally returns the tally of one attempt with this outcome.
+func (o Outcome) tally(slowness float64) Tally {
+	switch o {
+	case OutcomeGood:
+		return Tally{Answers: 1, Slowness: slowness}
+	case OutcomeError:
+		return Tally{Answers: 1, Failures: 1, Errors: 1}
+	case OutcomeNoResponse:
+		return Tally{Answers: 1, Failures: 1}
+	default:
+		return Tally{}
+	}
+}
+
 // Tally counts the answers of one version.
 type Tally struct {
 	// Answers is the number of attempts that ended with an answer or a failure.
 	Answers float64
 	// Failures is the number of them that failed.
 	Failures float64
+	// Errors is the number of failures that were error responses. The others
+	// brought no complete, valid response.
+	Errors float64
 	// Slowness is the sum of the response times of the others, each relative to
 	// the usual time for its request at such an endpoint.
 	Slowness float64
@@ -97,12 +128,14 @@
 func (t *Tally) add(o Tally) {
 	t.Answers += o.Answers
 	t.Failures += o.Failures
+	t.Errors += o.Errors
 	t.Slowness += o.Slowness
 }
 
 func (t *Tally) scale(factor float64) {
 	t.Answers *= factor
 	t.Failures *= factor
+	t.Errors *= factor
 	t.Slowness *= factor
 }
 
@@ -301,12 +334,11 @@
 	}
 }
 
-// AttemptEnded records how an attempt at a version ended. For outcomes that say
-// nothing about the version, ok and failed are both false. slowness is the
+// AttemptEnded records how an attempt at a version ended. slowness is the
 // response time relative to the usual time for such a request at such an
 // endpoint. Endpoints of a new version have not handled any object yet, which
 // must not count as slowness of the version.
-func (r *Rollout) AttemptEnded(now time.Time, version string, ok, failed bool, slowness float64) {
+func (r *Rollout) AttemptEnded(now time.Time, version string, outcome Outcome, slowness float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.decayLocal(now)
@@ -315,14 +347,9 @@
 		r.local.OldRunning--
 		total, recent = &r.local.Old, &r.local.OldLate
 	}
-	switch {
-	case failed:
-		total.add(Tally{Answers: 1, Failures: 1})
-		recent.add(Tally{Answers: 1, Failures: 1})
-	case ok:
-		total.add(Tally{Answers: 1, Slowness: slowness})
-		recent.add(Tally{Answers: 1, Slowness: slowness})
-	}
+	t := outcome.tally(slowness)
+	total.add(t)
+	recent.add(t)
 }
 
 // decayLocal decays the recent local evidence to now. The caller holds mu.
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -63,7 +63,11 @@
 		if failed && version == "v2" {
 			p.badAnswers++
 		}
-		m.AttemptEnded(now, version, !failed, failed, took.Seconds()/usual.Seconds())
+		outcome := OutcomeGood
+		if failed {
+			outcome = OutcomeError
+		}
+		m.AttemptEnded(now, version, outcome, took.Seconds()/usual.Seconds())
 		if at%exchangeInterval < time.Second/perSecond {
 			exchange(fleet, now)
 		}
@@ -177,7 +181,7 @@
 	end := start.Add(duration * 92 / 100)
 	m := New(catalog.RolloutOrder{To: "v2", Duration: duration}, start)
 	m.AttemptStarted("v2")
-	m.AttemptEnded(end, "v2", true, false, 1)
+	m.AttemptEnded(end, "v2", OutcomeGood, 1)
 	m.AttemptStarted("v1")
 	if m.Evaluate(end).Complete {
 		t.Error("complete while a request runs at an old endpoint")
@@ -185,7 +189,7 @@
 	if !m.Evaluate(start.Add(duration * 95 / 100)).Complete {
 		t.Error("still waiting with a twentieth of the duration left")
 	}
-	m.AttemptEnded(end, "v1", true, false, 1)
+	m.AttemptEnded(end, "v1", OutcomeGood, 1)
 	if !m.Evaluate(end).Complete {
 		t.Error("not complete though no request runs at an old endpoint")
 	}
@@ -212,7 +216,7 @@
 		m.ObserveStart(start)
 		now := start.Add(c.at)
 		m.AttemptStarted("v2")
-		m.AttemptEnded(now, "v2", true, false, 1)
+		m.AttemptEnded(now, "v2", OutcomeGood, 1)
 		if got := m.share(now); got != c.share {
 			t.Errorf("joined after %s: the share after %s is %g, want %g", c.joined, c.at, got, c.share)
 		}
