Test that fails: a bad version beside a failing old one is not rolled back

Callers saw (EXPOSURE): a version that fails a third of its requests is completed. Cause shown by the evidence in the logs: the old version lost and spoiled a third of its responses, and the comparison counts all failures alike.

Good versions in the same trouble complete, which a second test keeps.

--- /dev/null
+++ b/steer/rollout/baseline_test.go
@@ -0,0 +1,57 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// lostShare is the share of requests without a response where endpoints spoil a
+// fifth of their responses and lose a fifth.
+const lostShare = 0.36
+
+// baselineRates add the rate of the users' smallest service that is rolled out.
+var baselineRates = append([]time.Duration{25}, rates...)
+
+// A bad version is rolled back although the old version fails too.
+func TestBadVersionBesideFailingOldIsRolledBack(t *testing.T) {
+	for seed := range uint64(20) {
+		var r *rand.Rand
+		for name, old := range map[string]behavior{
+			"old loses responses": func(time.Duration, float64) (Outcome, time.Duration) { return losing(r, lostShare), usual },
+			"old gives errors":    func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.3), usual },
+		} {
+			for _, badShare := range []float64{0.3, 0.5} {
+				bad := func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, badShare), usual }
+				for _, rate := range baselineRates {
+					r = rand.New(rand.NewPCG(seed, 4))
+					p := play(seed, rate, old, bad)
+					if p.complete || p.rolledBackAt == 0 {
+						t.Errorf("seed %d, %s, %g errors, %d/s: not rolled back: %+v", seed, name, badShare, rate, p)
+					}
+					if limit := maxNewShare*float64(p.total) + maxNewSlack; float64(p.toNew) > limit {
+						t.Errorf("seed %d, %s, %g errors, %d/s: %d requests to the new version, %.0f allowed", seed, name, badShare, rate, p.toNew, limit)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A good version completes beside an old one that fails, whether the cause
+// affects the new version or not.
+func TestGoodVersionBesideFailingOldCompletes(t *testing.T) {
+	for seed := range uint64(40) {
+		var r *rand.Rand
+		lossy := func(time.Duration, float64) (Outcome, time.Duration) { return losing(r, lostShare), usual }
+		sound := func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.002), usual }
+		for name, candidate := range map[string]behavior{"new is sound": sound, "new loses responses": lossy} {
+			for _, rate := range baselineRates {
+				r = rand.New(rand.NewPCG(seed, 5))
+				if p := play(seed, rate, lossy, candidate); !p.complete {
+					t.Errorf("seed %d, %s, %d/s: %+v", seed, name, rate, p)
+				}
+			}
+		}
+	}
+}
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -24,11 +24,25 @@
 
 // behavior decides how a version answers at a time of the rollout and with a
 // share of the traffic.
-type behavior func(at time.Duration, share float64) (failed bool, took time.Duration)
+type behavior func(at time.Duration, share float64) (Outcome, time.Duration)
 
 const usual = 400 * time.Millisecond
 
-func failing(r *rand.Rand, p float64) bool { return r.Float64() < p }
+// failing returns OutcomeError with probability p.
+func failing(r *rand.Rand, p float64) Outcome {
+	if r.Float64() < p {
+		return OutcomeError
+	}
+	return OutcomeGood
+}
+
+// losing returns OutcomeNoResponse with probability p.
+func losing(r *rand.Rand, p float64) Outcome {
+	if r.Float64() < p {
+		return OutcomeNoResponse
+	}
+	return OutcomeGood
+}
 
 // result is the result of a simulated rollout.
 type result struct {
@@ -59,14 +73,10 @@
 		}
 		p.total++
 		m.AttemptStarted(version)
-		failed, took := answer(at, m.share(now))
-		if failed && version == "v2" {
+		outcome, took := answer(at, m.share(now))
+		if outcome == OutcomeError && version == "v2" {
 			p.badAnswers++
 		}
-		outcome := OutcomeGood
-		if failed {
-			outcome = OutcomeError
-		}
 		m.AttemptEnded(now, version, outcome, took.Seconds()/usual.Seconds())
 		if at%exchangeInterval < time.Second/perSecond {
 			exchange(fleet, now)
@@ -108,20 +118,29 @@
 func TestBadVersionIsRolledBack(t *testing.T) {
 	for seed := range uint64(20) {
 		var r *rand.Rand // each case starts with the same random numbers
-		good := func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.002), usual }
+		good := func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.002), usual }
 		cases := map[string]behavior{
-			"errors": func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.45), usual },
-			"slow":   func(time.Duration, float64) (bool, time.Duration) { return false, 8 * usual },
-			"late": func(at time.Duration, _ float64) (bool, time.Duration) {
-				return at > 3*time.Second && failing(r, 0.45), usual
+			"errors": func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.45), usual },
+			"slow":   func(time.Duration, float64) (Outcome, time.Duration) { return OutcomeGood, 8 * usual },
+			"late": func(at time.Duration, _ float64) (Outcome, time.Duration) {
+				if at <= 3*time.Second {
+					return OutcomeGood, usual
+				}
+				return failing(r, 0.45), usual
 			},
-			"under load": func(_ time.Duration, share float64) (bool, time.Duration) {
-				return share > 0.15 && failing(r, 0.45), usual
+			"under load": func(_ time.Duration, share float64) (Outcome, time.Duration) {
+				if share <= 0.15 {
+					return OutcomeGood, usual
+				}
+				return failing(r, 0.45), usual
 			},
 			// Found by a randomized run: nappy-bank-front, mix, seed
 			// 936119566014.
-			"under full load": func(_ time.Duration, share float64) (bool, time.Duration) {
-				return share > 0.5 && failing(r, 0.45), usual
+			"under full load": func(_ time.Duration, share float64) (Outcome, time.Duration) {
+				if share <= 0.5 {
+					return OutcomeGood, usual
+				}
+				return failing(r, 0.45), usual
 			},
 		}
 		for name, bad := range cases {
@@ -145,8 +164,8 @@
 	for seed := range uint64(40) {
 		var r *rand.Rand
 		for name, answer := range map[string]behavior{
-			"sound": func(time.Duration, float64) (bool, time.Duration) { return failing(r, 0.002), usual },
-			"a tenth fails everywhere": func(time.Duration, float64) (bool, time.Duration) {
+			"sound": func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.002), usual },
+			"a tenth fails everywhere": func(time.Duration, float64) (Outcome, time.Duration) {
 				return failing(r, 0.1), usual
 			},
 		} {
