Rollouts: failures are compared by kind, and a failing old version is no standard

Cause: a version was worse only if its share of all failures exceeded that of the old version. Responses that the old endpoints lost or spoiled raised the bound for the error responses of the new one, and no bound held where the old version gave as many errors.

Change: error responses and timeouts are also compared each with their own kind. If the old version's share of error responses is over 0.17, a version is halted that gives more than 0.12 of its answers as errors, by two deviations. Why it works: lost and spoiled responses no longer enter the bound for errors, and the second bound does not depend on the old version at all.

--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -42,8 +42,10 @@
 		return rollout.OutcomeGood
 	case o == placing.OutcomeFailed && err == nil:
 		return rollout.OutcomeError
-	case o == placing.OutcomeFailed || o == placing.OutcomeTimedOut:
-		return rollout.OutcomeNoResponse
+	case o == placing.OutcomeFailed:
+		return rollout.OutcomeBroken
+	case o == placing.OutcomeTimedOut:
+		return rollout.OutcomeTimedOut
 	}
 	return rollout.OutcomeUnknown
 }
--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -129,8 +129,7 @@
 // is reported to the peers at once.
 func (r *rollouts) recordAttempt(ro *rollout.Rollout, version string, outcome rollout.Outcome, slowness float64) {
 	ro.AttemptEnded(time.Now(), version, outcome, slowness)
-	failed := outcome == rollout.OutcomeError || outcome == rollout.OutcomeNoResponse
-	if failed && version == ro.Order().To && ro.Result() == catalog.RolloutRunning {
+	if outcome.Failed() && version == ro.Order().To && ro.Result() == catalog.RolloutRunning {
 		r.notifyPeers()
 	}
 }
--- a/steer/rollout/baseline_test.go
+++ b/steer/rollout/baseline_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// lostShare is the share of requests without a response where endpoints spoil a
-// fifth of their responses and lose a fifth.
-const lostShare = 0.36
+// lostShare is the share of responses that endpoints lose, and of those that they
+// spoil.
+const lostShare = 0.2
 
 // baselineRates add the rate of the users' smallest service that is rolled out.
 var baselineRates = append([]time.Duration{25}, rates...)
@@ -21,16 +21,24 @@
 			"old loses responses": func(time.Duration, float64) (Outcome, time.Duration) { return losing(r, lostShare), usual },
 			"old gives errors":    func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.3), usual },
 		} {
-			for _, badShare := range []float64{0.3, 0.5} {
-				bad := func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, badShare), usual }
+			for badName, bad := range map[string]behavior{
+				"0.3 errors": func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.3), usual },
+				"0.5 errors": func(time.Duration, float64) (Outcome, time.Duration) { return failing(r, 0.5), usual },
+				"0.6 too late": func(time.Duration, float64) (Outcome, time.Duration) {
+					if r.Float64() < 0.6 {
+						return OutcomeTimedOut, 0
+					}
+					return OutcomeGood, usual
+				},
+			} {
 				for _, rate := range baselineRates {
 					r = rand.New(rand.NewPCG(seed, 4))
 					p := play(seed, rate, old, bad)
 					if p.complete || p.rolledBackAt == 0 {
-						t.Errorf("seed %d, %s, %g errors, %d/s: not rolled back: %+v", seed, name, badShare, rate, p)
+						t.Errorf("seed %d, %s, %s, %d/s: not rolled back: %+v", seed, name, badName, rate, p)
 					}
 					if limit := maxNewShare*float64(p.total) + maxNewSlack; float64(p.toNew) > limit {
-						t.Errorf("seed %d, %s, %g errors, %d/s: %d requests to the new version, %.0f allowed", seed, name, badShare, rate, p.toNew, limit)
+						t.Errorf("seed %d, %s, %s, %d/s: %d requests to the new version, %.0f allowed", seed, name, badName, rate, p.toNew, limit)
 					}
 				}
 			}
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -24,8 +24,8 @@
 	// minFailures is the number of failures from which the new version is
 	// judged. Fewer occur by chance too often.
 	minFailures = 4.5
-	// failureMargin is how far its share of failures must exceed that of the
-	// old version.
+	// failureMargin is how far its share of failures must exceed the expected
+	// share.
 	failureMargin = 0.05
 	// recentHalfLife is the half-life of recent evidence. Because of it, earlier
 	// successful answers do not hide a fault that shows late or under load.
@@ -33,15 +33,9 @@
 	// minBaselineFailureShare is the lowest share of failures assumed for the
 	// old version. Its measured share may be unknown, or 0 by chance.
 	minBaselineFailureShare = 0.03
-	// overallDeviations is the number of standard deviations by which failures
-	// must exceed the expected number. A rollout is evaluated some hundred
-	// times; with this bound a few good rollouts in a thousand are rolled back
-	// where a tenth of all answers fail.
-	overallDeviations = 4.5
-	// recentDeviations is the same for recent evidence. It is higher because
-	// each evaluation of recent evidence uses mostly new answers, which gives
-	// more chances of a false alarm.
-	recentDeviations = 5.5
+	// maxErrorShare is the share of error responses that a version may give if the
+	// old one gives too many itself to be a standard.
+	maxErrorShare = 0.12
 	// minSlowSamples is the number of successful answers from which slowness is
 	// judged.
 	minSlowSamples = 6
@@ -50,6 +44,25 @@
 	slowFactor = 2.2
 )
 
+// bounds are the numbers of standard deviations by which failures must exceed
+// the expected number.
+type bounds struct {
+	// comparison applies to the number expected from the old version. A rollout
+	// is evaluated some hundred times; with 4.5, a few good rollouts in a
+	// thousand are rolled back where a tenth of all answers fail.
+	comparison float64
+	// limit applies to the number expected at maxErrorShare. It is lower: a false
+	// alarm costs little where the old version gives many errors itself.
+	limit float64
+}
+
+// Each evaluation of recent evidence uses mostly new answers, which gives more
+// chances of a false alarm, so its bounds are higher.
+var (
+	overallBounds = bounds{comparison: 4.5, limit: 2}
+	recentBounds  = bounds{comparison: 5.5, limit: 3}
+)
+
 // step is the new version's share of the traffic from a point of the rollout
 // on.
 type step struct {
@@ -93,10 +106,17 @@
 	OutcomeGood
 	// OutcomeError is an error response.
 	OutcomeError
-	// OutcomeNoResponse means that no complete, valid response arrived in time.
-	OutcomeNoResponse
+	// OutcomeTimedOut means that no response arrived in time.
+	OutcomeTimedOut
+	// OutcomeBroken is a response that was cut off or invalid.
+	OutcomeBroken
 )
 
+// Failed reports whether the attempt failed.
+func (o Outcome) Failed() bool {
+	return o == OutcomeError || o == OutcomeTimedOut || o == OutcomeBroken
+}
+
 // tally returns the tally of one attempt with this outcome.
 func (o Outcome) tally(slowness float64) Tally {
 	switch o {
@@ -104,7 +124,9 @@
 		return Tally{Answers: 1, Slowness: slowness}
 	case OutcomeError:
 		return Tally{Answers: 1, Failures: 1, Errors: 1}
-	case OutcomeNoResponse:
+	case OutcomeTimedOut:
+		return Tally{Answers: 1, Failures: 1, Timeouts: 1}
+	case OutcomeBroken:
 		return Tally{Answers: 1, Failures: 1}
 	default:
 		return Tally{}
@@ -117,9 +139,9 @@
 	Answers float64
 	// Failures is the number of them that failed.
 	Failures float64
-	// Errors is the number of failures that were error responses. The others
-	// brought no complete, valid response.
-	Errors float64
+	// Errors is the number of failures that were error responses, Timeouts that
+	// of missing responses. The others were cut off or invalid.
+	Errors, Timeouts float64
 	// Slowness is the sum of the response times of the others, each relative to
 	// the usual time for its request at such an endpoint.
 	Slowness float64
@@ -129,6 +151,7 @@
 	t.Answers += o.Answers
 	t.Failures += o.Failures
 	t.Errors += o.Errors
+	t.Timeouts += o.Timeouts
 	t.Slowness += o.Slowness
 }
 
@@ -136,17 +159,10 @@
 	t.Answers *= factor
 	t.Failures *= factor
 	t.Errors *= factor
+	t.Timeouts *= factor
 	t.Slowness *= factor
 }
 
-// failureShare returns the share of failures, or 0 without answers.
-func (t Tally) failureShare() float64 {
-	if t.Answers == 0 {
-		return 0
-	}
-	return t.Failures / t.Answers
-}
-
 // meanSlowness returns the mean slowness of the successful answers, or 0
 // without any.
 func (t Tally) meanSlowness() float64 {
@@ -430,17 +446,45 @@
 // newIsWorse reports whether the new version is worse than the old one, either
 // since the rollout started or recently.
 func (e Evidence) newIsWorse() bool {
-	return isWorse(e.New, e.Old, overallDeviations) || isWorse(e.NewLate, e.OldLate, recentDeviations)
+	return isWorse(e.New, e.Old, overallBounds) || isWorse(e.NewLate, e.OldLate, recentBounds)
+}
+
+// isWorse reports whether the candidate version is worse than the baseline, or
+// gives too many error responses beside a baseline that is no standard.
+func isWorse(candidate, baseline Tally, b bounds) bool {
+	baselineIsUnfit := baseline.Errors > (maxErrorShare+failureMargin)*baseline.Answers
+	return baselineIsUnfit && exceeds(candidate.Errors, candidate.Answers, maxErrorShare, b.limit) ||
+		failsMore(candidate, baseline, b.comparison) || isSlower(candidate, baseline)
+}
+
+// failsMore reports whether the candidate version fails more than the baseline,
+// in sum or in one way: responses that the old version loses must not hide errors
+// of the new one.
+func failsMore(candidate, baseline Tally, deviations float64) bool {
+	for _, kind := range []struct{ candidate, baseline float64 }{
+		{candidate.Failures, baseline.Failures},
+		{candidate.Errors, baseline.Errors},
+		{candidate.Timeouts, baseline.Timeouts},
+	} {
+		expectedShare := max(kind.baseline/max(1, baseline.Answers), minBaselineFailureShare)
+		if exceeds(kind.candidate, candidate.Answers, expectedShare, deviations) {
+			return true
+		}
+	}
+	return false
 }
 
-// isWorse reports whether the candidate version is worse than the baseline,
-// with failures tested at the given number of standard deviations.
-func isWorse(candidate, baseline Tally, deviations float64) bool {
-	failureShare, expectedShare := candidate.failureShare(), max(baseline.failureShare(), minBaselineFailureShare)
-	maxFailures := candidate.Answers*expectedShare + deviations*math.Sqrt(candidate.Answers*expectedShare*(1-expectedShare))
-	if candidate.Failures >= minFailures && failureShare > expectedShare+failureMargin && candidate.Failures > maxFailures {
-		return true
-	}
+// exceeds reports whether more of a version's answers failed than expected, with
+// a margin and a number of standard deviations.
+func exceeds(failures, answers, expectedShare, deviations float64) bool {
+	expected := answers * expectedShare
+	return failures >= minFailures && failures > expected+answers*failureMargin &&
+		failures > expected+deviations*math.Sqrt(expected*(1-expectedShare))
+}
+
+// isSlower reports whether the candidate version's successful answers take
+// longer than those of the baseline.
+func isSlower(candidate, baseline Tally) bool {
 	good := candidate.Answers - candidate.Failures
 	return good >= minSlowSamples && baseline.meanSlowness() > 0 && candidate.meanSlowness() > slowFactor*baseline.meanSlowness()
 }
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -36,10 +36,13 @@
 	return OutcomeGood
 }
 
-// losing returns OutcomeNoResponse with probability p.
+// losing returns, each with probability p, OutcomeTimedOut or OutcomeBroken.
 func losing(r *rand.Rand, p float64) Outcome {
-	if r.Float64() < p {
-		return OutcomeNoResponse
+	switch {
+	case r.Float64() < p:
+		return OutcomeTimedOut
+	case r.Float64() < p:
+		return OutcomeBroken
 	}
 	return OutcomeGood
 }
