Rollouts: fallbacks to the new version stay within its share

Cause: a first or second attempt for which no old endpoint has headroom went to the new version without being counted, so the share bounded only the requests that were chosen for it.

Change: the share is counted where attempts start, whatever led to the version, and of what is sent, since refused requests reach nobody. A fallback is allowed while the new version has not used its share up, one in advance. Without any old endpoint for a request it stays allowed. Why it works: nothing reaches the new version past the counter any more. What it costs: a request beyond the share is refused at once while the old endpoints are full.

--- a/front/gateway/fallback_test.go
+++ b/front/gateway/fallback_test.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return ""
 	}
+	f.rollouts.get(testService).AttemptStarted(time.Now(), c.Endpoint.Version)
 	f.placer.Done(time.Now(), c.Choice, placing.OutcomeUnknown, 0, -1)
 	return c.Endpoint.Version
 }
@@ -70,15 +71,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newVersionFixture(t)
 				f.placer.SetPeerLoads("peer", []placing.Load{{Endpoint: catalog.Incarnation{ID: "v1"}, Running: 100}})
-				requests, toNew := 0, 0
+				placed, toNew := 0, 0
 				for start := time.Now(); time.Since(start) < duration*7/10; time.Sleep(10 * time.Millisecond) {
-					requests++
-					if f.place(tried...) == "v2" {
+					switch f.place(tried...) {
+					case "v1":
+						placed++
+					case "v2":
+						placed++
 						toNew++
 					}
 				}
-				if limit := maxNewShare*float64(requests) + maxNewSlack/fallbackFleet; float64(toNew) > limit {
-					t.Errorf("the new version got %d of %d requests, %.0f allowed", toNew, requests, limit)
+				if limit := maxNewShare*float64(placed) + maxNewSlack/fallbackFleet; float64(toNew) > limit {
+					t.Errorf("the new version got %d of %d requests, %.0f allowed", toNew, placed, limit)
 				}
 			})
 		})
--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -156,10 +156,12 @@
 	versionByResult versionReason = "result"
 )
 
-// versionFilter selects versions; accepts is nil if it selects all.
+// versionFilter selects versions.
 type versionFilter struct {
-	accepts func(string) bool
+	accepts func(string) bool // nil selects all
 	reason  versionReason
+	// shareOf is the rollout whose share bounds these attempts, or nil.
+	shareOf *rollout.Rollout
 }
 
 // versionPreference says which versions of a service one attempt may use.
@@ -183,15 +185,15 @@
 	}
 	isNew := func(v string) bool { return v == to }
 	isOld := func(v string) bool { return v != to }
-	newFirst := []versionFilter{{isNew, versionByShare}, {isOld, versionFallback}}
-	oldFirst := []versionFilter{{isOld, versionByShare}, {isNew, versionFallback}}
+	newFirst := []versionFilter{{accepts: isNew, reason: versionByShare}, {accepts: isOld, reason: versionFallback}}
+	oldFirst := []versionFilter{{accepts: isOld, reason: versionByShare}, {accepts: isNew, reason: versionFallback, shareOf: ro}}
 	switch {
 	case result == catalog.RolloutRolledBack:
-		return versionPreference{filters: []versionFilter{{isOld, versionByResult}}}
+		return versionPreference{filters: []versionFilter{{accepts: isOld, reason: versionByResult}}}
 	case result == catalog.RolloutCompleted:
-		return versionPreference{filters: []versionFilter{{isNew, versionByResult}, {nil, versionFallback}}}
+		return versionPreference{filters: []versionFilter{{accepts: isNew, reason: versionByResult}, {reason: versionFallback}}}
 	case ro == nil:
-		return versionPreference{filters: []versionFilter{{nil, versionAny}}}
+		return versionPreference{filters: []versionFilter{{reason: versionAny}}}
 	case recordsLoaded && ro.DrainingOld(now):
 		// Old endpoints only finish the requests that run there.
 		return versionPreference{filters: newFirst, noFallback: true}
--- a/front/gateway/rollouts_sim_test.go
+++ b/front/gateway/rollouts_sim_test.go
@@ -316,7 +316,7 @@
 		return
 	}
 	for range 20 {
-		ro.AttemptStarted(ro.Order().To)
+		ro.AttemptStarted(w.now, ro.Order().To)
 		ro.AttemptEnded(w.now, ro.Order().To, rollout.OutcomeGood, 1)
 	}
 }
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -78,6 +78,9 @@
 	var err error
 	preferred := s.rollouts.preferredVersions(x.service, now, len(tried) == 0)
 	for _, filter := range preferred.filters {
+		if filter.shareOf != nil && hasNoHeadroom(err) && !filter.shareOf.MayFallBackToNew() {
+			break
+		}
 		q.Versions = filter.accepts
 		var choice *placing.Choice
 		if choice, err = s.placer.Choose(now, q); err == nil {
@@ -99,10 +102,10 @@
 // attempt sends the request to one endpoint. attemptNumber counts from 1.
 func (s *sender) attempt(ctx context.Context, x *exchange, c *placement, attemptNumber int) result {
 	ro := s.rollouts.get(x.service)
+	start := time.Now()
 	if ro != nil {
-		ro.AttemptStarted(c.Endpoint.Version)
+		ro.AttemptStarted(start, c.Endpoint.Version)
 	}
-	start := time.Now()
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
 		ID:         x.caller.ID,
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -212,8 +212,8 @@
 	local          Evidence
 	localDecayedAt time.Time // when the recent local evidence was last decayed
 	peers          map[string]peerEvidence
-	credit         float64 // sum of the shares of all requests so far
-	sentToNew      float64 // requests sent to the new version
+	credit         float64 // sum of the shares at the start of each attempt so far
+	sentToNew      float64 // attempts at the new version so far
 }
 
 // peerEvidence is the evidence in the last report of a peer.
@@ -288,7 +288,7 @@
 }
 
 // UseNewVersion reports whether the next request goes to the new version. Each
-// call adds the current share to a credit, and each request sent to the new
+// attempt that starts adds the current share to a credit, and each one at the new
 // version uses up 1 of it.
 func (r *Rollout) UseNewVersion(now time.Time) bool {
 	r.mu.Lock()
@@ -301,15 +301,16 @@
 	case catalog.RolloutRunning:
 	}
 	share := r.share(now)
-	if share >= 1 {
-		return true
-	}
-	r.credit += share
-	if r.credit-r.sentToNew < 1 {
-		return false
-	}
-	r.sentToNew++
-	return true
+	return share >= 1 || r.credit+share-r.sentToNew >= 1
+}
+
+// MayFallBackToNew reports whether a request for which the old version has no
+// headroom may go to the new one. Fallbacks are part of the new version's share;
+// one of them may use it in advance.
+func (r *Rollout) MayFallBackToNew() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sentToNew <= r.credit
 }
 
 // DrainingOld reports whether requests must no longer go to old endpoints while
@@ -342,12 +343,15 @@
 }
 
 // AttemptStarted records the start of an attempt at a version.
-func (r *Rollout) AttemptStarted(version string) {
+func (r *Rollout) AttemptStarted(now time.Time, version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version != r.order.To {
-		r.local.OldRunning++
+	r.credit += r.share(now)
+	if version == r.order.To {
+		r.sentToNew++
+		return
 	}
+	r.local.OldRunning++
 }
 
 // AttemptEnded records how an attempt at a version ended. slowness is the
--- a/steer/rollout/rollout_test.go
+++ b/steer/rollout/rollout_test.go
@@ -38,10 +38,11 @@
 
 // losing returns, each with probability p, OutcomeTimedOut or OutcomeBroken.
 func losing(r *rand.Rand, p float64) Outcome {
+	timedOut, broken := r.Float64() < p, r.Float64() < p
 	switch {
-	case r.Float64() < p:
+	case timedOut:
 		return OutcomeTimedOut
-	case r.Float64() < p:
+	case broken:
 		return OutcomeBroken
 	}
 	return OutcomeGood
@@ -49,7 +50,7 @@
 
 // result is the result of a simulated rollout.
 type result struct {
-	total, toNew int
+	total, toNew int // requests that were sent
 	badAnswers   int
 	rolledBackAt time.Duration // 0 if not rolled back
 	complete     bool
@@ -59,6 +60,12 @@
 // evidence. perSecond is the number of requests to the service, over all
 // instances.
 func play(seed uint64, perSecond time.Duration, old, candidate behavior) result {
+	return playAtCapacity(seed, perSecond, 0, old, candidate)
+}
+
+// playAtCapacity is play with a share of requests for which the old version has
+// no headroom.
+func playAtCapacity(seed uint64, perSecond time.Duration, atCapacity float64, old, candidate behavior) result {
 	r := rand.New(rand.NewPCG(seed, 1))
 	start := time.Unix(1000, 0)
 	fleet := make([]*Rollout, instances)
@@ -70,12 +77,18 @@
 		now := start.Add(at)
 		m := fleet[r.IntN(instances)]
 		version, answer := "v1", old
-		if m.UseNewVersion(now) {
+		useNew := m.UseNewVersion(now)
+		if full := atCapacity > 0 && r.Float64() < atCapacity; full && !useNew {
+			if useNew = m.Result() == catalog.RolloutRunning && m.MayFallBackToNew(); !useNew {
+				continue // refused
+			}
+		}
+		p.total++
+		if useNew {
 			version, answer = "v2", candidate
 			p.toNew++
 		}
-		p.total++
-		m.AttemptStarted(version)
+		m.AttemptStarted(now, version)
 		outcome, took := answer(at, m.share(now))
 		if outcome == OutcomeError && version == "v2" {
 			p.badAnswers++
@@ -148,13 +161,15 @@
 		}
 		for name, bad := range cases {
 			for _, rate := range rates {
-				r = rand.New(rand.NewPCG(seed, 2))
-				p := play(seed, rate, good, bad)
-				if p.complete || p.rolledBackAt == 0 {
-					t.Errorf("seed %d, %s: not rolled back: %+v", seed, name, p)
-				}
-				if limit := maxNewShare*float64(p.total) + maxNewSlack; float64(p.toNew) > limit {
-					t.Errorf("seed %d, %s, %d/s: %d requests to the new version, %.0f allowed", seed, name, rate, p.toNew, limit)
+				for _, atCapacity := range []float64{0, 0.2, 0.9} {
+					r = rand.New(rand.NewPCG(seed, 2))
+					p := playAtCapacity(seed, rate, atCapacity, good, bad)
+					if p.complete || p.rolledBackAt == 0 {
+						t.Errorf("seed %d, %s, %g at capacity: not rolled back: %+v", seed, name, atCapacity, p)
+					}
+					if limit := maxNewShare*float64(p.total) + maxNewSlack; float64(p.toNew) > limit {
+						t.Errorf("seed %d, %s, %d/s, %g at capacity: %d requests to the new version, %.0f allowed", seed, name, rate, atCapacity, p.toNew, limit)
+					}
 				}
 			}
 		}
@@ -202,9 +217,9 @@
 	start := time.Unix(1000, 0)
 	end := start.Add(duration * 92 / 100)
 	m := New(catalog.RolloutOrder{To: "v2", Duration: duration}, start)
-	m.AttemptStarted("v2")
+	m.AttemptStarted(end, "v2")
 	m.AttemptEnded(end, "v2", OutcomeGood, 1)
-	m.AttemptStarted("v1")
+	m.AttemptStarted(end, "v1")
 	if m.Evaluate(end).Complete {
 		t.Error("complete while a request runs at an old endpoint")
 	}
@@ -237,7 +252,7 @@
 		m := New(catalog.RolloutOrder{Service: "s", To: "v2", Duration: duration, Revision: 1}, start.Add(c.joined))
 		m.ObserveStart(start)
 		now := start.Add(c.at)
-		m.AttemptStarted("v2")
+		m.AttemptStarted(now, "v2")
 		m.AttemptEnded(now, "v2", OutcomeGood, 1)
 		if got := m.share(now); got != c.share {
 			t.Errorf("joined after %s: the share after %s is %g, want %g", c.joined, c.at, got, c.share)
