Rollouts: a slow old version is no standard for slowness

Callers would have got a version that is eight times as slow as usual if the old one was four times as slow.

Change: at most twice the usual time counts as the old version's.

--- a/steer/rollout/baseline_test.go
+++ b/steer/rollout/baseline_test.go
@@ -63,3 +63,19 @@
 		}
 	}
 }
+
+// A slow version is rolled back although the old one is slow too; one that is as
+// slow as the old one completes.
+func TestSlowVersionBesideSlowOldIsRolledBack(t *testing.T) {
+	for _, rate := range baselineRates {
+		for factor, rolledBack := range map[time.Duration]bool{4: false, 8: true} {
+			slow := func(factor time.Duration) behavior {
+				return func(time.Duration, float64) (Outcome, time.Duration) { return OutcomeGood, factor * usual }
+			}
+			p := play(1, rate, slow(4), slow(factor))
+			if got := p.rolledBackAt > 0; got != rolledBack || p.complete == rolledBack {
+				t.Errorf("%d/s, old 4 times, new %d times as slow as usual: %+v", rate, factor, p)
+			}
+		}
+	}
+}
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -42,6 +42,9 @@
 	// slowFactor is the factor by which the new version's answers must be
 	// slower.
 	slowFactor = 2.2
+	// maxBaselineSlowness is the highest slowness of the old version that is a
+	// standard for the new one.
+	maxBaselineSlowness = 2
 )
 
 // bounds are the numbers of standard deviations by which failures must exceed
@@ -490,5 +493,6 @@
 // longer than those of the baseline.
 func isSlower(candidate, baseline Tally) bool {
 	good := candidate.Answers - candidate.Failures
-	return good >= minSlowSamples && baseline.meanSlowness() > 0 && candidate.meanSlowness() > slowFactor*baseline.meanSlowness()
+	expected := min(baseline.meanSlowness(), maxBaselineSlowness)
+	return good >= minSlowSamples && expected > 0 && candidate.meanSlowness() > slowFactor*expected
 }
