Endpoints' limits are read and logged

Change, no decision touched: the adapter reads the header from each response that is the endpoint's own, also from rejections; the client passes it on; steer/ratelimit keeps what is known of an endpoint's limit, where responses that overtake each other do not lift it; an instance logs each change. A value that is no decimal number of 0 or more, or is there twice, is logged and ignored: it neither sets a limit nor lifts one.

--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -68,10 +69,25 @@
 	RetryAfter time.Duration
 	// Leaving reports whether the endpoint stated that it is about to stop.
 	Leaving bool
+	// RateLimit is what the endpoint stated about its limit when Reason is
+	// ReasonShed, or nil. RateLimitErr tells why it could not be read.
+	RateLimit    *ratelimit.Limit
+	RateLimitErr error
 	// Err is the cause; it may be nil.
 	Err error
 }
 
+// InvalidRateLimitError is a limit on requests per second that cannot be read.
+type InvalidRateLimitError struct {
+	// Value is the limit as the endpoint stated it.
+	Value string
+}
+
+// Error implements error.
+func (e *InvalidRateLimitError) Error() string {
+	return fmt.Sprintf("limit %q is not a decimal number of 0 or more", e.Value)
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Err == nil {
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -205,15 +206,21 @@
 		x.discardBody(resp.Body)
 		return nil, err
 	}
+	limit, limitErr := x.rateLimit(resp)
 	if err := x.client.settings.Protocol.ShedError(resp); err != nil {
 		err.Address = x.address
+		err.RateLimit, err.RateLimitErr = limit, limitErr
 		err.Load, err.Leaving, err.RetryAfter = x.reportedLoad(resp), leaving, delay
 		x.client.observer.Observe(x.address, health.OutcomeShed, elapsed)
 		x.discardBody(resp.Body)
 		return nil, err
 	}
 	x.client.observer.Observe(x.address, outcomeForStatus(resp.StatusCode), elapsed)
-	response := &Response{Address: x.address, Load: x.reportedLoad(resp), FirstUse: x.conn.firstUse, RetryAfter: delay, Leaving: leaving, Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody}
+	response := &Response{
+		Address: x.address, Load: x.reportedLoad(resp), FirstUse: x.conn.firstUse, RetryAfter: delay, Leaving: leaving,
+		RateLimit: limit, RateLimitErr: limitErr,
+		Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: http.NoBody,
+	}
 	if x.relayed {
 		response.Address = resp.Header.Get(HeaderRelayEndpoint)
 	}
@@ -225,6 +232,15 @@
 	return response, nil
 }
 
+// rateLimit returns what the endpoint states about its limit. A response that
+// another instance relays states nothing about it.
+func (x *exchange) rateLimit(resp *http.Response) (*ratelimit.Limit, error) {
+	if x.relayed {
+		return nil, nil
+	}
+	return x.client.settings.Protocol.RateLimit(resp)
+}
+
 // reportedLoad returns the number of requests that the endpoint reports, or -1.
 func (x *exchange) reportedLoad(resp *http.Response) int {
 	if n, ok := x.client.settings.Protocol.Load(resp); ok {
--- a/front/endpoint/protocol.go
+++ b/front/endpoint/protocol.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 )
 
 // ExchangeInfo is the information about one exchange that is added to a
@@ -39,6 +41,10 @@
 	// Leaving reports whether the response states that the endpoint is about to
 	// stop and must get no new requests.
 	Leaving(resp *http.Response) bool
+	// RateLimit returns what the response says about the endpoint's limit on
+	// requests per second, or nil if it says nothing. Errors:
+	// *InvalidRateLimitError.
+	RateLimit(resp *http.Response) (*ratelimit.Limit, error)
 	// AllowsUnframed reports whether the end of a response may be marked by the
 	// end of its connection.
 	AllowsUnframed() bool
@@ -89,5 +95,8 @@
 // Leaving implements Protocol.
 func (defaultProtocol) Leaving(resp *http.Response) bool { return resp.Header.Get(HeaderLeaving) != "" }
 
+// RateLimit implements Protocol. Endpoints name no limit.
+func (defaultProtocol) RateLimit(*http.Response) (*ratelimit.Limit, error) { return nil, nil }
+
 // AllowsUnframed implements Protocol.
 func (defaultProtocol) AllowsUnframed() bool { return false }
--- a/front/endpoint/response.go
+++ b/front/endpoint/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/health"
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 )
 
 // Response is an endpoint's response. The caller must read Body to its end or
@@ -27,6 +28,10 @@
 	RetryAfter time.Duration
 	// Leaving reports whether the endpoint stated that it is about to stop.
 	Leaving bool
+	// RateLimit is what the endpoint stated about its limit on requests per
+	// second, or nil. RateLimitErr tells why it could not be read.
+	RateLimit    *ratelimit.Limit
+	RateLimitErr error
 	// Header holds the headers to pass on.
 	Header http.Header
 	// ContentLength is the body's length in bytes, or -1 if unknown.
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 )
 
 const (
@@ -114,7 +115,7 @@
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
 	})
-	s.applyRestrictions(x, c.Choice, response, err)
+	s.applyRestrictions(x, c.Choice, start, response, err)
 	var buffered *bufferedResponse
 	if err == nil {
 		buffered, err = bufferResponse(response)
@@ -133,27 +134,51 @@
 }
 
 // applyRestrictions applies what an endpoint's response asks of this instance: no
-// requests for some time, or none at all since the endpoint is about to stop.
-func (s *sender) applyRestrictions(x *exchange, c *placing.Choice, response *endpoint.Response, err error) {
-	leaving, retryAfter := false, time.Duration(0)
+// requests for some time, none at all since the endpoint is about to stop, or a
+// limit on the requests of all instances. sentAt is when the request was sent.
+func (s *sender) applyRestrictions(x *exchange, c *placing.Choice, sentAt time.Time, response *endpoint.Response, err error) {
+	var asked restrictions
 	var e *endpoint.Error
 	switch {
 	case err == nil:
-		leaving, retryAfter = response.Leaving, response.RetryAfter
+		asked = restrictions{response.Leaving, response.RetryAfter, response.RateLimit, response.RateLimitErr}
 	case errors.As(err, &e):
-		leaving, retryAfter = e.Leaving, e.RetryAfter
+		asked = restrictions{e.Leaving, e.RetryAfter, e.RateLimit, e.RateLimitErr}
 	}
 	now, in := time.Now(), c.Endpoint.Incarnation()
 	log := x.log.WithFields(logrus.Fields{"endpoint": in.ID, "service": x.service})
-	if leaving && s.placer.MarkLeaving(now, in) {
+	if asked.leaving && s.placer.MarkLeaving(now, in) {
 		log.Info("Endpoint announced its shutdown, it gets no new requests.")
 	}
-	if retryAfter > 0 {
-		s.placer.CloseFor(now, in, retryAfter)
+	if asked.retryAfter > 0 {
+		s.placer.CloseFor(now, in, asked.retryAfter)
 		if s.logLimiter.allowFailure(now) {
-			log.WithField("closed_ms", retryAfter.Milliseconds()).Info("Endpoint wants no requests for some time.")
+			log.WithField("closed_ms", asked.retryAfter.Milliseconds()).Info("Endpoint wants no requests for some time.")
 		}
 	}
+	if asked.rateLimit != nil && s.placer.ObserveRateLimit(sentAt, now, in, *asked.rateLimit) && s.logLimiter.allowFailure(now) {
+		logRateLimit(log, *asked.rateLimit)
+	}
+	if asked.rateLimitErr != nil && s.logLimiter.allowFailure(now) {
+		log.WithError(asked.rateLimitErr).Warn("Failed to read an endpoint's limit, it is ignored.")
+	}
+}
+
+// restrictions are what a response asks of the instances.
+type restrictions struct {
+	leaving      bool
+	retryAfter   time.Duration
+	rateLimit    *ratelimit.Limit
+	rateLimitErr error
+}
+
+// logRateLimit logs that an endpoint's limit has changed.
+func logRateLimit(log logrus.FieldLogger, l ratelimit.Limit) {
+	if !l.Named {
+		log.Info("Endpoint no longer limits its requests.")
+		return
+	}
+	log.WithField("per_second", l.PerSecond).Info("Endpoint limits its requests.")
 }
 
 // shouldLog reports whether an attempt's line is written.
--- a/steer/placing/restriction.go
+++ b/steer/placing/restriction.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 )
 
 // leavingMemory is how long an incarnation that announced its shutdown is
@@ -18,6 +19,8 @@
 	leavingSince time.Time
 	// closedUntil is the end of the period for which it wants no requests.
 	closedUntil time.Time
+	// rate is what is known about its limit on the requests of all instances.
+	rate ratelimit.Knowledge
 }
 
 // forbids reports whether the endpoint must get no request now.
@@ -27,7 +30,7 @@
 
 // expired reports whether the restriction need not be remembered.
 func (r restriction) expired(now time.Time) bool {
-	return !now.Before(r.closedUntil) && now.Sub(r.leavingSince) > leavingMemory
+	return !now.Before(r.closedUntil) && now.Sub(r.leavingSince) > leavingMemory && r.rate.Expired(now)
 }
 
 // restrictions holds the restrictions of all incarnations. They outlive the
@@ -83,6 +86,28 @@
 	})
 }
 
+// ObserveRateLimit records what an endpoint's response to a request that was sent
+// at sentAt states about its limit. It reports whether the limit has changed.
+func (p *Placer) ObserveRateLimit(sentAt, now time.Time, in catalog.Incarnation, l ratelimit.Limit) bool {
+	return p.changeRateLimit(now, in, func(k ratelimit.Knowledge) ratelimit.Knowledge { return k.AfterResponse(sentAt, now, l) })
+}
+
+// changeRateLimit changes what is known about an endpoint's limit. It reports
+// whether the limit has changed.
+func (p *Placer) changeRateLimit(now time.Time, in catalog.Incarnation, change func(ratelimit.Knowledge) ratelimit.Knowledge) bool {
+	known := p.restrictions.of(in).rate
+	if change(known) == known {
+		return false
+	}
+	changed := false
+	p.restrict(now, in, func(r *restriction) {
+		before := r.rate.Limit(now)
+		r.rate = change(r.rate)
+		changed = r.rate.Limit(now) != before
+	})
+	return changed
+}
+
 // restrict changes the restriction of an incarnation.
 func (p *Placer) restrict(now time.Time, in catalog.Incarnation, change func(*restriction)) {
 	known := p.restrictions.update(now, in, change)
