Placing: more of an endpoint's limit is used

Change: a bucket holds two tokens, and the number of instances that may send is one more than the limit instead of twice the limit, so that all buckets together stay within what is allowed beyond it (2 (L + 1) + 4 L against 6 L + 5 in 4 s).

--- a/steer/placing/load_test.go
+++ b/steer/placing/load_test.go
@@ -133,3 +133,30 @@
 		}
 	}
 }
+
+// withLimits lets every n-th endpoint limit its requests.
+func withLimits(l load, n int, perSecond float64) load {
+	l.limited, l.perSecond = n, perSecond
+	return l
+}
+
+// Endpoints that limit their requests keep their limits, and callers get close to
+// the payoff of an all-knowing dispatcher that keeps them too.
+func TestCallersBesideLimitedEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load load
+	}{
+		{"kano, a seventh of the endpoints", withLimits(kano(61), 7, 1.3)},
+		{"kano, half of the endpoints", withLimits(kano(61), 2, 1.5)},
+		{"kano, all endpoints", withLimits(kano(61), 1, 1.8)},
+		{"ganguly, a third of the endpoints", withLimits(ganguly(214), 3, 4)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, limit := runBoth(t, c.load)
+			if got.payoff() < minPayoffShare*limit.payoff() {
+				t.Errorf("payoff %.3f, an all-knowing dispatcher gives %.3f", got.payoff(), limit.payoff())
+			}
+		})
+	}
+}
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 )
 
 // Locality describes where this instance runs.
@@ -174,6 +175,8 @@
 				warm:         make(map[uint64]time.Time),
 				slowdown:     1,
 				decayedAt:    now,
+				coldTokens:   ratelimit.NewBucket(1),
+				limitTokens:  ratelimit.NewBucket(limitBurst),
 			}
 		}
 		e.setEntry(endpoints[i])
--- a/steer/placing/ratelimit.go
+++ b/steer/placing/ratelimit.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// maxLimitSenders is the number of instances, per request per second of an
-	// endpoint's limit, that may send to it. Each may send one request at once, so
-	// these stay small beside the limit.
-	maxLimitSenders = 2
+	// limitBurst is the number of requests that an instance may send at once to an
+	// endpoint that names a limit. The number of instances that may send follows the
+	// limit, so that their bursts together stay small beside it.
+	limitBurst = 2
 	// minLimitRate is the rate, in requests per second over all instances, at which
 	// an endpoint is asked even if its limit is lower. Without requests the end of
 	// the limit would not be noticed.
@@ -24,9 +24,8 @@
 // the service has no endpoint.
 func (p *Placer) limitRate(e *endpoint, l ratelimit.Limit) (float64, bool) {
 	g := p.groups[e.Service]
-	senders, chosen := p.senders(e, max(1, int(min(l.PerSecond*maxLimitSenders, float64(len(p.fleet))))), func(region string) bool {
-		return region == e.region || !g.regions[region]
-	})
+	maxSenders := 1 + int(min(l.PerSecond, float64(len(p.fleet))))
+	senders, chosen := p.senders(e, maxSenders, func(region string) bool { return region == e.region || !g.regions[region] })
 	return max(l.PerSecond, minLimitRate) / float64(senders), chosen
 }
 
