--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/relay"
@@ -341,3 +342,30 @@
 		t.Fatal("no hub found")
 	})
 }
+
+// The start of a rollout does not move as reports on it pass through hubs.
+func TestRolloutStartStaysInLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newDomainNetwork(t, 12, 2, nil)
+		time.Sleep(5 * time.Second)
+		ordered := time.Now()
+		order := catalog.RolloutOrder{Service: "s", To: "v2", Duration: 12 * time.Second, Revision: 5}
+		for _, m := range all {
+			m.rollouts.setOrders(time.Now(), map[string]catalog.RolloutOrder{"s": order}, 0)
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 10 {
+			time.Sleep(time.Second)
+			for _, m := range all {
+				if start := m.rollouts.get("s").StartTime(); start.Before(ordered) {
+					t.Fatalf("%s after the order, %s has a start %s before it", time.Since(ordered), m.self.Name, ordered.Sub(start))
+				}
+			}
+		}
+		for _, m := range all {
+			if late := m.rollouts.get("s").StartTime().Sub(ordered); late > 100*time.Millisecond {
+				t.Errorf("%s has a start %s after the order", m.self.Name, late)
+			}
+		}
+	})
+}
