Rollouts: reports through hubs do not move the start back

Cause: a sum of reports holds the largest age of a rollout at the time of sending, and was applied as if that had been its age when the sum's oldest part was measured. The earliest start counts and is passed on, so that each hop moved it back by up to the age of a sum. Evidence: ages of 2 to 3.7 s within 0.6 s of the order in the lines of 25 instances.

Change: the age is taken from the time of arrival, the evidence from the time of the oldest part as before. Why it works: an age that was true at sending is too low on arrival, never too high, and the earliest start still wins.

--- a/front/gateway/domains.go
+++ b/front/gateway/domains.go
@@ -346,7 +346,7 @@
 	m.limiter.SetRegionDemand(name, s.Demand, at, maxSummaryAge)
 	m.placer.SetPeerLoads(name, placingLoads(s.Busy))
 	m.placer.AddPeerWarmed(now, placingWarmed(s.Warmed))
-	m.rollouts.receiveReports(name, s.Rollouts, at)
+	m.rollouts.receiveReports(name, s.Rollouts, at, now)
 }
 
 // receiveFleet applies a hub's summary of the rest of the fleet.
@@ -367,7 +367,7 @@
 	m.limiter.SetRegionDemand(fleetName, f.Demand, at, maxSummaryAge)
 	m.placer.SetPeerLoads(fleetName, placingLoads(f.Busy))
 	m.placer.AddPeerWarmed(now, placingWarmed(f.Warmed))
-	m.rollouts.receiveReports(fleetName, f.Rollouts, at)
+	m.rollouts.receiveReports(fleetName, f.Rollouts, at, now)
 }
 
 // receiveMembers applies a list of instances and returns it in full. The caller
--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -273,15 +273,17 @@
 	return reports
 }
 
-// receiveReports applies the reports of another instance, or of a region.
-func (r *rollouts) receiveReports(instance string, reports []rolloutReport, now time.Time) {
+// receiveReports applies the reports of another instance, or the sum of several
+// that were made at measuredAt or later. Their ages are at most those at the time
+// of sending.
+func (r *rollouts) receiveReports(instance string, reports []rolloutReport, measuredAt, now time.Time) {
 	for _, reported := range reports {
 		ro := r.get(reported.Service)
 		if ro == nil || ro.Order().Era != reported.Era || ro.Order().Revision != reported.Revision {
 			continue
 		}
 		ro.ObserveStart(now.Add(-time.Duration(reported.AgeMS) * time.Millisecond))
-		ro.SetPeerEvidence(instance, reported.Evidence, now)
+		ro.SetPeerEvidence(instance, reported.Evidence, measuredAt)
 		switch reported.Result {
 		case catalog.RolloutRolledBack:
 			ro.Halt()
--- a/front/gateway/rollouts_sim_test.go
+++ b/front/gateway/rollouts_sim_test.go
@@ -305,7 +305,7 @@
 	if from == to {
 		return
 	}
-	w.instances[to].receiveReports(fmt.Sprint(from), w.instances[from].localReports(w.now), w.now)
+	w.instances[to].receiveReports(fmt.Sprint(from), w.instances[from].localReports(w.now), w.now, w.now)
 }
 
 // addGoodResponses adds good responses of the new version to an instance's
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -265,7 +265,7 @@
 	m.limiter.SetPeerDemand(r.Name, r.Demand, now, m.maxOwnReportAge())
 	m.placer.SetPeerLoads(r.Name, placingLoads(r.Loads))
 	m.placer.AddPeerWarmed(now, placingWarmed(r.Warmed))
-	m.rollouts.receiveReports(r.Name, r.Rollouts, now)
+	m.rollouts.receiveReports(r.Name, r.Rollouts, now, now)
 }
 
 // rateLimitReports converts limits of endpoints.
