Requests' fingerprints and ends of endpoints are logged

A fingerprint of method, host, path, query, team and body is computed for each request and is part of its lines; a body that is streamed counts with its first 64 KiB. After a connection has broken while a request ran, the endpoint is dialed once: only the address of a process that has ended refuses. The new line names the fingerprints of the requests that ran there. No decision uses either yet.

--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -9,11 +9,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -183,6 +185,21 @@
 	}
 }
 
+// Refuses reports whether the endpoint refuses new connections, as the address of
+// a process that has ended does. A connection that it accepts is kept for a later
+// request. Errors: *Error if the endpoint does neither.
+func (c *Client) Refuses(ctx context.Context, t Target) (bool, error) {
+	cn, err := c.dialer.dial(ctx, t.Address)
+	switch {
+	case err == nil:
+		c.pool(t).put(cn, time.Now())
+		return false, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true, nil
+	}
+	return false, &Error{Reason: ReasonUnreachable, Verdict: notRun, Address: t.Address, Err: err}
+}
+
 // nextExchangeID returns a unique identifier for an exchange.
 func (c *Client) nextExchangeID() string {
 	return c.exchangePrefix + strconv.FormatUint(c.exchanges.Add(1), 36)
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -47,10 +48,12 @@
 	service    string
 	body       []byte // the complete body, unless streamBody is set
 	streamBody bool   // the body is too large to be buffered
-	verdict    verdict.Verdict
-	attempts   int
-	logAll     bool // all log lines of this request are written
-	log        logrus.FieldLogger
+	// fingerprint identifies further tries of the caller.
+	fingerprint crash.Fingerprint
+	verdict     verdict.Verdict
+	attempts    int
+	logAll      bool // all log lines of this request are written
+	log         logrus.FieldLogger
 }
 
 // goalTime returns the time by which the route's latency goal wants the
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -68,8 +68,8 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, logLimiter: l}
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, l *logLimiter) *sender {
+	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, logLimiter: l}
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
--- a/front/gateway/refusal.go
+++ b/front/gateway/refusal.go
@@ -84,7 +84,7 @@
 	}
 	if x.service != "" {
 		fields["service"] = x.service
-		fields["object"] = x.caller.Object
+		fields["object"], fields["fingerprint"] = x.caller.Object, x.fingerprint.String()
 	}
 	if p := r.placing; p != nil {
 		fields["expected_ms"], fields["wait_ms"] = p.Expected.Milliseconds(), p.QueueWait.Milliseconds()
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -41,6 +41,7 @@
 	placer     *placing.Placer
 	rollouts   *rollouts
 	budgets    *retryBudgets
+	crashes    *crashWatch
 	metrics    *metrics
 	logLimiter *logLimiter
 }
@@ -120,6 +121,9 @@
 	if err == nil {
 		buffered, err = bufferResponse(response)
 	}
+	if mayHaveCrashed(err) {
+		s.crashes.connectionBroke(c.Endpoint, x.fingerprint)
+	}
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
@@ -202,7 +206,7 @@
 	fields := logrus.Fields{
 		"route": x.route.Name, "service": x.service, "team": x.teamName(), "try": attemptNumber,
 		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "version_by": c.reason, "domain": c.Endpoint.FailureDomain,
-		"object": x.caller.Object, "known": c.Warmth, "running": c.Running, "candidates": c.Candidates,
+		"object": x.caller.Object, "fingerprint": x.fingerprint.String(), "known": c.Warmth, "running": c.Running, "candidates": c.Candidates,
 		"wait_ms": c.QueueWait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
 	}
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -28,6 +28,7 @@
 		newRelayedStore,
 		newRetryBudgets,
 		newLogLimiter,
+		newCrashWatch,
 		newSender,
 		newHandler,
 		newGateway,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -36,8 +36,9 @@
 	}
 	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
+	gatewayCrashWatch := newCrashWatch(client, logger)
 	gatewayLogLimiter := newLogLimiter(logger)
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayLogLimiter)
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, gatewayLogLimiter)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
