Requests that crash endpoints are refused by all instances

Cause: no part of the system kept anything about a request beyond the one try of its caller. A broken connection was a mark against the endpoint alone, so the request went to the next sound one, here and at every other instance.

steer/crash decides. What ran at an endpoint when its process ended is suspected alike; a response to a request clears it, and an end counts only once this instance has reached another endpoint since, so that one cut off from all says nothing. A request that ran at three ends without a response in between is refused at once with 503 and a Retry-After of 5 s or more: the promise is true, it invites nobody back soon, and no team is denied a proper request. Each end must have been sent to after the one before, or 2 s pass without a response, since endpoints that end together may have another cause. From the second end on a request runs once at a time and is not repeated. Instances report ends, responses and refusals to each other, through hubs above 16. A refusal ends with the response to a trial, of which the fleet makes three at most, 10 s, 1 min and 10 min apart.

--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -115,7 +115,7 @@
 // hedge starts another attempt while the slow one goes on. The first response
 // wins.
 func (r *attemptRun) hedge() {
-	if r.delivered+r.inFlight >= max(1, r.route.MaxEndpoints) || r.attempts >= maxAttempts {
+	if r.delivered+r.inFlight >= max(1, r.route.MaxEndpoints) || r.attempts >= maxAttempts || !r.sender.mayRepeat(r.exchange) {
 		return
 	}
 	if time.Until(r.deadline) < minAttemptTime || !r.sender.budgets.tryWithdraw(r.service) {
@@ -147,6 +147,14 @@
 		return false
 	case delivered == 0:
 		return true
+	case !s.mayRepeat(x):
+		return false
 	}
 	return s.budgets.tryWithdraw(x.service)
 }
+
+// mayRepeat reports whether a request that was sent to an endpoint may be sent to
+// another one with regard to the crashes that it may cause.
+func (s *sender) mayRepeat(x *exchange) bool {
+	return !x.crash.Once && s.crashes.detector.MayRepeat(time.Now(), x.fingerprint)
+}
--- a/front/gateway/crashes.go
+++ b/front/gateway/crashes.go
@@ -11,22 +11,57 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
+// Times of a crashWatch.
+const (
+	// reachedElsewhereWait is how long a response of another endpoint is waited
+	// for before one is dialed.
+	reachedElsewhereWait = 50 * time.Millisecond
+	// maxReachDials is how many other endpoints are dialed to find out whether this
+	// instance reaches any.
+	maxReachDials = 3
+)
+
 // crashWatch finds out which requests ran at endpoints when their processes
 // ended. A connection may break for other reasons, so the endpoint is dialed
 // again: only the address of a process that has ended refuses connections.
 type crashWatch struct {
-	client *endpoint.Client
-	log    logrus.FieldLogger
+	detector    *crash.Detector
+	client      *endpoint.Client
+	placer      *placing.Placer
+	notifyPeers func() // syncs with the other instances at once
+	log         logrus.FieldLogger
 
 	mu     sync.Mutex
-	broken map[catalog.Incarnation][]crash.Fingerprint // while their endpoints are dialed
+	broken map[catalog.Incarnation][]crash.Run // while their endpoints are dialed
 }
 
-func newCrashWatch(c *endpoint.Client, log *logrus.Logger) *crashWatch {
-	return &crashWatch{client: c, log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]crash.Fingerprint)}
+// newCrashWatch returns a watch. newMesh sets notifyPeers.
+func newCrashWatch(c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *crashWatch {
+	w := &crashWatch{
+		client: c, placer: p, notifyPeers: func() {},
+		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]crash.Run),
+	}
+	w.detector = crash.New(crash.DefaultRules(), w.logEvent)
+	return w
+}
+
+// logEvent logs a change of what is believed of a request.
+func (w *crashWatch) logEvent(e crash.Event) {
+	log := w.log.WithFields(logrus.Fields{"fingerprint": e.Fingerprint.String(), "endpoints": e.Endpoints, "trials": e.Trials})
+	switch e.Kind {
+	case crash.EventRefused:
+		log.Warn("Request crashes endpoints, it is refused from now on.")
+	case crash.EventTold:
+		log.Warn("Request crashes endpoints as another instance reports, it is refused from now on.")
+	case crash.EventTrial:
+		log.Info("Refused request is tried once.")
+	case crash.EventCleared:
+		log.Info("Refused request got a response, it is no longer refused.")
+	}
 }
 
 // mayHaveCrashed reports whether an attempt ended as it does when the endpoint's
@@ -39,20 +74,20 @@
 
 // connectionBroke records that a connection broke while a request ran, and finds
 // out in the background whether the endpoint's process has ended.
-func (w *crashWatch) connectionBroke(e catalog.Endpoint, f crash.Fingerprint) {
+func (w *crashWatch) connectionBroke(e catalog.Endpoint, r crash.Run) {
 	in := e.Incarnation()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	requests, dialing := w.broken[in]
-	w.broken[in] = append(requests, f)
-	if dialing {
-		return
+	w.broken[in] = append(requests, r)
+	if !dialing {
+		go w.investigate(e, time.Now())
 	}
-	go w.dial(e, time.Now())
 }
 
-// dial dials an endpoint whose connection broke at brokeAt.
-func (w *crashWatch) dial(e catalog.Endpoint, brokeAt time.Time) {
+// investigate finds out whether an endpoint whose connection broke at brokeAt has
+// ended.
+func (w *crashWatch) investigate(e catalog.Endpoint, brokeAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
 	defer cancel()
 	ended, err := w.client.Refuses(ctx, targetOf(&e))
@@ -70,17 +105,45 @@
 		log.Info("Connections to an endpoint broke, it accepts new ones.")
 	default:
 		log.WithField("fingerprints", fingerprintTexts(requests)).Info("Endpoint ended while requests ran there.")
+		w.recordEnd(e, brokeAt, requests)
+	}
+}
+
+// recordEnd records the end of an endpoint.
+func (w *crashWatch) recordEnd(e catalog.Endpoint, at time.Time, requests []crash.Run) {
+	w.detector.ObserveEnd(time.Now(), at, e.Incarnation(), requests)
+	w.confirmReach(e.Incarnation())
+	w.notifyPeers()
+}
+
+// confirmReach dials other endpoints until one accepts, unless a response has
+// shown already that this instance reaches any.
+func (w *crashWatch) confirmReach(ended catalog.Incarnation) {
+	if !w.detector.Unconfirmed(ended) {
+		return
+	}
+	time.Sleep(reachedElsewhereWait)
+	for _, other := range w.placer.OtherEndpoints(ended, maxReachDials) {
+		if !w.detector.Unconfirmed(ended) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
+		start := time.Now()
+		if refuses, err := w.client.Refuses(ctx, targetOf(&other)); err == nil && !refuses {
+			w.detector.ObserveReached(time.Now(), start, other.Incarnation())
+		}
+		cancel()
 	}
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
 const maxLoggedFingerprints = 20
 
-// fingerprintTexts returns fingerprints for a log line.
-func fingerprintTexts(all []crash.Fingerprint) []string {
+// fingerprintTexts returns the fingerprints of requests for a log line.
+func fingerprintTexts(all []crash.Run) []string {
 	texts := make([]string, 0, maxLoggedFingerprints)
-	for _, f := range all[:min(len(all), maxLoggedFingerprints)] {
-		texts = append(texts, f.String())
+	for _, r := range all[:min(len(all), maxLoggedFingerprints)] {
+		texts = append(texts, r.Fingerprint.String())
 	}
 	return texts
 }
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -124,7 +124,8 @@
 			limiter.SetQuotas(time.Now(), quotas)
 			r := newRollouts(Adapters{}, log)
 			view := &storeView{}
-			m := newMesh(s, Adapters{}, placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region}), limiter, r, view, log)
+			placer := placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region})
+			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, log), log)
 			m.ready = func() bool { return true }
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
@@ -145,6 +146,13 @@
 	return n, all
 }
 
+// setDown sets whether an instance can neither make nor receive calls.
+func (n *network) setDown(name string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[name] = down
+}
+
 // takeCrossRegionCalls returns the number of calls between regions since the
 // last time, and resets the counters.
 func (n *network) takeCrossRegionCalls() int {
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -50,6 +50,7 @@
 	streamBody bool   // the body is too large to be buffered
 	// fingerprint identifies further tries of the caller.
 	fingerprint crash.Fingerprint
+	crash       crash.Decision
 	verdict     verdict.Verdict
 	attempts    int
 	logAll      bool // all log lines of this request are written
@@ -112,6 +113,13 @@
 	if r := h.bufferBody(x); r != nil {
 		return nil, r
 	}
+	x.crash = h.sender.crashes.detector.Begin(time.Now(), x.fingerprint)
+	if !x.crash.Allowed {
+		return nil, crashRefusal(x.crash)
+	}
+	defer func() {
+		h.sender.crashes.detector.Finish(time.Now(), x.fingerprint, x.crash, x.attempts > 0)
+	}()
 	if r := h.checkQuota(x); r != nil {
 		return nil, r
 	}
@@ -119,6 +127,16 @@
 	return h.sender.send(x)
 }
 
+// crashRefusal returns the refusal of a request that crashes endpoints, or that
+// waits for the outcome of another one that may.
+func crashRefusal(d crash.Decision) *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, reason: reasonCrashSuspected, retryAfter: d.RetryAfter}
+	if d.Refused {
+		r.reason = reasonCrashes
+	}
+	return r
+}
+
 // nextWeightPoint returns the next number in [0, 1) for a choice by weights.
 func (h *handler) nextWeightPoint() float64 {
 	p := float64(h.weightPoints.Add(1)) * goldenRatioStep
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -110,6 +110,11 @@
 	m.limiter.SetFleet(holders, m.demandSources(now))
 	slices.SortFunc(fleet, func(a, b placing.Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.placer.SetFleet(fleet)
+	names := make([]string, len(fleet))
+	for i, other := range fleet {
+		names[i] = other.Name
+	}
+	m.crashes.detector.SetFleet(m.self.Name, names)
 	for region, roundTrip := range roundTrips {
 		m.placer.SetRoundTrip(region, roundTrip)
 	}
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -79,6 +79,7 @@
 	placer              *placing.Placer
 	limiter             *quota.Limiter
 	rollouts            *rollouts
+	crashes             *crashWatch
 	ready               func() bool
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
 	log                 logrus.FieldLogger
@@ -104,7 +105,7 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, w *crashWatch, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
@@ -117,6 +118,7 @@
 		placer:              p,
 		limiter:             l,
 		rollouts:            r,
+		crashes:             w,
 		ready:               v.ready,
 		storeReachableSince: func() time.Time { return time.Time{} },
 		log:                 log.WithField("prefix", "mesh"),
@@ -127,6 +129,7 @@
 		membersRead:         make(chan struct{}),
 		wake:                make(chan struct{}),
 	}
+	w.notifyPeers = m.syncUrgently
 	r.isLeader, r.notifyPeers, r.recordDelay = m.isLeader, m.syncUrgently, m.recordDelay
 	return m
 }
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/rollout"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
@@ -28,6 +29,22 @@
 // minComparedTime keeps noise out of comparisons of very short times.
 const minComparedTime = 50 * time.Millisecond
 
+// recordResult records the result of an attempt with the crash watch and the
+// service's rollout, which is nil if there is none.
+func (s *sender) recordResult(x *exchange, ro *rollout.Rollout, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
+	if ro != nil {
+		s.recordRolloutAttempt(ro, c, o, err, elapsed)
+	}
+	switch {
+	case mayHaveCrashed(err):
+		s.crashes.connectionBroke(c.Endpoint, crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt})
+	case err == nil && !claimsNotRun(response.Status):
+		s.crashes.detector.ObserveAnswer(time.Now(), sentAt, c.Endpoint.Incarnation(), x.fingerprint)
+	case err == nil || o == placing.OutcomeShed:
+		s.crashes.detector.ObserveReached(time.Now(), sentAt, c.Endpoint.Incarnation())
+	}
+}
+
 // recordRolloutAttempt records the outcome of an attempt with a rollout.
 func (s *sender) recordRolloutAttempt(ro *rollout.Rollout, c *placing.Choice, o placing.Outcome, err error, elapsed time.Duration) {
 	slowness := max(elapsed, minComparedTime).Seconds() / max(c.Nominal, minComparedTime).Seconds()
--- a/front/gateway/refusal.go
+++ b/front/gateway/refusal.go
@@ -31,6 +31,10 @@
 	reasonFailed         reason = "endpoint-failed"
 	reasonNotRun         reason = "endpoint-refused"
 	reasonUnprovenNotRun reason = "endpoint-promise-unproved"
+	// reasonCrashes means that such requests have crashed endpoints.
+	reasonCrashes reason = "crashes-endpoints"
+	// reasonCrashSuspected means that they may have, and that one is running.
+	reasonCrashSuspected reason = "crash-suspected"
 )
 
 // Retry-After times where no better estimate is known.
@@ -82,9 +86,11 @@
 		fields["route"] = x.route.Name
 		fields["catalog"] = x.catalog.Version
 	}
+	if x.fingerprint != 0 {
+		fields["object"], fields["fingerprint"] = x.caller.Object, x.fingerprint.String()
+	}
 	if x.service != "" {
 		fields["service"] = x.service
-		fields["object"], fields["fingerprint"] = x.caller.Object, x.fingerprint.String()
 	}
 	if p := r.placing; p != nil {
 		fields["expected_ms"], fields["wait_ms"] = p.Expected.Milliseconds(), p.QueueWait.Milliseconds()
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -121,15 +121,10 @@
 	if err == nil {
 		buffered, err = bufferResponse(response)
 	}
-	if mayHaveCrashed(err) {
-		s.crashes.connectionBroke(c.Endpoint, x.fingerprint)
-	}
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
-	if ro != nil {
-		s.recordRolloutAttempt(ro, c.Choice, outcome, err, elapsed)
-	}
+	s.recordResult(x, ro, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
 		return result{response: buffered}
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
@@ -85,6 +86,8 @@
 	LeavingEndpoints []incarnationReport `json:"le,omitempty"`
 	// RateLimits are the limits that responses to any instance have recently stated.
 	RateLimits []rateLimitReport `json:"rl,omitempty"`
+	// Crashes is what it has learned of requests that crash endpoints.
+	Crashes crash.Report `json:"cr,omitzero"`
 	// Rollouts are its reports on the rollouts in progress.
 	Rollouts []rolloutReport `json:"m,omitempty"`
 	// OwnDomain is the summary of its failure domain, from one hub to another of
@@ -163,6 +166,7 @@
 	r.Demand = m.limiter.ReportDemand(now)
 	r.Rollouts = m.rollouts.localReports(now)
 	r.RateLimits = rateLimitReports(m.placer.RateLimits(now))
+	r.Crashes = m.crashes.detector.Report(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.Leaving, r.CutOff = m.leaving, now.Before(m.cutOffUntil)
@@ -250,6 +254,7 @@
 	}
 	m.receiveLeaving(now, r.LeavingEndpoints)
 	m.receiveRateLimits(r.Name, r.RateLimits, now)
+	m.crashes.detector.Receive(now, r.Crashes)
 	switch {
 	case r.OwnDomain != nil:
 		m.receiveSummary(*r.OwnDomain, now)
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -34,9 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, logger)
+	gatewayCrashWatch := newCrashWatch(client, placer, logger)
+	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
-	gatewayCrashWatch := newCrashWatch(client, logger)
 	gatewayLogLimiter := newLogLimiter(logger)
 	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, gatewayLogLimiter)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -206,6 +206,22 @@
 	e.Endpoint = entry
 }
 
+// OtherEndpoints returns up to n endpoints of any service, except one. They are in
+// no order.
+func (p *Placer) OtherEndpoints(except catalog.Incarnation, n int) []catalog.Endpoint {
+	var all []catalog.Endpoint
+	p.eachGroup(func(_ string, g *group) {
+		taken := 0
+		for in, e := range g.endpoints {
+			if in != except && taken < n {
+				all = append(all, e.Endpoint)
+				taken++
+			}
+		}
+	})
+	return all[:min(len(all), n)]
+}
+
 // eachGroup calls f with each shard, which is locked during the call.
 func (p *Placer) eachGroup(f func(service string, g *group)) {
 	p.mu.RLock()
