Rollouts: endpoints that a request crashes are not the version's fault

What callers could see: a sound new version is rolled back, or a bad one passes beside an old one that looks as bad, since each request that was waiting at a crashed endpoint counts as a failure of the version there.

A rollout now learns of a connection that broke at an endpoint that has ended 1.5 s later, when it is known what ran there at all instances, and not at all if a suspicious or refused request did. Other failures count at once, as before.

Measured: TestCrashByARequestIsNotTheVersionsFault fails if the failures always count (2 failures count, want 0) and passes.

--- a/front/gateway/crashes.go
+++ b/front/gateway/crashes.go
@@ -23,6 +23,10 @@
 	// maxReachDials is how many other endpoints are dialed to find out whether this
 	// instance reaches any.
 	maxReachDials = 3
+	// causeWait is how long after an endpoint has ended it is decided whether a
+	// request was the cause: by then the other instances have reported what ran
+	// there.
+	causeWait = 1500 * time.Millisecond
 )
 
 // crashWatch finds out which requests ran at endpoints when their processes
@@ -36,14 +40,21 @@
 	log         logrus.FieldLogger
 
 	mu     sync.Mutex
-	broken map[catalog.Incarnation][]crash.Run // while their endpoints are dialed
+	broken map[catalog.Incarnation][]brokenRequest // while their endpoints are dialed
+}
+
+// brokenRequest is a request whose connection broke. settle is called once it is
+// known whether a request made the endpoint end.
+type brokenRequest struct {
+	run    crash.Run
+	settle func(causedByRequest bool)
 }
 
 // newCrashWatch returns a watch. newMesh sets notifyPeers.
 func newCrashWatch(c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *crashWatch {
 	w := &crashWatch{
 		client: c, placer: p, notifyPeers: func() {},
-		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]crash.Run),
+		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]brokenRequest),
 	}
 	w.detector = crash.New(crash.DefaultRules(), w.logEvent)
 	return w
@@ -74,7 +85,7 @@
 
 // connectionBroke records that a connection broke while a request ran, and finds
 // out in the background whether the endpoint's process has ended.
-func (w *crashWatch) connectionBroke(e catalog.Endpoint, r crash.Run) {
+func (w *crashWatch) connectionBroke(e catalog.Endpoint, r brokenRequest) {
 	in := e.Incarnation()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,7 +97,7 @@
 }
 
 // investigate finds out whether an endpoint whose connection broke at brokeAt has
-// ended.
+// ended, and settles the requests that ran there.
 func (w *crashWatch) investigate(e catalog.Endpoint, brokeAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
 	defer cancel()
@@ -107,13 +118,22 @@
 		log.WithField("fingerprints", fingerprintTexts(requests)).Info("Endpoint ended while requests ran there.")
 		w.recordEnd(e, brokeAt, requests)
 	}
+	caused := ended && w.detector.CausedBySuspect(time.Now(), e.Incarnation())
+	for _, r := range requests {
+		r.settle(caused)
+	}
 }
 
-// recordEnd records the end of an endpoint.
-func (w *crashWatch) recordEnd(e catalog.Endpoint, at time.Time, requests []crash.Run) {
-	w.detector.ObserveEnd(time.Now(), at, e.Incarnation(), requests)
+// recordEnd records the end of an endpoint and waits until its cause can be told.
+func (w *crashWatch) recordEnd(e catalog.Endpoint, at time.Time, requests []brokenRequest) {
+	runs := make([]crash.Run, len(requests))
+	for i, r := range requests {
+		runs[i] = r.run
+	}
+	w.detector.ObserveEnd(time.Now(), at, e.Incarnation(), runs)
 	w.confirmReach(e.Incarnation())
 	w.notifyPeers()
+	time.Sleep(causeWait)
 }
 
 // confirmReach dials other endpoints until one accepts, unless a response has
@@ -140,10 +160,10 @@
 const maxLoggedFingerprints = 20
 
 // fingerprintTexts returns the fingerprints of requests for a log line.
-func fingerprintTexts(all []crash.Run) []string {
+func fingerprintTexts(all []brokenRequest) []string {
 	texts := make([]string, 0, maxLoggedFingerprints)
 	for _, r := range all[:min(len(all), maxLoggedFingerprints)] {
-		texts = append(texts, r.Fingerprint.String())
+		texts = append(texts, r.run.Fingerprint.String())
 	}
 	return texts
 }
--- a/front/gateway/crashes_test.go
+++ b/front/gateway/crashes_test.go
@@ -1,13 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
 const deadlyRequest crash.Fingerprint = 7
@@ -67,3 +76,57 @@
 		})
 	}
 }
+
+// newCrashFixture is newVersionFixture with endpoints that refuse connections, and
+// one of another service that accepts them.
+func newCrashFixture(t *testing.T) *versionFixture {
+	f := newVersionFixture(t)
+	const alive = "alive:80"
+	f.placer.SetEndpoints(time.Now(), []catalog.Endpoint{
+		{ID: "v1", Service: testService, Address: "v1:80", FailureDomain: "e1", Version: "v1", Slots: 3},
+		{ID: "v2", Service: testService, Address: "v2:80", FailureDomain: "e1", Version: "v2", Slots: 3},
+		{ID: alive, Service: "another", Address: alive, FailureDomain: "e1", Version: "v1", Slots: 3},
+	})
+	client := endpoint.NewClient(endpoint.Settings{DisableProbes: true, Dial: func(_ context.Context, _, address string) (net.Conn, error) {
+		if address != alive {
+			return nil, syscall.ECONNREFUSED
+		}
+		accepted, _ := net.Pipe()
+		return accepted, nil
+	}}, ignoreOutcomes{})
+	t.Cleanup(client.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.crashes = newCrashWatch(client, f.placer, log)
+	return f
+}
+
+// crash lets the endpoint of a version end while a request runs there.
+func (f *versionFixture) crash(version string, fingerprint crash.Fingerprint) {
+	x := &exchange{route: &f.route, service: testService, fingerprint: fingerprint}
+	choice := &placing.Choice{Endpoint: catalog.Endpoint{ID: version, Service: testService, Address: version + ":80", Version: version}}
+	sentAt := time.Now()
+	time.Sleep(10 * time.Millisecond)
+	err := &endpoint.Error{Reason: endpoint.ReasonBroken, Verdict: verdict.MayHaveRun}
+	f.recordResult(x, f.rollouts.get(testService), choice, sentAt, placing.OutcomeFailed, nil, err, time.Since(sentAt))
+}
+
+// What one request does to the endpoints of both versions says nothing about the
+// new one; crashes while different requests run do.
+func TestCrashByARequestIsNotTheVersionsFault(t *testing.T) {
+	for name, requests := range map[string][2]crash.Fingerprint{"one request": {7, 7}, "different requests": {7, 8}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFixture(t)
+				f.crash("v1", requests[0])
+				f.crash("v2", requests[1])
+				time.Sleep(2 * causeWait)
+				evidence := f.rollouts.get(testService).LocalEvidence(time.Now())
+				failures := evidence.Old.Failures + evidence.New.Failures
+				if want := map[bool]float64{true: 0, false: 2}[requests[0] == requests[1]]; float64(failures) != want {
+					t.Errorf("%v failures count, want %v", failures, want)
+				}
+			})
+		})
+	}
+}
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -30,14 +30,21 @@
 const minComparedTime = 50 * time.Millisecond
 
 // recordResult records the result of an attempt with the crash watch and the
-// service's rollout, which is nil if there is none.
+// service's rollout, which is nil if there is none. If the endpoint may have
+// crashed, the rollout learns of it once the cause is known: what a request does
+// to each endpoint says nothing about a version.
 func (s *sender) recordResult(x *exchange, ro *rollout.Rollout, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
-	if ro != nil {
-		s.recordRolloutAttempt(ro, c, o, err, elapsed)
+	record := func(causedByRequest bool) {
+		if ro != nil && !causedByRequest {
+			s.recordRolloutAttempt(ro, c, o, err, elapsed)
+		}
+	}
+	if mayHaveCrashed(err) {
+		s.crashes.connectionBroke(c.Endpoint, brokenRequest{run: crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt}, settle: record})
+		return
 	}
+	record(false)
 	switch {
-	case mayHaveCrashed(err):
-		s.crashes.connectionBroke(c.Endpoint, crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt})
 	case err == nil && !claimsNotRun(response.Status):
 		s.crashes.detector.ObserveAnswer(time.Now(), sentAt, c.Endpoint.Incarnation(), x.fingerprint)
 	case err == nil || o == placing.OutcomeShed:
--- a/steer/crash/detector.go
+++ b/steer/crash/detector.go
@@ -166,6 +166,23 @@
 	return e != nil && !e.confirmed
 }
 
+// CausedBySuspect reports whether an endpoint ended while a request ran there that
+// is refused or suspicious by now.
+func (d *Detector) CausedBySuspect(now time.Time, endpoint catalog.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.ends[endpoint]
+	if e == nil || e.refuted {
+		return false
+	}
+	for f := range e.requests {
+		if d.refused[f] != nil || len(d.strikes(now, f)) >= d.rules.Suspicious {
+			return true
+		}
+	}
+	return false
+}
+
 // addEnd adds an end, or what is new about one.
 func (d *Detector) addEnd(now, at time.Time, endpoint catalog.Incarnation, runs []Run, confirmed bool) {
 	e := d.ends[endpoint]
