Requests that got responses of late are not refused in haste

In a model of eight instances, callers of a request that many ask for lost up to 5 in 100 of their requests when half of all endpoints ended together every 3 s, since it ran at several of them and had to wait for its own outcome, and up to 100 requests in a minute when it ran beside one that crashes endpoints.

A request with a response in the 10 s before the first end runs as usual, and is refused only if the ends are spread over 2 s as well. An instance that has no response of its own learns of others' with the reports, which lifts a refusal that came too soon. If several requests ran at all ends, 0.7 s pass before any of them is refused.

What is kept at most: 128 ends.

--- a/steer/crash/admit.go
+++ b/steer/crash/admit.go
@@ -30,7 +30,7 @@
 	switch r := d.refused[f]; {
 	case r != nil:
 		decision = d.decideRefused(now, f, r)
-	case len(d.strikes(now, f)) >= d.rules.Suspicious:
+	case d.suspicious(now, f):
 		decision = Decision{Allowed: d.running[f] == 0, Once: true, RetryAfter: suspectRetryAfter}
 	}
 	if decision.Allowed {
@@ -59,7 +59,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.judge(now, f)
-	return d.refused[f] == nil && len(d.strikes(now, f)) < d.rules.Suspicious
+	return d.refused[f] == nil && !d.suspicious(now, f)
 }
 
 // decideRefused decides on a request that is refused: a trial, if one is due and
--- a/steer/crash/detector.go
+++ b/steer/crash/detector.go
@@ -176,7 +176,7 @@
 		return false
 	}
 	for f := range e.requests {
-		if d.refused[f] != nil || len(d.strikes(now, f)) >= d.rules.Suspicious {
+		if d.refused[f] != nil || d.suspicious(now, f) {
 			return true
 		}
 	}
@@ -219,11 +219,11 @@
 	if s == nil {
 		s = &suspect{}
 		d.suspects[f] = s
-		if at, ok := d.answers.at(f); ok {
-			s.answeredAt, s.learnedAt = at, now
-		}
 	}
 	s.ends = append(s.ends, e)
+	if at, ok := d.answers.at(f); ok {
+		d.setAnswered(now, at, f)
+	}
 }
 
 // strikes returns the ends that speak against a request, the earliest first.
@@ -275,15 +275,50 @@
 	if d.refused[f] != nil {
 		return
 	}
-	strikes := d.strikes(now, f)
+	if strikes := d.strikes(now, f); d.convicts(now, f, strikes) {
+		d.refuse(now, f, &refused{since: now, evidence: strikes, trialAt: now.Add(d.rules.TrialDelays[0])}, EventRefused)
+	}
+}
+
+// convicts reports whether enough speaks against a request for it to be refused.
+func (d *Detector) convicts(now time.Time, f Fingerprint, strikes []*end) bool {
 	if len(strikes) < d.rules.Crashes {
-		return
+		return false
 	}
-	last := strikes[d.rules.Crashes-1]
-	if inSequence(strikes, f) < d.rules.Crashes && now.Sub(last.at) < d.rules.Grace {
-		return
+	inSequence := inSequence(strikes, f) >= d.rules.Crashes
+	if d.knownGood(f, strikes) {
+		return inSequence && strikes[len(strikes)-1].at.Sub(strikes[0].at) >= d.rules.Grace
 	}
-	d.refuse(now, f, &refused{since: now, evidence: strikes, trialAt: now.Add(d.rules.TrialDelays[0])}, EventRefused)
+	if inSequence && (now.Sub(strikes[0].at) >= d.rules.Settle || !d.othersRanAtAll(f, strikes)) {
+		return true
+	}
+	return now.Sub(strikes[d.rules.Crashes-1].at) >= d.rules.Grace
+}
+
+// othersRanAtAll reports whether another request ran at all of the ends and may
+// have caused them as well.
+func (d *Detector) othersRanAtAll(f Fingerprint, strikes []*end) bool {
+	for g := range strikes[0].requests {
+		if g == f || d.suspects[g].answeredAt.After(strikes[0].at) {
+			continue
+		}
+		if !slices.ContainsFunc(strikes, func(e *end) bool { return !e.ranThere(g) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// knownGood reports whether a request got a response shortly before the first of
+// the ends.
+func (d *Detector) knownGood(f Fingerprint, strikes []*end) bool {
+	return strikes[0].at.Sub(d.suspects[f].answeredAt) <= d.rules.KnownGood
+}
+
+// suspicious reports whether a request may run at one endpoint at a time only.
+func (d *Detector) suspicious(now time.Time, f Fingerprint) bool {
+	strikes := d.strikes(now, f)
+	return len(strikes) >= d.rules.Suspicious && !d.knownGood(f, strikes)
 }
 
 // inSequence returns the number of ends at which a request ran that was sent there
@@ -323,19 +358,27 @@
 // all ends until then.
 func (d *Detector) setAnswered(now, at time.Time, f Fingerprint) {
 	s, r := d.suspects[f], d.refused[f]
-	if r != nil && at.After(r.since) {
+	if s == nil && r != nil {
+		s = &suspect{}
+		d.suspects[f] = s
+	}
+	if s == nil || !at.After(s.answeredAt) {
+		return
+	}
+	s.answeredAt, s.learnedAt = at, now
+	if r != nil && (at.After(r.since) || d.wasHasty(now, f, r)) {
 		delete(d.refused, f)
 		d.onEvent(Event{Kind: EventCleared, Fingerprint: f, Trials: r.trials})
-		if s == nil {
-			s = &suspect{}
-			d.suspects[f] = s
-		}
-	}
-	if s != nil && at.After(s.answeredAt) {
-		s.answeredAt, s.learnedAt = at, now
 	}
 }
 
+// wasHasty reports whether a request would not have been refused, had an earlier
+// response at another instance been known.
+func (d *Detector) wasHasty(now time.Time, f Fingerprint, r *refused) bool {
+	strikes := d.strikes(now, f)
+	return r.trials == 0 && len(strikes) > 0 && !d.convicts(now, f, strikes)
+}
+
 // prune drops what no longer counts and what exceeds the bounds.
 func (d *Detector) prune(now time.Time) {
 	var kept []*end
--- a/steer/crash/report.go
+++ b/steer/crash/report.go
@@ -139,13 +139,15 @@
 }
 
 // receiveRefused applies a refusal that another instance reports, unless the
-// request got a response after it.
+// request got a response after it, or so shortly before that this instance judges
+// for itself.
 func (d *Detector) receiveRefused(now, since time.Time, reported RefusedReport) {
 	f := reported.Fingerprint
-	if s := d.suspects[f]; s != nil && s.answeredAt.After(since) {
-		return
+	answeredAt, _ := d.answers.at(f)
+	if s := d.suspects[f]; s != nil && s.answeredAt.After(answeredAt) {
+		answeredAt = s.answeredAt
 	}
-	if at, ok := d.answers.at(f); ok && at.After(since) {
+	if since.Sub(answeredAt) <= d.rules.KnownGood && d.refused[f] == nil {
 		return
 	}
 	told := &refused{since: since, trials: reported.Trials}
--- a/steer/crash/rules.go
+++ b/steer/crash/rules.go
@@ -13,6 +13,13 @@
 	// endpoint after the previous one had ended. Endpoints that end at the same
 	// moment may have a common cause.
 	Grace time.Duration
+	// Settle is how long after the first end the reports of other instances are
+	// waited for if several requests ran at all of the ends.
+	Settle time.Duration
+	// KnownGood is how long before the first end a response must have been for the
+	// request to count as one that crashes nothing. Such a request is refused only
+	// if the ends are also spread over more than Grace, and runs as usual until then.
+	KnownGood time.Duration
 	// Memory is how long an end counts.
 	Memory time.Duration
 	// TrialDelays are the times from a refusal to the first trial, and from each
@@ -31,6 +38,8 @@
 		Crashes:     3,
 		Suspicious:  2,
 		Grace:       2 * time.Second,
+		Settle:      700 * time.Millisecond,
+		KnownGood:   10 * time.Second,
 		Memory:      10 * time.Minute,
 		TrialDelays: []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute},
 		TrialTurn:   10 * time.Second,
@@ -41,7 +50,7 @@
 // Bounds of what a detector keeps; see BenchmarkFullDetector for the memory.
 const (
 	// maxEnds is the number of ends kept, the latest ones.
-	maxEnds = 256
+	maxEnds = 128
 	// maxRequestsPerEnd is the number of requests kept for one end.
 	maxRequestsPerEnd = 128
 	// maxRefused is the number of refused requests kept, the latest ones.
