An instance notices and logs that it reaches no endpoint

steer/reach decides by new connections, since open ones live on in some cuts. Three endpoints that fail to accept one since the last that did, or a second without any response while requests run, lead to a probe; the instance counts as cut off if none of 16 endpoints in all failure domains accepts a connection within 0.4 s. Then two are probed each half second. Lines, a gauge and the field cut_off tell; no decision uses it yet.

--- a/front/gateway/crashes.go
+++ b/front/gateway/crashes.go
@@ -143,7 +143,7 @@
 		return
 	}
 	time.Sleep(reachedElsewhereWait)
-	for _, other := range w.placer.OtherEndpoints(ended, maxReachDials) {
+	for _, other := range w.placer.SpreadEndpoints(maxReachDials, ended) {
 		if !w.detector.Unconfirmed(ended) {
 			return
 		}
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -86,6 +86,7 @@
 	mesh        *mesh
 	tables      *relayedStore
 	client      *endpoint.Client
+	reach       *reachWatch
 	peers       *peer.Server
 	metricsPage http.Handler
 	metrics     *metrics
@@ -175,6 +176,7 @@
 		g.mesh.Run,
 		g.rollouts.Run,
 		g.client.Run,
+		g.reach.Run,
 	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
--- a/front/gateway/gauges.go
+++ b/front/gateway/gauges.go
@@ -20,6 +20,7 @@
 	endpoints metric.Int64ObservableGauge
 	slots     metric.Int64ObservableGauge
 	running   metric.Int64ObservableGauge
+	cutOff    metric.Int64ObservableGauge
 }
 
 // newGauges creates the gauges of a meter.
@@ -36,7 +37,9 @@
 		metric.WithDescription("Requests that the endpoints can run at the same time, by service."))
 	running, err6 := m.Int64ObservableGauge("cardamomfront.running",
 		metric.WithDescription("Requests at the endpoints, queued ones included, by service, as far as known."))
-	return gauges{age, revision, instances, endpoints, slots, running}, errors.Join(err1, err2, err3, err4, err5, err6)
+	cutOff, err7 := m.Int64ObservableGauge("cardamomfront.cut.off",
+		metric.WithDescription("1 while this instance reaches no endpoint, else 0."))
+	return gauges{age, revision, instances, endpoints, slots, running, cutOff}, errors.Join(err1, err2, err3, err4, err5, err6, err7)
 }
 
 // registerGauges registers the callback that computes the gauges.
@@ -55,8 +58,13 @@
 		}
 		o.ObserveInt64(all.instances, int64(g.mesh.size()))
 		all.observeUsage(o, g, now)
+		cutOff := int64(0)
+		if cut, _ := g.reach.monitor.IsCutOff(); cut {
+			cutOff = 1
+		}
+		o.ObserveInt64(all.cutOff, cutOff)
 		return nil
-	}, all.age, all.revision, all.instances, all.endpoints, all.slots, all.running)
+	}, all.age, all.revision, all.instances, all.endpoints, all.slots, all.running, all.cutOff)
 	return err
 }
 
--- a/front/gateway/lines_test.go
+++ b/front/gateway/lines_test.go
@@ -78,7 +78,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			s := &sender{metrics: m, logLimiter: newLogLimiter(log)}
+			s := &sender{metrics: m, reach: newReachMonitor(), logLimiter: newLogLimiter(log)}
 			x := &exchange{logAll: true, log: log.WithField("request", "9c41d07be2a35f68"), route: &catalog.Route{Name: "r"}, catalog: &catalog.Catalog{Version: "1"}}
 			c := &placing.Choice{Endpoint: catalog.Endpoint{ID: "i-7f3a91c2", Version: "v1"}}
 			b.ReportAllocs()
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
 // endpointIdleTimeout is how long an idle connection to an endpoint is reused.
@@ -41,14 +42,16 @@
 // Observe implements endpoint.Observer.
 func (ignoreOutcomes) Observe(string, health.Outcome, time.Duration) {}
 
-func newClient(adapters Adapters, t *telemetry.Metrics) (*endpoint.Client, error) {
+func newReachMonitor() *reach.Monitor { return reach.New(reach.DefaultRules()) }
+
+func newClient(adapters Adapters, m *reach.Monitor, t *telemetry.Metrics) (*endpoint.Client, error) {
 	observer, err := endpoint.CountOutcomes(ignoreOutcomes{}, t.Meter)
 	if err != nil {
 		return nil, err
 	}
 	return endpoint.NewClient(endpoint.Settings{
 		DialTimeout:   endpointDialTimeout,
-		Dial:          adapters.Dial,
+		Dial:          observeDials(adapters.Dial, m),
 		Protocol:      adapters.Endpoints,
 		DisableProbes: true,
 		Connections:   health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdleTimeout},
@@ -68,8 +71,8 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, logLimiter: l}
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, l *logLimiter) *sender {
+	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, logLimiter: l}
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
@@ -100,7 +103,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
@@ -110,6 +113,7 @@
 		mesh:        m,
 		tables:      tables,
 		client:      c,
+		reach:       reached,
 		peers:       peers,
 		metricsPage: t.Page,
 		metrics:     counts,
--- /dev/null
+++ b/front/gateway/reach.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
+)
+
+const (
+	// probeCheckInterval is the time between two checks whether a probe is due.
+	probeCheckInterval = 100 * time.Millisecond
+	// probeDialTimeout bounds the dials of a probe: several round trips between any
+	// two regions.
+	probeDialTimeout = 400 * time.Millisecond
+	// minDialEvidence is how long a dial that the request's deadline ends must have
+	// taken to say something about the endpoint.
+	minDialEvidence = 250 * time.Millisecond
+)
+
+// reachWatch probes endpoints to find out whether this instance is cut off from all
+// of them.
+type reachWatch struct {
+	monitor *reach.Monitor
+	client  *endpoint.Client
+	placer  *placing.Placer
+	log     logrus.FieldLogger
+}
+
+func newReachWatch(m *reach.Monitor, c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *reachWatch {
+	return &reachWatch{monitor: m, client: c, placer: p, log: log.WithField("prefix", "reach")}
+}
+
+// Run probes endpoints when that is due until ctx ends.
+func (w *reachWatch) Run(ctx context.Context) error {
+	runEvery(ctx, probeCheckInterval, func(now time.Time) {
+		if n := w.monitor.Probe(now); n > 0 {
+			w.probe(ctx, n)
+		}
+	})
+	return nil
+}
+
+// probe dials up to n endpoints at the same time.
+func (w *reachWatch) probe(ctx context.Context, n int) {
+	endpoints := w.placer.SpreadEndpoints(n, catalog.Incarnation{})
+	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
+	defer cancel()
+	results := make(chan bool, len(endpoints))
+	for _, e := range endpoints {
+		go func() {
+			refuses, err := w.client.Refuses(ctx, targetOf(&e))
+			results <- err == nil && !refuses
+		}()
+	}
+	accepted := 0
+	for range endpoints {
+		if <-results {
+			accepted++
+		}
+	}
+	now := time.Now()
+	log := w.log.WithFields(logrus.Fields{"probed": len(endpoints), "accepted": accepted})
+	_, since := w.monitor.IsCutOff()
+	switch w.monitor.ProbeEnded(now, len(endpoints), accepted, len(endpoints) < n) {
+	case reach.CutOff:
+		_, since = w.monitor.IsCutOff()
+		log.WithField("since_ms", now.Sub(since).Milliseconds()).Warn("No endpoint accepts connections, this instance is cut off.")
+	case reach.Restored:
+		log.WithField("away_ms", now.Sub(since).Milliseconds()).Info("Endpoints accept connections again.")
+	case reach.Unchanged:
+	}
+}
+
+// observeDials returns a dial function that reports to m whether endpoints accept
+// connections. A nil dial means the system's dialer.
+func observeDials(dial endpoint.DialFunc, m *reach.Monitor) endpoint.DialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		start := time.Now()
+		conn, err := dial(ctx, network, address)
+		now := time.Now()
+		switch {
+		case err == nil:
+			m.ConnectionEnded(now, address, true)
+		case errors.Is(ctx.Err(), context.Canceled):
+		case ctx.Err() == nil || now.Sub(start) >= minDialEvidence:
+			m.ConnectionEnded(now, address, false)
+		}
+		return conn, err
+	}
+}
+
+// hasResponded reports whether an endpoint has sent a response to a request.
+func hasResponded(err error) bool {
+	var e *endpoint.Error
+	if !errors.As(err, &e) {
+		return err == nil
+	}
+	switch e.Reason {
+	case endpoint.ReasonShed, endpoint.ReasonMisdirected, endpoint.ReasonExchangeMismatch, endpoint.ReasonUnframed,
+		endpoint.ReasonInvalidResponse, endpoint.ReasonTruncated:
+		return true
+	case endpoint.ReasonUnreachable, endpoint.ReasonTimedOut, endpoint.ReasonDeadline, endpoint.ReasonCanceled,
+		endpoint.ReasonBroken, endpoint.ReasonCallerBody, endpoint.ReasonWithdrawn, endpoint.ReasonUnsendable:
+	}
+	return false
+}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
 const (
@@ -42,6 +43,7 @@
 	rollouts   *rollouts
 	budgets    *retryBudgets
 	crashes    *crashWatch
+	reach      *reach.Monitor
 	metrics    *metrics
 	logLimiter *logLimiter
 }
@@ -108,6 +110,7 @@
 	if ro != nil {
 		ro.AttemptStarted(start, c.Endpoint.Version)
 	}
+	s.reach.RequestStarted(start)
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
 		ID:         x.caller.ID,
@@ -116,6 +119,7 @@
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
 	})
+	s.reach.RequestEnded(time.Now(), hasResponded(err))
 	s.applyRestrictions(x, c.Choice, start, response, err)
 	var buffered *bufferedResponse
 	if err == nil {
@@ -212,6 +216,9 @@
 	case errors.As(err, &failed):
 		fields["fresh"] = failed.FirstUse
 	}
+	if cutOff, _ := s.reach.IsCutOff(); cutOff {
+		fields["cut_off"] = true
+	}
 	entry := x.log.WithFields(fields)
 	if err != nil {
 		entry = entry.WithError(err)
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -18,6 +18,8 @@
 		newWriter,
 		newLog,
 		newMetrics,
+		newReachMonitor,
+		newReachWatch,
 		newClient,
 		newPlacer,
 		quota.New,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -19,7 +19,8 @@
 	gatewayLiveSettings := newLiveSettings(s)
 	placer := newPlacer(s)
 	limiter := quota.New()
-	client, err := newClient(adapters, t)
+	monitor := newReachMonitor()
+	client, err := newClient(adapters, monitor, t)
 	if err != nil {
 		return nil, err
 	}
@@ -38,10 +39,11 @@
 	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, gatewayLogLimiter)
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayLogLimiter)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, peerServer, t, gatewayMetrics, boundedWriter, logger)
+	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, peerServer, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -206,20 +206,28 @@
 	e.Endpoint = entry
 }
 
-// OtherEndpoints returns up to n endpoints of any service, except one. They are in
-// no order.
-func (p *Placer) OtherEndpoints(except catalog.Incarnation, n int) []catalog.Endpoint {
-	var all []catalog.Endpoint
+// SpreadEndpoints returns up to n endpoints, except one, taken from all failure
+// domains in turn.
+func (p *Placer) SpreadEndpoints(n int, except catalog.Incarnation) []catalog.Endpoint {
+	byDomain := make(map[string][]catalog.Endpoint)
 	p.eachGroup(func(_ string, g *group) {
-		taken := 0
 		for in, e := range g.endpoints {
-			if in != except && taken < n {
-				all = append(all, e.Endpoint)
-				taken++
+			if in != except {
+				byDomain[e.FailureDomain] = append(byDomain[e.FailureDomain], e.Endpoint)
 			}
 		}
 	})
-	return all[:min(len(all), n)]
+	var spread []catalog.Endpoint
+	for i := 0; len(spread) < n && len(byDomain) > 0; i++ {
+		for domain, endpoints := range byDomain {
+			if i >= len(endpoints) {
+				delete(byDomain, domain)
+				continue
+			}
+			spread = append(spread, endpoints[i])
+		}
+	}
+	return spread[:min(len(spread), n)]
 }
 
 // eachGroup calls f with each shard, which is locked during the call.
