The relay of requests is a package of its own

The wire between instances stays as it is, and so does what either side decides. The tests of front/dispatch, front/instance and front/e2e pass; one of them names the handler anew.

--- a/front/dispatch/dispatch_test.go
+++ b/front/dispatch/dispatch_test.go
@@ -238,7 +238,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	srv := httptest.NewServer(NewRelayServer(remote, log))
+	srv := httptest.NewServer(NewRelayServer(remote, log).http.Handler)
 	client := endpoint.NewClient(endpoint.Settings{}, ignoreOutcomes{})
 	t.Cleanup(func() {
 		client.Close()
--- a/front/dispatch/relayclient.go
+++ b/front/dispatch/relayclient.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/broker"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/relay"
 	"github.com/cardamomfront/cardamomfront/steer/admission"
 	"github.com/cardamomfront/cardamomfront/steer/membership"
 	"github.com/cardamomfront/cardamomfront/steer/slots"
@@ -26,7 +27,6 @@
 	headerRegion     = endpoint.HeaderPrefix + "Relay-Region"
 	headerIdempotent = endpoint.HeaderPrefix + "Relay-Idempotent"
 	headerMaxWait    = endpoint.HeaderPrefix + "Relay-Max-Wait-Ms"
-	headerWait       = endpoint.HeaderPrefix + "Relay-Wait-Ms"
 )
 
 const (
@@ -163,14 +163,10 @@
 	if endpointErr.Reason == endpoint.ReasonUnreachable && endpointErr.Header == nil {
 		return &broker.UnavailableError{Group: g, Reason: reasonRelayUnreachable, RetryAfter: noEndpointRetryAfter, Err: err}
 	}
-	if endpointErr.Header.Get(headerWait) == "" {
+	wait, ok := relay.FailureWait(endpointErr)
+	if !ok {
 		return err
 	}
-	ms, parseErr := strconv.ParseInt(endpointErr.Header.Get(headerWait), 10, 64)
-	if parseErr != nil {
-		return err
-	}
-	wait := time.Duration(ms) * time.Millisecond
 	switch reason := admission.Reason(endpointErr.Reason); reason {
 	case admission.ReasonDeadline, admission.ReasonWait, admission.ReasonFull:
 		return &admission.Refusal{Reason: reason, Wait: wait}
