An instance that reaches no endpoint serves its callers through others

Cause: what an instance can do was told from the store alone. Catalog and table made it ready and listed, each endpoint was judged by itself, and nothing compared the instance with the others, which reached the endpoints all the time. Evidence: no response at either instance during the whole cut, 236 dials that timed out, 23 of 38 endpoints resting, and catalogs taken in meanwhile.

An instance that finds itself cut off (steer/reach) says so of itself in its reports. No directory names it while any instance reaches endpoints; it stays ready and takes what still comes, for callers keep an answer for up to 6 s. These requests go through another instance, the nearest and least busy one, on a listener of their own. That one does all but the quota, which the first instance has applied: it chooses version and endpoint, retries within what is left of the route's endpoints, and never passes a request on. The verdict comes back with the result, a broken hop after the send is unknown, and a request with a body stays within its homes. If all instances are cut off, all are named and none helps.

--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -7,12 +7,15 @@
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
 // failure is an attempt without a response for the caller.
 type failure struct {
 	response *bufferedResponse // the endpoint's error response, which may be passed on
+	refusal  *placing.Refusal  // of an instance through which the request was sent
 	err      error
 }
 
@@ -21,6 +24,7 @@
 	response *bufferedResponse // for the caller
 	failure  *failure
 	err      error
+	relayed  bool // through another instance
 }
 
 // attemptRun runs the attempts of one request. They run one after the other,
@@ -34,6 +38,7 @@
 	inFlight    int
 	delivered   int // attempts that may have reached an endpoint
 	tried       []catalog.Incarnation
+	helpers     map[string]bool // addresses of instances through which it was sent
 	lastFailure failure
 	hedgeTimer  *time.Timer
 }
@@ -70,13 +75,14 @@
 				return res.response, nil
 			}
 			r.lastFailure = *res.failure
-			if !neverSent(res.err) {
-				r.delivered++
-			}
+			r.delivered += r.deliveries(res)
 		}
 		if r.inFlight > 0 {
 			continue
 		}
+		if refusal := r.lastFailure.refusal; refusal != nil {
+			return r.sender.giveUp(r.ctx, r.exchange, r.lastFailure, refusal)
+		}
 		if !r.sender.allowRetry(r.ctx, r.exchange, r.delivered) {
 			return r.sender.giveUp(r.ctx, r.exchange, r.lastFailure, nil)
 		}
@@ -91,6 +97,10 @@
 
 // startAttempt starts one more attempt. Errors: *placing.Refusal.
 func (r *attemptRun) startAttempt() error {
+	if helper, ok := r.sender.relay.choose(r.exchange, r.helpers); ok {
+		r.startRelayAttempt(helper)
+		return nil
+	}
 	choice, err := r.sender.chooseEndpoint(r.exchange, r.tried)
 	if err != nil {
 		return err
@@ -106,6 +116,34 @@
 	return nil
 }
 
+// startRelayAttempt starts one more attempt, through another instance.
+func (r *attemptRun) startRelayAttempt(h reach.Helper) {
+	endpoints := r.endpointLimit() - r.delivered - r.inFlight
+	r.attempts++
+	r.inFlight++
+	if r.helpers == nil {
+		r.helpers = make(map[string]bool)
+	}
+	r.helpers[h.Address] = true
+	attemptNumber := r.attempts
+	go func() { r.results <- r.sender.relayAttempt(r.ctx, r.exchange, h, attemptNumber, endpoints) }()
+}
+
+// deliveries returns how many endpoints a failed attempt may have reached: all that
+// are allowed if it went through another instance and may have run.
+func (r *attemptRun) deliveries(res result) int {
+	var e *endpoint.Error
+	switch {
+	case neverSent(res.err):
+		return 0
+	case !res.relayed:
+		return 1
+	case errors.As(res.err, &e) && e.Verdict == verdict.NotRun:
+		return 0
+	}
+	return r.endpointLimit()
+}
+
 // hedgeDelay returns how long to wait for an endpoint's response before another
 // attempt is started.
 func hedgeDelay(expected, goal time.Duration) time.Duration {
@@ -115,7 +153,7 @@
 // hedge starts another attempt while the slow one goes on. The first response
 // wins.
 func (r *attemptRun) hedge() {
-	if r.delivered+r.inFlight >= max(1, r.route.MaxEndpoints) || r.attempts >= maxAttempts || !r.sender.mayRepeat(r.exchange) {
+	if r.delivered+r.inFlight >= r.endpointLimit() || r.attempts >= maxAttempts || !r.sender.mayRepeat(r.exchange) {
 		return
 	}
 	if time.Until(r.deadline) < minAttemptTime || !r.sender.budgets.tryWithdraw(r.service) {
@@ -143,7 +181,7 @@
 		return false // a part of the body may have been sent
 	case x.verdict != verdict.NotRun && !x.route.Idempotent:
 		return false
-	case x.attempts >= maxAttempts || delivered >= max(1, x.route.MaxEndpoints):
+	case x.attempts >= maxAttempts || delivered >= x.endpointLimit():
 		return false
 	case delivered == 0:
 		return true
--- a/front/gateway/directory.go
+++ b/front/gateway/directory.go
@@ -5,32 +5,52 @@
 	"time"
 )
 
-// callerAddresses returns the addresses for a caller: those of the ready
-// instances in its region or, if there are none, in other regions.
+// callerAddresses returns the addresses for a caller: those of the ready instances
+// in its region or, if there are none, in other regions. Instances that reach no
+// endpoint are named only if none does.
 func (m *mesh) callerAddresses(location CallerLocation) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var local, remote []string
+	var ready, reaching []report
 	add := func(r report) {
-		if r.Region == location.Region {
-			local = append(local, r.Callers)
-			return
+		ready = append(ready, r)
+		if !r.NoEndpoints {
+			reaching = append(reaching, r)
 		}
-		remote = append(remote, r.Callers)
 	}
 	if !m.leaving && m.ready() {
-		add(m.self)
+		self := m.self
+		self.NoEndpoints, _ = m.reach.IsCutOff()
+		add(self)
 	}
 	for _, other := range m.members {
 		if time.Since(other.lastReport) <= m.aliveFor() && other.Ready && !other.Leaving {
 			add(other.report)
 		}
 	}
+	if len(reaching) == 0 {
+		reaching = ready
+	}
+	addresses := addressesNear(reaching, location.Region)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxAddresses)]
+}
+
+// addressesNear returns the callers' addresses of the instances in a region, or of
+// all if there are none.
+func addressesNear(instances []report, region string) []string {
+	var local, remote []string
+	for _, r := range instances {
+		if r.Region == region {
+			local = append(local, r.Callers)
+			continue
+		}
+		remote = append(remote, r.Callers)
+	}
 	if len(local) == 0 {
-		local = remote
+		return remote
 	}
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	return local[:min(len(local), maxAddresses)]
+	return local
 }
 
 // maxAddresses is how many addresses of one directory response callers use.
--- a/front/gateway/domains.go
+++ b/front/gateway/domains.go
@@ -77,6 +77,9 @@
 	Ready    bool    `json:"k,omitempty"`
 	Leaving  bool    `json:"l,omitempty"`
 	CutOff   bool    `json:"x,omitempty"`
+	// NoEndpoints and Relay are those of its report.
+	NoEndpoints bool   `json:"ne,omitempty"`
+	Relay       string `json:"ra,omitempty"`
 }
 
 // fleetSummary is the sum of the reports of all instances but its receiver.
@@ -244,6 +247,7 @@
 func (l *memberList) add(r report) {
 	l.Members = append(l.Members, domainMember{
 		Name: r.Name, Callers: r.Callers, Peers: r.Peers, Capacity: r.Capacity, Ready: r.Ready, Leaving: r.Leaving, CutOff: r.CutOff,
+		NoEndpoints: r.NoEndpoints, Relay: r.Relay,
 	})
 	l.ReachableMS = max(l.ReachableMS, r.ReachableMS)
 }
@@ -392,6 +396,7 @@
 		}
 		other.Region, other.FailureDomain, other.Callers, other.Peers = list.Region, list.Domain, listed.Callers, listed.Peers
 		other.Capacity, other.Ready, other.Leaving, other.CutOff = listed.Capacity, listed.Ready, listed.Leaving, listed.CutOff
+		other.NoEndpoints, other.Relay = listed.NoEndpoints, listed.Relay
 		other.ReachableMS = list.ReachableMS
 		if now.After(other.lastReport) {
 			other.lastReport = now
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -119,13 +119,13 @@
 		for i := range perRegion {
 			name := fmt.Sprintf("%s-%d", region, i)
 			domain := fmt.Sprintf("%s-%d", region, 1+i%domains)
-			s := &Settings{Name: name, Region: region, FailureDomain: domain, Listen: ListenSettings{Peers: name, Callers: "callers of " + name}}
+			s := &Settings{Name: name, Region: region, FailureDomain: domain, Listen: ListenSettings{Peers: name, Callers: "callers of " + name, Relay: "relay of " + name}}
 			limiter := quota.New()
 			limiter.SetQuotas(time.Now(), quotas)
 			r := newRollouts(Adapters{}, log)
 			view := &storeView{}
 			placer := placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region})
-			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, log), log)
+			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, log), newReachWatch(newReachMonitor(), nil, placer, log), newRequestRelay(newReachMonitor()), log)
 			m.ready = func() bool { return true }
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/relay"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
@@ -87,6 +88,7 @@
 	tables      *relayedStore
 	client      *endpoint.Client
 	reach       *reachWatch
+	relay       *requestRelay
 	peers       *peer.Server
 	metricsPage http.Handler
 	metrics     *metrics
@@ -177,6 +179,7 @@
 		g.rollouts.Run,
 		g.client.Run,
 		g.reach.Run,
+		g.relay.Run,
 	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
@@ -185,6 +188,8 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	// takesRequests is set if requests must end before it is closed.
+	takesRequests bool
 }
 
 // serve serves until the server is closed.
@@ -195,19 +200,21 @@
 	return nil
 }
 
-// listen opens all HTTP listeners; the first is the one for callers.
+// listen opens all HTTP listeners.
 func (g *Gateway) listen() ([]*server, error) {
 	l := g.settings.Load().Listen
 	chain := negroni.New()
 	chain.UseHandler(g.handler)
 	pages := []struct {
-		address string
-		handler http.Handler
+		address       string
+		handler       http.Handler
+		takesRequests bool
 	}{
-		{l.Callers, chain},
-		{l.Ready, g.adapters.Ingress.Ready(g.ready)},
-		{l.Directory, g.adapters.Ingress.Directory(g.mesh.callerAddresses, func() time.Duration { return g.settings.Load().lifetime() })},
-		{l.Metrics, g.metricsPage},
+		{l.Callers, chain, true},
+		{l.Relay, relay.NewHandler(g.handler.serveRelayed, g.logger), true},
+		{l.Ready, g.adapters.Ingress.Ready(g.ready), false},
+		{l.Directory, g.adapters.Ingress.Directory(g.mesh.callerAddresses, func() time.Duration { return g.settings.Load().lifetime() }), false},
+		{l.Metrics, g.metricsPage, false},
 	}
 	var servers []*server
 	for _, p := range pages {
@@ -218,7 +225,7 @@
 		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, &server{listener: listener, http: &http.Server{
+		servers = append(servers, &server{listener: listener, takesRequests: p.takesRequests, http: &http.Server{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}})
 	}
@@ -255,11 +262,17 @@
 	g.handler.refuseRequests.Store(true)
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), until(cutAfterFraction))
 	defer cancel()
-	if err := servers[0].http.Shutdown(end); err != nil {
+	var ending errgroup.Group
+	for _, s := range servers {
+		if s.takesRequests {
+			ending.Go(func() error { return s.http.Shutdown(end) })
+		}
+	}
+	if err := ending.Wait(); err != nil {
 		g.log.WithError(err).Error("Requests were cut at the end of the grace time.")
 	}
-	for _, s := range servers[1:] {
-		_ = s.http.Close() // nothing depends on their responses any more
+	for _, s := range servers {
+		_ = s.http.Close() // nothing depends on the other servers' responses any more
 	}
 }
 
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
@@ -53,14 +54,30 @@
 	crash       crash.Decision
 	verdict     verdict.Verdict
 	attempts    int
-	logAll      bool // all log lines of this request are written
-	log         logrus.FieldLogger
+	// relayed is set if another instance sends the request through this one, and
+	// maxEndpoints is then the number of endpoints that it may be sent to.
+	relayed      bool
+	maxEndpoints int
+	logAll       bool // all log lines of this request are written
+	log          logrus.FieldLogger
 }
 
 // goalTime returns the time by which the route's latency goal wants the
 // response.
 func (x *exchange) goalTime() time.Time { return x.arrived.Add(x.route.Goal) }
 
+// endpointLimit returns the number of endpoints that the request may be sent to.
+func (x *exchange) endpointLimit() int {
+	limit := max(1, x.route.MaxEndpoints)
+	if x.relayed {
+		return max(1, min(limit, x.maxEndpoints))
+	}
+	return limit
+}
+
+// hasBody reports whether the request has a body.
+func (x *exchange) hasBody() bool { return x.streamBody || len(x.body) > 0 }
+
 // teamName returns the team's name, "" on an open route.
 func (x *exchange) teamName() string {
 	if x.team == nil {
@@ -155,7 +172,7 @@
 		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
 	if x.catalog.NeedsKeys() && !x.route.Open {
-		x.team = x.catalog.TeamByKey(x.caller.Key)
+		x.team = x.findTeam()
 		if x.team == nil {
 			return &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
 		}
@@ -171,9 +188,19 @@
 	return nil
 }
 
-// checkQuota applies the team's quota.
+// findTeam returns the team that the request runs for, or nil. Of a relayed request
+// the first instance has checked the key.
+func (x *exchange) findTeam() *catalog.Team {
+	if x.relayed {
+		return x.catalog.TeamByName(x.request.Header.Get(endpoint.HeaderTeam))
+	}
+	return x.catalog.TeamByKey(x.caller.Key)
+}
+
+// checkQuota applies the team's quota. To a relayed request the first instance has
+// applied it.
 func (h *handler) checkQuota(x *exchange) *refusal {
-	if x.team == nil {
+	if x.team == nil || x.relayed {
 		return nil
 	}
 	d := h.view.limiter.Take(x.team.Name, time.Now())
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
 // applyInstancesTable returns a function that applies the instances table.
@@ -120,6 +121,29 @@
 	}
 }
 
+// helpers returns the instances that reach endpoints and send requests for others.
+func (m *mesh) helpers() []reach.Helper {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var helpers []reach.Helper
+	for name, other := range m.members {
+		if other.Relay == "" || !other.Ready || other.NoEndpoints || other.lastReport.IsZero() || !m.isAlive(other, now) {
+			continue
+		}
+		roundTrip := other.roundTrip
+		switch {
+		case roundTrip > 0:
+		case other.Region == m.self.Region:
+			roundTrip = sameRegionHelperTime
+		default:
+			roundTrip = otherRegionHelperTime
+		}
+		helpers = append(helpers, reach.Helper{Name: name, Region: other.Region, Address: other.Relay, RoundTrip: roundTrip})
+	}
+	return helpers
+}
+
 // storeReachableByPeersSince returns since when any other instance has reached
 // the endpoints table without interruption, or the zero time if none has.
 func (m *mesh) storeReachableByPeersSince() time.Time {
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
 const (
@@ -80,6 +81,7 @@
 	limiter             *quota.Limiter
 	rollouts            *rollouts
 	crashes             *crashWatch
+	reach               *reach.Monitor
 	ready               func() bool
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
 	log                 logrus.FieldLogger
@@ -105,13 +107,13 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, w *crashWatch, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, w *crashWatch, reached *reachWatch, relayed *requestRelay, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
 		self: report{
 			Name: s.Name, Peers: s.Listen.Peers, Callers: s.Listen.Callers,
-			Region: s.Region, FailureDomain: s.FailureDomain, Capacity: s.Capacity, Started: time.Now().UnixNano(),
+			Relay: s.Listen.Relay, Region: s.Region, FailureDomain: s.FailureDomain, Capacity: s.Capacity, Started: time.Now().UnixNano(),
 		},
 		store:               adapters.Store,
 		caller:              client,
@@ -119,6 +121,7 @@
 		limiter:             l,
 		rollouts:            r,
 		crashes:             w,
+		reach:               reached.monitor,
 		ready:               v.ready,
 		storeReachableSince: func() time.Time { return time.Time{} },
 		log:                 log.WithField("prefix", "mesh"),
@@ -129,7 +132,7 @@
 		membersRead:         make(chan struct{}),
 		wake:                make(chan struct{}),
 	}
-	w.notifyPeers = m.syncUrgently
+	w.notifyPeers, reached.notifyPeers, relayed.helpers = m.syncUrgently, m.syncUrgently, m.helpers
 	r.isLeader, r.notifyPeers, r.recordDelay = m.isLeader, m.syncUrgently, m.recordDelay
 	return m
 }
--- a/front/gateway/metrics.go
+++ b/front/gateway/metrics.go
@@ -18,6 +18,7 @@
 	responses metric.Int64Counter
 	refusals  metric.Int64Counter
 	attempts  metric.Int64Counter
+	relays    metric.Int64Counter
 	latency   metric.Float64Histogram
 
 	meter metric.Meter
@@ -33,10 +34,12 @@
 		metric.WithDescription("Tries at endpoints, by service, outcome, what was known of the object there and why the version was chosen."))
 	latency, err4 := t.Meter.Float64Histogram("cardamomfront.gateway.duration",
 		metric.WithUnit("s"), metric.WithDescription("Time from a request's header to its final answer, by route and outcome."))
-	if err := errors.Join(err1, err2, err3, err4); err != nil {
+	relays, err5 := t.Meter.Int64Counter("cardamomfront.gateway.relays",
+		metric.WithDescription("Requests sent through another instance, by outcome."))
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return nil, err
 	}
-	return &metrics{responses: responses, refusals: refusals, attempts: attempts, latency: latency, meter: t.Meter}, nil
+	return &metrics{responses: responses, refusals: refusals, attempts: attempts, relays: relays, latency: latency, meter: t.Meter}, nil
 }
 
 // recordResponse counts an endpoint's response that is passed on.
@@ -58,6 +61,15 @@
 		metric.WithAttributes(attribute.String("route", name), attribute.String("outcome", string(r.reason))))
 }
 
+// recordRelay counts a request that was sent through another instance.
+func (m *metrics) recordRelay(err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.relays.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // recordAttempt counts one attempt.
 func (m *metrics) recordAttempt(x *exchange, o placing.Outcome, c *placement) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -71,8 +71,8 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, logLimiter: l}
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter) *sender {
+	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l}
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
@@ -103,7 +103,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
@@ -114,6 +114,7 @@
 		tables:      tables,
 		client:      c,
 		reach:       reached,
+		relay:       relayed,
 		peers:       peers,
 		metricsPage: t.Page,
 		metrics:     counts,
--- a/front/gateway/reach.go
+++ b/front/gateway/reach.go
@@ -28,14 +28,16 @@
 // reachWatch probes endpoints to find out whether this instance is cut off from all
 // of them.
 type reachWatch struct {
-	monitor *reach.Monitor
-	client  *endpoint.Client
-	placer  *placing.Placer
-	log     logrus.FieldLogger
+	monitor     *reach.Monitor
+	client      *endpoint.Client
+	placer      *placing.Placer
+	notifyPeers func() // syncs with the other instances at once
+	log         logrus.FieldLogger
 }
 
+// newReachWatch returns a watch. newMesh sets notifyPeers.
 func newReachWatch(m *reach.Monitor, c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *reachWatch {
-	return &reachWatch{monitor: m, client: c, placer: p, log: log.WithField("prefix", "reach")}
+	return &reachWatch{monitor: m, client: c, placer: p, notifyPeers: func() {}, log: log.WithField("prefix", "reach")}
 }
 
 // Run probes endpoints when that is due until ctx ends.
@@ -73,8 +75,10 @@
 	case reach.CutOff:
 		_, since = w.monitor.IsCutOff()
 		log.WithField("since_ms", now.Sub(since).Milliseconds()).Warn("No endpoint accepts connections, this instance is cut off.")
+		w.notifyPeers()
 	case reach.Restored:
 		log.WithField("away_ms", now.Sub(since).Milliseconds()).Info("Endpoints accept connections again.")
+		w.notifyPeers()
 	case reach.Unchanged:
 	}
 }
--- /dev/null
+++ b/front/gateway/reach_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// cutOff lets an instance find out that it reaches no endpoint.
+func cutOff(m *mesh) {
+	for i := range 3 {
+		m.reach.ConnectionEnded(time.Now(), fmt.Sprint(i), false)
+	}
+	m.reach.ProbeEnded(time.Now(), m.reach.Probe(time.Now()), 0, false)
+	m.syncUrgently()
+}
+
+// namedBy returns the number of instances whose directory names one for callers of
+// its region.
+func namedBy(all []*mesh, named *mesh) int {
+	n := 0
+	for _, m := range all {
+		if slices.Contains(m.callerAddresses(CallerLocation{Region: named.self.Region}), named.self.Callers) {
+			n++
+		}
+	}
+	return n
+}
+
+// An instance that reaches no endpoint is named by no directory, knows helpers, and
+// is no helper, in a small fleet and through hubs. If all are cut off, all are named.
+func TestCutOffInstanceIsNotNamed(t *testing.T) {
+	for _, perRegion := range []int{2, 12} {
+		t.Run(fmt.Sprint(3*perRegion), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, all := newDomainNetwork(t, perRegion, 2, nil)
+				time.Sleep(5 * time.Second)
+				cutOff(all[0])
+				time.Sleep(3 * time.Second)
+				if n := namedBy(all, all[0]); n != 0 {
+					t.Errorf("%d instances name the one that is cut off", n)
+				}
+				if n := namedBy(all, all[1]); n != len(all) {
+					t.Errorf("%d of %d instances name another one", n, len(all))
+				}
+				if n := len(all[0].helpers()); n != len(all)-1 {
+					t.Errorf("the instance knows %d helpers of %d", n, len(all)-1)
+				}
+				if n := len(all[1].helpers()); n != len(all)-2 {
+					t.Errorf("another instance knows %d helpers of %d", n, len(all)-2)
+				}
+				all[0].reach.ProbeEnded(time.Now(), 2, 1, false)
+				time.Sleep(3 * time.Second)
+				if n := namedBy(all, all[0]); n != len(all) {
+					t.Errorf("%d of %d instances name the one that was cut off", n, len(all))
+				}
+				for _, m := range all {
+					cutOff(m)
+				}
+				time.Sleep(3 * time.Second)
+				if n := namedBy(all, all[0]); n != len(all) {
+					t.Errorf("%d of %d instances name one of those that are all cut off", n, len(all))
+				}
+			})
+		})
+	}
+}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -44,6 +44,7 @@
 	budgets    *retryBudgets
 	crashes    *crashWatch
 	reach      *reach.Monitor
+	relay      *requestRelay
 	metrics    *metrics
 	logLimiter *logLimiter
 }
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -56,6 +56,9 @@
 	// Peers accepts calls of other instances, which connect to the same
 	// address. The network must carry no other traffic. Required.
 	Peers string `yaml:"peers" validate:"required,hostname_port"`
+	// Relay accepts requests that other instances send through this one, and only
+	// connections of instances must reach it. Default: none are accepted.
+	Relay string `yaml:"relay" validate:"omitempty,hostname_port"`
 	// Metrics serves the metrics. Default: none.
 	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port"`
 }
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -71,6 +71,10 @@
 	Ready bool `json:"ok,omitempty"`
 	// Leaving is whether it is about to stop.
 	Leaving bool `json:"lv,omitempty"`
+	// NoEndpoints is whether it reaches no endpoint. It says so of itself only.
+	NoEndpoints bool `json:"ne,omitempty"`
+	// Relay is its address for requests that others send through it, or "".
+	Relay string `json:"ra,omitempty"`
 	// ReachableMS is for how long it has reached the endpoints table without
 	// interruption, in milliseconds; 0 while it does not.
 	ReachableMS int64 `json:"t,omitempty"`
@@ -160,6 +164,7 @@
 	now := time.Now()
 	r := m.self
 	r.Ready = m.ready()
+	r.NoEndpoints, _ = m.reach.IsCutOff()
 	if since := m.storeReachableSince(); !since.IsZero() {
 		r.ReachableMS = max(1, now.Sub(since).Milliseconds())
 	}
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -20,6 +20,7 @@
 		newMetrics,
 		newReachMonitor,
 		newReachWatch,
+		newRequestRelay,
 		newClient,
 		newPlacer,
 		quota.New,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -36,14 +36,15 @@
 		return nil, err
 	}
 	gatewayCrashWatch := newCrashWatch(client, placer, logger)
-	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, logger)
+	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
+	gatewayRequestRelay := newRequestRelay(monitor)
+	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayLogLimiter)
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
-	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, peerServer, t, gatewayMetrics, boundedWriter, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
--- a/steer/catalog/catalog.go
+++ b/steer/catalog/catalog.go
@@ -142,6 +142,15 @@
 // TeamByKey returns the team that holds a key, or nil.
 func (c *Catalog) TeamByKey(key string) *Team { return c.keys[key] }
 
+// TeamByName returns the team with a name, or nil.
+func (c *Catalog) TeamByName(name string) *Team {
+	i := slices.IndexFunc(c.Teams, func(t Team) bool { return t.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Teams[i]
+}
+
 // HomeRegions returns the regions that may serve a request; an empty result
 // means all. If both the route and the team have home regions, a region must be
 // among both. ok is false if no region is.
