A cut is noticed where few endpoints are tried

Callers of an instance that is cut off go on getting 503 if the service has one endpoint, or if requests go to the same two.

Cause: three different endpoints had to fail before any was probed, and a single one never makes three. Three failures of fewer endpoints now lead to a probe of two, and if these fail to one of many.

--- a/steer/reach/monitor.go
+++ b/steer/reach/monitor.go
@@ -21,8 +21,8 @@
 	// SilentFor is how long no endpoint must have responded, while requests run,
 	// for a probe.
 	SilentFor time.Duration
-	// FewProbes is the number of endpoints that are probed after a silence, and to
-	// find the end of a cut.
+	// FewProbes is the number of endpoints that are probed after a silence, after
+	// failures of fewer endpoints, and to find the end of a cut.
 	FewProbes int
 	// ManyProbes is the number of endpoints none of which must accept a connection
 	// for this instance to count as cut off.
@@ -48,6 +48,7 @@
 
 	mu          sync.Mutex
 	failed      map[string]bool // addresses that failed since one accepted
+	failures    int             // of connections since then
 	running     int             // requests at endpoints
 	quietSince  time.Time       // of the last response, or the first running request
 	probing     bool
@@ -65,17 +66,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if accepted {
-		clear(m.failed)
+		m.forgetFailures()
 		return
 	}
-	if len(m.failed) == 0 {
+	if m.failures == 0 {
 		m.failedSince = now
 	}
+	m.failures++
 	if len(m.failed) < m.rules.Failures {
 		m.failed[address] = true
 	}
 }
 
+// forgetFailures is called when an endpoint has accepted a connection.
+func (m *Monitor) forgetFailures() {
+	clear(m.failed)
+	m.failures = 0
+}
+
 // RequestStarted records that a request was sent to an endpoint.
 func (m *Monitor) RequestStarted(now time.Time) {
 	m.mu.Lock()
@@ -111,6 +119,8 @@
 		n = m.rules.FewProbes
 	case len(m.failed) >= m.rules.Failures:
 		n = m.rules.ManyProbes
+	case m.failures >= m.rules.Failures:
+		n = m.rules.FewProbes // there may be fewer endpoints
 	case m.running > 0 && now.Sub(m.quietSince) >= m.rules.SilentFor && now.Sub(m.probedAt) >= m.rules.SilentFor:
 		n = m.rules.FewProbes
 	}
@@ -139,7 +149,7 @@
 	m.probing, m.probedAt = false, now
 	switch {
 	case accepted > 0:
-		clear(m.failed)
+		m.forgetFailures()
 		if m.cut {
 			m.cut = false
 			return Restored
--- a/steer/reach/monitor_test.go
+++ b/steer/reach/monitor_test.go
@@ -41,6 +41,11 @@
 			for range 3 {
 				fail(m, 1, 1)
 			}
+		}, false, 1, few},
+		{"one endpoint has failed twice", func(m *Monitor) {
+			for range 2 {
+				fail(m, 1, 1)
+			}
 		}, false, 1, 0},
 		{"one accepted in between", func(m *Monitor) {
 			fail(m, 1, 2)
