Rollouts: what an instance sees while it is cut off is not the version's fault

What callers could see: a sound new version is rolled back because one instance lost its links to the endpoints, since each of its requests that got no response counted as a failure of the version, at all instances.

That an instance is cut off, which endpoints it has marked and its crashes' evidence stay with it: the latter need another endpoint to be reached as well.

--- a/front/gateway/crashes.go
+++ b/front/gateway/crashes.go
@@ -36,6 +36,7 @@
 	detector    *crash.Detector
 	client      *endpoint.Client
 	placer      *placing.Placer
+	reach       *reachWatch
 	notifyPeers func() // syncs with the other instances at once
 	log         logrus.FieldLogger
 
@@ -44,16 +45,16 @@
 }
 
 // brokenRequest is a request whose connection broke. settle is called once it is
-// known whether a request made the endpoint end.
+// known whether that counts as a failure of the endpoint's version.
 type brokenRequest struct {
 	run    crash.Run
-	settle func(causedByRequest bool)
+	settle func(counts bool)
 }
 
 // newCrashWatch returns a watch. newMesh sets notifyPeers.
-func newCrashWatch(c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *crashWatch {
+func newCrashWatch(c *endpoint.Client, p *placing.Placer, reached *reachWatch, log *logrus.Logger) *crashWatch {
 	w := &crashWatch{
-		client: c, placer: p, notifyPeers: func() {},
+		client: c, placer: p, reach: reached, notifyPeers: func() {},
 		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]brokenRequest),
 	}
 	w.detector = crash.New(crash.DefaultRules(), w.logEvent)
@@ -120,7 +121,11 @@
 	}
 	caused := ended && w.detector.CausedBySuspect(time.Now(), e.Incarnation())
 	for _, r := range requests {
-		r.settle(caused)
+		if caused {
+			r.settle(false)
+			continue
+		}
+		w.reach.whenReached(brokeAt, r.settle)
 	}
 }
 
--- a/front/gateway/crashes_test.go
+++ b/front/gateway/crashes_test.go
@@ -97,7 +97,8 @@
 	t.Cleanup(client.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f.crashes = newCrashWatch(client, f.placer, log)
+	f.reached = newReachWatch(newReachMonitor(), client, f.placer, log)
+	f.crashes = newCrashWatch(client, f.placer, f.reached, log)
 	return f
 }
 
@@ -111,6 +112,33 @@
 	f.recordResult(x, f.rollouts.get(testService), choice, sentAt, placing.OutcomeFailed, nil, err, time.Since(sentAt))
 }
 
+// What an instance sees while it reaches no endpoint says nothing about the new
+// version; a request without a response does if another got one since.
+func TestCutOfThisInstanceIsNotTheVersionsFault(t *testing.T) {
+	for name, cut := range map[string]bool{"cut off": true, "endpoints reached": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFixture(t)
+				x := &exchange{route: &f.route, service: testService}
+				choice := &placing.Choice{Endpoint: catalog.Endpoint{ID: "v2", Service: testService, Version: "v2"}}
+				err := &endpoint.Error{Reason: endpoint.ReasonDeadline, Verdict: verdict.MayHaveRun}
+				f.recordResult(x, f.rollouts.get(testService), choice, time.Now(), placing.OutcomeTimedOut, nil, err, time.Second)
+				time.Sleep(100 * time.Millisecond)
+				if cut {
+					cutOffMonitor(f.reached.monitor)
+				} else {
+					f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
+				}
+				f.reached.settleFailures(time.Now())
+				failures := f.rollouts.get(testService).LocalEvidence(time.Now()).New.Failures
+				if (failures == 0) != cut {
+					t.Errorf("%v failures count", failures)
+				}
+			})
+		})
+	}
+}
+
 // What one request does to the endpoints of both versions says nothing about the
 // new one; crashes while different requests run do.
 func TestCrashByARequestIsNotTheVersionsFault(t *testing.T) {
@@ -121,6 +149,8 @@
 				f.crash("v1", requests[0])
 				f.crash("v2", requests[1])
 				time.Sleep(2 * causeWait)
+				f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
+				f.reached.settleFailures(time.Now())
 				evidence := f.rollouts.get(testService).LocalEvidence(time.Now())
 				failures := evidence.Old.Failures + evidence.New.Failures
 				if want := map[bool]float64{true: 0, false: 2}[requests[0] == requests[1]]; float64(failures) != want {
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -125,7 +125,8 @@
 			r := newRollouts(Adapters{}, log)
 			view := &storeView{}
 			placer := placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region})
-			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, log), newReachWatch(newReachMonitor(), nil, placer, log), newRequestRelay(newReachMonitor()), log)
+			reached := newReachWatch(newReachMonitor(), nil, placer, log)
+			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, reached, log), reached, newRequestRelay(reached.monitor), log)
 			m.ready = func() bool { return true }
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
--- a/front/gateway/fallback_test.go
+++ b/front/gateway/fallback_test.go
@@ -24,8 +24,9 @@
 // with a placer of its own.
 type versionFixture struct {
 	*sender
-	placer *placing.Placer
-	route  catalog.Route
+	placer  *placing.Placer
+	reached *reachWatch
+	route   catalog.Route
 }
 
 // newVersionFixture orders a rollout at the current time. Each version has one
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -30,20 +30,26 @@
 const minComparedTime = 50 * time.Millisecond
 
 // recordResult records the result of an attempt with the crash watch and the
-// service's rollout, which is nil if there is none. If the endpoint may have
-// crashed, the rollout learns of it once the cause is known: what a request does
-// to each endpoint says nothing about a version.
+// service's rollout, which is nil if there is none. A failure without a response
+// counts once it is known that neither the request nor a cut of this instance is
+// its cause: these say nothing about a version.
 func (s *sender) recordResult(x *exchange, ro *rollout.Rollout, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
-	record := func(causedByRequest bool) {
-		if ro != nil && !causedByRequest {
+	record := func(counts bool) {
+		if ro != nil && counts {
 			s.recordRolloutAttempt(ro, c, o, err, elapsed)
 		}
 	}
-	if mayHaveCrashed(err) {
+	switch {
+	case mayHaveCrashed(err):
 		s.crashes.connectionBroke(c.Endpoint, brokenRequest{run: crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt}, settle: record})
 		return
+	case !hasResponded(err):
+		if ro != nil {
+			s.crashes.reach.whenReached(time.Now(), record)
+		}
+		return
 	}
-	record(false)
+	record(true)
 	switch {
 	case err == nil && !claimsNotRun(response.Status):
 		s.crashes.detector.ObserveAnswer(time.Now(), sentAt, c.Endpoint.Incarnation(), x.fingerprint)
--- a/front/gateway/reach_test.go
+++ b/front/gateway/reach_test.go
@@ -6,15 +6,22 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
 // cutOff lets an instance find out that it reaches no endpoint.
 func cutOff(m *mesh) {
+	cutOffMonitor(m.reach)
+	m.syncUrgently()
+}
+
+// cutOffMonitor lets a monitor find out that no endpoint is reached.
+func cutOffMonitor(m *reach.Monitor) {
 	for i := range 3 {
-		m.reach.ConnectionEnded(time.Now(), fmt.Sprint(i), false)
+		m.ConnectionEnded(time.Now(), fmt.Sprint(i), false)
 	}
-	m.reach.ProbeEnded(time.Now(), m.reach.Probe(time.Now()), 0, false)
-	m.syncUrgently()
+	m.ProbeEnded(time.Now(), m.Probe(time.Now()), 0, false)
 }
 
 // namedBy returns the number of instances whose directory names one for callers of
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -35,8 +35,8 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewayCrashWatch := newCrashWatch(client, placer, logger)
 	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
+	gatewayCrashWatch := newCrashWatch(client, placer, gatewayReachWatch, logger)
 	gatewayRequestRelay := newRequestRelay(monitor)
 	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
--- a/steer/reach/monitor.go
+++ b/steer/reach/monitor.go
@@ -48,6 +48,7 @@
 
 	mu          sync.Mutex
 	failed      map[string]bool // addresses that failed since one accepted
+	reachedAt   time.Time       // when an endpoint last responded or accepted a connection
 	failures    int             // of connections since then
 	running     int             // requests at endpoints
 	quietSince  time.Time       // of the last response, or the first running request
@@ -66,6 +67,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if accepted {
+		m.reachedAt = now
 		m.forgetFailures()
 		return
 	}
@@ -101,7 +103,7 @@
 	defer m.mu.Unlock()
 	m.running--
 	if responded {
-		m.quietSince = now
+		m.quietSince, m.reachedAt = now, now
 	}
 }
 
@@ -164,6 +166,33 @@
 	return Unchanged
 }
 
+// Evidence says what is known about this instance's reach since some time.
+type Evidence int
+
+// Evidences.
+const (
+	// Unknown means that no endpoint has been reached since, and none need be.
+	Unknown Evidence = iota
+	// Reached means that an endpoint has been reached since.
+	Reached
+	// NotReached means that this instance is cut off.
+	NotReached
+)
+
+// Since returns what is known since a time. A failure says something about an
+// endpoint or a version only if this instance has reached an endpoint since.
+func (m *Monitor) Since(t time.Time) Evidence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.cut:
+		return NotReached
+	case m.reachedAt.After(t):
+		return Reached
+	}
+	return Unknown
+}
+
 // IsCutOff reports whether this instance reaches no endpoint, and since when.
 func (m *Monitor) IsCutOff() (bool, time.Time) {
 	m.mu.Lock()
