An instance uses the endpoints at once after it was cut off from all

Callers of an instance that reaches endpoints again were refused for up to 2 s more, since each endpoint rested after the failed dials and was then tried with one request, and met cold objects, since each failed dial forgot the objects of its endpoint.

What failed attempts said about endpoints is forgotten when the cut ends, and a failed dial no longer forgets objects: a process that has ended never comes back as the same incarnation, and one that was cut off has kept them.

Measured: TestEndpointsAfterACutOfThisInstance fails without either (no-room; the object counts as home) and passes.

--- a/front/gateway/reach.go
+++ b/front/gateway/reach.go
@@ -128,6 +128,7 @@
 		log.WithField("since_ms", now.Sub(since).Milliseconds()).Warn("No endpoint accepts connections, this instance is cut off.")
 		w.notifyPeers()
 	case reach.Restored:
+		w.placer.ForgetFailures()
 		log.WithField("away_ms", now.Sub(since).Milliseconds()).Info("Endpoints accept connections again.")
 		w.notifyPeers()
 	case reach.Unchanged:
--- a/steer/placing/choose_test.go
+++ b/steer/placing/choose_test.go
@@ -332,3 +332,31 @@
 		t.Errorf("%d of %d objects go to the endpoint that answered requests without work, %d have their home there on average", atFirst, objects, objects/len(entries))
 	}
 }
+
+// An instance that was cut off from all endpoints uses each of them at once when it
+// reaches them again, and knows which objects they have.
+func TestEndpointsAfterACutOfThisInstance(t *testing.T) {
+	f := newFixture("i", endpointAt("a", "e1"), endpointAt("b", "e2"))
+	known := make(map[string]bool)
+	for range 6 {
+		c, err := f.choose(nil)
+		if err != nil {
+			break // all rest after failures
+		}
+		known[c.Endpoint.ID] = true
+		f.Done(f.now, c, OutcomeUnreachable, 0, -1)
+	}
+	if got := f.target(nil); got != "no-room" || len(known) != 2 {
+		t.Fatalf("after failures at %d endpoints a request goes to %s", len(known), got)
+	}
+	f.ForgetFailures()
+	for range 4 { // none of them ends
+		c, err := f.choose(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Warmth != "warm" {
+			t.Errorf("the object counts as %s at %s", c.Warmth, c.Endpoint.ID)
+		}
+	}
+}
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -73,7 +73,17 @@
 	e.connectFailures++
 	e.probing = true
 	e.backoffUntil = now.Add(d)
-	clear(e.warm)
+}
+
+// ForgetFailures forgets what the failed attempts of this instance said about
+// endpoints. They were its own fault if it was cut off from all of them.
+func (p *Placer) ForgetFailures() {
+	p.eachGroup(func(_ string, g *group) {
+		for _, e := range g.ordered {
+			e.connectFailures, e.probing, e.backoffUntil = 0, false, time.Time{}
+			e.failures, e.slowdown = 0, 1
+		}
+	})
 }
 
 // learn updates the work times from an answered attempt.
