--- a/front/gateway/reach_test.go
+++ b/front/gateway/reach_test.go
@@ -7,6 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/reach"
 )
 
@@ -74,3 +78,29 @@
 		})
 	}
 }
+
+// The first instance has applied the quota to a request that it sends through this
+// one.
+func TestRelayedRequestIsNotCountedTwice(t *testing.T) {
+	limiter := quota.New()
+	team := &catalog.Team{Name: "team"}
+	limiter.SetQuotas(time.Now(), map[string]quota.Quota{team.Name: {Rate: 1, Burst: 1}})
+	h := &handler{view: &storeView{limiter: limiter}}
+	refused := func(relayed bool) bool {
+		return h.checkQuota(&exchange{team: team, relayed: relayed, log: logrus.New()}) != nil
+	}
+	for range 20 {
+		if refused(true) {
+			t.Fatal("a relayed request is refused by the quota")
+		}
+	}
+	if refused(false) {
+		t.Error("relayed requests have used up the quota")
+	}
+	for range 20 {
+		if refused(false) {
+			return
+		}
+	}
+	t.Error("the quota refuses nothing")
+}
