Requests that crash endpoints: the usual terms in the code

The words for what speaks against a request, and for deciding on it, were not those of the field. Renamed, nothing is decided otherwise; the tests of steer/crash pass.

--- a/steer/crash/admit.go
+++ b/steer/crash/admit.go
@@ -25,7 +25,7 @@
 func (d *Detector) Begin(now time.Time, f Fingerprint) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.judge(now, f)
+	d.evaluate(now, f)
 	decision := Decision{Allowed: true}
 	switch r := d.refused[f]; {
 	case r != nil:
@@ -58,7 +58,7 @@
 func (d *Detector) MayRepeat(now time.Time, f Fingerprint) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.judge(now, f)
+	d.evaluate(now, f)
 	return d.refused[f] == nil && !d.suspicious(now, f)
 }
 
--- a/steer/crash/detector.go
+++ b/steer/crash/detector.go
@@ -152,7 +152,7 @@
 			}
 		case !e.confirmed && now.After(e.at) && now.Sub(e.at) <= maxUnconfirmed:
 			e.confirmed, e.learnedAt = true, now
-			d.judgeAll(now, e)
+			d.evaluateAll(now, e)
 		}
 	}
 }
@@ -206,7 +206,7 @@
 		}
 	}
 	if e.confirmed {
-		d.judgeAll(now, e)
+		d.evaluateAll(now, e)
 	}
 }
 
@@ -226,20 +226,20 @@
 	}
 }
 
-// strikes returns the ends that speak against a request, the earliest first.
-func (d *Detector) strikes(now time.Time, f Fingerprint) []*end {
+// endsAgainst returns the ends that speak against a request, the earliest first.
+func (d *Detector) endsAgainst(now time.Time, f Fingerprint) []*end {
 	s := d.suspects[f]
 	if s == nil {
 		return nil
 	}
-	var strikes []*end
+	var ends []*end
 	for _, e := range s.ends {
 		if e.confirmed && !e.refuted && e.at.After(s.answeredAt) && now.Sub(e.at) <= d.rules.Memory && !d.explained(e, f) {
-			strikes = append(strikes, e)
+			ends = append(ends, e)
 		}
 	}
-	slices.SortFunc(strikes, func(a, b *end) int { return a.at.Compare(b.at) })
-	return strikes
+	slices.SortFunc(ends, func(a, b *end) int { return a.at.Compare(b.at) })
+	return ends
 }
 
 // explained reports whether another request that is refused ran at an end. It
@@ -263,58 +263,58 @@
 	return ok
 }
 
-// judgeAll judges the requests that ran at an end, all by what is known before any
-// of them is refused.
-func (d *Detector) judgeAll(now time.Time, e *end) {
-	convicted := make(map[Fingerprint][]*end)
+// evaluateAll refuses those requests that ran at an end against which enough speaks,
+// all by what is known before any of them is refused.
+func (d *Detector) evaluateAll(now time.Time, e *end) {
+	toRefuse := make(map[Fingerprint][]*end)
 	for f := range e.requests {
-		if strikes := d.strikes(now, f); d.refused[f] == nil && d.convicts(now, f, strikes) {
-			convicted[f] = strikes
+		if ends := d.endsAgainst(now, f); d.refused[f] == nil && d.mustBeRefused(now, f, ends) {
+			toRefuse[f] = ends
 		}
 	}
-	for f, strikes := range convicted {
-		d.convict(now, f, strikes)
+	for f, ends := range toRefuse {
+		d.refuseFor(now, f, ends)
 	}
 }
 
-// judge refuses a request if enough speaks against it.
-func (d *Detector) judge(now time.Time, f Fingerprint) {
+// evaluate refuses a request if enough speaks against it.
+func (d *Detector) evaluate(now time.Time, f Fingerprint) {
 	if d.refused[f] != nil {
 		return
 	}
-	if strikes := d.strikes(now, f); d.convicts(now, f, strikes) {
-		d.convict(now, f, strikes)
+	if ends := d.endsAgainst(now, f); d.mustBeRefused(now, f, ends) {
+		d.refuseFor(now, f, ends)
 	}
 }
 
-// convict refuses a request for some ends.
-func (d *Detector) convict(now time.Time, f Fingerprint, strikes []*end) {
-	d.refuse(now, f, &refused{since: now, evidence: strikes, trialAt: now.Add(d.rules.TrialDelays[0])}, EventRefused)
+// refuseFor refuses a request for some ends.
+func (d *Detector) refuseFor(now time.Time, f Fingerprint, ends []*end) {
+	d.refuse(now, f, &refused{since: now, evidence: ends, trialAt: now.Add(d.rules.TrialDelays[0])}, EventRefused)
 }
 
-// convicts reports whether enough speaks against a request for it to be refused.
-func (d *Detector) convicts(now time.Time, f Fingerprint, strikes []*end) bool {
-	if len(strikes) < d.rules.Crashes {
+// mustBeRefused reports whether enough speaks against a request for it to be refused.
+func (d *Detector) mustBeRefused(now time.Time, f Fingerprint, ends []*end) bool {
+	if len(ends) < d.rules.Crashes {
 		return false
 	}
-	inSequence := inSequence(strikes, f) >= d.rules.Crashes
-	if d.knownGood(f, strikes) {
-		return inSequence && strikes[len(strikes)-1].at.Sub(strikes[0].at) >= d.rules.Grace
+	inSequence := inSequence(ends, f) >= d.rules.Crashes
+	if d.knownGood(f, ends) {
+		return inSequence && ends[len(ends)-1].at.Sub(ends[0].at) >= d.rules.Grace
 	}
-	if inSequence && (now.Sub(strikes[0].at) >= d.rules.Settle || !d.othersRanAtAll(f, strikes)) {
+	if inSequence && (now.Sub(ends[0].at) >= d.rules.Settle || !d.othersRanAtAll(f, ends)) {
 		return true
 	}
-	return now.Sub(strikes[d.rules.Crashes-1].at) >= d.rules.Grace
+	return now.Sub(ends[d.rules.Crashes-1].at) >= d.rules.Grace
 }
 
 // othersRanAtAll reports whether another request ran at all of the ends and may
 // have caused them as well.
-func (d *Detector) othersRanAtAll(f Fingerprint, strikes []*end) bool {
-	for g := range strikes[0].requests {
-		if g == f || d.suspects[g].answeredAt.After(strikes[0].at) {
+func (d *Detector) othersRanAtAll(f Fingerprint, ends []*end) bool {
+	for g := range ends[0].requests {
+		if g == f || d.suspects[g].answeredAt.After(ends[0].at) {
 			continue
 		}
-		if !slices.ContainsFunc(strikes, func(e *end) bool { return !e.ranThere(g) }) {
+		if !slices.ContainsFunc(ends, func(e *end) bool { return !e.ranThere(g) }) {
 			return true
 		}
 	}
@@ -323,22 +323,22 @@
 
 // knownGood reports whether a request got a response shortly before the first of
 // the ends.
-func (d *Detector) knownGood(f Fingerprint, strikes []*end) bool {
-	return strikes[0].at.Sub(d.suspects[f].answeredAt) <= d.rules.KnownGood
+func (d *Detector) knownGood(f Fingerprint, ends []*end) bool {
+	return ends[0].at.Sub(d.suspects[f].answeredAt) <= d.rules.KnownGood
 }
 
 // suspicious reports whether a request may run at one endpoint at a time only.
 func (d *Detector) suspicious(now time.Time, f Fingerprint) bool {
-	strikes := d.strikes(now, f)
-	return len(strikes) >= d.rules.Suspicious && !d.knownGood(f, strikes)
+	ends := d.endsAgainst(now, f)
+	return len(ends) >= d.rules.Suspicious && !d.knownGood(f, ends)
 }
 
 // inSequence returns the number of ends at which a request ran that was sent there
 // after the previous one of them.
-func inSequence(strikes []*end, f Fingerprint) int {
+func inSequence(ends []*end, f Fingerprint) int {
 	n := 0
 	var last time.Time
-	for _, e := range strikes {
+	for _, e := range ends {
 		if n == 0 || e.requests[f].After(last) {
 			n++
 			last = e.at
@@ -360,7 +360,7 @@
 		delete(d.refused, oldest)
 	}
 	event := Event{Kind: kind, Fingerprint: f}
-	for _, e := range d.strikes(now, f) {
+	for _, e := range d.endsAgainst(now, f) {
 		event.Endpoints = append(event.Endpoints, e.endpoint.ID)
 	}
 	d.onEvent(event)
@@ -378,17 +378,17 @@
 		return
 	}
 	s.answeredAt, s.learnedAt = at, now
-	if r != nil && (at.After(r.since) || d.wasHasty(now, f, r)) {
+	if r != nil && (at.After(r.since) || d.refusedTooSoon(now, f, r)) {
 		delete(d.refused, f)
 		d.onEvent(Event{Kind: EventCleared, Fingerprint: f, Trials: r.trials})
 	}
 }
 
-// wasHasty reports whether a request would not have been refused, had an earlier
-// response at another instance been known.
-func (d *Detector) wasHasty(now time.Time, f Fingerprint, r *refused) bool {
-	strikes := d.strikes(now, f)
-	return r.trials == 0 && len(strikes) > 0 && !d.convicts(now, f, strikes)
+// refusedTooSoon reports whether a request would not have been refused, had an
+// earlier response at another instance been known.
+func (d *Detector) refusedTooSoon(now time.Time, f Fingerprint, r *refused) bool {
+	ends := d.endsAgainst(now, f)
+	return r.trials == 0 && len(ends) > 0 && !d.mustBeRefused(now, f, ends)
 }
 
 // prune drops what no longer counts and what exceeds the bounds.
--- a/steer/crash/detector_test.go
+++ b/steer/crash/detector_test.go
@@ -258,7 +258,7 @@
 
 // An instance that has no responses of its own refuses a request too soon. It is
 // told of a response before the ends, which lifts the refusal at all.
-func TestHastyRefusalEndsWithTheReportOfAnEarlierAnswer(t *testing.T) {
+func TestEarlyRefusalEndsWithTheReportOfAnEarlierAnswer(t *testing.T) {
 	f := newFleet(t, 3)
 	f.instances[2].answer(deadly, 0.9)
 	f.instances[0].crash("a", 0.5, 1, deadly)
@@ -307,7 +307,7 @@
 	}
 	f.sync(1.5)
 	for i, s := range f.instances {
-		if n := len(s.strikes(at(2), deadly)); n != 1 {
+		if n := len(s.endsAgainst(at(2), deadly)); n != 1 {
 			t.Errorf("at instance %d %d ends count, want 1", i, n)
 		}
 	}
--- a/steer/crash/report.go
+++ b/steer/crash/report.go
@@ -139,7 +139,7 @@
 }
 
 // receiveRefused applies a refusal that another instance reports, unless the
-// request got a response after it, or so shortly before that this instance judges
+// request got a response after it, or so shortly before that this instance decides
 // for itself.
 func (d *Detector) receiveRefused(now, since time.Time, reported RefusedReport) {
 	f := reported.Fingerprint
