--- a/steer/reach/monitor.go
+++ b/steer/reach/monitor.go
@@ -47,16 +47,16 @@
 	rules Rules
 
 	mu          sync.Mutex
-	failed      map[string]bool // addresses that failed since one accepted
-	reachedAt   time.Time       // when an endpoint last responded or accepted a connection
-	failures    int             // of connections since then
+	failed      map[string]bool // addresses that failed since one accepted a connection
+	failures    int             // connections that failed since then
+	failedSince time.Time       // when the first of them did
 	running     int             // requests at endpoints
 	quietSince  time.Time       // of the last response, or the first running request
+	reachedAt   time.Time       // when an endpoint last responded or accepted a connection
 	probing     bool
 	probedAt    time.Time
 	cut         bool
 	cutSince    time.Time
-	failedSince time.Time // the first of failed
 }
 
 // New returns a monitor of an instance that reaches endpoints.
