--- a/front/gateway/crashes_test.go
+++ b/front/gateway/crashes_test.go
@@ -48,9 +48,7 @@
 	return n
 }
 
-// Three instances of different regions see one crash each. All instances refuse
-// the request in time, in a small fleet and through hubs, and one that was cut off
-// refuses it once it is back.
+// Three instances see one crash each; one that was cut off learns of it once it is back.
 func TestCrashesSeenAnywhereAreKnownEverywhere(t *testing.T) {
 	for _, perRegion := range []int{2, 12} {
 		t.Run(fmt.Sprint(3*perRegion), func(t *testing.T) {
@@ -112,8 +110,7 @@
 	f.recordResult(x, f.rollouts.get(testService), choice, sentAt, placing.OutcomeFailed, nil, err, time.Since(sentAt))
 }
 
-// What an instance sees while it reaches no endpoint says nothing about the new
-// version; a request without a response does if another got one since.
+// A request without a response counts if another got one since.
 func TestCutOfThisInstanceIsNotTheVersionsFault(t *testing.T) {
 	for name, cut := range map[string]bool{"cut off": true, "endpoints reached": false} {
 		t.Run(name, func(t *testing.T) {
@@ -139,8 +136,7 @@
 	}
 }
 
-// What one request does to the endpoints of both versions says nothing about the
-// new one; crashes while different requests run do.
+// Crashes while different requests run count.
 func TestCrashByARequestIsNotTheVersionsFault(t *testing.T) {
 	for name, requests := range map[string][2]crash.Fingerprint{"one request": {7, 7}, "different requests": {7, 8}} {
 		t.Run(name, func(t *testing.T) {
--- a/front/gateway/reach_test.go
+++ b/front/gateway/reach_test.go
@@ -40,8 +40,7 @@
 	return n
 }
 
-// An instance that reaches no endpoint is named by no directory, knows helpers, and
-// is no helper, in a small fleet and through hubs. If all are cut off, all are named.
+// It knows helpers and is none itself; if all instances are cut off, all are named.
 func TestCutOffInstanceIsNotNamed(t *testing.T) {
 	for _, perRegion := range []int{2, 12} {
 		t.Run(fmt.Sprint(3*perRegion), func(t *testing.T) {
--- a/steer/placing/choose_test.go
+++ b/steer/placing/choose_test.go
@@ -333,8 +333,7 @@
 	}
 }
 
-// An instance that was cut off from all endpoints uses each of them at once when it
-// reaches them again, and knows which objects they have.
+// The instance uses each endpoint at once and knows which objects it has.
 func TestEndpointsAfterACutOfThisInstance(t *testing.T) {
 	f := newFixture("i", endpointAt("a", "e1"), endpointAt("b", "e2"))
 	known := make(map[string]bool)
