--- a/front/gateway/metrics.go
+++ b/front/gateway/metrics.go
@@ -31,7 +31,7 @@
 	refusals, err2 := t.Meter.Int64Counter("cardamomfront.gateway.refusals",
 		metric.WithDescription("Requests that were not served, by reason and status."))
 	attempts, err3 := t.Meter.Int64Counter("cardamomfront.gateway.tries",
-		metric.WithDescription("Tries at endpoints, by service, outcome, what was known of the object there and why the version was chosen."))
+		metric.WithDescription("Tries at endpoints, by service, outcome, region, what was known of the object there and why the version was chosen."))
 	latency, err4 := t.Meter.Float64Histogram("cardamomfront.gateway.duration",
 		metric.WithUnit("s"), metric.WithDescription("Time from a request's header to its final answer, by route and outcome."))
 	relays, err5 := t.Meter.Int64Counter("cardamomfront.gateway.relays",
@@ -73,5 +73,5 @@
 // recordAttempt counts one attempt.
 func (m *metrics) recordAttempt(x *exchange, o placing.Outcome, c *placement) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.String("service", x.service), attribute.String("outcome", o.String()), attribute.String("known", c.Warmth), attribute.String("version_by", string(c.reason))))
+		attribute.String("service", x.service), attribute.String("outcome", o.String()), attribute.String("known", c.Warmth), attribute.String("region", c.Region), attribute.String("version_by", string(c.reason))))
 }
--- a/steer/placing/capacity.go
+++ b/steer/placing/capacity.go
@@ -71,7 +71,7 @@
 		}
 		other.share /= 1 + p.rules.ShareWeight
 	}
-	d.utilization, d.slotShare = p.utilization(g, q, now)
+	d.utilization, d.slotShare = p.utilization(g, q, "", now)
 }
 
 // homeRegionPrice returns the price of a slot in a region that follows from the
@@ -94,13 +94,16 @@
 	return p.rules.MaxSlotPrice * min(1, max(0, over))
 }
 
-// utilization returns the fraction in use of the slots of the endpoints that
-// may serve a request, and the fraction of the service's slots that these are.
-// The utilization exceeds 1 if requests are queued.
-func (p *Placer) utilization(g *group, q Query, now time.Time) (utilization, slotShare float64) {
+// utilization returns the fraction in use of the slots of the endpoints in a
+// region, or in all if it is "", that may serve a request, and the fraction of the
+// service's slots that these are. The utilization exceeds 1 if requests are queued.
+func (p *Placer) utilization(g *group, q Query, region string, now time.Time) (utilization, slotShare float64) {
 	running, slots, all := 0, 0, 0
 	for _, e := range g.ordered {
 		all += e.Slots
+		if region != "" && e.region != region {
+			continue
+		}
 		if p.allowed(e, q) && !now.Before(e.backoffUntil) && !e.restriction.forbids(now) && p.limitAllows(e, now) {
 			running += e.running(now, p.rules)
 			slots += e.Slots
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -33,6 +33,7 @@
 	reopensAt     time.Time // when the first of the closed endpoints opens again
 	busy          bool      // an endpoint that is open is at capacity
 	limited       int       // endpoints whose limit allows no request now
+	local         candidate // the best one in this region
 }
 
 // Choose returns the endpoint with the lowest score: the expected time to the
@@ -143,7 +144,6 @@
 // best returns the candidate with the lowest score, the number of candidates,
 // and whether other endpoints were at capacity.
 func (s *search) best() (best candidate, count int, atCapacity bool) {
-	var local candidate // the best one in this region
 	for _, e := range s.group.ordered {
 		if !s.allowed(e, s.query) {
 			continue
@@ -163,12 +163,12 @@
 		if best.e == nil || c.score < best.score {
 			best = c
 		}
-		if e.region == s.locality.Region && (local.e == nil || c.score < local.score) {
-			local = c
+		if e.region == s.locality.Region && (s.local.e == nil || c.score < s.local.score) {
+			s.local = c
 		}
 	}
-	if local.e != nil && len(s.query.Tried) == 0 && len(s.fleet) >= minSpillFleet {
-		best = s.limitSpill(best, local)
+	if s.local.e != nil && len(s.query.Tried) == 0 && len(s.fleet) >= minSpillFleet {
+		best = s.limitSpill(best, s.local)
 	}
 	return best, count, atCapacity
 }
@@ -252,22 +252,25 @@
 // reserve records that the request goes to the candidate.
 func (s *search) reserve(c candidate, count int) *Choice {
 	choice := &Choice{
-		Endpoint:   c.e.Endpoint,
-		Region:     c.e.region,
-		Expected:   seconds(c.expected),
-		Nominal:    seconds(c.nominal),
-		QueueWait:  seconds(c.queueWait),
-		Warmth:     c.warmth.String(),
-		Running:    c.e.running(s.now, s.rules),
-		Candidates: count,
-		group:      s.group,
-		state:      c.e,
-		route:      s.query.Route,
-		warmth:     c.warmth,
-		start:      s.now,
-		unloaded:   c.unloaded,
-		roundTrip:  c.roundTrip,
+		Endpoint:       c.e.Endpoint,
+		Region:         c.e.region,
+		Expected:       seconds(c.expected),
+		Nominal:        seconds(c.nominal),
+		QueueWait:      seconds(c.queueWait),
+		Warmth:         c.warmth.String(),
+		Running:        c.e.running(s.now, s.rules),
+		Candidates:     count,
+		LocalExpected:  seconds(s.local.expected),
+		LocalQueueWait: seconds(s.local.queueWait),
+		group:          s.group,
+		state:          c.e,
+		route:          s.query.Route,
+		warmth:         c.warmth,
+		start:          s.now,
+		unloaded:       c.unloaded,
+		roundTrip:      c.roundTrip,
 	}
+	choice.LocalUtilization, _ = s.utilization(s.group, s.query, s.locality.Region, s.now)
 	if c.e.cold(s.now) {
 		rate, _ := s.coldRate(c.e, s.query.Service)
 		c.e.coldTokens.Take(s.now, rate)
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -49,6 +49,14 @@
 	Running int
 	// Candidates is the number of endpoints that could have been chosen.
 	Candidates int
+	// LocalExpected is the time until the response would be expected from the best
+	// endpoint in this instance's region, 0 if none could take the request.
+	LocalExpected time.Duration
+	// LocalQueueWait is the part of LocalExpected that would be spent in its queue.
+	LocalQueueWait time.Duration
+	// LocalUtilization is the known fraction in use of the slots in this instance's
+	// region.
+	LocalUtilization float64
 
 	group     *group
 	state     *endpoint
