Test that fails: the requests of a region move to other regions at once

The model of callers, instances and endpoints gets regions with waves of their own, and reports that arrive as late sums over a region, as in a large fleet.

--- a/steer/placing/load_test.go
+++ b/steer/placing/load_test.go
@@ -11,7 +11,7 @@
 // with a burst.
 func kano(rate float64) load {
 	return load{
-		regions: []modelRegion{{"kano", 3, 6}, {"kaduna", 3, 2}, {"sokoto", 2, 6}},
+		regions: []modelRegion{{"kano", 3, 6, 0}, {"kaduna", 3, 2, 0}, {"sokoto", 2, 6, 0}},
 		slots:   3, queue: 9, memory: 21, cold: 880 * time.Millisecond, warm: 264 * time.Millisecond,
 		goal: 600 * time.Millisecond, limit: 2500 * time.Millisecond, objects: 24, rate: rate, until: 30 * time.Second,
 	}
@@ -19,7 +19,7 @@
 
 func ganguly(rate float64) load {
 	return load{
-		regions: []modelRegion{{"kolkata", 4, 2}, {"siliguri", 3, 8}, {"bardhaman", 3, 8}},
+		regions: []modelRegion{{"kolkata", 4, 2, 0}, {"siliguri", 3, 8, 0}, {"bardhaman", 3, 8, 0}},
 		slots:   6, queue: 18, memory: 37, cold: 640 * time.Millisecond, warm: 192 * time.Millisecond,
 		goal: 500 * time.Millisecond, limit: 1200 * time.Millisecond, objects: 53, rate: rate, until: 30 * time.Second,
 	}
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -30,8 +30,10 @@
 	rate        float64 // requests per second, over all regions
 	homed       float64 // fraction that only the first region may serve
 	wave        float64 // amplitude of the waves, as a fraction of the rate
+	swing       float64 // amplitude of each region's own wave
 	burst       span    // the rate is doubled
 	move        span    // half of the first region's callers are in the second
+	relayed     bool    // reports arrive as sums over the region, see relayLag
 	limited     int     // every which endpoint limits its requests from limitFrom on; 0 for none
 	perSecond   float64 // that limit
 	until       time.Duration
@@ -42,6 +44,7 @@
 	name      string
 	instances int
 	endpoints int
+	phase     float64 // of its own wave, as a fraction of swingPeriod
 }
 
 // span is a period; the zero value is empty.
@@ -52,6 +55,12 @@
 // wavePeriod is the time from one peak of a wave to the next.
 const wavePeriod = 12 * time.Second
 
+// swingPeriod is the time from one peak of a region's own wave to the next.
+const swingPeriod = 36 * time.Second
+
+// relayLag is how much later the sums over a region arrive than a direct report.
+const relayLag = time.Second
+
 // warmUp is the time in which endpoints do not have objects in memory yet.
 // Windows within it are not considered for the worst window.
 const warmUp = 4 * time.Second
@@ -173,6 +182,13 @@
 	perRegion []figures
 	ofHomed   figures
 	windows   []figures // by the time of the first attempt
+	runs      [][]runAt // by the region from which the requests came
+}
+
+// runAt is where a request ran and when it was sent there.
+type runAt struct {
+	sentAt time.Duration
+	region string
 }
 
 // epoch is the model's start time.
@@ -188,7 +204,7 @@
 
 // newModel creates a deployment.
 func newModel(l load, seed uint64) *model {
-	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1)}
+	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1), runs: make([][]runAt, len(l.regions))}
 	for i, region := range l.regions {
 		for j := range region.instances {
 			m.byRegion[i] = append(m.byRegion[i], len(m.instances))
@@ -224,7 +240,7 @@
 	if m.burst.has(m.now) {
 		rate *= 2
 	}
-	return time.Duration(m.r.ExpFloat64() / rate * float64(time.Second))
+	return time.Duration(m.r.ExpFloat64() / (rate * (1 + m.swing)) * float64(time.Second))
 }
 
 func (m *model) exchangeAll() {
@@ -241,7 +257,10 @@
 	} else {
 		return
 	}
-	region := m.r.IntN(len(m.regions))
+	region, takes := m.r.IntN(len(m.regions)), m.r.Float64()
+	if takes*(1+m.swing) > 1+m.swing*math.Sin(2*math.Pi*(m.now.Seconds()/swingPeriod.Seconds()+m.regions[region].phase)) {
+		return
+	}
 	homed := m.homed > 0 && m.r.Float64() < m.homed
 	object := region*m.objects + m.r.IntN(m.objects)
 	if region == 0 && m.move.has(m.now) && m.r.IntN(2) == 0 {
@@ -301,6 +320,7 @@
 func (m *model) work(r *modelRequest) {
 	e := r.at
 	e.running++
+	m.runs[r.region] = append(m.runs[r.region], runAt{r.sentAt, e.region})
 	d := m.cold
 	if i := slices.Index(e.known, r.object); i >= 0 {
 		d = m.warm
--- a/steer/placing/policies_test.go
+++ b/steer/placing/policies_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,6 +65,10 @@
 }
 
 func (p *placed) exchange(m *model) {
+	if m.relayed {
+		p.exchangeSums(m)
+		return
+	}
 	for i, from := range p.placers {
 		loads, warmed, limits := from.LocalLoads(), from.WarmedObjects(m.clock()), from.RateLimits(m.clock())
 		for j, to := range p.placers {
@@ -81,6 +86,37 @@
 	}
 }
 
+// exchangeSums delivers to each instance the sum of the loads of the others of its
+// region and the objects that they have sent, after relayLag.
+func (p *placed) exchangeSums(m *model) {
+	for _, members := range m.byRegion {
+		sum := make(map[catalog.Incarnation]int)
+		own := make(map[int][]Load, len(members))
+		var warmed []WarmedObject
+		for _, i := range members {
+			own[i] = p.placers[i].LocalLoads()
+			for _, l := range own[i] {
+				sum[l.Endpoint] += l.Running
+			}
+			warmed = append(warmed, p.placers[i].WarmedObjects(m.clock())...)
+		}
+		for _, i := range members {
+			others := maps.Clone(sum)
+			for _, l := range own[i] {
+				others[l.Endpoint] -= l.Running
+			}
+			var loads []Load
+			for in, n := range others {
+				loads = append(loads, Load{Endpoint: in, Running: n})
+			}
+			m.after(relayLag, func() {
+				p.placers[i].SetPeerLoads("region", loads)
+				p.placers[i].AddPeerWarmed(m.clock(), warmed)
+			})
+		}
+	}
+}
+
 // pick is a stateless policy.
 type pick func(m *model, r *modelRequest) *modelEndpoint
 
