The requests of a region move to other regions slowly, whatever their callers do

Cause: nothing held a share. Each request of each instance went where its own score was best, so a region whose demand exceeds its slots ran what fitted and sent the rest away: 122 and 127 requests at home in two windows with 180 and 352 requests. The class of fault is many deciders that each follow the same late signal at once. The limit that there was (spill) held rises only, for 4 s after the first request, from 17 instances on.

Change: steer/split holds the fraction of each region's requests that runs in each region, starts it from the slots and the instances by region, and changes it by at most 0.04 a second, in both directions, at any time and size, by the load that requests meet; a loss of slots lifts the bound. A balance, one for all services, keeps the number of requests at the fractions, so that a fleet of instances with few requests each does not swing by their sum. Which requests go is by their objects, which stay warm where they are.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -180,6 +180,7 @@
 		g.client.Run,
 		g.reach.Run,
 		g.relay.Run,
+		newRegionLog(g.view.placer, g.logger).Run,
 	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
--- a/front/gateway/gauges.go
+++ b/front/gateway/gauges.go
@@ -21,6 +21,8 @@
 	slots     metric.Int64ObservableGauge
 	running   metric.Int64ObservableGauge
 	cutOff    metric.Int64ObservableGauge
+	fraction  metric.Float64ObservableGauge
+	load      metric.Float64ObservableGauge
 }
 
 // newGauges creates the gauges of a meter.
@@ -39,7 +41,11 @@
 		metric.WithDescription("Requests at the endpoints, queued ones included, by service, as far as known."))
 	cutOff, err7 := m.Int64ObservableGauge("cardamomfront.cut.off",
 		metric.WithDescription("1 while this instance reaches no endpoint, else 0."))
-	return gauges{age, revision, instances, endpoints, slots, running, cutOff}, errors.Join(err1, err2, err3, err4, err5, err6, err7)
+	fraction, err8 := m.Float64ObservableGauge("cardamomfront.region.fraction",
+		metric.WithDescription("Part of this instance's requests that runs in a region, by service and region; those with homes apart."))
+	load, err9 := m.Float64ObservableGauge("cardamomfront.region.load",
+		metric.WithDescription("Requests per slot that this instance's requests met in a region, by service and region."))
+	return gauges{age, revision, instances, endpoints, slots, running, cutOff, fraction, load}, errors.Join(err1, err2, err3, err4, err5, err6, err7, err8, err9)
 }
 
 // registerGauges registers the callback that computes the gauges.
@@ -64,7 +70,7 @@
 		}
 		o.ObserveInt64(all.cutOff, cutOff)
 		return nil
-	}, all.age, all.revision, all.instances, all.endpoints, all.slots, all.running, all.cutOff)
+	}, all.age, all.revision, all.instances, all.endpoints, all.slots, all.running, all.cutOff, all.fraction, all.load)
 	return err
 }
 
@@ -78,8 +84,14 @@
 	return now.Sub(at).Seconds()
 }
 
-// observeUsage reports the slots and requests of the endpoints.
+// observeUsage reports the slots and requests of the endpoints, and the use of the
+// regions.
 func (all gauges) observeUsage(o metric.Observer, g *Gateway, now time.Time) {
+	for _, u := range g.view.placer.RegionUses() {
+		attributes := metric.WithAttributes(attribute.String("service", u.Service), attribute.String("region", u.Region))
+		o.ObserveFloat64(all.fraction, u.Fraction, attributes)
+		o.ObserveFloat64(all.load, u.Load, attributes)
+	}
 	for _, u := range g.view.placer.Usages(now) {
 		service := attribute.String("service", u.Service)
 		o.ObserveInt64(all.slots, int64(u.Slots), metric.WithAttributes(service))
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"time"
 
@@ -209,7 +208,7 @@
 		"endpoint": c.Endpoint.ID, "version": c.Endpoint.Version, "version_by": c.reason, "domain": c.Endpoint.FailureDomain,
 		"object": x.caller.Object, "fingerprint": x.fingerprint.String(), "known": c.Warmth, "running": c.Running, "candidates": c.Candidates,
 		"wait_ms": c.QueueWait.Milliseconds(), "expected_ms": c.Expected.Milliseconds(),
-		"region": c.Region, "local_ms": c.LocalExpected.Milliseconds(), "local_wait_ms": c.LocalQueueWait.Milliseconds(), "local_utilization": math.Round(100*c.LocalUtilization) / 100,
+		"region": c.Region, "local_ms": c.LocalExpected.Milliseconds(), "local_wait_ms": c.LocalQueueWait.Milliseconds(), "local_utilization": hundredths(c.LocalUtilization), "fraction": hundredths(c.Fraction),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
 	}
 	if load := reportedLoad(response, err); load >= 0 {
--- a/steer/placing/capacity.go
+++ b/steer/placing/capacity.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomfront/cardamomfront/steer/split"
 )
 
 // scarcity is how scarce slots are for a request.
@@ -40,14 +42,16 @@
 	refusedShare float64  // fraction of them that were refused
 	utilization  float64  // fraction of their slots in use at the last request
 	slotShare    float64  // fraction of the service's slots that may serve them
+	split        *split.Split
+	splitAt      time.Time // of the last update of split
 }
 
-// demand returns the demand that a request belongs to.
-func (g *group) demand(q Query) *demand {
+// demand returns the demand that a request belongs to. home is this instance's region.
+func (g *group) demand(q Query, home string) *demand {
 	key := strings.Join(q.HomeRegions, ",")
 	d := g.demands[key]
 	if d == nil {
-		d = &demand{regions: q.HomeRegions}
+		d = &demand{regions: q.HomeRegions, split: split.New(home)}
 		g.demands[key] = d
 	}
 	return d
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -1,15 +1,19 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomfront/cardamomfront/steer/split"
 )
 
 // candidate is an endpoint with its expected times, in seconds.
 type candidate struct {
 	e            *endpoint
 	score        float64
+	localScore   float64 // for the comparison with others of its region
 	expected     float64
 	nominal      float64 // expected at an endpoint that is not slower than others
 	warmExpected float64 // expected if the endpoint has the object warm after all
@@ -30,10 +34,11 @@
 	homeEndpoints map[string]*endpoint // the object's home endpoints, by region
 	slotPrices    map[string]float64   // price of one second of a slot, by region
 	now           time.Time
-	reopensAt     time.Time // when the first of the closed endpoints opens again
-	busy          bool      // an endpoint that is open is at capacity
-	limited       int       // endpoints whose limit allows no request now
-	local         candidate // the best one in this region
+	reopensAt     time.Time   // when the first of the closed endpoints opens again
+	busy          bool        // an endpoint that is open is at capacity
+	limited       int         // endpoints whose limit allows no request now
+	regions       []candidate // the best one of each region
+	present       []string    // regions with endpoints that may serve the query
 }
 
 // Choose returns the endpoint with the lowest score: the expected time to the
@@ -48,9 +53,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := g.demand(q)
+	d := g.demand(q, p.locality.Region)
 	p.recordRequest(g, d, q, now)
-	object := xxhash.Sum64String(q.Object)
+	object := uint64(0)
+	if q.Object != "" {
+		object = xxhash.Sum64String(q.Object)
+	}
 	s := &search{
 		Placer: p, group: g, demand: d, query: q, work: g.workFor(q), object: object,
 		homeEndpoints: p.homeEndpoints(g, q, object), slotPrices: make(map[string]float64, len(p.roundTrips)+1), now: now,
@@ -141,13 +149,16 @@
 	return homes
 }
 
-// best returns the candidate with the lowest score, the number of candidates,
-// and whether other endpoints were at capacity.
+// best returns the candidate for the request, the number of candidates, and whether
+// other endpoints were at capacity.
 func (s *search) best() (best candidate, count int, atCapacity bool) {
 	for _, e := range s.group.ordered {
 		if !s.allowed(e, s.query) {
 			continue
 		}
+		if !slices.Contains(s.present, e.region) {
+			s.present = append(s.present, e.region)
+		}
 		if !s.hasCapacity(e, s.query, s.now) {
 			atCapacity = s.recordAtCapacity(e) || atCapacity
 			continue
@@ -158,31 +169,61 @@
 		if known == warmthHome && !e.everUsed && !e.cold(s.now) {
 			// A newly joined endpoint needs a first request from some instance,
 			// so it is scored as if the object were warm, plus a bonus.
-			c.score = s.estimate(e, warmthWarm).score - joinBonus.Seconds()
+			asWarm := s.estimate(e, warmthWarm)
+			c.score, c.localScore = asWarm.score-joinBonus.Seconds(), asWarm.localScore-joinBonus.Seconds()
 		}
+		s.addCandidate(c)
 		if best.e == nil || c.score < best.score {
 			best = c
 		}
-		if e.region == s.locality.Region && (s.local.e == nil || c.score < s.local.score) {
-			s.local = c
-		}
 	}
-	if s.local.e != nil && len(s.query.Tried) == 0 && len(s.fleet) >= minSpillFleet {
-		best = s.limitSpill(best, s.local)
+	return s.inRegion(best), count, atCapacity
+}
+
+// addCandidate keeps a candidate if it is the best one of its region.
+func (s *search) addCandidate(c candidate) {
+	i := slices.IndexFunc(s.regions, func(other candidate) bool { return other.e.region == c.e.region })
+	switch {
+	case i < 0:
+		s.regions = append(s.regions, c)
+	case c.localScore < s.regions[i].localScore:
+		s.regions[i] = c
+	}
+}
+
+// bestIn returns the best candidate of a region.
+func (s *search) bestIn(region string) candidate {
+	for _, c := range s.regions {
+		if c.e.region == region {
+			return c
+		}
 	}
-	return best, count, atCapacity
+	return candidate{}
 }
 
-// limitSpill returns the local candidate instead of one in another region if too
-// many requests would leave the region. A request that would be refused here may
-// always leave.
-func (s *search) limitSpill(best, local candidate) candidate {
-	mayLeave := s.group.spill.mayLeave(s.now) || local.lateBy(s.query, s.demand.scarcity(s.rules)) > 0
-	if best.e != local.e && !mayLeave {
-		best = local
+// inRegion returns the best candidate of the region that the split of the demand
+// gives the request, which has none if the region is at capacity. best is the best
+// one of all regions. It is returned while a region has lost slots, and for a request
+// that would otherwise fail after a first attempt.
+func (s *search) inRegion(best candidate) candidate {
+	s.updateSplit(s.group, s.demand, s.now)
+	if best.e == nil || s.demand.split.Urgent(s.now) {
+		return best
+	}
+	scarce := s.demand.scarcity(s.rules)
+	region, ok := s.balance.Pick(s.now, s.demand.split, split.Request{
+		Object: s.object,
+		Best:   best.e.region,
+		May:    func(region string) bool { return slices.Contains(s.present, region) },
+		Can: func(region string) bool {
+			c := s.bestIn(region)
+			return c.e != nil && c.lateBy(s.query, scarce) <= 0
+		},
+	})
+	if region == best.e.region || !ok && len(s.query.Tried) > 0 {
+		return best
 	}
-	s.group.spill.record(s.now, best.e != local.e)
-	return best
+	return s.bestIn(region)
 }
 
 // recordAtCapacity records an endpoint that can't take the request now. It
@@ -245,12 +286,15 @@
 	c.expected = c.roundTrip + c.queueWait + service
 	c.nominal = c.roundTrip + (c.queueWait+service)/slowness
 	c.warmExpected = c.roundTrip + c.queueWait + s.work.mean[warmthWarm]
-	c.score = c.expected + s.slotPrice(e.region)*service + e.failures*s.rules.FailurePenalty.Seconds()
+	penalty := e.failures * s.rules.FailurePenalty.Seconds()
+	c.score = c.expected + s.slotPrice(e.region)*service + penalty
+	c.localScore = c.expected + max(s.slotPrice(e.region), s.price(s.demand.split.Load(e.region)))*service + penalty
 	return c
 }
 
 // reserve records that the request goes to the candidate.
 func (s *search) reserve(c candidate, count int) *Choice {
+	local := s.bestIn(s.locality.Region)
 	choice := &Choice{
 		Endpoint:       c.e.Endpoint,
 		Region:         c.e.region,
@@ -260,8 +304,10 @@
 		Warmth:         c.warmth.String(),
 		Running:        c.e.running(s.now, s.rules),
 		Candidates:     count,
-		LocalExpected:  seconds(s.local.expected),
-		LocalQueueWait: seconds(s.local.queueWait),
+		LocalExpected:  seconds(local.expected),
+		LocalQueueWait: seconds(local.queueWait),
+		Fraction:       s.demand.split.Fraction(c.e.region),
+		demand:         s.demand,
 		group:          s.group,
 		state:          c.e,
 		route:          s.query.Route,
@@ -276,6 +322,7 @@
 		c.e.coldTokens.Take(s.now, rate)
 	}
 	s.takeLimitToken(c.e, s.now)
+	s.balance.Record(s.now, s.demand.split, c.e.region)
 	if s.query.Object != "" && c.e.markWarm(s.object, s.now, s.rules) {
 		s.group.addRecentWarm(WarmedObject{
 			Endpoint: c.e.Incarnation(), Object: s.object, Home: s.homeEndpoints[c.e.region] == c.e,
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -40,6 +40,7 @@
 		load-- // the endpoint counts the request that it answers
 	}
 	e.setReportedRequests(now, load, len(e.starts))
+	p.observeSplit(now, c, o, load)
 	e.decay(now, p.rules.OutcomeHalfLife)
 	switch o {
 	case OutcomeAnswered:
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
+	"github.com/cardamomfront/cardamomfront/steer/split"
 )
 
 // Locality describes where this instance runs.
@@ -44,8 +45,10 @@
 	drainedDomains map[string]bool          // failure domains to drain
 	fleet          []Member
 	topology       int // counts the changes of the fleet and of the regions of services
+	slots          int // of all endpoints
 
 	restrictions restrictions
+	balance      *split.Balance
 }
 
 // Member is one instance of the fleet.
@@ -66,7 +69,6 @@
 	meanWork   float64            // mean work time over all routes, in seconds
 	recentWarm []sentObject       // objects recently sent to endpoints, to report to peers
 	demands    map[string]*demand // by the regions that may serve the requests
-	spill      spill
 }
 
 // New returns a placer without endpoints.
@@ -78,6 +80,7 @@
 		services:       make(map[string]catalog.Service),
 		roundTrips:     make(map[string]time.Duration),
 		drainedDomains: make(map[string]bool),
+		balance:        split.NewBalance(),
 		restrictions:   restrictions{known: make(map[catalog.Incarnation]restriction)},
 		fleet:          []Member{{Name: locality.Self, Region: locality.Region}},
 	}
@@ -147,6 +150,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.slots = 0
+	for i := range all {
+		p.slots += all[i].Slots
+	}
 	for name := range p.groups {
 		if _, ok := byService[name]; !ok {
 			p.groups[name].update(now, nil, p)
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -58,7 +58,11 @@
 	// region.
 	LocalUtilization float64
 
+	// Fraction is the fraction of this instance's requests that runs in Region.
+	Fraction float64
+
 	group     *group
+	demand    *demand
 	state     *endpoint
 	route     string
 	warmth    warmth
--- /dev/null
+++ b/steer/placing/regions_test.go
@@ -0,0 +1,54 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// An instance of a fleet with many requests keeps to the fractions of the regions: it
+// does not send all requests away once its region has no free slot, and refuses what
+// neither its region can serve nor another one is owed.
+func TestRequestsKeepToTheRegionsFractions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
+	var fleet []Member
+	for i := range 20 {
+		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: "r1"})
+	}
+	p.SetFleet(append(fleet, Member{Name: "j", Region: "r2"}))
+	var endpoints []catalog.Endpoint
+	for i, e := range testEntries(100) {
+		e.FailureDomain = "d1"
+		if i >= 50 {
+			e.FailureDomain = "d2"
+		}
+		endpoints = append(endpoints, e)
+	}
+	p.SetEndpoints(now, endpoints)
+	query := restrictionQuery
+	query.Goal, query.GoalLeft, query.DeadlineLeft = 600*time.Millisecond, 600*time.Millisecond, 4*time.Second
+	sent, refused := map[string]int{}, 0
+	for range 600 { // 300 slots
+		c, err := p.Choose(now, query)
+		if err != nil {
+			refused++
+			continue
+		}
+		sent[c.Region]++
+	}
+	share := float64(sent["r2"]) / float64(sent["r1"]+sent["r2"])
+	if share < 0.4 || share > 0.55 || refused == 0 {
+		t.Errorf("%.2f of the requests left, %v sent, %d refused", share, sent, refused)
+	}
+	// Without endpoints at home that can be reached, requests go where they can.
+	for _, e := range endpoints[:50] {
+		p.CloseFor(now, e.Incarnation(), time.Minute)
+	}
+	now = now.Add(time.Second)
+	if c, err := p.Choose(now, query); err == nil && c.Region != "r2" {
+		t.Errorf("a request at a closed endpoint in %s", c.Region)
+	}
+}
