A refusal that names no exchange is no promise on a connection that was used before

Report of other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told that a running request had not run. It can happen here: a refusal with the earlier request's id was an answer of another exchange, but one without any id passed for the running request, as 503, 429, 421 or 400, also when it came between two requests. The request was then sent to a second endpoint, or its caller told to repeat.

Change: on a connection that has carried a request before, a refusal has to repeat the id; otherwise it is an answer of another exchange, and the request may have run. On a new connection there is no earlier refusal.

--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -257,6 +257,10 @@
 	case echoed != "" && echoed != protocol.ExpectedID(x.request, id):
 		e.Reason = ReasonExchangeMismatch
 		e.Err = fmt.Errorf("response belongs to exchange %q", echoed)
+	case echoed == "" && !x.conn.firstUse && protocol.ShedError(resp) != nil:
+		// It may be an earlier refusal, written once more.
+		e.Reason = ReasonExchangeMismatch
+		e.Err = errors.New("refusal on a used connection names no exchange")
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		e.Reason = ReasonUnframed
 		e.Err = errors.New("unexpected response status 101 Switching Protocols")
