--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -36,7 +36,7 @@
 	defer c.group.mu.Unlock()
 	e := c.state
 	e.requestEnded(c.start)
-	if o == OutcomeAnswered || o == OutcomeFailed {
+	if load > 0 && (o == OutcomeAnswered || o == OutcomeFailed) {
 		load-- // the endpoint counts the request that it answers
 	}
 	e.setReportedRequests(now, load, len(e.starts))
--- a/steer/placing/outcome_test.go
+++ b/steer/placing/outcome_test.go
@@ -17,6 +17,7 @@
 		{OutcomeAnswered, 4, 3},
 		{OutcomeFailed, 2, 1},
 		{OutcomeShed, 12, 12},
+		{OutcomeAnswered, 0, 0},
 		{OutcomeAnswered, -1, 0},
 	} {
 		p := testPlacer(now, testEntries(1))
