Odd entries of endpoints name no endpoint

Report of other operators: one odd entry among those of the endpoints ended the processes, or stopped them from following the others. What was deeply nested, too large for its type or had a port out of range was left out before. A row that changes 100 times a second wrote 100 lines a second.

Change: such rows are left out like others that don't decode, with one line for each version and 10 lines a second in all; the other rows hold.

--- a/front/gateway/lines.go
+++ b/front/gateway/lines.go
@@ -16,6 +16,9 @@
 	// failureLinesPerSecond is how many lines on refusals and failed attempts
 	// of the other requests are written.
 	failureLinesPerSecond = 200
+	// faultLinesPerSecond is how many lines on rows that can't be decoded are
+	// written.
+	faultLinesPerSecond = 10
 )
 
 // logLimiter limits the log lines on requests. A request that is accepted at
@@ -73,3 +76,30 @@
 	}
 	l.second, l.requests, l.failures, l.omitted = now.Unix(), 0, 0, 0
 }
+
+// lineLimiter limits the lines of one kind.
+type lineLimiter struct {
+	perSecond int
+
+	mu      sync.Mutex
+	second  int64
+	lines   int
+	omitted int
+}
+
+// allow reports whether a line may be written now, and how many were omitted in the
+// second that has ended.
+func (l *lineLimiter) allow(now time.Time) (ok bool, omitted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Unix() != l.second {
+		omitted = l.omitted
+		l.second, l.lines, l.omitted = now.Unix(), 0, 0
+	}
+	l.lines++
+	if l.lines > l.perSecond {
+		l.omitted++
+		return false, omitted
+	}
+	return true, omitted
+}
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 	decoded   map[string]decodedEntry // by key
 	history   *catalog.EntryHistory
 	drained   map[string]bool
+	faults    lineLimiter // lines on rows that can't be decoded
 }
 
 func newStoreView(adapters Adapters, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, r *rollouts, log *logrus.Logger) *storeView {
@@ -43,6 +45,7 @@
 		client:    c,
 		rollouts:  r,
 		log:       log.WithField("prefix", "beliefs"),
+		faults:    lineLimiter{perSecond: faultLinesPerSecond},
 		started:   time.Now(),
 		endpoints: make(map[catalog.Incarnation]catalog.Endpoint),
 		decoded:   make(map[string]decodedEntry),
@@ -157,7 +160,18 @@
 // logFaults logs rows that can't be decoded.
 func (v *storeView) logFaults(faults []error) {
 	for _, err := range faults {
-		v.log.WithError(err).Warn("Failed to decode a row, it is ignored.")
+		v.logFault(time.Now(), err, "Failed to decode a row, it is ignored.")
+	}
+}
+
+// logFault logs a row that can't be decoded, unless there were many in this second.
+func (v *storeView) logFault(now time.Time, err error, message string) {
+	ok, omitted := v.faults.allow(now)
+	if omitted > 0 {
+		v.log.WithField("lines", omitted).Warn("Log lines on rows that can't be decoded omitted.")
+	}
+	if ok {
+		v.log.WithError(err).Warn(message)
 	}
 }
 
@@ -194,8 +208,11 @@
 		if !ok || d.version != row.Version() {
 			d.version = row.Version()
 			d.endpoint, d.err = v.codec.Endpoint(row, now)
+			if domain := d.endpoint.FailureDomain; d.err == nil && !v.placer.KnowsDomain(domain) {
+				d.err = fmt.Errorf("entry %s: unknown failure domain %q", key, domain)
+			}
 			if d.err != nil {
-				v.log.WithError(d.err).Warn("Failed to decode an endpoint's row, it is ignored.")
+				v.logFault(now, d.err, "Failed to decode an endpoint's row, it is ignored.")
 			}
 		}
 		decoded[key] = d
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -237,6 +237,12 @@
 	return spread[:min(len(spread), n)]
 }
 
+// KnowsDomain reports whether a failure domain is one of this instance's settings.
+func (p *Placer) KnowsDomain(domain string) bool {
+	_, ok := p.locality.Regions[domain]
+	return ok || len(p.locality.Regions) == 0
+}
+
 // eachGroup calls f with each shard, which is locked during the call.
 func (p *Placer) eachGroup(f func(service string, g *group)) {
 	p.mu.RLock()
