A region that a service's endpoints have just moved to gets requests at once

Found by reading: fractions were updated each 50 ms, so that requests in the meantime were for no region and were refused. They are updated at once when the regions of a service change. TestNewRegionGetsRequestsAtOnce failed before with a refusal.

--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -201,6 +201,9 @@
 	}
 	if !maps.Equal(regions, g.regions) {
 		p.topology++
+		for _, d := range g.demands {
+			d.splitAt = time.Time{}
+		}
 	}
 }
 
--- a/steer/placing/regions.go
+++ b/steer/placing/regions.go
@@ -7,7 +7,8 @@
 	"github.com/cardamomfront/cardamomfront/steer/split"
 )
 
-// splitInterval is the time between two updates of a split.
+// splitInterval is the time between two updates of a split while the regions of its
+// service stay the same.
 const splitInterval = 50 * time.Millisecond
 
 // updateSplit updates the split of a demand with the slots of the regions that may
--- a/steer/placing/regions_test.go
+++ b/steer/placing/regions_test.go
@@ -52,3 +52,24 @@
 		t.Errorf("a request at a closed endpoint in %s", c.Region)
 	}
 }
+
+// Endpoints that replace those of another region get requests at once.
+func TestNewRegionGetsRequestsAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
+	var fleet []Member
+	for i := range 20 {
+		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: "r1"})
+	}
+	p.SetFleet(fleet)
+	entries := testEntries(200)
+	for i := range entries[100:] {
+		entries[100+i].FailureDomain = "d2"
+	}
+	for i, endpoints := range [][]catalog.Endpoint{entries[:100], entries[100:]} {
+		p.SetEndpoints(now, endpoints)
+		if c, err := p.Choose(now, restrictionQuery); err != nil || c.Endpoint.FailureDomain != endpoints[0].FailureDomain {
+			t.Errorf("change %d: %+v, %v", i, c, err)
+		}
+	}
+}
