--- a/front/gateway/builds_test.go
+++ b/front/gateway/builds_test.go
@@ -149,8 +149,8 @@
 	for name, message := range messages() {
 		text := strings.ReplaceAll(string(sample(t, name)), "{\n", "{\n\"zz-later\": {\"a\": [1, {\"b\": null}]},\n")
 		if name == "report.json" { // a map of teams has no fields of its own
-			text = strings.Replace(text, "\"q\": {\n\"zz-later\": {\"a\": [1, {\"b\": null}]},\n", "\"q\": {\n", -1)
-			text = strings.Replace(text, "\"k\": {\n\"zz-later\": {\"a\": [1, {\"b\": null}]},\n", "\"k\": {\n", -1)
+			text = strings.ReplaceAll(text, "\"q\": {\n\"zz-later\": {\"a\": [1, {\"b\": null}]},\n", "\"q\": {\n")
+			text = strings.ReplaceAll(text, "\"k\": {\n\"zz-later\": {\"a\": [1, {\"b\": null}]},\n", "\"k\": {\n")
 		}
 		if err := json.Unmarshal([]byte(text), message); err != nil {
 			t.Errorf("%s: %v", name, err)
