--- a/steer/placing/shift_test.go
+++ b/steer/placing/region_change_test.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// maxShift is the part of a region's requests that may run in another region
+	// maxRegionChange is the part of a region's requests that may run in another region
 	// than before, from one window of windowLength to the next.
-	maxShift = 0.15
-	// minShiftRequests is the number of requests in a window from which it counts.
+	maxRegionChange = 0.15
+	// minComparedRequests is the number of requests in a window from which it counts.
 	// Of fewer, chance alone moves as much.
-	minShiftRequests = 100
-	// shiftOffset is the distance of the windows that are compared with those that
+	minComparedRequests = 100
+	// windowOffset is the distance of the windows that are compared with those that
 	// follow them.
-	shiftOffset = windowLength / 4
+	windowOffset = windowLength / 4
 )
 
 // Deployments whose first region has a fifth of the others' endpoints for the same
@@ -71,25 +71,25 @@
 	return count, n
 }
 
-// shift is how much of a region's requests runs elsewhere than in the window before.
-type shift struct {
+// regionChange is how much of a region's requests runs elsewhere than in the window before.
+type regionChange struct {
 	origin string
 	at     time.Duration
 	part   float64
 }
 
-func (s shift) String() string {
+func (s regionChange) String() string {
 	return fmt.Sprintf("%.2f of %s's requests at %.1f s", s.part, s.origin, s.at.Seconds())
 }
 
-// largestShift returns the largest shift of all regions at any time.
-func (m *model) largestShift() shift {
-	var largest shift
+// largestRegionChange returns the largest change of all regions at any time.
+func (m *model) largestRegionChange() regionChange {
+	var largest regionChange
 	for i, runs := range m.runs {
-		for at := windowLength; at+windowLength <= m.until; at += shiftOffset {
+		for at := windowLength; at+windowLength <= m.until; at += windowOffset {
 			before, n1 := shares(runs, at-windowLength)
 			after, n2 := shares(runs, at)
-			if n1 < minShiftRequests || n2 < minShiftRequests {
+			if n1 < minComparedRequests || n2 < minComparedRequests {
 				continue
 			}
 			part := 0.0
@@ -97,7 +97,7 @@
 				part += max(0, share-before[region])
 			}
 			if part > largest.part {
-				largest = shift{m.regions[i].name, at, part}
+				largest = regionChange{m.regions[i].name, at, part}
 			}
 		}
 	}
@@ -123,10 +123,10 @@
 			for seed := range uint64(3) {
 				m := newModel(c.load, seed)
 				f := m.run(newPlaced(m))
-				s := m.largestShift()
+				s := m.largestRegionChange()
 				t.Logf("seed %d: %v; %v", seed, s, f)
-				if s.part > maxShift {
-					t.Errorf("seed %d: %v move, %.2f allowed", seed, s, maxShift)
+				if s.part > maxRegionChange {
+					t.Errorf("seed %d: %v move, %.2f allowed", seed, s, maxRegionChange)
 				}
 			}
 		})
--- a/steer/split/split_test.go
+++ b/steer/split/split_test.go
@@ -151,7 +151,7 @@
 // A fleet whose instances all want another region at the same moment does not move a
 // region's requests at once, in either direction.
 func TestFleetKeepsToTheFractions(t *testing.T) {
-	const perInstance, maxShift = 2.7, 0.15
+	const perInstance, maxMoved = 2.7, 0.15
 	for _, instances := range []int{23, 88} {
 		for seed := range uint64(20) {
 			r := rand.New(rand.NewPCG(seed, 1))
@@ -184,7 +184,7 @@
 				for _, name := range []string{"a", "b", "c"} {
 					before[name], after[name] = counts[w-1][name]/totals[w-1], counts[w][name]/totals[w]
 				}
-				if part := moved(before, after); part > maxShift {
+				if part := moved(before, after); part > maxMoved {
 					t.Errorf("%d instances, seed %d: %.2f move at %d s", instances, seed, part, 2*w)
 				}
 			}
