A region keeps its requests until they wait longer than the way to another region takes

Cause: a region kept requests up to a fixed load (0.51 with 3 slots, 0.62 with 6) with a dead band of 0.1 around it, whatever the way to the next region takes. Requests that had left stayed away. The class: a threshold on one side's load where two times are to be compared.

Change: the cost of a region is the round trip plus the wait that its load means.

TestRequestsDoNotLeaveForAShortWait failed before (0.64 at home), and so did TestBusyRegionIsNotOwedItsRequests (0.83 owed). The tests of steer/split give the time of work and the round trip that Update takes now; their bounds are the same.

--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -26,16 +26,17 @@
 	memory      int           // objects that an endpoint keeps warm
 	cold, warm  time.Duration // work on an object that is not and that is in memory
 	goal, limit time.Duration
-	objects     int     // per region
-	rate        float64 // requests per second, over all regions
-	homed       float64 // fraction that only the first region may serve
-	wave        float64 // amplitude of the waves, as a fraction of the rate
-	swing       float64 // amplitude of each region's own wave
-	burst       span    // the rate is doubled
-	move        span    // half of the first region's callers are in the second
-	relayed     bool    // reports arrive as sums over the region, see relayLag
-	limited     int     // every which endpoint limits its requests from limitFrom on; 0 for none
-	perSecond   float64 // that limit
+	objects     int           // per region
+	rate        float64       // requests per second, over all regions
+	homed       float64       // fraction that only the first region may serve
+	wave        float64       // amplitude of the waves, as a fraction of the rate
+	swing       float64       // amplitude of each region's own wave
+	burst       span          // the rate is doubled
+	move        span          // half of the first region's callers are in the second
+	relayed     bool          // reports arrive as sums over the region, see relayLag
+	away        time.Duration // round trip to other regions, 0 for remoteRoundTrip
+	limited     int           // every which endpoint limits its requests from limitFrom on; 0 for none
+	perSecond   float64       // that limit
 	until       time.Duration
 }
 
@@ -278,7 +279,7 @@
 		m.refuse(r, retry)
 		return
 	}
-	r.at, r.sentAt, r.roundTrip = e, m.now, remoteRoundTrip
+	r.at, r.sentAt, r.roundTrip = e, m.now, m.remote()
 	if e.region == m.regions[r.region].name {
 		r.roundTrip = localRoundTrip
 	}
@@ -286,6 +287,9 @@
 	m.after(r.roundTrip/2, func() { m.reach(r) })
 }
 
+// remote returns the round trip between regions.
+func (m *model) remote() time.Duration { return cmp.Or(m.away, remoteRoundTrip) }
+
 // refuse lets the caller retry once.
 func (m *model) refuse(r *modelRequest, retry time.Duration) {
 	left := m.limit - (m.now - r.first)
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -263,13 +263,19 @@
 // roundTrip returns the round-trip time to an endpoint, in seconds. The caller
 // holds mu.
 func (p *Placer) roundTrip(e *endpoint) float64 {
-	switch {
-	case e.FailureDomain == p.locality.FailureDomain:
+	if e.FailureDomain == p.locality.FailureDomain {
 		return sameDomainRoundTrip.Seconds()
-	case e.region == p.locality.Region:
+	}
+	return p.regionRoundTrip(e.region)
+}
+
+// regionRoundTrip returns the round-trip time to a region, in seconds. The caller holds
+// mu.
+func (p *Placer) regionRoundTrip(region string) float64 {
+	if region == p.locality.Region {
 		return sameRegionRoundTrip.Seconds()
 	}
-	if d, ok := p.roundTrips[e.region]; ok {
+	if d, ok := p.roundTrips[region]; ok {
 		return d.Seconds()
 	}
 	return defaultRemoteRoundTrip.Seconds()
--- a/steer/placing/policies_test.go
+++ b/steer/placing/policies_test.go
@@ -28,9 +28,9 @@
 		placer := New(DefaultRules(), Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
 		placer.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdRate: 5}})
 		placer.SetFleet(m.instances)
-		placer.SetEndpoints(epoch, all)
+		placer.SetEndpoints(m.clock(), all)
 		for _, r := range m.regions {
-			placer.SetRoundTrip(r.name, remoteRoundTrip)
+			placer.SetRoundTrip(r.name, m.remote())
 		}
 		p.placers = append(p.placers, placer)
 	}
@@ -201,7 +201,7 @@
 		if slices.Contains(e.known, r.object) {
 			d = m.warm
 		}
-		roundTrip := remoteRoundTrip
+		roundTrip := m.remote()
 		if e.region == m.regions[r.region].name {
 			roundTrip = localRoundTrip
 		}
--- a/steer/placing/regions.go
+++ b/steer/placing/regions.go
@@ -27,14 +27,14 @@
 		i := slices.IndexFunc(regions, func(r split.Region) bool { return r.Name == e.region })
 		if i < 0 {
 			i = len(regions)
-			regions = append(regions, split.Region{Name: e.region, Demand: p.instancesIn(e.region)})
+			regions = append(regions, split.Region{Name: e.region, Demand: p.instancesIn(e.region), RoundTrip: seconds(p.regionRoundTrip(e.region))})
 		}
 		if p.isUsable(e, now) {
 			regions[i].Slots += e.Slots
 			regions[i].Endpoints++
 		}
 	}
-	d.split.Update(now, regions)
+	d.split.Update(now, seconds(g.meanWork), regions)
 }
 
 // instancesIn returns the number of instances in a region.
--- a/steer/split/balance.go
+++ b/steer/split/balance.go
@@ -17,6 +17,9 @@
 	// slackShare is the part of the requests of a window that an instance may send to
 	// the region that is best at the moment, beyond the fractions.
 	slackShare = 0.015
+	// forwardShare is the part of the requests of a window by which an instance may be
+	// ahead of the region that is owed most. All instances prefer the same region.
+	forwardShare = 0.05
 	// due is what a region is owed by when it is its turn.
 	due = 0.5
 	// maxOwed is how many requests more than another one a region may be owed before
@@ -74,13 +77,14 @@
 	if math.IsInf(slack, 1) {
 		return r.Best, true
 	}
-	if b.owed[r.Best]+s.Fraction(r.Best) >= due-slack && r.Can(r.Best) {
+	if b.mayBringForward(now, s, r, slack) && r.Can(r.Best) {
 		return r.Best, true
 	}
 	first := b.first(s, r, maxOwed+2*slack)
 	if first == "" || r.Can(first) {
 		return first, first != ""
 	}
+	b.owed[first] = min(b.owed[first], 0) // what it can't take is not made up for
 	name, best := first, due-slack
 	for _, other := range s.regions {
 		if owed := b.owed[other.Name] + other.fraction; other.Name != first && owed >= best && r.Can(other.Name) {
@@ -90,6 +94,19 @@
 	return name, ok
 }
 
+// mayBringForward reports whether the region that is best at the moment may get the
+// request before those that are owed more. The caller holds mu.
+func (b *Balance) mayBringForward(now time.Time, s *Split, request Request, slack float64) bool {
+	most := math.Inf(-1)
+	for _, r := range s.regions {
+		if request.May(r.Name) {
+			most = max(most, b.owed[r.Name]+r.fraction)
+		}
+	}
+	owed := b.owed[request.Best] + s.Fraction(request.Best)
+	return owed >= due-slack && most-owed <= forwardShare*b.perSecond(now)*Window.Seconds()
+}
+
 // first returns the region that the request's object belongs to, or the one that is
 // owed most. The caller holds mu.
 func (b *Balance) first(s *Split, request Request, maxOwed float64) string {
--- a/steer/split/split.go
+++ b/steer/split/split.go
@@ -10,7 +10,7 @@
 	// MaxChange is the largest part of the requests by which the fractions change per
 	// second. The users allow 0.15 in 2 s; the rest is a margin for chance and for
 	// requests that differ in their fractions.
-	MaxChange = 0.04
+	MaxChange = 0.03
 	// urgentChange is MaxChange while a region has lost slots.
 	urgentChange = 0.5
 	// urgentTime is how long a loss of slots lifts the bound. Within it, requests
@@ -21,17 +21,16 @@
 	lostSlots = 0.25
 	// slotsMemory is how long the largest number of slots of a region is remembered.
 	slotsMemory = 10 * time.Second
-	// staffing is how many times the square root of its running requests an endpoint
-	// keeps in free slots, so that few requests wait for one.
-	staffing = 1.2
-	// loadRange is the difference of loads from which the fractions change at their
-	// full speed.
-	loadRange = 0.25
-	// deadBand is the difference of loads below which no fraction changes. Objects
+	// costRange is the difference of costs, in times of work, from which the fractions
+	// change at their full speed.
+	costRange = 0.1
+	// deadBand is the difference of costs below which no fraction changes. Objects
 	// that change their region are not warm there.
-	deadBand = 0.1
-	// maxLoad bounds the loads that are compared: beyond it all regions are alike.
-	maxLoad = 1.5
+	deadBand = 0.05
+	// maxLoad is the load, in requests per slot, up to which queues are short-lived.
+	maxLoad = 0.9
+	// maxQueue bounds the queue per slot that counts: beyond it all regions are alike.
+	maxQueue = 0.6
 	// changeRate is the part of a region's requests that leaves it per second at the
 	// full speed, if MaxChange does not limit it.
 	changeRate = 0.25
@@ -54,11 +53,14 @@
 	Endpoints int
 	// Demand is its part of the requests of all regions, as far as known in advance.
 	Demand float64
+	// RoundTrip is the time that a request and its response take on the way.
+	RoundTrip time.Duration
 }
 
 // Split holds the fractions for the requests that enter in one region.
 type Split struct {
 	home        string
+	work        float64   // mean time of work in seconds
 	regions     []*region // by name
 	updatedAt   time.Time
 	followedAt  time.Time
@@ -135,9 +137,10 @@
 	}
 }
 
-// Update applies the state of all regions that may serve the requests, and changes the
-// fractions by the time since the last update.
-func (s *Split) Update(now time.Time, regions []Region) {
+// Update applies the mean time of work and the state of all regions that may serve the
+// requests, and changes the fractions by the time since the last update.
+func (s *Split) Update(now time.Time, work time.Duration, regions []Region) {
+	s.work = max(work, time.Millisecond).Seconds()
 	elapsed := now.Sub(s.updatedAt).Seconds()
 	s.updatedAt = now
 	s.setRegions(now, regions)
@@ -225,31 +228,26 @@
 	s.normalize()
 }
 
-// cost returns how little a region should get a request: the load there, which counts
-// in other regions only above the target.
+// cost returns the expected time of a request in a region on top of its work, in times
+// of work: the round trip and the wait for a slot.
 func (s *Split) cost(now time.Time, r *region) float64 {
-	load := min(maxLoad, r.load)
-	switch {
-	case r.Slots == 0:
-		return 2 * maxLoad
-	case now.Sub(r.loadAt) > loadTimeout:
-		load = 0
+	if r.Slots == 0 {
+		return math.Inf(1)
 	}
-	if r.Name == s.home {
-		return load
+	load := r.load
+	if now.Sub(r.loadAt) > loadTimeout {
+		load = 0
 	}
-	return max(r.targetLoad(), load)
+	return r.RoundTrip.Seconds()/s.work + wait(load, float64(r.Slots)/float64(max(1, r.Endpoints)))
 }
 
-// targetLoad returns the load of a region beyond which requests are better served by
-// another one.
-func (r *region) targetLoad() float64 {
-	slots := float64(r.Slots) / float64(max(1, r.Endpoints))
-	if slots == 0 {
-		return 0
-	}
-	root := (math.Sqrt(staffing*staffing+4*slots) - staffing) / 2
-	return root * root / slots
+// wait returns the mean wait for one of the slots of an endpoint at a load, in times of
+// work: Sakasegawa's approximation for the M/M/c queue. The load beyond maxLoad is a
+// queue.
+func wait(load, slots float64) float64 {
+	queue := min(maxQueue, max(0, load-maxLoad))
+	load = min(load, maxLoad)
+	return queue + math.Pow(load, math.Sqrt(2*(slots+1))-1)/(slots*(1-load))
 }
 
 // change moves fractions from regions of a higher cost to those of a lower one, in
@@ -265,15 +263,18 @@
 	moved := 0.0
 	for i, from := range s.regions {
 		for j, to := range s.regions {
+			if to.Slots == 0 || from.fraction == 0 {
+				continue
+			}
 			excess := s.cost(now, from) - s.cost(now, to)
-			if excess <= deadBand || to.Slots == 0 {
+			if excess <= deadBand {
 				continue
 			}
 			part := 1.0
 			if to.Name != s.home {
 				part = float64(to.Slots) / float64(away)
 			}
-			amount := changeRate * elapsed * from.fraction * part * min(1, (excess-deadBand)/loadRange)
+			amount := changeRate * elapsed * from.fraction * part * min(1, (excess-deadBand)/costRange)
 			changes[i] -= amount
 			changes[j] += amount
 			moved += amount
--- a/steer/split/split_test.go
+++ b/steer/split/split_test.go
@@ -12,12 +12,15 @@
 // epoch is the start time of the tests.
 var epoch = time.Unix(1000, 0)
 
+// workTime is the mean time of work in the tests.
+const workTime = 300 * time.Millisecond
+
 // unequal are regions of equal demand, of which the first one has few slots.
 func unequal() []Region {
 	return []Region{
 		{Name: "a", Slots: 30, Endpoints: 10, Demand: 1},
-		{Name: "b", Slots: 162, Endpoints: 54, Demand: 1},
-		{Name: "c", Slots: 132, Endpoints: 44, Demand: 1},
+		{Name: "b", Slots: 162, Endpoints: 54, Demand: 1, RoundTrip: 40 * time.Millisecond},
+		{Name: "c", Slots: 132, Endpoints: 44, Demand: 1, RoundTrip: 40 * time.Millisecond},
 	}
 }
 
@@ -62,7 +65,7 @@
 		{"demand unknown", "a", []Region{{Name: "a", Slots: 1, Endpoints: 1}, {Name: "b", Slots: 3, Endpoints: 1}}, map[string]float64{"a": 0.25, "b": 0.75}},
 	} {
 		s := New(c.home)
-		s.Update(epoch, c.regions)
+		s.Update(epoch, workTime, c.regions)
 		for _, r := range c.regions {
 			if got := s.Fraction(r.Name); math.Abs(got-c.want[r.Name]) > 0.1 {
 				t.Errorf("%s: %.2f in %s, want about %.2f", c.name, got, r.Name, c.want[r.Name])
@@ -75,7 +78,7 @@
 func TestFractionsChangeSlowly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, regions, now := New("a"), unequal(), epoch
-		s.Update(now, regions)
+		s.Update(now, workTime, regions)
 		for range rapid.IntRange(1, 60).Draw(t, "updates") {
 			before := fractions(s)
 			step := time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond
@@ -85,7 +88,7 @@
 					s.Observe(now, r.Name, rapid.Float64Range(0, 5).Draw(t, "load"))
 				}
 			}
-			s.Update(now, regions)
+			s.Update(now, workTime, regions)
 			if part := moved(before, fractions(s)); part > MaxChange*step.Seconds()+1e-9 {
 				t.Fatalf("%.3f moved in %v", part, step)
 			}
@@ -106,7 +109,7 @@
 			s.Observe(now, "a", demand*s.Fraction("a"))
 			s.Observe(now, "b", 0.2)
 			s.Observe(now, "c", 0.2)
-			s.Update(now, regions)
+			s.Update(now, workTime, regions)
 		}
 		return s.Fraction("a")
 	}
@@ -119,9 +122,28 @@
 }
 
 // Requests need not keep to the fractions while a region has lost slots.
+// A region keeps the requests that wait there for less time than the round trip to
+// another region takes.
+func TestRequestsDoNotLeaveForAShortWait(t *testing.T) {
+	far := 110 * time.Millisecond
+	regions := []Region{{Name: "a", Slots: 48, Endpoints: 12, Demand: 1}, {Name: "b", Slots: 48, Endpoints: 12, Demand: 1, RoundTrip: far}}
+	s, now := New("a"), epoch
+	s.Update(now, workTime/2, regions)
+	s.Follow(now, "b")
+	for range 800 {
+		now = now.Add(50 * time.Millisecond)
+		s.Observe(now, "a", 0.75*s.Fraction("a"))
+		s.Observe(now, "b", 0.3+0.75*s.Fraction("b"))
+		s.Update(now, workTime/2, regions)
+	}
+	if f := s.Fraction("a"); f < 0.95 {
+		t.Errorf("%.2f of the requests run at home", f)
+	}
+}
+
 func TestLossOfSlotsIsUrgent(t *testing.T) {
 	s, now := New("b"), epoch
-	s.Update(now, unequal())
+	s.Update(now, workTime, unequal())
 	for _, c := range []struct {
 		slots  int
 		urgent bool
@@ -129,7 +151,7 @@
 		regions := unequal()
 		regions[1].Slots = c.slots
 		now = now.Add(time.Second)
-		s.Update(now, regions)
+		s.Update(now, workTime, regions)
 		if s.Urgent(now) != c.urgent {
 			t.Errorf("%d of 162 slots: urgent %v", c.slots, !c.urgent)
 		}
@@ -138,7 +160,7 @@
 		now = now.Add(100 * time.Millisecond)
 		regions := unequal()
 		regions[1].Slots = 0
-		s.Update(now, regions)
+		s.Update(now, workTime, regions)
 	}
 	if f := s.Fraction("b"); f > 0.5 {
 		t.Errorf("%.2f of the requests for a region without slots", f)
@@ -170,7 +192,7 @@
 					load, best = 3, "b"
 				}
 				splits[i].Observe(now, "a", load)
-				splits[i].Update(now, unequal())
+				splits[i].Update(now, workTime, unequal())
 				name, _ := balances[i].Pick(now, splits[i], Request{Object: r.Uint64N(100) + 1, Best: best, May: everywhere, Can: everywhere})
 				balances[i].Record(now, splits[i], name)
 				for len(counts) <= int(at/Window) {
@@ -197,7 +219,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s, b, now := New("a"), NewBalance(), epoch
 		b.Expect(50, 3)
-		s.Update(now, unequal())
+		s.Update(now, workTime, unequal())
 		sent := map[string]float64{}
 		n := rapid.IntRange(1, 200).Draw(t, "requests")
 		for range n {
@@ -219,6 +241,23 @@
 	})
 }
 
+// A region that can't serve its requests is not owed them later.
+func TestBusyRegionIsNotOwedItsRequests(t *testing.T) {
+	s, b, now := New("a"), NewBalance(), epoch
+	b.Expect(50, 3)
+	s.Update(now, workTime, unequal())
+	for range 40 {
+		now = now.Add(300 * time.Millisecond)
+		name, ok := b.Pick(now, s, Request{Best: "b", May: everywhere, Can: func(region string) bool { return region != "a" }})
+		if ok {
+			b.Record(now, s, name)
+		}
+	}
+	if owed := b.owed["a"]; owed > s.Fraction("a") {
+		t.Errorf("%.2f requests owed to a region that could take none", owed)
+	}
+}
+
 func TestPick(t *testing.T) {
 	only := func(names ...string) func(string) bool {
 		return func(region string) bool {
@@ -245,7 +284,7 @@
 	} {
 		s, b := New("a"), NewBalance()
 		b.Expect(c.instances, 3)
-		s.Update(epoch, []Region{
+		s.Update(epoch, workTime, []Region{
 			{Name: "a", Slots: 80, Endpoints: 20, Demand: 1}, {Name: "b", Slots: 15, Endpoints: 5}, {Name: "c", Slots: 5, Endpoints: 5},
 		})
 		if name, ok := b.Pick(epoch, s, Request{Best: c.best, May: c.may, Can: c.can}); name != c.want || ok != c.ok {
@@ -258,7 +297,7 @@
 func TestObjectsStayInTheirRegions(t *testing.T) {
 	s, b := New("a"), NewBalance()
 	b.Expect(3, 30)
-	s.Update(epoch, unequal())
+	s.Update(epoch, workTime, unequal())
 	r := rand.New(rand.NewPCG(1, 1))
 	regions := map[uint64]map[string]int{}
 	for i := range 4000 {
