An instance that joins others lets its first requests find their regions

Cause: an instance started with the fractions of the first start of a deployment, when no object is warm, and could leave them only at the bounded speed. The class: a state that is rebuilt from its first default although the world goes on.

Change: an instance that is not part of a first start (setting bootstrap) lets requests run where they are served best for 3 s from its first one, and the fractions follow them. A first start is bounded from its first request on, as before.

TestJoiningInstanceUsesFreeSlotsAtHome failed before (0.45 and 0.55 at home).

--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -60,7 +60,7 @@
 
 func newPlacer(s *Settings) *placing.Placer {
 	return placing.New(placing.DefaultRules(), placing.Locality{
-		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains,
+		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains, Joins: !s.Bootstrap,
 	})
 }
 
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -23,8 +23,8 @@
 	// more of it relay reports and tables to others. Default: 0.
 	Capacity float64 `yaml:"capacity" validate:"gte=0"`
 	// Bootstrap is set when all instances start for the first time. This instance
-	// then waits for the others to register before it reads their list. Default:
-	// false.
+	// then waits for the others to register before it reads their list. Otherwise its
+	// first requests may run in any region. Default: false.
 	Bootstrap bool `yaml:"bootstrap"`
 	// Store is the host and port of the shared store. Required.
 	Store string `yaml:"store" validate:"required,hostname_port"`
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -23,6 +23,8 @@
 	FailureDomain string
 	// Regions maps failure domains to regions.
 	Regions map[string]string
+	// Joins is set if other instances served requests before this one started.
+	Joins bool
 }
 
 // Round trips assumed where none was measured. They are those of the users'
@@ -49,6 +51,8 @@
 
 	restrictions restrictions
 	balance      *split.Balance
+	firstRequest sync.Once
+	settledAt    time.Time // until when a joining instance settles, set at its first request
 }
 
 // Member is one instance of the fleet.
--- a/steer/placing/regions.go
+++ b/steer/placing/regions.go
@@ -11,12 +11,27 @@
 // service stay the same.
 const splitInterval = 50 * time.Millisecond
 
+// settleTime is how long the requests of an instance that joins others go where they are
+// served best. Where they ran before is not known to it.
+const settleTime = 3 * time.Second
+
+// settle lets a new demand settle if this instance has just joined others.
+func (p *Placer) settle(d *demand, now time.Time) {
+	p.firstRequest.Do(func() { p.settledAt = now.Add(settleTime) })
+	if now.Before(p.settledAt) {
+		d.split.Settle(p.settledAt)
+	}
+}
+
 // updateSplit updates the split of a demand with the slots of the regions that may
 // serve it.
 func (p *Placer) updateSplit(g *group, d *demand, now time.Time) {
 	if now.Sub(d.splitAt) < splitInterval {
 		return
 	}
+	if p.locality.Joins && d.splitAt.IsZero() {
+		p.settle(d, now)
+	}
 	d.splitAt = now
 	p.balance.Expect(int(p.instancesIn(p.locality.Region)), p.expectedRate())
 	var regions []split.Region
--- a/steer/placing/regions_test.go
+++ b/steer/placing/regions_test.go
@@ -73,3 +73,38 @@
 		}
 	}
 }
+
+// The first requests of an instance that joins others run where they are served best,
+// and later ones keep to the fractions that these had.
+func TestJoiningInstanceUsesFreeSlotsAtHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}, Joins: true})
+	var fleet []Member
+	for i := range 20 {
+		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: []string{"r1", "r2"}[i/10]})
+	}
+	p.SetFleet(fleet)
+	entries := testEntries(100)
+	for i := range entries[20:] {
+		entries[20+i].FailureDomain = "d2"
+	}
+	p.SetEndpoints(now, entries)
+	for step, requests := range []int{20, 20} {
+		atHome := 0
+		for range requests {
+			now = now.Add(100 * time.Millisecond)
+			c, err := p.Choose(now, restrictionQuery)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.Region == "r1" {
+				atHome++
+			}
+			p.Done(now.Add(100*time.Millisecond), c, OutcomeAnswered, 100*time.Millisecond, 1)
+		}
+		if share := float64(atHome) / float64(requests); share < 0.8 {
+			t.Errorf("step %d: %.2f of the requests at home, where slots are free", step, share)
+		}
+		now = now.Add(settleTime)
+	}
+}
--- a/steer/split/split.go
+++ b/steer/split/split.go
@@ -96,8 +96,12 @@
 	return 0
 }
 
-// Urgent reports whether a region has just lost slots, so that requests need not keep
-// to the fractions.
+// Settle lets requests go where they are served best until a time. The fractions follow
+// them.
+func (s *Split) Settle(until time.Time) { s.urgentUntil = until }
+
+// Urgent reports whether a region has just lost slots or the fractions are not known yet,
+// so that requests need not keep to them.
 func (s *Split) Urgent(now time.Time) bool { return now.Before(s.urgentUntil) }
 
 func (s *Split) region(name string) *region {
