Endpoints that fail or refuse with free slots count as lost slots of their region

Cause: only a loss of whole endpoints lifted the bound on the change of regions. Endpoints that fail or refuse part of their requests kept their region's fractions, which then could only follow at the bounded speed, and back. The class: trouble is told by one of its signs.

Change: an endpoint's share of failures, and of refusals though it reports free slots, counts as that share of its slots. A full endpoint's refusal doesn't: that is demand.

TestFaultyEndpointsAreLeftAtOnce failed before for free slots.

--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -44,7 +44,8 @@
 
 	slowdown        float64   // relative to the usual time of work; 1 is usual
 	failures        float64   // share of failures
-	decayedAt       time.Time // when slowdown and failures were last decayed
+	faults          float64   // share of failures that no shortage of slots explains
+	decayedAt       time.Time // when slowdown, failures and faults were last decayed
 	connectFailures int       // consecutive failures to connect
 	backoffUntil    time.Time
 	probing         bool // one request at a time until the endpoint is reachable again
@@ -85,7 +86,7 @@
 	e.reportedRequests, e.reportedAt = max(0, requests-own), now
 }
 
-// decay decays slowdown and failures by the time since the last decay.
+// decay decays slowdown, failures and faults by the time since the last decay.
 func (e *endpoint) decay(now time.Time, halfLife time.Duration) {
 	elapsed := now.Sub(e.decayedAt)
 	if elapsed <= 0 {
@@ -94,9 +95,13 @@
 	factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 	e.slowdown = 1 + (e.slowdown-1)*factor
 	e.failures *= factor
+	e.faults *= factor
 	e.decayedAt = now
 }
 
+// fault records a failure that no shortage of slots explains.
+func (e *endpoint) fault() { e.faults += failureWeight * (1 - e.faults) }
+
 // slowness returns the factor by which the endpoint is slower than usual. A
 // running request that has taken longer than expected counts before it ends.
 func (e *endpoint) slowness(now time.Time, usual float64) float64 {
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -49,8 +49,12 @@
 	case OutcomeFailed:
 		e.markReachable()
 		e.failures += failureWeight * (1 - e.failures)
+		e.fault()
 	case OutcomeShed:
 		e.markReachable()
+		if load >= 0 && load < e.Slots {
+			e.fault()
+		}
 		e.failures += failureWeight / 2 * (1 - e.failures)
 		e.backoffUntil = now.Add(p.rules.ShedBackoff)
 	case OutcomeTimedOut:
@@ -62,12 +66,13 @@
 	}
 }
 
-// markReachable resets the connection failures and reduces the share of
-// failures.
+// markReachable resets the connection failures and reduces the shares of
+// failures and faults.
 func (e *endpoint) markReachable() {
 	e.connectFailures = 0
 	e.probing = false
 	e.failures -= failureWeight / 2 * e.failures
+	e.faults -= failureWeight / 2 * e.faults
 }
 
 // backOff stops requests to an endpoint that cannot be reached. Afterwards one
@@ -85,7 +90,7 @@
 	p.eachGroup(func(_ string, g *group) {
 		for _, e := range g.ordered {
 			e.connectFailures, e.probing, e.backoffUntil = 0, false, time.Time{}
-			e.failures, e.slowdown = 0, 1
+			e.failures, e.faults, e.slowdown = 0, 0, 1
 		}
 	})
 }
--- a/steer/placing/regions.go
+++ b/steer/placing/regions.go
@@ -45,7 +45,9 @@
 			regions = append(regions, split.Region{Name: e.region, Demand: p.instancesIn(e.region), RoundTrip: seconds(p.regionRoundTrip(e.region))})
 		}
 		if p.isUsable(e, now) {
+			e.decay(now, p.rules.OutcomeHalfLife)
 			regions[i].Slots += e.Slots
+			regions[i].FaultySlots += float64(e.Slots) * e.faults
 			regions[i].Endpoints++
 		}
 	}
--- a/steer/placing/regions_test.go
+++ b/steer/placing/regions_test.go
@@ -108,3 +108,35 @@
 		now = now.Add(settleTime)
 	}
 }
+
+// Requests leave a region at once whose endpoints refuse requests although they have
+// free slots, and stay if the endpoints are full.
+func TestFaultyEndpointsAreLeftAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		load   int
+		urgent bool
+	}{"free slots": {1, true}, "full": {9, false}, "load not known": {-1, false}} {
+		now := time.Unix(1000, 0)
+		p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
+		entries := testEntries(20)
+		for i := range entries[10:] {
+			entries[10+i].FailureDomain = "d2"
+		}
+		p.SetEndpoints(now, entries)
+		for range 100 {
+			now = now.Add(20 * time.Millisecond)
+			choice, err := p.Choose(now, restrictionQuery)
+			if err != nil {
+				continue
+			}
+			o := OutcomeAnswered
+			if choice.Region == "r1" {
+				o = OutcomeShed
+			}
+			p.Done(now, choice, o, time.Millisecond, c.load)
+		}
+		if urgent := p.groups["s"].demands[""].split.Urgent(now); urgent != c.urgent {
+			t.Errorf("%s: urgent %v, want %v", name, urgent, c.urgent)
+		}
+	}
+}
--- a/steer/split/split.go
+++ b/steer/split/split.go
@@ -49,6 +49,8 @@
 	Name string
 	// Slots is the number of requests that its usable endpoints can run at once.
 	Slots int
+	// FaultySlots is the part of Slots that endpoints' failures cost.
+	FaultySlots float64
 	// Endpoints is the number of its usable endpoints.
 	Endpoints int
 	// Demand is its part of the requests of all regions, as far as known in advance.
@@ -173,7 +175,7 @@
 		if r.Slots >= r.mostSlots || now.Sub(r.mostAt) > slotsMemory {
 			r.mostSlots, r.mostAt = r.Slots, now
 		}
-		if float64(r.Slots) < (1-lostSlots)*float64(r.mostSlots) {
+		if float64(r.Slots)-r.FaultySlots < (1-lostSlots)*float64(r.mostSlots) {
 			s.urgentUntil = now.Add(urgentTime)
 		}
 		s.regions = append(s.regions, r)
