A route whose work is not known yet is not refused for the work that was assumed

Cause: before any observation a route's work is assumed from its goal (0.5 of it on a warm object, 1.4 on a cold one). Where callers give less time than that, requests were refused as too late, so that nothing was ever observed. A request without an object was compared with the warm work assumed, which is never observed without one; and one short observation moves the mean by 8 percent only. The class: a guess that forbids the measurement that would correct it.

Change: whether there is time left is decided by the shortest work known of a route: the mean of all its observations or that on warm objects; before the first one, 5 ms. Behind a queue the expected work counts from a dozen observations on. What is best is chosen as before.

TestRequestsOfANewRouteAreServed failed before with too-late at its first request. Ruled out: weights of 1/n for the first observations, and replacing the assumption by the first one (a lucky first observation makes all others look slow, TestScarceSlotsAreForKnownObjects).

--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -17,8 +17,10 @@
 	expected     float64
 	nominal      float64 // expected at an endpoint that is not slower than others
 	warmExpected float64 // expected if the endpoint has the object warm after all
+	earliest     float64 // expected if the request needs the shortest work known of its route
 	queueWait    float64
 	warmth       warmth
+	workKnown    bool // expected follows from observations
 	unloaded     bool // no queue and not cold
 	roundTrip    float64
 }
@@ -87,10 +89,13 @@
 // their object is not warm at the endpoint: requests for warm objects need a
 // third of the time.
 func (c candidate) lateBy(q Query, s scarcity) float64 {
-	lateBy := c.warmExpected - q.DeadlineLeft.Seconds()
+	lateBy := c.earliest - q.DeadlineLeft.Seconds()
 	goal := max(q.GoalLeft, q.Goal/missedGoalDivisor).Seconds()
 	if c.queueWait > 0 {
-		lateBy = max(lateBy, c.expected-q.DeadlineLeft.Seconds(), c.warmExpected-goal)
+		lateBy = max(lateBy, c.warmExpected-goal)
+		if c.workKnown {
+			lateBy = max(lateBy, c.expected-q.DeadlineLeft.Seconds())
+		}
 	}
 	unknown := s >= slotsBusy && c.warmth == warmthCold || s == slotsOversubscribed && c.warmth == warmthHome
 	if unknown && q.Object != "" && c.warmExpected <= goal {
@@ -286,6 +291,8 @@
 	c.expected = c.roundTrip + c.queueWait + service
 	c.nominal = c.roundTrip + (c.queueWait+service)/slowness
 	c.warmExpected = c.roundTrip + c.queueWait + s.work.mean[warmthWarm]
+	c.workKnown = s.work.known(known)
+	c.earliest = c.roundTrip + c.queueWait + s.work.shortest()
 	penalty := e.failures * s.rules.FailurePenalty.Seconds()
 	c.score = c.expected + s.slotPrice(e.region)*service + penalty
 	c.localScore = c.expected + max(s.slotPrice(e.region), s.price(s.demand.split.Load(e.region)))*service + penalty
--- a/steer/placing/choose_test.go
+++ b/steer/placing/choose_test.go
@@ -359,3 +359,27 @@
 		}
 	}
 }
+
+// A request of a route whose work is not known yet, or known to be short, is not refused
+// for the work that was assumed, with or without a queue.
+func TestRequestsOfANewRouteAreServed(t *testing.T) {
+	for name, object := range map[string]string{"no object": "", "object": "7"} {
+		for _, running := range []int{0, 3} { // at an endpoint of 3 slots
+			f := newFixture("i", endpointAt("a", "e1"))
+			for range running {
+				if _, err := f.choose(nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for i := range 3 {
+				c, err := f.choose(func(q *Query) {
+					q.Route, q.Object, q.Goal, q.GoalLeft, q.DeadlineLeft = "added", object, 2*time.Second, 2*time.Second, 900*time.Millisecond
+				})
+				if err != nil {
+					t.Fatalf("%s, %d running, request %d: %v", name, running, i, err)
+				}
+				f.Done(f.now, c, OutcomeAnswered, 5*time.Millisecond, -1)
+			}
+		}
+	}
+}
--- a/steer/placing/estimate.go
+++ b/steer/placing/estimate.go
@@ -14,6 +14,12 @@
 	initialCold = 1.4
 	initialHome = 0.9
 	initialWarm = 0.5
+	// minObservations is how many observations a mean follows more than what was
+	// assumed.
+	minObservations = 12
+	// assumedShortest is the shortest work in seconds before the first observation,
+	// so that a route whose work is short is found out.
+	assumedShortest = 0.005
 )
 
 // warmth is the knowledge about an object at an endpoint.
@@ -46,7 +52,9 @@
 // work holds the mean work times of one route at one service, in seconds, by
 // warmth.
 type work struct {
-	mean [warmthCount]float64
+	mean     [warmthCount]float64
+	observed [warmthCount]int
+	all      float64 // mean of all observations, 0 before the first one
 }
 
 func newWork(goal time.Duration) *work {
@@ -59,6 +67,22 @@
 
 // learn adds one observed work time to the mean.
 func (w *work) learn(k warmth, seconds float64) {
+	w.observed[k]++
 	seconds = min(seconds, observationCap*w.mean[k])
 	w.mean[k] += learnWeight * (seconds - w.mean[k])
+	if w.all == 0 {
+		w.all = seconds
+	}
+	w.all += learnWeight * (seconds - w.all)
+}
+
+// known reports whether the mean is that of observations.
+func (w *work) known(k warmth) bool { return w.observed[k] >= minObservations }
+
+// shortest returns the shortest work that is expected of a request, as far as known.
+func (w *work) shortest() float64 {
+	if w.all == 0 {
+		return assumedShortest
+	}
+	return min(w.mean[warmthWarm], w.all)
 }
