--- a/steer/placing/region_change_test.go
+++ b/steer/placing/region_change_test.go
@@ -121,14 +121,29 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(3) {
-				m := newModel(c.load, seed)
-				f := m.run(newPlaced(m))
-				s := m.largestRegionChange()
-				t.Logf("seed %d: %v; %v", seed, s, f)
-				if s.part > maxRegionChange {
-					t.Errorf("seed %d: %v move, %.2f allowed", seed, s, maxRegionChange)
-				}
+				checkRegionChange(t, c.load, seed)
 			}
 		})
 	}
 }
+
+// Windows with hardly more requests than minComparedRequests, in which what single
+// instances owe weighs most.
+func TestRequestsOfSmallWindowsMoveSlowly(t *testing.T) {
+	for _, seed := range []uint64{9, 15} {
+		checkRegionChange(t, withCallersAway(kano64(273)), seed)
+	}
+	checkRegionChange(t, withCallersAway(ganguly10(214)), 26)
+}
+
+// checkRegionChange runs a load and checks the bound at any time.
+func checkRegionChange(t *testing.T, l load, seed uint64) {
+	t.Helper()
+	m := newModel(l, seed)
+	f := m.run(newPlaced(m))
+	s := m.largestRegionChange()
+	t.Logf("seed %d: %v; %v", seed, s, f)
+	if s.part > maxRegionChange {
+		t.Errorf("seed %d: %v move, %.2f allowed", seed, s, maxRegionChange)
+	}
+}
