--- a/steer/placing/regions_test.go
+++ b/steer/placing/regions_test.go
@@ -8,17 +8,28 @@
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 )
 
+// inTwoRegions returns the placer of an instance in r1, with the failure domain d1, of a
+// fleet in r1 and r2, with d2.
+func inTwoRegions(inR1, inR2 int, joins bool) *Placer {
+	p := New(DefaultRules(), Locality{
+		Self: "r1-i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}, Joins: joins,
+	})
+	var fleet []Member
+	for region, n := range map[string]int{"r1": inR1, "r2": inR2} {
+		for i := range n {
+			fleet = append(fleet, Member{Name: fmt.Sprint(region, "-i", i), Region: region})
+		}
+	}
+	p.SetFleet(fleet)
+	return p
+}
+
 // An instance of a fleet with many requests keeps to the fractions of the regions: it
 // does not send all requests away once its region has no free slot, and refuses what
 // neither its region can serve nor another one is owed.
 func TestRequestsKeepToTheRegionsFractions(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
-	var fleet []Member
-	for i := range 20 {
-		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: "r1"})
-	}
-	p.SetFleet(append(fleet, Member{Name: "j", Region: "r2"}))
+	p := inTwoRegions(20, 1, false)
 	var endpoints []catalog.Endpoint
 	for i, e := range testEntries(100) {
 		e.FailureDomain = "d1"
@@ -56,12 +67,7 @@
 // Endpoints that replace those of another region get requests at once.
 func TestNewRegionGetsRequestsAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
-	var fleet []Member
-	for i := range 20 {
-		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: "r1"})
-	}
-	p.SetFleet(fleet)
+	p := inTwoRegions(20, 0, false)
 	entries := testEntries(200)
 	for i := range entries[100:] {
 		entries[100+i].FailureDomain = "d2"
@@ -78,12 +84,7 @@
 // and later ones keep to the fractions that these had.
 func TestJoiningInstanceUsesFreeSlotsAtHome(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}, Joins: true})
-	var fleet []Member
-	for i := range 20 {
-		fleet = append(fleet, Member{Name: fmt.Sprint("i", i), Region: []string{"r1", "r2"}[i/10]})
-	}
-	p.SetFleet(fleet)
+	p := inTwoRegions(10, 10, true)
 	entries := testEntries(100)
 	for i := range entries[20:] {
 		entries[20+i].FailureDomain = "d2"
@@ -117,7 +118,7 @@
 		urgent bool
 	}{"free slots": {1, true}, "full": {9, false}, "load not known": {-1, false}} {
 		now := time.Unix(1000, 0)
-		p := New(DefaultRules(), Locality{Self: "i0", Region: "r1", FailureDomain: "d1", Regions: map[string]string{"d1": "r1", "d2": "r2"}})
+		p := inTwoRegions(1, 0, false)
 		entries := testEntries(20)
 		for i := range entries[10:] {
 			entries[10+i].FailureDomain = "d2"
