An instance that learns of its own late renewal renews at once

What callers saw: nothing on the users' platform, where the product's own membership is not used; elsewhere an instance could lose its lease, and with it what it holds, although each of its writes took effect.

Cause: a renewal whose response is lost is confirmed by the conflict of the next one. The lease then counts from the first attempt, which is at least a heartbeat ago, and the conflict counted as a failure: the next renewal waited one to two heartbeats more. With a second lost response the lease ended. The class: an outcome that is good news is retried like a failure.

Change: such a conflict wakes the renewal loop.

--- a/front/storage/membership/renew.go
+++ b/front/storage/membership/renew.go
@@ -108,6 +108,7 @@
 		k.lease.RenewalCommitted(versions[0], sentAt)
 	case errors.As(err, &conflict) && conflict.Actual.Version > write.Expected:
 		k.lease.RowObserved(conflict.Actual.Version)
+		signal(k.renewNow)
 	case errors.As(err, &conflict):
 		k.handleLeaseLost()
 	case errors.As(err, &failed) && failed.Effect == storage.EffectNone:
