--- a/steer/placing/regions_test.go
+++ b/steer/placing/regions_test.go
@@ -24,20 +24,26 @@
 	return p
 }
 
+// entriesInTwoRegions returns n entries, of which the first inR1 are in r1 and the others
+// in r2.
+func entriesInTwoRegions(n, inR1 int) []catalog.Endpoint {
+	entries := testEntries(n)
+	for i := range entries {
+		entries[i].FailureDomain = "d1"
+		if i >= inR1 {
+			entries[i].FailureDomain = "d2"
+		}
+	}
+	return entries
+}
+
 // An instance of a fleet with many requests keeps to the fractions of the regions: it
 // does not send all requests away once its region has no free slot, and refuses what
 // neither its region can serve nor another one is owed.
 func TestRequestsKeepToTheRegionsFractions(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := inTwoRegions(20, 1, false)
-	var endpoints []catalog.Endpoint
-	for i, e := range testEntries(100) {
-		e.FailureDomain = "d1"
-		if i >= 50 {
-			e.FailureDomain = "d2"
-		}
-		endpoints = append(endpoints, e)
-	}
+	endpoints := entriesInTwoRegions(100, 50)
 	p.SetEndpoints(now, endpoints)
 	query := restrictionQuery
 	query.Goal, query.GoalLeft, query.DeadlineLeft = 600*time.Millisecond, 600*time.Millisecond, 4*time.Second
@@ -68,10 +74,7 @@
 func TestNewRegionGetsRequestsAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := inTwoRegions(20, 0, false)
-	entries := testEntries(200)
-	for i := range entries[100:] {
-		entries[100+i].FailureDomain = "d2"
-	}
+	entries := entriesInTwoRegions(200, 100)
 	for i, endpoints := range [][]catalog.Endpoint{entries[:100], entries[100:]} {
 		p.SetEndpoints(now, endpoints)
 		if c, err := p.Choose(now, restrictionQuery); err != nil || c.Endpoint.FailureDomain != endpoints[0].FailureDomain {
@@ -85,10 +88,7 @@
 func TestJoiningInstanceUsesFreeSlotsAtHome(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := inTwoRegions(10, 10, true)
-	entries := testEntries(100)
-	for i := range entries[20:] {
-		entries[20+i].FailureDomain = "d2"
-	}
+	entries := entriesInTwoRegions(100, 20)
 	p.SetEndpoints(now, entries)
 	for step, requests := range []int{20, 20} {
 		atHome := 0
@@ -119,10 +119,7 @@
 	}{"free slots": {1, true}, "full": {9, false}, "load not known": {-1, false}} {
 		now := time.Unix(1000, 0)
 		p := inTwoRegions(1, 0, false)
-		entries := testEntries(20)
-		for i := range entries[10:] {
-			entries[10+i].FailureDomain = "d2"
-		}
+		entries := entriesInTwoRegions(20, 10)
 		p.SetEndpoints(now, entries)
 		for range 100 {
 			now = now.Add(20 * time.Millisecond)
--- a/steer/split/split_test.go
+++ b/steer/split/split_test.go
@@ -121,7 +121,6 @@
 	}
 }
 
-// Requests need not keep to the fractions while a region has lost slots.
 // A region keeps the requests that wait there for less time than the round trip to
 // another region takes.
 func TestRequestsDoNotLeaveForAShortWait(t *testing.T) {
@@ -141,6 +140,7 @@
 	}
 }
 
+// Requests need not keep to the fractions while a region has lost slots.
 func TestLossOfSlotsIsUrgent(t *testing.T) {
 	s, now := New("b"), epoch
 	s.Update(now, workTime, unequal())
