--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,67 @@
+// Command standin plays the users' platform for the cases in review: the store,
+// endpoints, an operator and callers. It starts the gateways as separate processes,
+// writes a record of what was sent, answered and run, and checks one rule.
+//
+// It exits with 1 if the rule was broken, 0 if it held and 2 if it could not run.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// errBroken is returned by a case in which the rule was broken.
+var errBroken = errors.New("the rule was broken")
+
+func main() {
+	name := flag.String("case", "", "quota-kills or bad-version")
+	binary := flag.String("binary", "target/cardamomfront", "gateway program")
+	recordFile := flag.String("record", "record.txt", "file for the record")
+	trouble := flag.Bool("trouble", true, "inject the disruption")
+	flag.Parse()
+	cases := map[string]func(*world, bool) error{"quota-kills": runQuotaKills, "bad-version": runBadVersion}
+	run := cases[*name]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(2)
+	}
+	os.Exit(play(run, *binary, *recordFile, *trouble))
+}
+
+// play runs a case and returns the exit code.
+func play(run func(*world, bool) error, binary, recordFile string, trouble bool) int {
+	file, err := os.Create(recordFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer func() { _ = file.Close() }()
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	path, err := filepath.Abs(binary)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	w := newWorld(path, dir)
+	defer w.stopAll()
+	err = run(w, trouble)
+	w.record.writeTo(file)
+	fmt.Fprintf(file, "trouble %t, took %.1f s, result: %v\n", trouble, time.Since(w.start).Seconds(), err)
+	fmt.Printf("trouble %t: %v\n", trouble, err)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errBroken):
+		return 1
+	}
+	return 2
+}
