--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/cardamomfront ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin -case quota-kills -binary target/cardamomfront -record "$here/record.txt" -trouble="$([ "${TROUBLE:-1}" = 0 ] && echo false || echo true)"
+exec target/review-standin -case quota-kill -binary target/cardamomfront -record "$here/record.txt" -trouble="$([ "${TROUBLE:-1}" = 0 ] && echo false || echo true)"
--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -51,37 +52,52 @@
 // request sends one request to a gateway picked at random. If no connection can be
 // made, it tries two others, each time with a new ID.
 func (c *callers) request() {
-	object := rand.IntN(24)
 	for _, i := range rand.Perm(len(c.world.gateways))[:3] {
-		if c.attempt(c.world.gateways[i], object) {
+		if c.attempt(c.world.gateways[i]) {
 			return
 		}
 	}
 }
 
 // attempt sends the request once and reports whether it was answered.
-func (c *callers) attempt(g *gatewayProcess, object int) bool {
-	id := c.world.nextID()
+func (c *callers) attempt(g *gatewayProcess) bool {
+	o := outcome{id: c.world.nextID(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, c.method, fmt.Sprintf("http://%s%s%d", g.callers, c.prefix, object), bytes.NewReader(c.body))
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+g.callers+c.prefix+o.id, bytes.NewReader(c.body))
 	if err != nil {
-		c.world.note("request %s: %v", id, err)
+		c.world.note("request %s: %v", o.id, err)
 		return true
 	}
 	req.Host = host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Affinity-Key", fmt.Sprint(object))
+	req.Header.Set("Request-Id", o.id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Token "+key)
-	c.world.record.addSent(id, g.name)
+	c.world.record.addSent(o.id, g.name)
 	resp, err := c.client.Do(req)
 	if err != nil {
-		c.world.note("request %s: %v", id, err)
+		c.world.note("request %s: %v", o.id, err)
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	c.world.note("answered %s: %d", id, resp.StatusCode)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.world.note("answer of %s: %v", o.id, err)
+		return true
+	}
+	o.answered, o.status, o.endpoint = time.Now(), resp.StatusCode, endpointOf(body)
+	c.world.record.addOutcome(o)
 	return true
 }
+
+// endpointOf returns the endpoint that an answer names in its body. Refusals of the
+// gateways name none.
+func endpointOf(body []byte) string {
+	var answer struct {
+		Endpoint string `json:"endpoint"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return ""
+	}
+	return answer.Endpoint
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,12 +18,12 @@
 var errBroken = errors.New("the rule was broken")
 
 func main() {
-	name := flag.String("case", "", "quota-kills or bad-version")
+	name := flag.String("case", "", "quota-kill or bad-version")
 	binary := flag.String("binary", "target/cardamomfront", "gateway program")
 	recordFile := flag.String("record", "record.txt", "file for the record")
 	trouble := flag.Bool("trouble", true, "inject the disruption")
 	flag.Parse()
-	cases := map[string]func(*world, bool) error{"quota-kills": runQuotaKills, "bad-version": runBadVersion}
+	cases := map[string]func(*world, bool) error{"quota-kill": runQuotaKill, "bad-version": runBadVersion}
 	run := cases[*name]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
