--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,7 +10,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -53,7 +55,17 @@
 	}
 	w := newWorld(path, dir)
 	defer w.stopAll()
-	err = run(w, trouble)
+	// A closed output must not end the process before the gateways have ended.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- run(w, trouble) }()
+	select {
+	case err = <-ended:
+	case s := <-stop:
+		err = fmt.Errorf("stopped by signal %v", s)
+	}
 	w.record.writeTo(file)
 	fmt.Fprintf(file, "trouble %t, took %.1f s, result: %v\n", trouble, time.Since(w.start).Seconds(), err)
 	fmt.Printf("trouble %t: %v\n", trouble, err)
