--- a/review/standin/rollout.go
+++ b/review/standin/rollout.go
@@ -24,7 +24,8 @@
 	badAnswers     = 50
 	rollbackIn     = 5 * time.Second
 	drainFor       = 3 * time.Second
-	longestRun     = 95 * time.Second
+	coldFor        = 3 * time.Second
+	longestRun     = 100 * time.Second
 )
 
 // runBadVersion rolls a version out that answers a fifth of its requests with an
@@ -71,6 +72,7 @@
 		w.note("v2 did not start: %v", err)
 		return
 	}
+	time.Sleep(coldFor) // the new endpoints are no longer cold
 	order := map[string]any{"service": "intake", "to": "v2", "durationS": rolloutFor.Seconds()}
 	if err := w.store.Set("op", "rollout/intake", order); err != nil {
 		w.note("the rollout was not ordered: %v", err)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -80,14 +80,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, 1+pid/128%250, i+1)
 }
 
-// freeAddress returns an address of a loopback host with a port that is free.
-func freeAddress(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+// setFreeAddresses sets addresses of a loopback host with ports that are free. All
+// listeners are open at the same time, so that no port is picked twice.
+func setFreeAddresses(host string, addresses ...*string) error {
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		*a = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // startGateways starts all gateways for the first time and waits until they are
@@ -95,11 +99,8 @@
 func (w *world) startGateways() error {
 	for i, zone := range gatewayZones {
 		g := &gatewayProcess{name: fmt.Sprintf("g%d", i), zone: zone, file: filepath.Join(w.dir, fmt.Sprintf("g%d.yaml", i))}
-		for _, a := range []*string{&g.callers, &g.ready, &g.peers, &g.relay, &g.directory} {
-			var err error
-			if *a, err = freeAddress(loopbackHost(i)); err != nil {
-				return err
-			}
+		if err := setFreeAddresses(loopbackHost(i), &g.callers, &g.ready, &g.peers, &g.relay, &g.directory); err != nil {
+			return err
 		}
 		w.gateways = append(w.gateways, g)
 	}
