Rollouts: requests sent to and running at the new version in the log

A record of a rollout may rest on too little evidence for three reasons: too few requests were sent, they were sent too late to have ended, or their answers were not yet heard of by the instance that writes the record. The log had the answers only, so these could not be told apart.

The lines "Rollout evaluated" and "Rollout record written" now have what was sent to the new version and what is running at both. The comparison of versions moves to a file of its own, unchanged.

--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -253,7 +253,7 @@
 
 // evidenceFields returns the log fields of the evidence on a rollout.
 func evidenceFields(e rollout.Evidence) logrus.Fields {
-	return logrus.Fields{"old": e.Old, "new": e.New}
+	return logrus.Fields{"old": e.Old, "new": e.New, "new_sent": e.NewSent, "new_running": e.NewRunning, "old_running": e.OldRunning}
 }
 
 // localReports returns this instance's reports on the rollouts in progress.
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -13,59 +13,12 @@
 package rollout
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 )
 
-const (
-	// minFailures is the number of failures from which the new version is
-	// judged. Fewer occur by chance too often.
-	minFailures = 4.5
-	// failureMargin is how far its share of failures must exceed the expected
-	// share.
-	failureMargin = 0.05
-	// recentHalfLife is the half-life of recent evidence. Because of it, earlier
-	// successful answers do not hide a fault that shows late or under load.
-	recentHalfLife = time.Second
-	// minBaselineFailureShare is the lowest share of failures assumed for the
-	// old version. Its measured share may be unknown, or 0 by chance.
-	minBaselineFailureShare = 0.03
-	// maxErrorShare is the share of error responses that a version may give if the
-	// old one gives too many itself to be a standard.
-	maxErrorShare = 0.12
-	// minSlowSamples is the number of successful answers from which slowness is
-	// judged.
-	minSlowSamples = 6
-	// slowFactor is the factor by which the new version's answers must be
-	// slower.
-	slowFactor = 2.2
-	// maxBaselineSlowness is the highest slowness of the old version that is a
-	// standard for the new one.
-	maxBaselineSlowness = 2
-)
-
-// bounds are the numbers of standard deviations by which failures must exceed
-// the expected number.
-type bounds struct {
-	// comparison applies to the number expected from the old version. A rollout
-	// is evaluated some hundred times; with 4.5, a few good rollouts in a
-	// thousand are rolled back where a tenth of all answers fail.
-	comparison float64
-	// limit applies to the number expected at maxErrorShare. It is lower: a false
-	// alarm costs little where the old version gives many errors itself.
-	limit float64
-}
-
-// Each evaluation of recent evidence uses mostly new answers, which gives more
-// chances of a false alarm, so its bounds are higher.
-var (
-	overallBounds = bounds{comparison: 4.5, limit: 2}
-	recentBounds  = bounds{comparison: 5.5, limit: 3}
-)
-
 // step is the new version's share of the traffic from a point of the rollout
 // on.
 type step struct {
@@ -99,112 +52,6 @@
 	lateJoinShare  = 0.4
 )
 
-// Outcome is how an attempt ended, as far as it concerns the version.
-type Outcome uint8
-
-const (
-	// OutcomeUnknown says nothing about the version.
-	OutcomeUnknown Outcome = iota
-	// OutcomeGood is a successful response.
-	OutcomeGood
-	// OutcomeError is an error response.
-	OutcomeError
-	// OutcomeTimedOut means that no response arrived in time.
-	OutcomeTimedOut
-	// OutcomeBroken is a response that was cut off or invalid.
-	OutcomeBroken
-)
-
-// Failed reports whether the attempt failed.
-func (o Outcome) Failed() bool {
-	return o == OutcomeError || o == OutcomeTimedOut || o == OutcomeBroken
-}
-
-// tally returns the tally of one attempt with this outcome.
-func (o Outcome) tally(slowness float64) Tally {
-	switch o {
-	case OutcomeGood:
-		return Tally{Answers: 1, Slowness: slowness}
-	case OutcomeError:
-		return Tally{Answers: 1, Failures: 1, Errors: 1}
-	case OutcomeTimedOut:
-		return Tally{Answers: 1, Failures: 1, Timeouts: 1}
-	case OutcomeBroken:
-		return Tally{Answers: 1, Failures: 1}
-	default:
-		return Tally{}
-	}
-}
-
-// Tally counts the answers of one version.
-type Tally struct {
-	// Answers is the number of attempts that ended with an answer or a failure.
-	Answers float64
-	// Failures is the number of them that failed.
-	Failures float64
-	// Errors is the number of failures that were error responses, Timeouts that
-	// of missing responses. The others were cut off or invalid.
-	Errors, Timeouts float64
-	// Slowness is the sum of the response times of the others, each relative to
-	// the usual time for its request at such an endpoint.
-	Slowness float64
-}
-
-func (t *Tally) add(o Tally) {
-	t.Answers += o.Answers
-	t.Failures += o.Failures
-	t.Errors += o.Errors
-	t.Timeouts += o.Timeouts
-	t.Slowness += o.Slowness
-}
-
-func (t *Tally) scale(factor float64) {
-	t.Answers *= factor
-	t.Failures *= factor
-	t.Errors *= factor
-	t.Timeouts *= factor
-	t.Slowness *= factor
-}
-
-// meanSlowness returns the mean slowness of the successful answers, or 0
-// without any.
-func (t Tally) meanSlowness() float64 {
-	good := t.Answers - t.Failures
-	if good <= 0 {
-		return 0
-	}
-	return t.Slowness / good
-}
-
-// Evidence is what one instance, or all together, observed during a rollout.
-type Evidence struct {
-	// Old counts the answers of all other versions since the rollout started.
-	Old Tally
-	// New counts the answers of the new version.
-	New Tally
-	// OldLate and NewLate count the same with a half-life, so that recent
-	// answers dominate.
-	OldLate, NewLate Tally
-	// OldRunning is the number of requests that are running at old endpoints.
-	OldRunning int
-}
-
-// Add adds the evidence of another instance.
-func (e *Evidence) Add(o Evidence) {
-	e.Old.add(o.Old)
-	e.New.add(o.New)
-	e.OldLate.add(o.OldLate)
-	e.NewLate.add(o.NewLate)
-	e.OldRunning += o.OldRunning
-}
-
-// decay reduces the recent evidence by the elapsed time.
-func (e *Evidence) decay(elapsed time.Duration) {
-	factor := math.Exp2(-elapsed.Seconds() / recentHalfLife.Seconds())
-	e.OldLate.scale(factor)
-	e.NewLate.scale(factor)
-}
-
 // Rollout is the state of one service's rollout at one instance.
 type Rollout struct {
 	mu             sync.Mutex
@@ -352,6 +199,8 @@
 	r.credit += r.share(now)
 	if version == r.order.To {
 		r.sentToNew++
+		r.local.NewSent++
+		r.local.NewRunning++
 		return
 	}
 	r.local.OldRunning++
@@ -366,7 +215,9 @@
 	defer r.mu.Unlock()
 	r.decayLocal(now)
 	total, recent := &r.local.New, &r.local.NewLate
-	if version != r.order.To {
+	if version == r.order.To {
+		r.local.NewRunning--
+	} else {
 		r.local.OldRunning--
 		total, recent = &r.local.Old, &r.local.OldLate
 	}
@@ -413,7 +264,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p, ok := r.peers[name]; ok {
-		p.OldRunning = 0
+		p.OldRunning, p.NewRunning = 0, 0
 		r.peers[name] = p
 	}
 }
@@ -449,50 +300,3 @@
 	evaluation.Complete = r.result == catalog.RolloutRunning && !evaluation.Worse && !evaluation.Expired && due && all.New.Answers > all.New.Failures
 	return evaluation
 }
-
-// newIsWorse reports whether the new version is worse than the old one, either
-// since the rollout started or recently.
-func (e Evidence) newIsWorse() bool {
-	return isWorse(e.New, e.Old, overallBounds) || isWorse(e.NewLate, e.OldLate, recentBounds)
-}
-
-// isWorse reports whether the candidate version is worse than the baseline, or
-// gives too many error responses beside a baseline that is no standard.
-func isWorse(candidate, baseline Tally, b bounds) bool {
-	baselineIsUnfit := baseline.Errors > (maxErrorShare+failureMargin)*baseline.Answers
-	return baselineIsUnfit && exceeds(candidate.Errors, candidate.Answers, maxErrorShare, b.limit) ||
-		failsMore(candidate, baseline, b.comparison) || isSlower(candidate, baseline)
-}
-
-// failsMore reports whether the candidate version fails more than the baseline,
-// in sum or in one way: responses that the old version loses must not hide errors
-// of the new one.
-func failsMore(candidate, baseline Tally, deviations float64) bool {
-	for _, kind := range []struct{ candidate, baseline float64 }{
-		{candidate.Failures, baseline.Failures},
-		{candidate.Errors, baseline.Errors},
-		{candidate.Timeouts, baseline.Timeouts},
-	} {
-		expectedShare := max(kind.baseline/max(1, baseline.Answers), minBaselineFailureShare)
-		if exceeds(kind.candidate, candidate.Answers, expectedShare, deviations) {
-			return true
-		}
-	}
-	return false
-}
-
-// exceeds reports whether more of a version's answers failed than expected, with
-// a margin and a number of standard deviations.
-func exceeds(failures, answers, expectedShare, deviations float64) bool {
-	expected := answers * expectedShare
-	return failures >= minFailures && failures > expected+answers*failureMargin &&
-		failures > expected+deviations*math.Sqrt(expected*(1-expectedShare))
-}
-
-// isSlower reports whether the candidate version's successful answers take
-// longer than those of the baseline.
-func isSlower(candidate, baseline Tally) bool {
-	good := candidate.Answers - candidate.Failures
-	expected := min(baseline.meanSlowness(), maxBaselineSlowness)
-	return good >= minSlowSamples && expected > 0 && candidate.meanSlowness() > slowFactor*expected
-}
