Rollouts complete with a verdict only, on attempts that are old enough to be judged

What callers saw: a version that answers one in seven bookings and payments with a 504, or fails a fifth of all uploads, was recorded as completed; the old endpoints were stopped at once, so this stayed.

Cause: a verdict without evidence. One answer that was no failure was enough to complete. Answers counted as they ended, so that quick ones spoke for a version whose slow ones still ran, and a service with few requests sent the new version some four of them in 70 % of the time.

Change: an attempt is judged at three times its usual duration, however it has ended by then. The judged attempts of both versions are compared by a sequential test. The share rises only as far as the verdict allows, completion needs one for all attempts and for those at the full share, and without one in time the version is rolled back. Samples are taken early, from the requests that the users allow beyond a tenth; each instance's part of these accrues while it runs, so that restarts can't spend it twice.

Two tests of the gateway that asked for the full share give the instance a verdict first.

The fixed bounds of the comparison are higher by half a deviation each, as the sequential test now catches what lies below them.

--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -174,6 +174,19 @@
 	return true
 }
 
+// knownSize returns the number of instances that may be running, including this
+// one, or 0 until the instances table has been read.
+func (m *mesh) knownSize() int {
+	select {
+	case <-m.membersRead:
+	default:
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members) + 1
+}
+
 // size returns the number of instances alive, including this one.
 func (m *mesh) size() int {
 	m.mu.Lock()
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -133,7 +133,7 @@
 		wake:                make(chan struct{}),
 	}
 	w.notifyPeers, reached.notifyPeers, relayed.helpers = m.syncUrgently, m.syncUrgently, m.helpers
-	r.isLeader, r.notifyPeers, r.recordDelay = m.isLeader, m.syncUrgently, m.recordDelay
+	r.isLeader, r.notifyPeers, r.knownSize, r.recordDelay = m.isLeader, m.syncUrgently, m.knownSize, m.recordDelay
 	return m
 }
 
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -30,23 +30,24 @@
 const minComparedTime = 50 * time.Millisecond
 
 // recordResult records the result of an attempt with the crash watch and the
-// service's rollout, which is nil if there is none. A failure without a response
-// counts once it is known that neither the request nor a cut of this instance is
-// its cause: these say nothing about a version.
-func (s *sender) recordResult(x *exchange, ro *rollout.Rollout, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
+// service's rollout. A failure without a response counts once it is known that
+// neither the request nor a cut of this instance is its cause: these say nothing
+// about a version.
+func (s *sender) recordResult(x *exchange, observed *rolloutAttempt, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
+	observed.end()
 	record := func(counts bool) {
-		if ro != nil && counts {
-			s.recordRolloutAttempt(ro, c, o, err, elapsed)
+		if !counts {
+			observed.discard()
+			return
 		}
+		observed.settle(rolloutOutcome(o, response, err, elapsed, c), slowness(elapsed, c))
 	}
 	switch {
 	case mayHaveCrashed(err):
 		s.crashes.connectionBroke(c.Endpoint, brokenRequest{run: crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt}, settle: record})
 		return
 	case !hasResponded(err):
-		if ro != nil {
-			s.crashes.reach.whenReached(time.Now(), record)
-		}
+		s.crashes.reach.whenReached(time.Now(), record)
 		return
 	}
 	record(true)
@@ -58,18 +59,20 @@
 	}
 }
 
-// recordRolloutAttempt records the outcome of an attempt with a rollout.
-func (s *sender) recordRolloutAttempt(ro *rollout.Rollout, c *placing.Choice, o placing.Outcome, err error, elapsed time.Duration) {
-	slowness := max(elapsed, minComparedTime).Seconds() / max(c.Nominal, minComparedTime).Seconds()
-	s.rollouts.recordAttempt(ro, c.Endpoint.Version, rolloutOutcome(o, err), slowness)
+// slowness returns the response time relative to the usual time for such a request
+// at such an endpoint.
+func slowness(elapsed time.Duration, c *placing.Choice) float64 {
+	return max(elapsed, minComparedTime).Seconds() / max(c.Nominal, minComparedTime).Seconds()
 }
 
 // rolloutOutcome returns the outcome of an attempt with regard to its
 // endpoint's version.
-func rolloutOutcome(o placing.Outcome, err error) rollout.Outcome {
+func rolloutOutcome(o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration, c *placing.Choice) rollout.Outcome {
 	switch {
 	case o == placing.OutcomeAnswered:
 		return rollout.OutcomeGood
+	case o == placing.OutcomeFailed && err == nil && response.Status == http.StatusGatewayTimeout && elapsed < 2*c.Expected:
+		return rollout.OutcomeUnknown // the deadline left too little time
 	case o == placing.OutcomeFailed && err == nil:
 		return rollout.OutcomeError
 	case o == placing.OutcomeFailed:
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -70,6 +70,9 @@
 			r.writeRecord(ctx, service, ro, catalog.RolloutRunning)
 		case evaluation.Complete && r.isStartRead(ro):
 			r.writeRecord(ctx, service, ro, catalog.RolloutCompleted)
+		case evaluation.Abandoned:
+			r.log.WithFields(evidenceFields(evaluation)).WithField("service", service).Warn("Evidence on the new version is too thin, rolling back.")
+			r.writeRecord(ctx, service, ro, catalog.RolloutRolledBack)
 		}
 	}
 }
@@ -245,7 +248,7 @@
 	var conflict *registry.ConflictError
 	switch {
 	case err == nil:
-		log.WithFields(evidenceFields(ro.Evaluate(r.now()).Evidence)).Info("Rollout record written.")
+		log.WithFields(evidenceFields(ro.Evaluate(r.now()))).Info("Rollout record written.")
 		// The operators may act on the record even if a restore of the store
 		// loses it before it is read.
 		ro.ApplyRecord(result)
--- a/front/gateway/rollouts.go
+++ b/front/gateway/rollouts.go
@@ -9,6 +9,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/rollout"
 )
 
@@ -27,6 +28,7 @@
 	codec       Codec
 	isLeader    func() bool // whether this instance records starts, completions and expiries
 	notifyPeers func()      // syncs with the other instances at once
+	knownSize   func() int  // how many instances, including this one, may be running; 0 if unknown
 	// versionReachedAt returns a time by which the store had reached a version,
 	// or the zero time if unknown.
 	versionReachedAt func(registry.Version) time.Time
@@ -51,14 +53,15 @@
 	startRead        map[string]uint64 // revisions of the orders whose start time was read, by service
 }
 
-// newRollouts returns rollouts without orders. newMesh sets isLeader and
-// notifyPeers.
+// newRollouts returns rollouts without orders. newMesh sets isLeader, notifyPeers
+// and knownSize.
 func newRollouts(adapters Adapters, log *logrus.Logger) *rollouts {
 	return &rollouts{
 		store:            adapters.Store,
 		codec:            adapters.Codec,
 		isLeader:         func() bool { return false },
 		notifyPeers:      func() {},
+		knownSize:        func() int { return 0 },
 		versionReachedAt: func(registry.Version) time.Time { return time.Time{} },
 		now:              time.Now,
 		recordDelay:      func() time.Duration { return 0 },
@@ -125,12 +128,46 @@
 	r.applyRecord(ro)
 }
 
-// recordAttempt records the outcome of an attempt. A failure of the new version
-// is reported to the peers at once.
-func (r *rollouts) recordAttempt(ro *rollout.Rollout, version string, outcome rollout.Outcome, slowness float64) {
-	ro.AttemptEnded(time.Now(), version, outcome, slowness)
-	if outcome.Failed() && version == ro.Order().To && ro.Result() == catalog.RolloutRunning {
-		r.notifyPeers()
+// rolloutAttempt is an attempt that is observed for a rollout. Without a rollout,
+// nothing is recorded.
+type rolloutAttempt struct {
+	rollouts *rollouts
+	rollout  *rollout.Rollout // nil without a rollout
+	attempt  *rollout.Attempt
+}
+
+// startAttempt records the start of an attempt at a service's endpoint.
+func (r *rollouts) startAttempt(service string, now time.Time, c *placing.Choice) *rolloutAttempt {
+	a := &rolloutAttempt{rollouts: r, rollout: r.get(service)}
+	if a.rollout != nil {
+		a.attempt = a.rollout.StartAttempt(now, c.Endpoint.Version, c.Nominal)
+	}
+	return a
+}
+
+// end records that the attempt has ended; settle or discard follows.
+func (a *rolloutAttempt) end() {
+	if a.rollout != nil {
+		a.rollout.EndAttempt(time.Now(), a.attempt)
+	}
+}
+
+// settle records the outcome of the attempt. A failure of the new version is
+// reported to the peers at once.
+func (a *rolloutAttempt) settle(outcome rollout.Outcome, slowness float64) {
+	if a.rollout == nil {
+		return
+	}
+	a.rollout.SettleAttempt(time.Now(), a.attempt, outcome, slowness)
+	if outcome.Failed() && a.attempt.IsNew() && a.rollout.Result() == catalog.RolloutRunning {
+		a.rollouts.notifyPeers()
+	}
+}
+
+// discard records that the outcome of the attempt says nothing about its version.
+func (a *rolloutAttempt) discard() {
+	if a.rollout != nil {
+		a.rollout.DiscardAttempt(a.attempt)
 	}
 }
 
@@ -237,8 +274,9 @@
 		if ro.Result() != catalog.RolloutRunning {
 			continue
 		}
+		ro.SetFleet(r.knownSize())
 		evaluation := ro.Evaluate(now)
-		log := r.log.WithFields(evidenceFields(evaluation.Evidence)).WithFields(logrus.Fields{
+		log := r.log.WithFields(evidenceFields(evaluation)).WithFields(logrus.Fields{
 			"service": service, "to": ro.Order().To, "age_ms": now.Sub(ro.StartTime()).Milliseconds(),
 		})
 		switch {
@@ -252,8 +290,13 @@
 }
 
 // evidenceFields returns the log fields of the evidence on a rollout.
-func evidenceFields(e rollout.Evidence) logrus.Fields {
-	return logrus.Fields{"old": e.Old, "new": e.New, "new_sent": e.NewSent, "new_running": e.NewRunning, "old_running": e.OldRunning}
+func evidenceFields(e rollout.Evaluation) logrus.Fields {
+	return logrus.Fields{
+		"old": e.Evidence.Old, "new": e.Evidence.New,
+		"new_sent": e.Evidence.NewSent, "new_running": e.Evidence.NewRunning, "old_running": e.Evidence.OldRunning,
+		"old_judged": e.Evidence.OldJudged, "new_judged": e.Evidence.NewJudged,
+		"suspicion": hundredths(e.Suspicion), "ramp_suspicion": hundredths(e.RampSuspicion),
+	}
 }
 
 // localReports returns this instance's reports on the rollouts in progress.
--- a/front/gateway/rollouts_test.go
+++ b/front/gateway/rollouts_test.go
@@ -194,6 +194,7 @@
 	w.applyOrders(0)
 	w.step(0)
 	r := w.instances[0]
+	w.reportSound(0)
 	for _, c := range []struct {
 		elapsed    float64
 		noFallback bool
@@ -218,6 +219,7 @@
 	r := w.instances[0]
 	r.get(testService).ObserveStart(w.now.Add(-duration * 19 / 20))
 	w.now = w.now.Add(duration / 5) // the full share is for the new version
+	w.reportSound(0)
 	if r.preferredVersions(testService, w.now, true).filters[0].accepts("v2") {
 		t.Error("the new version is preferred although no record was read")
 	}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -83,7 +83,7 @@
 	var err error
 	preferred := s.rollouts.preferredVersions(x.service, now, len(tried) == 0)
 	for _, filter := range preferred.filters {
-		if filter.shareOf != nil && hasNoHeadroom(err) && !filter.shareOf.MayFallBackToNew() {
+		if filter.shareOf != nil && hasNoHeadroom(err) && !filter.shareOf.MayFallBackToNew(now) {
 			break
 		}
 		q.Versions = filter.accepts
@@ -106,11 +106,8 @@
 
 // attempt sends the request to one endpoint. attemptNumber counts from 1.
 func (s *sender) attempt(ctx context.Context, x *exchange, c *placement, attemptNumber int) result {
-	ro := s.rollouts.get(x.service)
 	start := time.Now()
-	if ro != nil {
-		ro.AttemptStarted(start, c.Endpoint.Version)
-	}
+	observed := s.rollouts.startAttempt(x.service, start, c.Choice)
 	s.reach.RequestStarted(start)
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
@@ -129,7 +126,7 @@
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
-	s.recordResult(x, ro, c.Choice, start, outcome, buffered, err, elapsed)
+	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
 		return result{response: buffered}
--- a/steer/rollout/compare.go
+++ b/steer/rollout/compare.go
@@ -36,8 +36,7 @@
 // the expected number.
 type bounds struct {
 	// comparison applies to the number expected from the old version. A rollout
-	// is evaluated some hundred times; with 4.5, a few good rollouts in a
-	// thousand are rolled back where a tenth of all answers fail.
+	// is evaluated some hundred times, so it is high.
 	comparison float64
 	// limit applies to the number expected at maxErrorShare. It is lower: a false
 	// alarm costs little where the old version gives many errors itself.
@@ -47,8 +46,8 @@
 // Each evaluation of recent evidence uses mostly new answers, which gives more
 // chances of a false alarm, so its bounds are higher.
 var (
-	overallBounds = bounds{comparison: 4.5, limit: 2}
-	recentBounds  = bounds{comparison: 5.5, limit: 3}
+	overallBounds = bounds{comparison: 5, limit: 2}
+	recentBounds  = bounds{comparison: 6, limit: 3}
 )
 
 // newIsWorse reports whether the new version is worse than the old one, either
--- a/steer/rollout/evidence.go
+++ b/steer/rollout/evidence.go
@@ -82,6 +82,28 @@
 	return t.Slowness / good
 }
 
+// Judgments counts the attempts of one version that are old enough to be judged:
+// an attempt counts at an age at which nearly every sound one has ended, however
+// it has ended by then. Counted as they end, quick answers would come first and
+// speak for a version whose slow ones still run.
+type Judgments struct {
+	// Attempts is the number of attempts that were judged.
+	Attempts float64
+	// Failures is the number of them that failed in any way or were late.
+	Failures float64 `json:",omitzero"`
+	// Errors is the number of failures that were error responses, Late that of
+	// attempts that were still running or had timed out.
+	Errors float64 `json:",omitzero"`
+	Late   float64 `json:",omitzero"`
+}
+
+func (j *Judgments) add(o Judgments) {
+	j.Attempts += o.Attempts
+	j.Failures += o.Failures
+	j.Errors += o.Errors
+	j.Late += o.Late
+}
+
 // Evidence is what one instance, or all together, observed during a rollout.
 type Evidence struct {
 	// Old counts the answers of all other versions since the rollout started.
@@ -97,6 +119,12 @@
 	// NewRunning the number of those that are running there.
 	NewSent    int `json:",omitzero"`
 	NewRunning int `json:",omitzero"`
+	// OldJudged and NewJudged count the judged attempts since the rollout
+	// started, RampJudged those of the new version that started while it was to
+	// get all requests.
+	OldJudged  Judgments `json:",omitzero"`
+	NewJudged  Judgments `json:",omitzero"`
+	RampJudged Judgments `json:",omitzero"`
 }
 
 // Add adds the evidence of another instance.
@@ -108,6 +136,9 @@
 	e.OldRunning += o.OldRunning
 	e.NewSent += o.NewSent
 	e.NewRunning += o.NewRunning
+	e.OldJudged.add(o.OldJudged)
+	e.NewJudged.add(o.NewJudged)
+	e.RampJudged.add(o.RampJudged)
 }
 
 // decay reduces the recent evidence by the elapsed time.
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -2,12 +2,14 @@
 // back.
 //
 // The new version starts with a small share of the traffic, which rises in
-// steps over the duration that the operator sets. Each instance applies the
-// share to the requests that it sends, so the share holds for the sum over all
-// instances. The evaluation compares what both versions answered over the same
-// period; the first instance that finds the new version worse rolls it back for
-// all. Package shift does the same for rollouts that take minutes or more, with
-// statistical tests that have a far lower error rate.
+// steps over the duration that the operator sets, but only as far as its judged
+// attempts speak for it. Each instance applies the share to the requests that it
+// sends, so the share holds for the sum over all instances. What the new version
+// gets before its answers under load speak for it is bounded, whatever the
+// evidence. A new version that is not known to be sound in time is rolled back, as
+// is one that is found worse by any instance. Package shift does the same for
+// rollouts that take minutes or more, with statistical tests that have a far lower
+// error rate.
 //
 // The package does no I/O and takes the time as an argument.
 package rollout
@@ -26,21 +28,31 @@
 	share float64
 }
 
-// steps keep the share below a tenth of the traffic for most of the duration,
-// because a fault that shows late or under load costs all requests sent until
-// then. The last step starts early enough to leave a tenth of the duration for
-// recording the completion.
-var steps = []step{{0, 0.05}, {0.7, 0.15}, {0.76, 0.4}, {0.82, 1}}
+// steps are the new version's highest shares. samplingShare applies until its
+// attempts speak for it: a fault that shows late or under load costs all requests
+// sent until then. The last step starts early enough for answers under load to
+// arrive.
+var steps = []step{{0, samplingShare}, {0.68, 0.15}, {0.71, 0.4}, {rampedAt, 1}}
+
+const (
+	// samplingShare is below the share of maxExposure.
+	samplingShare = 0.05
+	// rampedAt is the point from which on the new version may get all requests.
+	rampedAt = 0.74
+)
 
 // Points of a rollout, as fractions of its duration. From drainOldAt on,
 // requests no longer fall back to old endpoints, which are stopped at the
-// completion. From completeAt on, a sound rollout completes once no request
-// runs at an old endpoint; from forceCompleteAt on it no longer waits for that.
-// The remaining time absorbs an order that was received late and a slow store.
+// completion. From completeAt on, a rollout whose new version is sound completes
+// once no request runs at an old endpoint; from forceCompleteAt on it no longer
+// waits for that. A version that is not known to be sound at abandonAt is rolled
+// back. The remaining time absorbs an order that was received late and a slow
+// store.
 const (
 	drainOldAt      = 0.86
 	completeAt      = 0.9
 	forceCompleteAt = 0.93
+	abandonAt       = 0.96
 )
 
 // An instance that joins a rollout late, for example after a restart, has no
@@ -64,6 +76,11 @@
 	peers          map[string]peerEvidence
 	credit         float64 // sum of the shares at the start of each attempt so far
 	sentToNew      float64 // attempts at the new version so far
+	unjudged       []*Attempt
+	sent           float64 // attempts so far
+	exposure       exposure
+	// suspicion and rampSuspicion are those of the last evaluation.
+	suspicion, rampSuspicion float64
 }
 
 // peerEvidence is the evidence in the last report of a peer.
@@ -137,6 +154,14 @@
 	return r.result
 }
 
+// SetFleet sets the number of instances that carry out the rollout, including
+// this one. It may be too high, never too low.
+func (r *Rollout) SetFleet(instances int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.exposure.instances = instances
+}
+
 // UseNewVersion reports whether the next request goes to the new version. Each
 // attempt that starts adds the current share to a credit, and each one at the new
 // version uses up 1 of it.
@@ -150,17 +175,34 @@
 		return false
 	case catalog.RolloutRunning:
 	}
-	share := r.share(now)
-	return share >= 1 || r.credit+share-r.sentToNew >= 1
+	if !r.mayExpose(now) {
+		return false
+	}
+	share, credit := r.share(now), r.credit
+	if r.suspicion > acceptBound {
+		credit += r.exposure.samples(r.point(now))
+	}
+	return share >= 1 || credit+share-r.sentToNew >= 1
 }
 
 // MayFallBackToNew reports whether a request for which the old version has no
-// headroom may go to the new one. Fallbacks are part of the new version's share;
-// one of them may use it in advance.
-func (r *Rollout) MayFallBackToNew() bool {
+// headroom may go to the new one at now. Fallbacks are part of the new version's
+// share; one of them may use it in advance.
+func (r *Rollout) MayFallBackToNew(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sentToNew <= r.credit
+	return r.sentToNew <= r.credit && r.mayExpose(now)
+}
+
+// mayExpose reports whether the new version may get one more request, which it may
+// without limit once its attempts under load speak for it. The caller holds mu.
+func (r *Rollout) mayExpose(now time.Time) bool {
+	return r.rampSuspicion <= leanBound || r.sentToNew+1 <= r.exposure.limit(r.point(now), r.sent)
+}
+
+// point returns where in the rollout now is. The caller holds mu.
+func (r *Rollout) point(now time.Time) point {
+	return point{elapsed: r.elapsedShare(now, r.startedAt), joined: r.elapsedShare(r.joinedAt, r.startedAt)}
 }
 
 // DrainingOld reports whether requests must no longer go to old endpoints while
@@ -168,7 +210,7 @@
 func (r *Rollout) DrainingOld(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.result == catalog.RolloutRunning && r.elapsedShare(now, r.startedAt) >= drainOldAt && r.elapsedShare(now, r.joinedAt) >= lateJoinPeriod
+	return r.result == catalog.RolloutRunning && r.elapsedShare(now, r.startedAt) >= drainOldAt && r.share(now) >= 1
 }
 
 // share returns the new version's current share of the traffic.
@@ -183,7 +225,18 @@
 	if r.elapsedShare(now, r.joinedAt) < lateJoinPeriod {
 		share = min(share, lateJoinShare)
 	}
-	return share
+	return min(share, earnedShare(r.suspicion))
+}
+
+// earnedShare returns the highest share of a new version by the evidence so far.
+func earnedShare(suspicion float64) float64 {
+	switch {
+	case suspicion <= acceptBound:
+		return 1
+	case suspicion <= leanBound:
+		return lateJoinShare
+	}
+	return samplingShare
 }
 
 // elapsedShare returns the time since start as a fraction of the rollout's
@@ -192,40 +245,6 @@
 	return now.Sub(start).Seconds() / r.order.Duration.Seconds()
 }
 
-// AttemptStarted records the start of an attempt at a version.
-func (r *Rollout) AttemptStarted(now time.Time, version string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.credit += r.share(now)
-	if version == r.order.To {
-		r.sentToNew++
-		r.local.NewSent++
-		r.local.NewRunning++
-		return
-	}
-	r.local.OldRunning++
-}
-
-// AttemptEnded records how an attempt at a version ended. slowness is the
-// response time relative to the usual time for such a request at such an
-// endpoint. Endpoints of a new version have not handled any object yet, which
-// must not count as slowness of the version.
-func (r *Rollout) AttemptEnded(now time.Time, version string, outcome Outcome, slowness float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.decayLocal(now)
-	total, recent := &r.local.New, &r.local.NewLate
-	if version == r.order.To {
-		r.local.NewRunning--
-	} else {
-		r.local.OldRunning--
-		total, recent = &r.local.Old, &r.local.OldLate
-	}
-	t := outcome.tally(slowness)
-	total.add(t)
-	recent.add(t)
-}
-
 // decayLocal decays the recent local evidence to now. The caller holds mu.
 func (r *Rollout) decayLocal(now time.Time) {
 	if elapsed := now.Sub(r.localDecayedAt); elapsed > 0 {
@@ -275,11 +294,18 @@
 	Worse bool
 	// Complete reports that the rollout may be recorded as complete.
 	Complete bool
+	// Abandoned reports that the evidence is too thin for a verdict and that no
+	// time is left for more.
+	Abandoned bool
 	// Expired reports that the duration of the rollout is over.
 	Expired bool
 	// Evidence is what all instances observed, as far as their reports were
 	// received.
 	Evidence Evidence
+	// Suspicion is how much the judged attempts of the new version speak against
+	// it, negative if they speak for it; RampSuspicion is the same for its attempts
+	// under load.
+	Suspicion, RampSuspicion float64
 }
 
 // Evaluate evaluates the rollout by the evidence of all instances.
@@ -287,16 +313,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.decayLocal(now)
+	r.judge(now)
 	all := r.local
 	for _, p := range r.peers {
 		e := p.Evidence
 		e.decay(max(0, now.Sub(p.receivedAt)))
 		all.Add(e)
 	}
+	e := Evaluation{
+		Expired: r.elapsedShare(now, r.startedAt) >= 1, Evidence: all,
+		Suspicion: suspicion(all.NewJudged, all.OldJudged), RampSuspicion: suspicion(all.RampJudged, all.OldJudged),
+	}
+	r.suspicion, r.rampSuspicion = e.Suspicion, e.RampSuspicion
+	e.Worse = all.newIsWorse() || e.Suspicion >= rejectBound || e.RampSuspicion >= rejectBound
+	if r.result == catalog.RolloutRunning && !e.Worse && !e.Expired {
+		e.Complete = r.mayComplete(now, e)
+		e.Abandoned = !e.Complete && r.elapsedShare(now, r.startedAt) >= abandonAt
+	}
+	return e
+}
+
+// mayComplete reports whether a version that is not worse may be recorded as
+// complete. The caller holds mu.
+func (r *Rollout) mayComplete(now time.Time, e Evaluation) bool {
+	if e.Suspicion > acceptBound || r.elapsedShare(now, r.joinedAt) < lateJoinPeriod {
+		return false
+	}
 	elapsed := r.elapsedShare(now, r.startedAt)
-	evaluation := Evaluation{Worse: all.newIsWorse(), Expired: elapsed >= 1, Evidence: all}
-	due := elapsed >= completeAt && all.OldRunning == 0 || elapsed >= forceCompleteAt
-	due = due && r.elapsedShare(now, r.joinedAt) >= lateJoinPeriod
-	evaluation.Complete = r.result == catalog.RolloutRunning && !evaluation.Worse && !evaluation.Expired && due && all.New.Answers > all.New.Failures
-	return evaluation
+	return elapsed >= completeAt && e.Evidence.OldRunning == 0 && e.RampSuspicion <= leanBound ||
+		elapsed >= forceCompleteAt && e.RampSuspicion <= -leanBound
 }
