Quotas are divided by a common demand, and sides that are cut off keep their shares

What was seen: 498 to 529 requests of a team in 5 s where 495 may run, while three of eight instances are cut off from the others.

Cause: each instance computed its share from its own newest demand and the last reports that it had, so reports of different age are different divisions.

Change: instances that are in touch divide by the demand as of some time ago, which all of them have. Being in touch is mutual: reports say when the receiver was last heard. Out of touch, an instance and its peers hold the shares of their last contact; after 15 s each side holds as much as it has instances. Both sides compute the same, so the shares add up to one without a message. Reports of older builds count as heard.

Fleets of more than 16 instances know other regions by sums, which are divided as before: open.

--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -305,6 +305,42 @@
 	})
 }
 
+// Guards against a quota that is given twice while instances are cut off: the team
+// becomes hot after the cut, so each side learns only of its own demand.
+func TestQuotaHoldsWhileInstancesAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quota.Quota{Rate: 60, Burst: 60}
+		n, all := newDomainNetwork(t, 3, 3, map[string]quota.Quota{"t": q})
+		var admitted []time.Time
+		sendRequests := func(rate float64, d time.Duration) {
+			gap := time.Duration(float64(time.Second) / rate)
+			for i := range int(d / gap) {
+				if all[i%len(all)].limiter.Take("t", time.Now()).Allowed {
+					admitted = append(admitted, time.Now())
+				}
+				time.Sleep(gap)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		sendRequests(36, 4*time.Second)
+		for _, m := range all[:3] {
+			n.setDown(m.self.Name, true)
+		}
+		sendRequests(36, 4*time.Second)
+		sendRequests(300, 30*time.Second)
+		bound := (q.Rate*5+q.Burst)*1.1 + 20 // the users' limit
+		first := 0
+		for last, at := range admitted {
+			for at.Sub(admitted[first]) >= 5*time.Second {
+				first++
+			}
+			if got := last - first + 1; float64(got) > bound {
+				t.Fatalf("%d requests in 5 s, %.0f allowed", got, bound)
+			}
+		}
+	})
+}
+
 // A region's summary is removed once the fleet is small enough for a full mesh,
 // or once none has arrived for long. Otherwise it would keep a share of each
 // quota that no instance uses.
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -14,29 +14,35 @@
 // applyInstancesTable returns a function that applies the instances table.
 func (m *mesh) applyInstancesTable(ctx context.Context) func(time.Time, map[string]registry.Row) {
 	return func(now time.Time, rows map[string]registry.Row) {
-		defer m.membersReadOnce.Do(func() { close(m.membersRead) })
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.topologyAt = time.Time{}
-		for name, row := range rows {
-			r, err := DecodeInstance(row)
-			if err != nil {
-				m.log.WithError(err).Warn("Failed to decode the row of an instance, it is ignored.")
-				continue
-			}
-			if name != m.self.Name {
-				m.addMember(name, r, now)
-			}
+		m.applyInstances(ctx, now, rows)
+		m.membersReadOnce.Do(func() { close(m.membersRead) })
+		m.refreshMembership(now)
+	}
+}
+
+// applyInstances applies the rows of the instances table.
+func (m *mesh) applyInstances(ctx context.Context, now time.Time, rows map[string]registry.Row) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.topologyAt = time.Time{}
+	for name, row := range rows {
+		r, err := DecodeInstance(row)
+		if err != nil {
+			m.log.WithError(err).Warn("Failed to decode the row of an instance, it is ignored.")
+			continue
 		}
-		if _, ok := rows[m.self.Name]; !ok && m.registered && !m.leaving {
-			m.log.Warn("The row of this instance is missing, writing it again.")
-			m.registered = false
-			m.register(ctx)
+		if name != m.self.Name {
+			m.addMember(name, r, now)
 		}
-		for name, other := range m.members {
-			if _, ok := rows[name]; !ok && now.Sub(other.lastReport) > m.aliveFor() {
-				m.removeMember(name)
-			}
+	}
+	if _, ok := rows[m.self.Name]; !ok && m.registered && !m.leaving {
+		m.log.Warn("The row of this instance is missing, writing it again.")
+		m.registered = false
+		m.register(ctx)
+	}
+	for name, other := range m.members {
+		if _, ok := rows[name]; !ok && now.Sub(other.lastReport) > m.aliveFor() {
+			m.removeMember(name)
 		}
 	}
 }
@@ -86,14 +92,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fleet := []placing.Member{{Name: m.self.Name, Region: m.self.Region}}
-	holders, alive := 1, m.aliveFor()
+	alive, large := m.aliveFor(), m.isLarge()
 	roundTrips := make(map[string]time.Duration)
 	for name, other := range m.members {
 		sinceReport := now.Sub(other.lastReport)
-		if sinceReport <= quotaReleaseTimeout && !other.lastReport.IsZero() {
-			holders++
-		}
-		if sinceReport > quotaReleaseTimeout && other.direct {
+		if large && sinceReport > quotaReleaseTimeout && other.direct {
 			m.limiter.RemovePeer(name)
 		}
 		if sinceReport > alive {
@@ -108,7 +111,9 @@
 		}
 	}
 	m.pruneSummaries(now)
-	m.limiter.SetFleet(holders, m.demandSources(now))
+	if m.areMembersRead() {
+		m.limiter.SetFleet(len(m.members)+1, m.demandSources(now))
+	}
 	slices.SortFunc(fleet, func(a, b placing.Member) int { return cmp.Compare(a.Name, b.Name) })
 	m.placer.SetFleet(fleet)
 	names := make([]string, len(fleet))
@@ -177,9 +182,7 @@
 // knownSize returns the number of instances that may be running, including this
 // one, or 0 until the instances table has been read.
 func (m *mesh) knownSize() int {
-	select {
-	case <-m.membersRead:
-	default:
+	if !m.areMembersRead() {
 		return 0
 	}
 	m.mu.Lock()
@@ -187,6 +190,16 @@
 	return len(m.members) + 1
 }
 
+// areMembersRead reports whether the instances table has been read.
+func (m *mesh) areMembersRead() bool {
+	select {
+	case <-m.membersRead:
+		return true
+	default:
+		return false
+	}
+}
+
 // size returns the number of instances alive, including this one.
 func (m *mesh) size() int {
 	m.mu.Lock()
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -49,8 +49,7 @@
 	// alive: three syncs and a slow one.
 	aliveTimeout = 2 * time.Second
 	// quotaReleaseTimeout is how long after its last report an instance's share
-	// of the quotas stays reserved. Partitions of the users' networks are
-	// shorter.
+	// of the quotas stays reserved in a large fleet.
 	quotaReleaseTimeout = 15 * time.Second
 	// registerRetryInterval is the time between two attempts to write this
 	// instance's row.
--- a/front/gateway/reach_test.go
+++ b/front/gateway/reach_test.go
@@ -82,6 +82,7 @@
 // one.
 func TestRelayedRequestIsNotCountedTwice(t *testing.T) {
 	limiter := quota.New()
+	limiter.SetFleet(1, 0)
 	team := &catalog.Team{Name: "team"}
 	limiter.SetQuotas(time.Now(), map[string]quota.Quota{team.Name: {Rate: 1, Burst: 1}})
 	h := &handler{view: &storeView{limiter: limiter}}
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -80,6 +80,11 @@
 	ReachableMS int64 `json:"t,omitempty"`
 	// Demand is its demand by team, in requests per second.
 	Demand quota.Demand `json:"q,omitempty"`
+	// DemandAgeMS is the age of the demand, in milliseconds.
+	DemandAgeMS int64 `json:"qa,omitempty"`
+	// HeardMS is the time since it received the last report of the receiver, in
+	// milliseconds, or -1 if it has received none. Older versions leave it out.
+	HeardMS int64 `json:"hd,omitempty"`
 	// Loads are its requests in flight, by endpoint.
 	Loads []loadReport `json:"l,omitempty"`
 	// Warmed are objects that it has recently sent to endpoints. They are
@@ -168,7 +173,9 @@
 	if since := m.storeReachableSince(); !since.IsZero() {
 		r.ReachableMS = max(1, now.Sub(since).Milliseconds())
 	}
-	r.Demand = m.limiter.ReportDemand(now)
+	var sampledAt time.Time
+	r.Demand, sampledAt = m.limiter.ReportDemand(now)
+	r.DemandAgeMS = now.Sub(sampledAt).Milliseconds()
 	r.Rollouts = m.rollouts.localReports(now)
 	r.RateLimits = rateLimitReports(m.placer.RateLimits(now))
 	r.Crashes = m.crashes.detector.Report(now)
@@ -176,6 +183,10 @@
 	defer m.mu.Unlock()
 	r.Leaving, r.CutOff = m.leaving, now.Before(m.cutOffUntil)
 	large, other := m.isLarge(), m.members[to]
+	r.HeardMS = -1
+	if other != nil && other.direct {
+		r.HeardMS = max(1, now.Sub(other.lastReport).Milliseconds())
+	}
 	domain, region := m.locationOf(other)
 	if !large || domain == r.FailureDomain {
 		m.addLoads(&r, now)
@@ -243,6 +254,7 @@
 	}
 	if r.Started != other.Started {
 		other.previousStart = other.Started
+		m.limiter.PeerRestarted(r.Name, now)
 	}
 	reappeared := now.Sub(other.lastReport) > m.aliveFor()
 	other.report, other.lastReport, other.lastFailure = r, now, time.Time{}
@@ -272,12 +284,24 @@
 
 // receiveOwn applies what an instance reports of itself.
 func (m *mesh) receiveOwn(r report, now time.Time) {
-	m.limiter.SetPeerDemand(r.Name, r.Demand, now, m.maxOwnReportAge())
+	m.limiter.SetPeerDemand(r.Name, r.quotaReport(now, m.maxOwnReportAge()), now)
 	m.placer.SetPeerLoads(r.Name, placingLoads(r.Loads))
 	m.placer.AddPeerWarmed(now, placingWarmed(r.Warmed))
 	m.rollouts.receiveReports(r.Name, r.Rollouts, now, now)
 }
 
+// quotaReport returns what the report, received at now, says for the quotas.
+func (r *report) quotaReport(now time.Time, delay time.Duration) quota.PeerReport {
+	p := quota.PeerReport{
+		Demand: r.Demand, MeasuredAt: now.Add(-time.Duration(r.DemandAgeMS) * time.Millisecond),
+		HeardAt: now.Add(-time.Duration(r.HeardMS) * time.Millisecond), Delay: delay,
+	}
+	if r.HeardMS < 0 {
+		p.HeardAt = time.Time{}
+	}
+	return p
+}
+
 // rateLimitReports converts limits of endpoints.
 func rateLimitReports(limits []placing.EndpointRateLimit) []rateLimitReport {
 	reports := make([]rateLimitReport, 0, len(limits))
--- a/steer/quota/bucket.go
+++ b/steer/quota/bucket.go
@@ -9,9 +9,7 @@
 	tokens     float64
 	refilledAt time.Time
 	demand     float64 // requests per second
-	// reported is the demand in the last report to the peers. Shares are
-	// computed from values that all instances know; otherwise they would add up
-	// to more than one.
+	// reported is the demand in the last sample.
 	reported float64
 	pendingRequests,
 	pendingSeconds float64 // requests and seconds since demand was last updated
@@ -34,6 +32,9 @@
 
 // share returns the share of a team's quota that this instance holds, 0 to 1.
 func (l *Limiter) share(team string, b *bucket, now time.Time) float64 {
+	if !l.hasSums {
+		return l.division(now).share(team)
+	}
 	evenShare := 1 / float64(l.instances)
 	regional, remote := l.regionDemand(team, b), l.remoteDemand(team, now)
 	switch {
--- a/steer/quota/quota_test.go
+++ b/steer/quota/quota_test.go
@@ -70,7 +70,7 @@
 func (f *fleet) exchange(now time.Time) {
 	sums := map[int]Demand{}
 	for i, a := range f.members {
-		d := a.ReportDemand(now)
+		d, sampledAt := a.ReportDemand(now)
 		if f.regions != nil {
 			if sums[f.regions[i]] == nil {
 				sums[f.regions[i]] = Demand{}
@@ -80,7 +80,7 @@
 		for j, b := range f.members {
 			otherRegion := f.regions != nil && f.regions[i] != f.regions[j]
 			if i != j && !otherRegion && !f.isolated[i] && !f.isolated[j] {
-				b.SetPeerDemand(fmt.Sprint(i), d, now, f.delay)
+				b.SetPeerDemand(fmt.Sprint(i), PeerReport{Demand: d, MeasuredAt: sampledAt, HeardAt: now, Delay: f.delay}, now)
 			}
 		}
 	}
