Requests that still run at the end of a planned stop get an answer

What callers saw: a request whose endpoint is slow was cut without an answer at the end of the grace time, bookings too; one whose body ended after refusing had begun was passed on.

Cause: the check for the stop stood before the body was read, and nothing but the shutdown of the HTTP servers bounded what had been passed on.

Change: the check is made again after the body was read. Requests that begin during a stop have until 0.95 of the grace time, so placing refuses what can't end by then; what still runs then is answered, 504 if it may have run, 503 if not, and the connections end at 0.98.

--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -34,6 +34,7 @@
 	*exchange
 	sender      *sender
 	ctx         context.Context
+	cancel      context.CancelFunc
 	results     chan result
 	inFlight    int
 	delivered   int // attempts that may have reached an endpoint
@@ -47,7 +48,7 @@
 func (s *sender) send(x *exchange) (*bufferedResponse, *refusal) {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	s.budgets.deposit(x.service)
-	r := &attemptRun{exchange: x, sender: s, ctx: ctx, results: make(chan result, maxAttempts), hedgeTimer: time.NewTimer(time.Hour)}
+	r := &attemptRun{exchange: x, sender: s, ctx: ctx, cancel: cancel, results: make(chan result, maxAttempts), hedgeTimer: time.NewTimer(time.Hour)}
 	defer r.hedgeTimer.Stop()
 	response, refusal := r.run()
 	if response == nil || response.complete {
@@ -68,6 +69,8 @@
 		case <-r.hedgeTimer.C:
 			r.hedge()
 			continue
+		case <-r.sender.ended:
+			return r.endEarly()
 		case res := <-r.results:
 			r.inFlight--
 			r.updateVerdict(res.err)
@@ -95,6 +98,16 @@
 	}
 }
 
+// endEarly gives up the request because this instance stops. Attempts that are in
+// flight may have reached their endpoints.
+func (r *attemptRun) endEarly() (*bufferedResponse, *refusal) {
+	if r.inFlight > 0 {
+		r.verdict = r.verdict.Combine(verdict.MayHaveRun)
+	}
+	r.cancel()
+	return r.sender.giveUp(r.ctx, r.exchange, r.lastFailure, nil)
+}
+
 // startAttempt starts one more attempt. Errors: *placing.Refusal.
 func (r *attemptRun) startAttempt() error {
 	if helper, ok := r.sender.relay.choose(r.exchange, r.helpers); ok {
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -244,8 +244,11 @@
 	// refuseAfterFraction is when new requests are refused, so that those
 	// accepted earlier can finish in time.
 	refuseAfterFraction = 0.5
-	// cutAfterFraction is when the wait for requests that still run ends.
-	cutAfterFraction = 0.95
+	// answerAfterFraction is when requests that still run are given up, so that
+	// their callers get an answer.
+	answerAfterFraction = 0.95
+	// cutAfterFraction is when the wait for their answers ends.
+	cutAfterFraction = 0.98
 )
 
 // stop shuts down gracefully: callers are sent to other instances, and the
@@ -255,6 +258,7 @@
 	g.log.WithField("grace_ms", grace.Milliseconds()).Info("Stopping.")
 	start := time.Now()
 	until := func(fraction float64) time.Time { return start.Add(time.Duration(fraction * float64(grace))) }
+	g.handler.sender.endAt(until(answerAfterFraction))
 	g.mesh.announceLeaving()
 	go g.mesh.unregister(ctx)
 	sleepUntil(until(closeAfterFraction))
--- a/front/gateway/giveup.go
+++ b/front/gateway/giveup.go
@@ -29,6 +29,8 @@
 	switch {
 	case ctx.Err() != nil && errors.Is(x.request.Context().Err(), context.Canceled):
 		r.reason = reasonCallerLeft
+	case s.hasEnded():
+		r.reason = reasonStopping
 	case ctx.Err() != nil:
 		r.reason = reasonDeadline
 	}
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -117,8 +117,8 @@
 
 // serve sends the request to an endpoint and returns the response.
 func (h *handler) serve(x *exchange) (*bufferedResponse, *refusal) {
-	if h.refuseRequests.Load() {
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetryAfter}
+	if r := h.refuseWhileStopping(); r != nil {
+		return nil, r
 	}
 	x.catalog = h.view.catalog.Load()
 	if x.catalog == nil || !h.view.ready() {
@@ -130,6 +130,10 @@
 	if r := h.bufferBody(x); r != nil {
 		return nil, r
 	}
+	// The body may have taken its time.
+	if r := h.refuseWhileStopping(); r != nil {
+		return nil, r
+	}
 	x.crash = h.sender.crashes.detector.Begin(time.Now(), x.fingerprint)
 	if !x.crash.Allowed {
 		return nil, crashRefusal(x.crash)
@@ -144,6 +148,15 @@
 	return h.sender.send(x)
 }
 
+// refuseWhileStopping returns the refusal of a request that begins too late in a
+// shutdown, or nil.
+func (h *handler) refuseWhileStopping() *refusal {
+	if !h.refuseRequests.Load() {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: stoppingRetryAfter}
+}
+
 // crashRefusal returns the refusal of a request that crashes endpoints, or that
 // waits for the outcome of another one that may.
 func crashRefusal(d crash.Decision) *refusal {
@@ -185,6 +198,9 @@
 		timeout = min(timeout, x.route.Timeout)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	if endBy := h.sender.endBy.Load(); endBy != nil && endBy.Before(x.deadline) {
+		x.deadline = *endBy
+	}
 	return nil
 }
 
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -72,7 +72,7 @@
 }
 
 func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l}
+	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l, ended: make(chan struct{})}
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -47,6 +48,27 @@
 	relay      *requestRelay
 	metrics    *metrics
 	logLimiter *logLimiter
+	// endBy is when requests have to end because this instance stops, nil while
+	// it runs. ended is closed then.
+	endBy atomic.Pointer[time.Time]
+	ended chan struct{}
+}
+
+// endAt gives up the requests that still run at a time, so that their callers get
+// an answer before the connections end.
+func (s *sender) endAt(t time.Time) {
+	s.endBy.Store(&t)
+	time.AfterFunc(time.Until(t), func() { close(s.ended) })
+}
+
+// hasEnded reports whether requests were given up because this instance stops.
+func (s *sender) hasEnded() bool {
+	select {
+	case <-s.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // targetOf returns the client's target for an endpoint.
