A message between instances holds the memory of what has arrived, not of its length

Cause: the buffer of a message was allocated by its claimed length, up to 4 MiB, before a byte had come, for each connection; some seventy connections that claim it and send nothing end an instance with 284 MB.

Change: the buffer grows with what arrives. Failed before: TestClaimedLengthHoldsNoMemory "4198947 bytes were allocated for a message that claims 4194304 and has 1".

--- a/front/peer/codec.go
+++ b/front/peer/codec.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -63,9 +65,14 @@
 	if n > MaxMessageBytes {
 		return &MessageTooLongError{Length: int(n)}
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// The buffer grows with what arrives: a length that is only claimed holds no
+	// memory.
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(n)); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		return err
 	}
-	return json.Unmarshal(body, v)
+	return json.Unmarshal(body.Bytes(), v)
 }
