The head of a response of the store is bounded

Cause: the clients of the store had the library's bound of 10 MiB for a head.

TestEndlessBytesAfterTheHead plays the forms from endpoints that had no test: trailers, chunk extensions, bytes beyond the length. They held before.

--- a/front/endpoint/endless_test.go
+++ b/front/endpoint/endless_test.go
@@ -108,6 +108,47 @@
 	}
 }
 
+// Bytes without end within or after the body of a response neither hold memory nor
+// keep the connection.
+func TestEndlessBytesAfterTheHead(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		start, text string
+		whole       bool // the body is whole
+	}{
+		"trailers":              {chunked + "5\r\nhello\r\n0\r\n", "A: " + strings.Repeat("x", 1000) + "\r\n", false},
+		"trailer line":          {chunked + "5\r\nhello\r\n0\r\nA: ", strings.Repeat("x", 1000), false},
+		"chunk extension":       {chunked + "5;a=", strings.Repeat("x", 1000), false},
+		"chunk extensions":      {chunked, "1;a=" + strings.Repeat("x", 1000) + "\r\nx\r\n", false},
+		"chunk size":            {chunked, "0", false},
+		"beyond its length":     {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", strings.Repeat("x", 1000), true},
+		"responses without end": {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan int, 1)
+			client, _, _ := newTestClient(t, repeat(c.start, c.text, 0, closed))
+			resp, err := client.Send(t.Context(), target, &Request{HTTP: callerRequest(http.MethodGet, "/", nil)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+			if whole := err == nil; whole != c.whole {
+				t.Errorf("%d bytes and error %v", len(text), err)
+			}
+			_ = resp.Body.Close()
+			select {
+			case sent := <-closed:
+				if sent > maxUnusedBytes {
+					t.Errorf("%d bytes were read", sent)
+				}
+			case <-time.After(20 * time.Second):
+				t.Error("the connection was not closed")
+			}
+		})
+	}
+}
+
 func TestRetryAfter(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	tests := []struct {
--- a/front/storage/client.go
+++ b/front/storage/client.go
@@ -86,6 +86,9 @@
 
 var _ Service = (*Client)(nil)
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // NewClient returns a Client. It opens no connection before the first call.
 func NewClient(settings Settings) *Client {
 	settings = settings.withDefaults()
@@ -95,6 +98,8 @@
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
 		DialContext:         settings.Dial,
+		// A faulty service may send a head without an end.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{
 		settings: settings,
