Retry budgets divide the slack by all known instances, not by those that answer

The slack for second attempts was divided by the instances that are alive, which is one right after the start and for an instance that is cut off.

Failed before: TestRetrySlackHoldsWhileInstancesAreCutOff "270 retries without requests, the slack is 50", with nine instances. The rows of the instances table count now, as for quotas; until it is read a budget has one retry.

--- a/front/gateway/budgets.go
+++ b/front/gateway/budgets.go
@@ -9,7 +9,7 @@
 // retryBudgets limits the attempts beyond the first, by service.
 type retryBudgets struct {
 	settings  *liveSettings
-	fleetSize func() int // number of instances that share the slack
+	fleetSize func() int // number of instances that share the slack; 0 if unknown
 
 	mu          sync.Mutex
 	createdFrom *Settings // settings that the budgets were created from
@@ -19,7 +19,7 @@
 // newRetryBudgets returns retry budgets that are shared by all instances of the
 // fleet.
 func newRetryBudgets(s *liveSettings, m *mesh) *retryBudgets {
-	return &retryBudgets{settings: s, fleetSize: m.size, services: make(map[string]*retry.Budget)}
+	return &retryBudgets{settings: s, fleetSize: m.knownSize, services: make(map[string]*retry.Budget)}
 }
 
 // deposit records a request to a service.
@@ -57,7 +57,10 @@
 		b.createdFrom = current
 		clear(b.services)
 	}
-	burst := max(1, int(current.RetrySlack*budgetFraction/float64(max(1, b.fleetSize()))))
+	burst := 1
+	if size := b.fleetSize(); size > 0 {
+		burst = max(1, int(current.RetrySlack*budgetFraction/float64(size)))
+	}
 	budget := b.services[service]
 	if budget != nil {
 		budget.SetBurst(burst) // the fleet may have grown
--- a/front/gateway/budgets_test.go
+++ b/front/gateway/budgets_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/retry"
 )
@@ -28,3 +30,26 @@
 		t.Fatalf("%d retries without requests, the slack is %d", total, slack)
 	}
 }
+
+// Guards against the slack of the whole fleet at each of its instances: while an
+// instance is cut off or has just started, the others share the slack all the same.
+func TestRetrySlackHoldsWhileInstancesAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slack = 50
+		n, all := newDomainNetwork(t, 3, 3, nil)
+		for _, m := range all {
+			n.setDown(m.self.Name, true)
+		}
+		time.Sleep(5 * time.Second)
+		total := 0
+		for _, m := range all {
+			b := newRetryBudgets(newLiveSettings(&Settings{RetryRatio: 0.2, RetrySlack: slack}), m)
+			for b.tryWithdraw("s") {
+				total++
+			}
+		}
+		if total > slack {
+			t.Fatalf("%d retries without requests, the slack is %d", total, slack)
+		}
+	})
+}
--- a/steer/rollout/rollout.go
+++ b/steer/rollout/rollout.go
@@ -35,7 +35,7 @@
 var steps = []step{{0, samplingShare}, {0.68, 0.15}, {0.71, 0.4}, {rampedAt, 1}}
 
 const (
-	// samplingShare is below the share of maxExposure.
+	// samplingShare is below exposureShare.
 	samplingShare = 0.05
 	// rampedAt is the point from which on the new version may get all requests.
 	rampedAt = 0.74
