Unframed responses that end before the request was sent are incomplete

Cause: a socket reports a reset to one system call only. While an upload is being written, the write may get it, and the next read sees the end of the stream, which is the end of a response without Content-Length and chunks. Only protocols that allow unframed responses are concerned (the platform's).

Change: at the end of such a response, the client closes the connection and accepts the response only if the whole request was read from the caller and no write on the connection has failed. Otherwise it is truncated, which counts as broken at the endpoint and leaves open whether the request ran.

--- a/front/endpoint/conn.go
+++ b/front/endpoint/conn.go
@@ -25,6 +25,12 @@
 	writeStarted bool
 	sealed       bool
 
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeFailed reports whether a write has failed since beginExchange. It is
+	// guarded by writing.
+	writeFailed bool
+
 	// progressUnixNano is when bytes were last sent or received, in nanoseconds
 	// since the Unix epoch.
 	progressUnixNano atomic.Int64
@@ -32,6 +38,9 @@
 
 // beginExchange resets the tracking before a request is sent.
 func (c *trackedConn) beginExchange(now time.Time) {
+	c.writing.Lock()
+	c.writeFailed = false
+	c.writing.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
@@ -48,9 +57,26 @@
 	return c.writeStarted
 }
 
+// hasWriteFailed waits for the write that is in progress, if any, and reports
+// whether a write has failed since beginExchange.
+func (c *trackedConn) hasWriteFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
 // Write implements net.Conn. A write counts as started while it is in progress,
 // and afterwards unless it failed without sending a byte.
 func (c *trackedConn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.write(b)
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err
+}
+
+// write implements Write. The caller holds writing.
+func (c *trackedConn) write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -121,7 +121,7 @@
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	cn.tracked.beginExchange(x.sentAt)
 	x.watchdog = newProgressWatchdog(cn.tracked, r.ProgressTimeout, x.cancel)
-	x.body = &callerBody{body: r.HTTP.Body, watchdog: x.watchdog}
+	x.body = &callerBody{body: r.HTTP.Body, watchdog: x.watchdog, length: r.HTTP.ContentLength}
 	id := c.nextExchangeID()
 	resp, err := cn.http.RoundTrip(x.httpRequest(r, id)) //nolint:bodyclose // responseBody closes it
 	x.watchdog.stop()
@@ -228,7 +228,7 @@
 		x.finish()
 		return response, nil
 	}
-	response.Body = &responseBody{exchange: x, body: resp.Body}
+	response.Body = &responseBody{exchange: x, body: resp.Body, framed: framed(resp)}
 	return response, nil
 }
 
--- a/front/endpoint/response.go
+++ b/front/endpoint/response.go
@@ -48,11 +48,25 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+// errRequestUnfinished is the error of a response without framing whose connection
+// ended before the whole request was sent. A socket reports a reset to one system call
+// only: if a write has got it, the next read sees the end of the stream.
+var errRequestUnfinished = errors.New("connection ended before the request was sent")
+
+// isRequestSent closes the connection and reports whether the whole request was sent
+// on it.
+func (x *exchange) isRequestSent() bool {
+	x.conn.close() // ends a write that is in progress
+	return x.body.isFullySent() && !x.conn.tracked.hasWriteFailed()
+}
+
 // responseBody is the body of a response. At its end it returns the connection
 // to the pool.
 type responseBody struct {
 	exchange *exchange
 	body     io.ReadCloser
+	// framed reports whether the body's end is marked by the response itself.
+	framed bool
 
 	mu    sync.Mutex
 	ended bool
@@ -64,6 +78,9 @@
 	b.exchange.watchdog.resume()
 	n, err := b.body.Read(buf)
 	b.exchange.watchdog.stop()
+	if errors.Is(err, io.EOF) && !b.framed && !b.exchange.isRequestSent() {
+		err = errRequestUnfinished
+	}
 	switch {
 	case err == nil:
 		return n, nil
@@ -105,8 +122,10 @@
 type callerBody struct {
 	body     io.ReadCloser
 	watchdog *progressWatchdog
+	length   int64 // declared length, -1 if unknown
 
 	mu          sync.Mutex
+	read        int64
 	readStarted bool
 	fullyRead   bool
 	readErr     error
@@ -120,6 +139,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.readStarted = true
+	b.read += int64(n)
 	switch {
 	case errors.Is(err, io.EOF):
 		b.fullyRead = true
@@ -147,6 +167,14 @@
 	return b.fullyRead
 }
 
+// isFullySent reports whether everything that the endpoint waits for has been read. Of
+// a body with a declared length that may be before its end has been read.
+func (b *callerBody) isFullySent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fullyRead || b.length >= 0 && b.read >= b.length
+}
+
 // readError returns the error of reading the caller's body, if any.
 func (b *callerBody) readError() error {
 	b.mu.Lock()
