Responses with a status code outside 200 to 599 are no responses

Cause: net/http accepts any three characters that make a number of 0 or more as a status code: 000, 099, 600, 999, also +12 and -00. Such a response was passed on, and a refusal header in it counted as a promise that the request has not run.

Change: the endpoint client takes such a response as invalid (answer-flawed): a failure of the endpoint that leaves open whether the request ran.

--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -37,7 +37,8 @@
 	// ReasonUnframed means that the response has no framing, so that its end
 	// cannot be distinguished from a truncation.
 	ReasonUnframed Reason = "answer-unframed"
-	// ReasonInvalidResponse means that Protocol.Validate rejected the response.
+	// ReasonInvalidResponse means that the status code is invalid or that
+	// Protocol.Validate rejected the response.
 	ReasonInvalidResponse Reason = "answer-flawed"
 	// ReasonMisdirected means that another process now uses the address.
 	ReasonMisdirected Reason = "endpoint-replaced"
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -254,6 +254,9 @@
 	e := &Error{Address: x.address, FirstUse: x.conn.firstUse}
 	protocol := x.client.settings.Protocol
 	switch echoed := protocol.EchoedID(resp, x.request); {
+	case !validStatus(resp.StatusCode):
+		e.Reason = ReasonInvalidResponse
+		e.Err = fmt.Errorf("response has the invalid status code %d", resp.StatusCode)
 	case echoed != "" && echoed != protocol.ExpectedID(x.request, id):
 		e.Reason = ReasonExchangeMismatch
 		e.Err = fmt.Errorf("response belongs to exchange %q", echoed)
--- a/front/endpoint/response.go
+++ b/front/endpoint/response.go
@@ -60,6 +60,16 @@
 	return x.body.isFullySent() && !x.conn.tracked.hasWriteFailed()
 }
 
+// maxStatus is the highest status code of a response (RFC 9110 section 15).
+const maxStatus = 599
+
+// validStatus reports whether a final response may have a status code. The parser of
+// net/http accepts 0 to 999. Status 101 is judged separately, and the transport does
+// not return other interim responses.
+func validStatus(code int) bool {
+	return code == http.StatusSwitchingProtocols || code >= http.StatusOK && code <= maxStatus
+}
+
 // responseBody is the body of a response. At its end it returns the connection
 // to the pool.
 type responseBody struct {
