Cut responses reset the connections of HTTP/1.0 callers

Cause: a response that is cut after its head went out is aborted by closing the connection. To a caller with HTTP/1.0 a response without a length ends with its connection, so the part looked complete.

Change: front/abort resets the connection of such callers, also below TLS. The gateway and the product's server use it.

--- a/front/caller/early_answer_test.go
+++ b/front/caller/early_answer_test.go
@@ -100,3 +100,25 @@
 		}
 	}
 }
+
+// A caller that speaks HTTP/1.0 must not take the end of a cut response for a planned
+// one.
+func TestCutResponseIsAFailureForHTTP10(t *testing.T) {
+	source := &fakeSource{}
+	source.setIndex(testIndex(t, true), false)
+	answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+	s, _ := testServer(t, source, faultyEndpoint(t, answer, make(countedOutcomes, 10)))
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := fmt.Fprintf(c, "GET /tracker/1 HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", testKey); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(c); err == nil {
+		t.Errorf("%q looks complete", text)
+	}
+}
--- a/front/caller/server.go
+++ b/front/caller/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/negroni/v3"
 
+	"github.com/cardamomfront/cardamomfront/front/abort"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -107,7 +108,7 @@
 	if x.Writer.Written() {
 		entry.Warn("Response cut short.")
 		s.metrics.record(x, err)
-		panic(http.ErrAbortHandler)
+		abort.Response(x.Writer, x.Request)
 	}
 	entry.Debug("Request refused.")
 	refusal.write(x.Writer)
@@ -122,9 +123,9 @@
 		if p == nil {
 			return
 		}
-		abort, _ := p.(error)
-		if errors.Is(abort, http.ErrAbortHandler) || w.(ResponseWriter).Written() {
-			panic(http.ErrAbortHandler)
+		cause, _ := p.(error)
+		if errors.Is(cause, http.ErrAbortHandler) || w.(ResponseWriter).Written() {
+			abort.Response(w, r)
 		}
 		s.log.WithField("panic", p).Error("Request handler panicked.")
 		refusal := &Refusal{Verdict: verdict.MayHaveRun, Reason: ReasonInternal, Status: http.StatusInternalServerError}
--- a/front/gateway/response.go
+++ b/front/gateway/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cardamomfront/cardamomfront/front/abort"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 )
 
@@ -51,7 +52,7 @@
 		x.log.WithError(err).Warn("Response cut short.")
 		// Only an aborted connection tells the caller that the body is
 		// incomplete.
-		panic(http.ErrAbortHandler)
+		abort.Response(w, x.request)
 	}
 }
 
