--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -121,7 +121,7 @@
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 	cn.tracked.beginExchange(x.sentAt)
 	x.watchdog = newProgressWatchdog(cn.tracked, r.ProgressTimeout, x.cancel)
-	x.body = &callerBody{body: r.HTTP.Body, watchdog: x.watchdog}
+	x.body = &callerBody{body: r.HTTP.Body, watchdog: x.watchdog, length: r.HTTP.ContentLength}
 	id := c.nextExchangeID()
 	resp, err := cn.http.RoundTrip(x.httpRequest(r, id)) //nolint:bodyclose // responseBody closes it
 	x.watchdog.stop()
@@ -228,7 +228,7 @@
 		x.finish()
 		return response, nil
 	}
-	response.Body = &responseBody{exchange: x, body: resp.Body}
+	response.Body = &responseBody{exchange: x, body: resp.Body, framed: framed(resp)}
 	return response, nil
 }
 
@@ -254,6 +254,9 @@
 	e := &Error{Address: x.address, FirstUse: x.conn.firstUse}
 	protocol := x.client.settings.Protocol
 	switch echoed := protocol.EchoedID(resp, x.request); {
+	case !validStatus(resp.StatusCode):
+		e.Reason = ReasonInvalidResponse
+		e.Err = fmt.Errorf("response has the invalid status code %d", resp.StatusCode)
 	case echoed != "" && echoed != protocol.ExpectedID(x.request, id):
 		e.Reason = ReasonExchangeMismatch
 		e.Err = fmt.Errorf("response belongs to exchange %q", echoed)
