--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/cardamomfront/cardamomfront/steer/health"
 )
@@ -96,6 +97,9 @@
 	// DisableProbes turns off the probes of endpoints whose connections timed
 	// out.
 	DisableProbes bool
+	// InvalidLoads counts the load reports that could not be read; nil counts
+	// none.
+	InvalidLoads metric.Int64Counter
 }
 
 // DialFunc makes a network connection, like net.Dialer.DialContext.
--- a/front/endpoint/errors.go
+++ b/front/endpoint/errors.go
@@ -57,9 +57,8 @@
 	Verdict verdict.Verdict
 	// Address is the endpoint's network address.
 	Address string
-	// Load is the number of requests that the endpoint reported when Reason is
-	// ReasonShed; -1 if it reported none.
-	Load int
+	// Load is the load that the endpoint reported when Reason is ReasonShed.
+	Load Load
 	// FirstUse reports whether this was the first request on its connection.
 	FirstUse bool
 	// Header holds the response headers of an instance that failed to relay the
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -241,12 +241,17 @@
 	return x.client.settings.Protocol.RateLimit(resp)
 }
 
-// reportedLoad returns the number of requests that the endpoint reports, or -1.
-func (x *exchange) reportedLoad(resp *http.Response) int {
-	if n, ok := x.client.settings.Protocol.Load(resp); ok {
-		return n
+// reportedLoad returns the load that the endpoint reports. A report that cannot
+// be read is counted and ignored.
+func (x *exchange) reportedLoad(resp *http.Response) Load {
+	load, err := x.client.settings.Protocol.Load(resp)
+	if err != nil {
+		if x.client.settings.InvalidLoads != nil {
+			x.client.settings.InvalidLoads.Add(context.Background(), 1)
+		}
+		return NoLoad
 	}
-	return -1
+	return load
 }
 
 // validateResponse returns an error for a response that must not be passed on.
--- a/front/endpoint/metrics.go
+++ b/front/endpoint/metrics.go
@@ -27,6 +27,18 @@
 	return &countingObserver{next: next, outcomes: outcomes}, nil
 }
 
+// NewInvalidLoads returns the counter for Settings.InvalidLoads. Errors: those of
+// the meter.
+func NewInvalidLoads(m metric.Meter) (metric.Int64Counter, error) {
+	invalid, err := m.Int64Counter("cardamomfront.endpoint.invalid_loads",
+		metric.WithDescription("Load reports of endpoints that were ignored because they could not be read."))
+	if err != nil {
+		return nil, err
+	}
+	invalid.Add(context.Background(), 0) // exports the counter before the first one
+	return invalid, nil
+}
+
 // Observe implements Observer.
 func (o *countingObserver) Observe(address string, outcome health.Outcome, elapsed time.Duration) {
 	o.outcomes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome.String())))
--- a/front/endpoint/protocol.go
+++ b/front/endpoint/protocol.go
@@ -19,6 +19,18 @@
 	Remaining time.Duration
 }
 
+// Load is the load that an endpoint reports with a response.
+type Load struct {
+	// Requests is the number of running and waiting requests; -1 if unknown.
+	Requests int
+	// WorkTime is how long work takes at the endpoint at the moment, relative to
+	// the usual time; -1 if unknown.
+	WorkTime float64
+}
+
+// NoLoad is the load of a response that reports none.
+var NoLoad = Load{Requests: -1, WorkTime: -1}
+
 // Protocol is the protocol with endpoints on top of HTTP. It is safe for
 // concurrent use.
 type Protocol interface {
@@ -32,9 +44,9 @@
 	// Validate returns an error if a response cannot be a complete response of
 	// the endpoint.
 	Validate(resp *http.Response) error
-	// Load returns the number of running and waiting requests that the endpoint
-	// reports. ok is false if it reports none.
-	Load(resp *http.Response) (requests int, ok bool)
+	// Load returns the load that the endpoint reports, NoLoad if it reports none.
+	// Its error tells why a report could not be read; the report is then ignored.
+	Load(resp *http.Response) (Load, error)
 	// ShedError returns an error with verdict.NotRun if the response states
 	// that the endpoint did not run the request, or nil.
 	ShedError(resp *http.Response) *Error
@@ -82,7 +94,7 @@
 func (defaultProtocol) Validate(*http.Response) error { return nil }
 
 // Load implements Protocol.
-func (defaultProtocol) Load(*http.Response) (int, bool) { return 0, false }
+func (defaultProtocol) Load(*http.Response) (Load, error) { return NoLoad, nil }
 
 // ShedError implements Protocol.
 func (defaultProtocol) ShedError(resp *http.Response) *Error {
--- a/front/endpoint/response.go
+++ b/front/endpoint/response.go
@@ -18,9 +18,8 @@
 	Address string
 	// Status is the HTTP status code.
 	Status int
-	// Load is the number of running and waiting requests that the endpoint
-	// reported; -1 if it reported none.
-	Load int
+	// Load is the load that the endpoint reported.
+	Load Load
 	// FirstUse reports whether this was the first request on its connection.
 	FirstUse bool
 	// RetryAfter is the retry delay that the endpoint requested with status 503,
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -19,9 +19,9 @@
 	var e *endpoint.Error
 	switch {
 	case err == nil:
-		return response.Load
+		return response.Load.Requests
 	case errors.As(err, &e) && e.Reason == endpoint.ReasonShed:
-		return e.Load
+		return e.Load.Requests
 	}
 	return -1
 }
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -49,7 +49,12 @@
 	if err != nil {
 		return nil, err
 	}
+	invalidLoads, err := endpoint.NewInvalidLoads(t.Meter)
+	if err != nil {
+		return nil, err
+	}
 	return endpoint.NewClient(endpoint.Settings{
+		InvalidLoads:  invalidLoads,
 		DialTimeout:   endpointDialTimeout,
 		Dial:          observeDials(adapters.Dial, m),
 		Protocol:      adapters.Endpoints,
