Model of slow moments and of requests with more work; choices without the fourth figure recorded

Cause: the placers' model had neither the slow moments nor the tails of the users' endpoints, and nothing showed that endpoints without a fourth figure are placed as before.

Change: endpoints of the model are slow at moments, some of its requests need more work, where a load asks for it.

--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -38,6 +38,12 @@
 	limited     int           // every which endpoint limits its requests from limitFrom on; 0 for none
 	perSecond   float64       // that limit
 	until       time.Duration
+	// slowFor is the mean length of an endpoint's slow moments, 0 for none, and
+	// slowShare their share of the time. Work that starts in one takes slowFactor
+	// times as long.
+	slowFor               time.Duration
+	slowShare, slowFactor float64
+	tails, tailFactor     float64 // share of requests with more work, and the factor
 }
 
 // modelRegion is a region with its numbers of instances and endpoints.
@@ -93,6 +99,7 @@
 	limited bool
 	bucket  ratelimit.Bucket // of the all-knowing dispatcher
 	arrived []time.Time      // requests while it is limited
+	slow    bool             // in a slow moment
 }
 
 // modelRequest is one attempt of a caller.
@@ -107,7 +114,8 @@
 	at        *modelEndpoint
 	sentAt    time.Duration
 	roundTrip time.Duration
-	load      int // requests at the endpoint when it responded, with this one
+	load      int     // requests at the endpoint when it responded, with this one
+	workTime  float64 // the endpoint's fourth figure when it responded
 }
 
 // policy decides where a request goes.
@@ -174,6 +182,7 @@
 type model struct {
 	load
 	r         *rand.Rand
+	moments   *rand.Rand // of slow moments and of requests with more work
 	policy    policy
 	now       time.Duration
 	events    events
@@ -206,7 +215,7 @@
 
 // newModel creates a deployment.
 func newModel(l load, seed uint64) *model {
-	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1), runs: make([][]runAt, len(l.regions))}
+	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), moments: rand.New(rand.NewPCG(seed, 8)), perRegion: make([]figures, len(l.regions)), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1), runs: make([][]runAt, len(l.regions))}
 	for i, region := range l.regions {
 		for j := range region.instances {
 			m.byRegion[i] = append(m.byRegion[i], len(m.instances))
@@ -228,6 +237,9 @@
 	m.policy = p
 	m.after(m.gap(), m.arrive)
 	m.after(exchangeInterval, m.exchangeAll)
+	for _, e := range m.endpoints {
+		m.alternate(e)
+	}
 	for m.events.Len() > 0 {
 		e := heap.Pop(&m.events).(event)
 		m.now = e.at
@@ -236,6 +248,29 @@
 	return m.sum()
 }
 
+// alternate begins a usual period of an endpoint, which a slow moment follows.
+func (m *model) alternate(e *modelEndpoint) {
+	if m.slowFor == 0 || m.now > m.until {
+		return
+	}
+	usual := m.slowFor.Seconds() * (1 - m.slowShare) / m.slowShare
+	m.after(time.Duration(m.moments.ExpFloat64()*usual*float64(time.Second)), func() {
+		e.slow = true
+		m.after(time.Duration((0.5+m.moments.Float64())*float64(m.slowFor)), func() {
+			e.slow = false
+			m.alternate(e)
+		})
+	})
+}
+
+// workTime returns how long work takes at an endpoint, relative to the usual.
+func (m *model) workTime(e *modelEndpoint) float64 {
+	if e.slow {
+		return m.slowFactor
+	}
+	return 1
+}
+
 // gap returns the time until the next request.
 func (m *model) gap() time.Duration {
 	rate := m.rate * (1 + m.wave*math.Sin(2*math.Pi*m.now.Seconds()/wavePeriod.Seconds()))
@@ -313,7 +348,7 @@
 	case len(e.waiting) < m.queue:
 		e.waiting = append(e.waiting, r)
 	default:
-		r.load = e.running + len(e.waiting)
+		r.load, r.workTime = e.running+len(e.waiting), m.workTime(e)
 		m.after(r.roundTrip/2, func() {
 			e.sent--
 			m.policy.done(m, r, OutcomeShed)
@@ -337,8 +372,14 @@
 		e.known = e.known[1:]
 	}
 	d = time.Duration(float64(d) * (0.85 + 0.3*m.r.Float64()))
+	if m.slowFor > 0 {
+		d = time.Duration(float64(d) * m.workTime(e))
+	}
+	if m.tails > 0 && m.moments.Float64() < m.tails {
+		d = time.Duration(float64(d) * m.tailFactor)
+	}
 	m.after(d, func() {
-		r.load = e.running + len(e.waiting)
+		r.load, r.workTime = e.running+len(e.waiting), m.workTime(e)
 		e.running--
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
