The time that work takes at an endpoint now enters its expected time

Cause: endpoints report with each response how long work takes at this moment. It was read and not used, so a slow moment of 0.6 s was learned as a slowdown with a half-life of 2 s, and one request with seven times the usual work as well.

Change: placing.DoneWith takes the report. The latest figure, clamped to 1/4 and 30, multiplies the expected time, with a weight that halves every 150 ms in favor of the endpoint's mean figure. The learned slowdown is about what the figures do not explain: an observed time between the one expected by the figure at the choice and by the one in the answer changes nothing. The time of a running request counts as slowness from the last report on only, and requests that were sent too late for a report are added to it. Endpoints without the figure are placed as before.

--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -13,17 +13,16 @@
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
-// reportedLoad returns the number of requests that an endpoint reported with
-// its response, or -1 if it reported none.
-func reportedLoad(response *bufferedResponse, err error) int {
+// reportedLoad returns the load that an endpoint reported with its response.
+func reportedLoad(response *bufferedResponse, err error) endpoint.Load {
 	var e *endpoint.Error
 	switch {
 	case err == nil:
-		return response.Load.Requests
+		return response.Load
 	case errors.As(err, &e) && e.Reason == endpoint.ReasonShed:
-		return e.Load.Requests
+		return e.Load
 	}
-	return -1
+	return endpoint.NoLoad
 }
 
 // minComparedTime keeps noise out of comparisons of very short times.
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -147,7 +147,7 @@
 	}
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
-	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
+	s.placer.DoneWith(time.Now(), c.Choice, outcome, elapsed, placing.Report(reportedLoad(buffered, err)))
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
@@ -230,7 +230,7 @@
 		"region": c.Region, "local_ms": c.LocalExpected.Milliseconds(), "local_wait_ms": c.LocalQueueWait.Milliseconds(), "local_utilization": hundredths(c.LocalUtilization), "fraction": hundredths(c.Fraction),
 		"ms": elapsed.Milliseconds(), "since_ms": time.Since(x.arrived).Milliseconds(), "catalog": x.catalog.Version,
 	}
-	if load := reportedLoad(response, err); load >= 0 {
+	if load := reportedLoad(response, err).Requests; load >= 0 {
 		fields["reported"] = load
 	}
 	var failed *endpoint.Error
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -23,6 +23,7 @@
 	workKnown    bool // expected follows from observations
 	unloaded     bool // no queue and not cold
 	roundTrip    float64
+	workTime     float64 // part of the expected times, as the endpoint reported it
 }
 
 // search is the choice of an endpoint for one attempt.
@@ -279,7 +280,8 @@
 func (s *search) estimate(e *endpoint, known warmth) candidate {
 	e.decay(s.now, s.rules.OutcomeHalfLife)
 	c := candidate{e: e, warmth: known, roundTrip: s.roundTrip(e)}
-	slowness := e.slowness(s.now, s.work.mean[warmthCold])
+	c.workTime = e.workTimeOf(s.now, s.rules.WorkTimeHalfLife)
+	slowness := e.slowness(s.now, s.work.mean[warmthCold]) * c.workTime
 	service := s.work.mean[known] * slowness
 	if e.cold(s.now) {
 		service *= s.rules.ColdSlowdown
@@ -322,6 +324,7 @@
 		start:          s.now,
 		unloaded:       c.unloaded,
 		roundTrip:      c.roundTrip,
+		workTime:       c.workTime,
 	}
 	choice.LocalUtilization, _ = s.utilization(s.group, s.query, s.locality.Region, s.now)
 	if c.e.cold(s.now) {
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -20,6 +20,12 @@
 	minWorkRatio = 0.05
 	// maxSlowdown is the highest slowdown assumed for an endpoint.
 	maxSlowdown = 30
+	// minWorkTime is the lowest work time, relative to the usual, that an endpoint's
+	// report counts as. An endpoint must not draw all requests by a report of 0.
+	minWorkTime = 0.25
+	// workTimeWeight is the weight of one report in the mean of the work times that
+	// an endpoint reports.
+	workTimeWeight = 0.3
 )
 
 // endpoint is the local state of one incarnation.
@@ -38,7 +44,13 @@
 	// endpoint itself reported at reportedAt.
 	reportedRequests int
 	reportedAt       time.Time
-	warm             map[uint64]time.Time // when each warm object was last sent
+	// workTime is how long work takes there relative to the usual time, as the
+	// endpoint itself reported at workTimeAt, which is zero without such a report.
+	workTime   float64
+	workTimeAt time.Time
+	// meanWorkTime is the mean of the reported work times, which decays to 1.
+	meanWorkTime float64
+	warm         map[uint64]time.Time // when each warm object was last sent
 	// everUsed is set once some instance of the region has sent it a request.
 	everUsed bool
 
@@ -86,6 +98,22 @@
 	e.reportedRequests, e.reportedAt = max(0, requests-own), now
 }
 
+// ownReported returns how many of this instance's running requests a report
+// includes. An endpoint that reports work times gets the requests added that were
+// sent too late to be included.
+func (e *endpoint) ownReported(now time.Time, roundTrip float64, r Report) int {
+	if r.WorkTime < 0 {
+		return len(e.starts)
+	}
+	n, latest := 0, now.Add(-seconds(roundTrip))
+	for _, start := range e.starts {
+		if !start.After(latest) {
+			n++
+		}
+	}
+	return n
+}
+
 // decay decays slowdown, failures and faults by the time since the last decay.
 func (e *endpoint) decay(now time.Time, halfLife time.Duration) {
 	elapsed := now.Sub(e.decayedAt)
@@ -94,6 +122,7 @@
 	}
 	factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 	e.slowdown = 1 + (e.slowdown-1)*factor
+	e.meanWorkTime = 1 + (e.meanWorkTime-1)*factor
 	e.failures *= factor
 	e.faults *= factor
 	e.decayedAt = now
@@ -102,16 +131,51 @@
 // fault records a failure that no shortage of slots explains.
 func (e *endpoint) fault() { e.faults += failureWeight * (1 - e.faults) }
 
-// slowness returns the factor by which the endpoint is slower than usual. A
-// running request that has taken longer than expected counts before it ends.
+// slowness returns the factor by which the endpoint is slower than usual, apart
+// from what its reports of work times explain. A running request that has taken
+// longer than expected counts before it ends, but only the time since such a
+// report: a report says that the endpoint works and how fast.
 func (e *endpoint) slowness(now time.Time, usual float64) float64 {
 	s := e.slowdown
 	for _, start := range e.starts {
+		if start.Before(e.workTimeAt) {
+			start = e.workTimeAt
+		}
 		s = max(s, now.Sub(start).Seconds()/(2*usual))
 	}
 	return min(s, maxSlowdown)
 }
 
+// setWorkTime stores the endpoint's report of how long work takes, relative to the
+// usual time. A negative figure means that it reported none.
+func (e *endpoint) setWorkTime(now time.Time, workTime float64) {
+	if workTime < 0 {
+		return
+	}
+	e.workTime, e.workTimeAt = min(max(workTime, minWorkTime), maxSlowdown), now
+	e.meanWorkTime += workTimeWeight * (e.workTime - e.meanWorkTime)
+}
+
+// reportsWorkTime reports whether the endpoint has reported how long work takes.
+func (e *endpoint) reportsWorkTime() bool { return !e.workTimeAt.IsZero() }
+
+// workTimeOf returns how long work takes at the endpoint at a time, relative to the
+// usual, according to its reports. The weight of the latest one decays with its age
+// in favor of the mean.
+func (e *endpoint) workTimeOf(at time.Time, halfLife time.Duration) float64 {
+	if !e.reportsWorkTime() {
+		return 1
+	}
+	halfLives := at.Sub(e.workTimeAt).Seconds() / halfLife.Seconds()
+	if halfLives > maxHalfLives {
+		return e.meanWorkTime
+	}
+	return e.meanWorkTime + (e.workTime-e.meanWorkTime)*math.Exp2(-max(0, halfLives))
+}
+
+// maxHalfLives is the age of a report, in half-lives, beyond which it has no weight.
+const maxHalfLives = 10
+
 // warmthOf returns the warmth of an object at the endpoint. home says that the
 // endpoint is the object's home.
 func (e *endpoint) warmthOf(object uint64, home bool, now time.Time, r Rules) warmth {
--- a/steer/placing/load_report_test.go
+++ b/steer/placing/load_report_test.go
@@ -49,3 +49,12 @@
 	l.tails, l.tailFactor = 0.03, 7
 	return l
 }
+
+// donor is a deployment of the size of the users' largest.
+func donor(rate float64) load {
+	return withSlowMoments(load{
+		regions: []modelRegion{{"midtjylland", 46, 14, 0.3}, {"fyn", 46, 59, 0.63}, {"jylland", 47, 59, 0.97}},
+		slots:   4, queue: 12, memory: 21, cold: 450 * time.Millisecond, warm: 150 * time.Millisecond,
+		goal: 400 * time.Millisecond, limit: 2500 * time.Millisecond, objects: 300, rate: rate, swing: 0.55, relayed: true, until: 30 * time.Second,
+	})
+}
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -29,9 +29,26 @@
 	OutcomeUnknown
 )
 
-// Done records how an attempt ended. elapsed is the time until the response was
-// complete. load is the number of requests that the endpoint reported, or -1.
+// Report is what an endpoint reported about itself with a response.
+type Report struct {
+	// Requests is the number of its requests; -1 if it reported none.
+	Requests int
+	// WorkTime is how long work takes there at the moment, relative to the usual
+	// time; -1 if it reported none.
+	WorkTime float64
+}
+
+// Done records how an attempt ended at an endpoint that does not report how long
+// work takes there; see DoneWith. load is the number of requests that it reported,
+// or -1.
 func (p *Placer) Done(now time.Time, c *Choice, o Outcome, elapsed time.Duration, load int) {
+	p.DoneWith(now, c, o, elapsed, Report{Requests: load, WorkTime: -1})
+}
+
+// DoneWith records how an attempt ended and what the endpoint reported. elapsed is
+// the time until the response was complete.
+func (p *Placer) DoneWith(now time.Time, c *Choice, o Outcome, elapsed time.Duration, r Report) {
+	load := r.Requests
 	c.group.mu.Lock()
 	defer c.group.mu.Unlock()
 	e := c.state
@@ -39,13 +56,14 @@
 	if load > 0 && (o == OutcomeAnswered || o == OutcomeFailed) {
 		load-- // the endpoint counts the request that it answers
 	}
-	e.setReportedRequests(now, load, len(e.starts))
+	e.setReportedRequests(now, load, e.ownReported(now, c.roundTrip, r))
 	p.observeSplit(now, c, o, load)
 	e.decay(now, p.rules.OutcomeHalfLife)
+	e.setWorkTime(now, r.WorkTime)
 	switch o {
 	case OutcomeAnswered:
 		e.markReachable()
-		c.learn(elapsed)
+		c.learn(elapsed, r.WorkTime)
 	case OutcomeFailed:
 		e.markReachable()
 		e.failures += failureWeight * (1 - e.failures)
@@ -95,12 +113,17 @@
 	})
 }
 
-// learn updates the work times from an answered attempt.
-func (c *Choice) learn(elapsed time.Duration) {
+// learn updates the work times from an answered attempt. reported is the work time
+// that the endpoint reported with its answer, negative if none.
+func (c *Choice) learn(elapsed time.Duration, reported float64) {
 	w := c.group.work[c.route]
 	workTime := max(0, elapsed.Seconds()-c.roundTrip)
 	expected := max(c.Expected.Seconds()-c.roundTrip, 1e-3)
-	if ratio := workTime / expected; ratio >= minWorkRatio {
+	ratio := workTime / expected
+	if ratio >= minWorkRatio {
+		if c.state.reportsWorkTime() {
+			ratio = min(c.unexplained(ratio, reported), observationCap)
+		}
 		c.state.slowdown += slowdownWeight * (ratio*c.state.slowdown - c.state.slowdown)
 		c.state.slowdown = min(max(c.state.slowdown, 0.5), maxSlowdown)
 	}
@@ -110,6 +133,18 @@
 	c.group.meanWork += learnWeight * (w.mean[c.warmth] - c.group.meanWork)
 }
 
+// unexplained returns the part of a ratio of observed to expected work that the
+// endpoint's reports do not explain. They explain any work time between the one that
+// was expected and the one that was reported with the answer, since it changes while
+// a request runs.
+func (c *Choice) unexplained(ratio, reported float64) float64 {
+	if reported < 0 {
+		return ratio
+	}
+	change := min(max(reported, minWorkTime), maxSlowdown) / c.workTime
+	return ratio / min(max(ratio, min(1, change)), max(1, change))
+}
+
 // Load is the number of this instance's requests at an endpoint.
 type Load struct {
 	// Endpoint is the incarnation of the endpoint.
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -192,6 +192,7 @@
 				peerRequests: make(map[string]int),
 				warm:         make(map[uint64]time.Time),
 				slowdown:     1,
+				meanWorkTime: 1,
 				decayedAt:    now,
 				coldTokens:   ratelimit.NewBucket(1),
 				limitTokens:  ratelimit.NewBucket(limitBurst),
--- a/steer/placing/policies_test.go
+++ b/steer/placing/policies_test.go
@@ -12,10 +12,17 @@
 )
 
 // placed is the policy of this package, with one Placer per instance.
-type placed struct{ placers []*Placer }
+type placed struct {
+	placers []*Placer
+	read    int // number of figures that are read of the endpoints' reports
+}
+
+func newPlaced(m *model) *placed { return newPlacedWith(m, 3, DefaultRules()) }
 
-func newPlaced(m *model) *placed {
-	p := &placed{}
+// newPlacedWith returns placers that read a number of figures of reports: none, the
+// first three or all four.
+func newPlacedWith(m *model, read int, rules Rules) *placed {
+	p := &placed{read: read}
 	regions := map[string]string{}
 	for _, r := range m.regions {
 		regions[r.name] = r.name
@@ -25,7 +32,7 @@
 		all = append(all, e.Endpoint)
 	}
 	for _, i := range m.instances {
-		placer := New(DefaultRules(), Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
+		placer := New(rules, Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
 		placer.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdRate: 5}})
 		placer.SetFleet(m.instances)
 		placer.SetEndpoints(m.clock(), all)
@@ -61,7 +68,14 @@
 
 func (p *placed) done(m *model, r *modelRequest, o Outcome) {
 	p.placers[r.instance].ObserveRateLimit(epoch.Add(r.sentAt), m.clock(), r.choice.Endpoint.Incarnation(), m.rateLimit(r.at))
-	p.placers[r.instance].Done(m.clock(), r.choice, o, m.now-r.sentAt, r.load)
+	report := Report{Requests: -1, WorkTime: -1}
+	if p.read >= 3 {
+		report.Requests = r.load
+	}
+	if p.read >= 4 {
+		report.WorkTime = r.workTime
+	}
+	p.placers[r.instance].DoneWith(m.clock(), r.choice, o, m.now-r.sentAt, report)
 }
 
 func (p *placed) exchange(m *model) {
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -69,6 +69,7 @@
 	start     time.Time
 	unloaded  bool // no queue and not cold, so the elapsed time shows the work time
 	roundTrip float64
+	workTime  float64 // part of Expected, as the endpoint reported it
 }
 
 // Refusal is the error for a request for which no endpoint was chosen.
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -17,6 +17,9 @@
 	// MaxLoadAge is how long an endpoint's own load report takes precedence
 	// over the reports that instances exchange, which are half a second old.
 	MaxLoadAge time.Duration
+	// WorkTimeHalfLife is the half-life of the weight of an endpoint's report of how
+	// long work takes there.
+	WorkTimeHalfLife time.Duration
 	// BusyFrom and BusyTo are the utilizations of a service between which the
 	// price of a slot rises from zero to its maximum. Below BusyFrom, a cold
 	// endpoint costs only the request's own time; above BusyTo, it also costs
@@ -68,6 +71,7 @@
 		WarmTTL:          20 * time.Second,
 		QueueFactor:      3,
 		MaxLoadAge:       300 * time.Millisecond,
+		WorkTimeHalfLife: 150 * time.Millisecond,
 		BusyFrom:         0.5,
 		BusyTo:           0.9,
 		MaxSlotPrice:     3,
