Near ties between endpoints that report their work time are broken at random

Cause: instances that know the same reports choose the same endpoint, if its figure is lower by a hair.

Change: the score of an endpoint that reports how long work takes varies by up to half of TieMargin (0.1) of the request's work, by the instance's own random source, which the gateway seeds by the instance's name.

--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
@@ -66,6 +68,7 @@
 func newPlacer(s *Settings) *placing.Placer {
 	return placing.New(placing.DefaultRules(), placing.Locality{
 		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains, Joins: !s.Bootstrap,
+		Random: rand.NewPCG(xxhash.Sum64String(s.Name), 0),
 	})
 }
 
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -41,6 +41,9 @@
 	busy          bool        // an endpoint that is open is at capacity
 	limited       int         // endpoints whose limit allows no request now
 	regions       []candidate // the best one of each region
+	number        uint64      // of the random source, for near ties
+	drawn         bool        // number was asked for
+	breaksTies    bool        // number is set
 	present       []string    // regions with endpoints that may serve the query
 }
 
@@ -295,7 +298,7 @@
 	c.warmExpected = c.roundTrip + c.queueWait + s.work.mean[warmthWarm]
 	c.workKnown = s.work.known(known)
 	c.earliest = c.roundTrip + c.queueWait + s.work.shortest()
-	penalty := e.failures * s.rules.FailurePenalty.Seconds()
+	penalty := e.failures*s.rules.FailurePenalty.Seconds() + s.tieBreak(e, service)
 	c.score = c.expected + s.slotPrice(e.region)*service + penalty
 	c.localScore = c.expected + max(s.slotPrice(e.region), s.price(s.demand.split.Load(e.region)))*service + penalty
 	return c
--- a/steer/placing/load_report_test.go
+++ b/steer/placing/load_report_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
 )
 
 // recorded writes each choice of a policy to a stream.
@@ -58,3 +61,48 @@
 		goal: 400 * time.Millisecond, limit: 2500 * time.Millisecond, objects: 300, rate: rate, swing: 0.55, relayed: true, until: 30 * time.Second,
 	})
 }
+
+// Guards against herding: instances that know the same reports would all send their
+// requests to the endpoint whose figure is lowest by a hair.
+func TestInstancesWithTheSameReportsSpread(t *testing.T) {
+	const instances, endpoints, each = 60, 6, 3
+	entries, sent := testEntries(endpoints), make(map[string]int)
+	for i := range instances {
+		name := fmt.Sprint("instance ", i)
+		now := time.Unix(1000, 0)
+		p := New(DefaultRules(), Locality{Self: name, Random: rand.NewPCG(hashOf(name), 0)})
+		p.SetEndpoints(now, entries)
+		var tried []catalog.Incarnation
+		var choices []*Choice
+		for range endpoints {
+			q := restrictionQuery
+			q.Tried = tried
+			c, err := p.Choose(now, q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tried, choices = append(tried, c.Endpoint.Incarnation()), append(choices, c)
+		}
+		now = now.Add(300 * time.Millisecond)
+		for _, c := range choices {
+			figure := 1.0
+			if c.Endpoint.ID == entries[endpoints/2].ID {
+				figure = 0.99
+			}
+			p.DoneWith(now, c, OutcomeAnswered, 300*time.Millisecond, Report{Requests: 1, WorkTime: figure})
+		}
+		for range each {
+			c, err := p.Choose(now, restrictionQuery)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sent[c.Endpoint.ID]++
+		}
+	}
+	t.Log(sent)
+	for id, n := range sent {
+		if n > 2*instances*each/endpoints {
+			t.Errorf("%s gets %d of %d requests, a fair part is %d", id, n, instances*each, instances*each/endpoints)
+		}
+	}
+}
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	Regions map[string]string
 	// Joins is set if other instances served requests before this one started.
 	Joins bool
+	// Random is the instance's own random source, which breaks near ties between
+	// endpoints that report how long work takes there. Without it the ties stay.
+	Random rand.Source
 }
 
 // Round trips assumed where none was measured. They are those of the users'
@@ -52,6 +56,7 @@
 	restrictions restrictions
 	balance      *split.Balance
 	firstRequest sync.Once
+	random       lockedSource
 	settledAt    time.Time // until when a joining instance settles, set at its first request
 }
 
@@ -85,6 +90,7 @@
 		roundTrips:     make(map[string]time.Duration),
 		drainedDomains: make(map[string]bool),
 		balance:        split.NewBalance(),
+		random:         lockedSource{source: locality.Random},
 		restrictions:   restrictions{known: make(map[catalog.Incarnation]restriction)},
 		fleet:          []Member{{Name: locality.Self, Region: locality.Region}},
 	}
--- a/steer/placing/policies_test.go
+++ b/steer/placing/policies_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 		all = append(all, e.Endpoint)
 	}
 	for _, i := range m.instances {
-		placer := New(rules, Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions})
+		placer := New(rules, Locality{Self: i.Name, Region: i.Region, FailureDomain: i.Region + "-x", Regions: regions, Random: rand.NewPCG(hashOf(i.Name), 0)})
 		placer.SetServices(map[string]catalog.Service{"s": {Name: "s", ColdRate: 5}})
 		placer.SetFleet(m.instances)
 		placer.SetEndpoints(m.clock(), all)
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -20,6 +20,9 @@
 	// WorkTimeHalfLife is the half-life of the weight of an endpoint's report of how
 	// long work takes there.
 	WorkTimeHalfLife time.Duration
+	// TieMargin is the part of a request's work by which scores are near ties, where
+	// endpoints report how long work takes.
+	TieMargin float64
 	// BusyFrom and BusyTo are the utilizations of a service between which the
 	// price of a slot rises from zero to its maximum. Below BusyFrom, a cold
 	// endpoint costs only the request's own time; above BusyTo, it also costs
@@ -72,6 +75,7 @@
 		QueueFactor:      3,
 		MaxLoadAge:       300 * time.Millisecond,
 		WorkTimeHalfLife: 150 * time.Millisecond,
+		TieMargin:        0.1,
 		BusyFrom:         0.5,
 		BusyTo:           0.9,
 		MaxSlotPrice:     3,
