--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -23,6 +23,7 @@
 	workKnown    bool // expected follows from observations
 	unloaded     bool // no queue and not cold
 	roundTrip    float64
+	workTime     float64 // part of the expected times, as the endpoint reported it
 }
 
 // search is the choice of an endpoint for one attempt.
@@ -40,6 +41,9 @@
 	busy          bool        // an endpoint that is open is at capacity
 	limited       int         // endpoints whose limit allows no request now
 	regions       []candidate // the best one of each region
+	number        uint64      // of the random source, for near ties
+	drawn         bool        // number was asked for
+	breaksTies    bool        // number is set
 	present       []string    // regions with endpoints that may serve the query
 }
 
@@ -279,7 +283,8 @@
 func (s *search) estimate(e *endpoint, known warmth) candidate {
 	e.decay(s.now, s.rules.OutcomeHalfLife)
 	c := candidate{e: e, warmth: known, roundTrip: s.roundTrip(e)}
-	slowness := e.slowness(s.now, s.work.mean[warmthCold])
+	c.workTime = e.workTimeOf(s.now, s.rules.WorkTimeHalfLife)
+	slowness := e.slowness(s.now, s.work.mean[warmthCold]) * c.workTime
 	service := s.work.mean[known] * slowness
 	if e.cold(s.now) {
 		service *= s.rules.ColdSlowdown
@@ -293,7 +298,7 @@
 	c.warmExpected = c.roundTrip + c.queueWait + s.work.mean[warmthWarm]
 	c.workKnown = s.work.known(known)
 	c.earliest = c.roundTrip + c.queueWait + s.work.shortest()
-	penalty := e.failures * s.rules.FailurePenalty.Seconds()
+	penalty := e.failures*s.rules.FailurePenalty.Seconds() + s.tieBreak(e, service)
 	c.score = c.expected + s.slotPrice(e.region)*service + penalty
 	c.localScore = c.expected + max(s.slotPrice(e.region), s.price(s.demand.split.Load(e.region)))*service + penalty
 	return c
@@ -322,6 +327,7 @@
 		start:          s.now,
 		unloaded:       c.unloaded,
 		roundTrip:      c.roundTrip,
+		workTime:       c.workTime,
 	}
 	choice.LocalUtilization, _ = s.utilization(s.group, s.query, s.locality.Region, s.now)
 	if c.e.cold(s.now) {
