Pipelined answers keep the place of the handler's first flush

Cause: an answer flushed before its first byte got a Content-Type that net/http doesn't send; the comparison with net/http's server showed it. Change: the recorder notes where the first flush came.

--- a/front/pipeline/ahead.go
+++ b/front/pipeline/ahead.go
@@ -32,6 +32,7 @@
 	sent      http.Header // the header at WriteHeader
 	body      []byte
 	flush     bool
+	flushAt   int                 // length of the body at the first Flush
 	out       http.ResponseWriter // set when the turn has come
 	discarded bool
 }
@@ -88,11 +89,14 @@
 		return
 	}
 	a.writeHead()
-	if len(a.body) > 0 {
-		_, _ = w.Write(a.body) // an error ends the connection
-	}
+	// Errors end the connection, and thereby the handler's context.
 	if a.flush {
-		_ = http.NewResponseController(w).Flush() // as above
+		// net/http sends the header at the first Flush, by what it has until then.
+		_, _ = w.Write(a.body[:a.flushAt])
+		_ = http.NewResponseController(w).Flush()
+	}
+	if rest := a.body[a.flushAt:]; len(rest) > 0 {
+		_, _ = w.Write(rest)
 	}
 	a.release()
 }
@@ -202,7 +206,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.flush = a.out == nil; !a.flush {
+	switch {
+	case a.out != nil:
 		_ = http.NewResponseController(a.out).Flush() // an error ends the connection
+	case !a.flush:
+		a.flush, a.flushAt = true, len(a.body)
 	}
 }
