Callers' requests are pipelined where the settings say so

Cause: some callers send idempotent requests ahead on one connection. Change: with pipelining.maxAhead the callers' listener is served by front/pipeline; a request may run ahead if its route is idempotent and no response closes its connection yet.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/pipeline"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/relay"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
@@ -90,6 +91,7 @@
 	reach       *reachWatch
 	relay       *requestRelay
 	peers       *peer.Server
+	pipeline    *pipeline.Server // nil unless pipelining is set
 	metricsPage http.Handler
 	metrics     *metrics
 	writer      *telemetry.BoundedWriter
@@ -182,12 +184,25 @@
 		g.relay.Run,
 		newRegionLog(g.view.placer, g.logger).Run,
 	}
+	if g.pipeline != nil {
+		components = append(components, g.runPipelineLog)
+		if err := g.pipeline.Register(g.metrics.meter); err != nil {
+			return nil, err
+		}
+	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
 
+// httpServer is an *http.Server or a *pipeline.Server.
+type httpServer interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // server is an HTTP server with its listener.
 type server struct {
-	http     *http.Server
+	http     httpServer
 	listener net.Listener
 	// takesRequests is set if requests must end before it is closed.
 	takesRequests bool
@@ -230,6 +245,10 @@
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}})
 	}
+	if ahead := g.settings.Load().Pipelining.MaxAhead; ahead > 0 {
+		g.pipeline = newPipeline(chain, g.handler.mayRunAhead, ahead)
+		servers[0].http = g.pipeline
+	}
 	return servers, nil
 }
 
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -175,12 +175,7 @@
 
 // resolve finds the route, team and deadline of a request.
 func (h *handler) resolve(x *exchange) *refusal {
-	host := x.request.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	path, _, _ := strings.Cut(x.request.RequestURI, "?")
-	x.route = x.catalog.Route(host, path)
+	x.route = routeOf(x.catalog, x.request)
 	if x.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
@@ -204,6 +199,16 @@
 	return nil
 }
 
+// routeOf returns the route of a request, or nil.
+func routeOf(c *catalog.Catalog, r *http.Request) *catalog.Route {
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return c.Route(host, path)
+}
+
 // findTeam returns the team that the request runs for, or nil. Of a relayed request
 // the first instance has checked the key.
 func (x *exchange) findTeam() *catalog.Team {
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -40,10 +40,21 @@
 	// RetrySlack is the number of such attempts that the fleet may make in
 	// addition. Required.
 	RetrySlack float64 `yaml:"retrySlack" validate:"gte=0"`
+	// Pipelining configures callers that send requests ahead. Default: their requests
+	// are served one after the other.
+	Pipelining PipeliningSettings `yaml:"pipelining"`
 	// Log configures what is logged and how.
 	Log telemetry.LogSettings `yaml:"log"`
 }
 
+// PipeliningSettings configure requests that callers send before earlier ones on the
+// same connection have been answered.
+type PipeliningSettings struct {
+	// MaxAhead bounds the requests of a connection that run before their turn.
+	// Default: 0, none.
+	MaxAhead int `yaml:"maxAhead" validate:"gte=0,lte=64"`
+}
+
 // ListenSettings are the addresses, each an IP address and a port, on which an
 // instance listens.
 type ListenSettings struct {
