A head that its last byte completes alone is read ahead at once

Cause: while a handler runs, net/http reads one byte itself. If that byte completed a head, the request began only when the handler had returned. Change: the wrapper looks for complete heads after that read as well.

--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -105,6 +105,7 @@
 	}
 	c.lastRead = begin
 	c.trim()
+	c.fill() // net/http's read during a handler may complete a head
 	c.startReadAhead()
 	return n, nil
 }
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -215,18 +215,19 @@
 // Guards against answers in the order of their completion, and against requests that
 // wait for each other.
 func TestOrder(t *testing.T) {
-	for name, split := range map[string]int{"at once": 0, "byte by byte": 1, "in two": 50} {
+	for name, split := range map[string]int{"at once": 0, "byte by byte": 1, "in two": 50, "last byte apart": -1} {
 		bubble(t, name, func(t *testing.T) {
 			f := start(t, &Server{})
 			text := get("/wait1", "/wait2", "/wait3", "/4")
-			if split == 0 {
-				split = len(text)
+			if split <= 0 {
+				split += len(text)
 			}
 			for len(text) > 0 {
 				n := min(split, len(text))
 				f.send(text[:n])
 				text = text[n:]
 			}
+			f.want("/wait1 /wait2 /wait3 /4", "", false)
 			f.release("/wait3", "/wait2")
 			if got, _ := f.bodies(); got != "" {
 				t.Errorf("answered %q before the first request", got)
