--- a/front/pipeline/bench_test.go
+++ b/front/pipeline/bench_test.go
@@ -15,15 +15,18 @@
 		Serve(l net.Listener) error
 		Close() error
 	}
-	for name, s := range map[string]server{
-		"net-http": &http.Server{Handler: handler},
-		"pipeline": &Server{Handler: handler, MaxAhead: 8, MayRunAhead: func(*http.Request) bool { return true }},
+	for name, newServer := range map[string]func() server{
+		"net-http": func() server { return &http.Server{Handler: handler} },
+		"pipeline": func() server {
+			return &Server{Handler: handler, MaxAhead: 8, MayRunAhead: func(*http.Request) bool { return true }}
+		},
 	} {
 		b.Run(name, func(b *testing.B) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
 			}
+			s := newServer()
 			go func() { _ = s.Serve(l) }()
 			defer func() { _ = s.Close() }()
 			c, err := net.Dial("tcp", l.Addr().String())
