Duties: distrust what a late write of an earlier era may have overwritten

The store checks the revision of a write, not its era, so a late write may replace a claim and records of the new era. Records of such a state are sent only if this instance knows them, and claims on it wait for a lease from its first sight.

--- a/steer/duty/state.go
+++ b/steer/duty/state.go
@@ -21,9 +21,11 @@
 	overdueAt     time.Time
 	noClaimBefore time.Time
 
-	// era is the latest era that is known, eraAt the time at which it became known.
-	era   uint64
-	eraAt Clock
+	// era is the latest era that is known.
+	era uint64
+	// restoredAt is when, by the wall clock, this version of a restored state was
+	// read.
+	restoredAt time.Time
 
 	// held is set while the instance knows that row has its own claim.
 	held       bool
@@ -48,7 +50,7 @@
 
 // New returns the state of a process that starts.
 func New(now Clock, settings Settings) *State {
-	return &State{settings: settings, overdueAt: now.Mono.Add(startDelay), eraAt: now}
+	return &State{settings: settings, overdueAt: now.Mono.Add(startDelay)}
 }
 
 // Next returns the store call that is needed now. rank is the instance's place
@@ -156,9 +158,12 @@
 	}
 	s.needRead, s.backoff = false, 0
 	s.learn(now, row.notice(), true)
-	s.row, s.known, s.readAt = row, true, now.Mono
 	version := Notice{Revision: row.Revision, Era: row.Era}
 	own := row.valid() && row.Holder == s.settings.Holder && row.Started == s.settings.Started
+	if !own && (!s.known || row.notice().after(s.row.notice())) {
+		s.restoredAt = now.Wall
+	}
+	s.row, s.known, s.readAt = row, true, now.Mono
 	switch {
 	case own && row.Token <= s.refused:
 		s.held, s.overdueAt = false, now.Mono
@@ -203,7 +208,7 @@
 	if era <= s.era {
 		return
 	}
-	s.era, s.eraAt = era, now
+	s.era = era
 	s.noClaimBefore = later(s.noClaimBefore, now.Mono.Add(s.settings.Lease))
 	if s.held {
 		s.held, s.needRead = false, true
@@ -264,14 +269,14 @@
 // the token of Row.
 func (s *State) Holding() bool { return s.held }
 
-// RestoredAt returns when, by the wall clock, the instance learned of the store's
-// era, if the state of Row may be older than what was last written; else the zero
-// time.
+// RestoredAt returns a time by the wall clock after which no holder has written what
+// the state of Row lacks, if that state may be older than what was last written, as
+// after a restore of the store; else the zero time.
 func (s *State) RestoredAt() time.Time {
 	if !s.row.Restored() {
 		return time.Time{}
 	}
-	return s.eraAt.Wall
+	return s.restoredAt
 }
 
 // Notice returns the latest version of the row that is known, for other instances.
@@ -283,7 +288,7 @@
 // learn applies a version of the row, that was read or that a notice tells of.
 func (s *State) learn(now Clock, n Notice, read bool) {
 	if !s.heard && n.Era >= s.era {
-		s.era, s.eraAt = n.Era, now
+		s.era = n.Era
 	}
 	s.ObserveEra(now, n.Era)
 	if s.heard && !n.after(s.news) {
@@ -299,7 +304,8 @@
 	case !n.valid():
 		s.overdueAt = now.Mono
 		if n.Era > 0 || n.Revision > 0 {
-			s.noClaimBefore = later(s.noClaimBefore, s.eraAt.Mono.Add(s.settings.Lease))
+			// The row may have lost a claim that this instance has not seen.
+			s.noClaimBefore = later(s.noClaimBefore, now.Mono.Add(s.settings.Lease))
 		}
 	case n.Holder == s.settings.Holder && n.Started < s.settings.Started:
 		s.overdueAt = now.Mono
--- a/steer/usage/plan.go
+++ b/steer/usage/plan.go
@@ -86,13 +86,13 @@
 
 // Prepare returns the state to write before any report is sent: that of the row,
 // without the records that have been delivered, and with the windows that are due.
-// total returns the counts of a window. restoredAt is when the instance learned of
-// the store's era, if the row's state may be older than what was last written (see
-// duty.State.RestoredAt); else it is zero. It reports false if nothing has changed.
+// total returns the counts of a window. restoredAt is not zero if the row's state may
+// be older than what was last written (see duty.State.RestoredAt). It reports false
+// if nothing has changed.
 func (p *Plan) Prepare(now time.Time, s State, restoredAt time.Time, total func(window int64) Counts) (State, bool) {
 	next := State{Next: s.Next, Skipped: s.Skipped}
 	oldest := Window(now.Add(-maxAge), p.length)
-	for _, r := range s.Records {
+	for _, r := range p.trusted(s, restoredAt) {
 		switch {
 		case p.delivered[r.Window]:
 		case r.Window < oldest:
@@ -128,6 +128,22 @@
 	return next, next.Next != s.Next || len(next.Records) != len(s.Records)
 }
 
+// trusted returns the records of a state whose counts are final. Those of a restored
+// state may come from a write that was applied late, after other counts had been
+// recorded, so only what this instance knows of them counts.
+func (p *Plan) trusted(s State, restoredAt time.Time) []Record {
+	if restoredAt.IsZero() {
+		return s.Records
+	}
+	var records []Record
+	for _, r := range s.Records {
+		if counts, known := p.confirmed[r.Window]; known {
+			records = append(records, Record{Window: r.Window, Counts: counts})
+		}
+	}
+	return records
+}
+
 // horizon returns the due time of the last window that Prepare decides on. After a
 // restore, windows that may have been recorded before are decided on at once, since
 // the next state no longer says that it was restored.
@@ -148,10 +164,12 @@
 }
 
 // Confirmed applies a state that the store has confirmed: the write of it was
-// acknowledged, or it was read.
-func (p *Plan) Confirmed(now time.Time, s State) {
-	for _, r := range s.Records {
-		p.confirmed[r.Window] = r.Counts
+// acknowledged, or it was read. restoredAt is as for Prepare.
+func (p *Plan) Confirmed(now time.Time, s State, restoredAt time.Time) {
+	if restoredAt.IsZero() {
+		for _, r := range s.Records {
+			p.confirmed[r.Window] = r.Counts
+		}
 	}
 	if s.Next > 0 {
 		p.Recorded(s.Next - 1)
@@ -162,9 +180,9 @@
 }
 
 // Pending returns the records of a confirmed state that are still to be sent, in
-// order of their windows.
-func (p *Plan) Pending(s State) []Record {
-	return slices.DeleteFunc(slices.Clone(s.Records), func(r Record) bool { return p.delivered[r.Window] })
+// order of their windows. restoredAt is as for Prepare.
+func (p *Plan) Pending(s State, restoredAt time.Time) []Record {
+	return slices.DeleteFunc(slices.Clone(p.trusted(s, restoredAt)), func(r Record) bool { return p.delivered[r.Window] })
 }
 
 // Delivered records that the platform has accepted the report of a window.
