--- a/steer/duty/duty.go
+++ b/steer/duty/duty.go
@@ -5,9 +5,10 @@
 const (
 	// rankDelay separates the claims of two candidates of adjacent ranks.
 	rankDelay = 2 * time.Second
-	// grace is how long after its due time an action is overdue. A notice passes
-	// up to three hops of up to 1 s each in a large fleet, usually half of that.
-	grace = 2500 * time.Millisecond
+	// grace is how long after its due time an action is overdue. A notice passes up
+	// to three hops of 0.5 s on average. With 2.5 s, a successor of rank 1 would
+	// report a window more than 10 s after its end.
+	grace = 2 * time.Second
 	// startDelay is how long a new process waits for notices before it reads the row.
 	startDelay = 2 * time.Second
 	// leaseMargin is added to the wait for another holder's lease, for clocks that
