--- a/steer/duty/adversary_test.go
+++ b/steer/duty/adversary_test.go
@@ -97,7 +97,9 @@
 	return duty.Clock{Mono: epoch.Add(s.now - p.suspended), Wall: epoch.Add(s.now + p.wallOffset)}
 }
 
-func (s *sim) between(a, b time.Duration) time.Duration { return a + time.Duration(s.r.Int64N(int64(b-a))) }
+func (s *sim) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(s.r.Int64N(int64(b-a)))
+}
 
 func (s *sim) faulty() bool { return s.r.Float64() < s.faultRate }
 
--- a/steer/usage/counter.go
+++ b/steer/usage/counter.go
@@ -195,7 +195,8 @@
 }
 
 // Since returns what has changed after a change number, and the number to pass next
-// time. Number 0 returns all that is known.
+// time. Number 0 returns all that is known. The caller keeps a number for each peer
+// process and scope, and the earlier number until the peer has received the delta.
 func (c *Counter) Since(change uint64, scope Scope) (Delta, uint64) {
 	sources, domains := make(map[Source]map[int64]Counts), make(map[string]map[int64]Counts)
 	for k, w := range c.windows {
