--- a/steer/duty/adversary_test.go
+++ b/steer/duty/adversary_test.go
@@ -115,6 +115,18 @@
 	})
 }
 
+var faults = []string{"kill", "freeze", "suspend", "cut", "clock", "outage", "restore"}
+
+// holder returns an instance that holds the duty as far as it knows, or other.
+func (s *sim) holder(other *process) *process {
+	for _, p := range s.processes {
+		if p.state.Holding() {
+			return p
+		}
+	}
+	return other
+}
+
 func (s *sim) fault(kind string, p *process, d time.Duration) {
 	switch kind {
 	case "kill":
@@ -380,26 +392,29 @@
 func TestOneHolderUnderFaults(t *testing.T) {
 	for _, fence := range []bool{true, false} {
 		t.Run(fmt.Sprint("fence=", fence), func(t *testing.T) {
-			sent, kinds := 0, map[duty.Kind]int{}
+			sent, writes := 0, map[duty.Kind]int{}
 			rapid.Check(t, func(t *rapid.T) {
 				s := newSim(t, 4, fence, rapid.Uint64().Draw(t, "seed"))
 				s.faultRate = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "faultRate")
 				s.wild = rapid.Bool().Draw(t, "wild")
 				s.checksEra = rapid.Bool().Draw(t, "checksEra")
-				for range rapid.IntRange(1, 20).Draw(t, "faults") {
-					s.run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "afterMS")) * time.Millisecond)
-					kind := rapid.SampledFrom([]string{"kill", "freeze", "suspend", "cut", "clock", "outage", "restore", "restore"}).Draw(t, "kind")
-					p := s.processes[rapid.IntRange(0, len(s.processes)-1).Draw(t, "process")]
-					s.fault(kind, p, time.Duration(rapid.IntRange(100, 16000).Draw(t, "forMS"))*time.Millisecond)
+				kinds := rapid.SliceOfN(rapid.SampledFrom(faults), 1, 3).Draw(t, "kinds")
+				for range rapid.IntRange(8, 30).Draw(t, "faults") {
+					s.run(s.between(100*time.Millisecond, 8*time.Second))
+					p := s.processes[s.r.IntN(len(s.processes))]
+					if s.r.IntN(2) == 0 {
+						p = s.holder(p)
+					}
+					s.fault(kinds[s.r.IntN(len(kinds))], p, s.between(100*time.Millisecond, 16*time.Second))
 				}
 				s.run(30 * time.Second)
 				s.check()
 				sent += len(s.executed)
 				for k, n := range s.writes {
-					kinds[k] += n
+					writes[k] += n
 				}
 			})
-			t.Logf("%d calls executed, writes %v", sent, kinds)
+			t.Logf("%d calls executed, writes %v", sent, writes)
 			if sent == 0 {
 				t.Fatal("nothing was sent")
 			}
