Test of the waits before a claim

The waits overlap with the time after which an action is overdue, so the adversary seldom reaches them one at a time. The wait from a new era on its own is taken out: the restored row is without a valid claim, and claims on it wait already. go test ./duty -count=1: passed.

--- a/steer/duty/adversary_test.go
+++ b/steer/duty/adversary_test.go
@@ -142,7 +142,7 @@
 	case "clock":
 		p.wallOffset = s.between(-400*time.Millisecond, 400*time.Millisecond)
 		if s.wild {
-			p.wallOffset *= 9000
+			p.wallOffset *= []time.Duration{25, 9000}[s.r.IntN(2)]
 		}
 	case "outage":
 		s.storeDown = s.now + d
--- a/steer/duty/state.go
+++ b/steer/duty/state.go
@@ -204,12 +204,11 @@
 }
 
 // ObserveEra applies an era that a response of the store has shown.
-func (s *State) ObserveEra(now Clock, era uint64) {
+func (s *State) ObserveEra(era uint64) {
 	if era <= s.era {
 		return
 	}
 	s.era = era
-	s.noClaimBefore = later(s.noClaimBefore, now.Mono.Add(s.settings.Lease))
 	if s.held {
 		s.held, s.needRead = false, true
 	}
@@ -290,7 +289,7 @@
 	if !s.heard && n.Era >= s.era {
 		s.era = n.Era
 	}
-	s.ObserveEra(now, n.Era)
+	s.ObserveEra(n.Era)
 	if s.heard && !n.after(s.news) {
 		return
 	}
