Duties: an acknowledgement without a revision is a permit, too

A holder whose store doesn't return the revision of a write had to read the row before it could send; it only has to before the next write.

--- a/steer/duty/claim_test.go
+++ b/steer/duty/claim_test.go
@@ -50,3 +50,22 @@
 		}
 	}
 }
+
+// Guards against calls after the lease, when either clock stops or is set, and after
+// a write that the store has acknowledged without its revision.
+func TestPermitEndsByBothClocks(t *testing.T) {
+	start := Now(time.Unix(1_700_000_000, 0))
+	s := New(start, Settings{Holder: "a", Started: 2, Lease: 3 * time.Second, Interval: 5 * time.Second})
+	s.Observe(start, Row{})
+	s.Begin(start, s.Next(start, 0).Write)
+	s.Written(start, Result{Outcome: Applied})
+	for _, c := range []struct {
+		mono, wall time.Duration
+		want       bool
+	}{{0, 0, true}, {2900, 2900, true}, {3000, 1000, false}, {1000, 3000, false}, {1000, -1, false}} {
+		now := Clock{Mono: start.Mono.Add(c.mono * time.Millisecond), Wall: start.Wall.Add(c.wall * time.Millisecond)}
+		if p, ok := s.Permit(now); ok != c.want || ok && (p.Token != 1 || p.Until.After(start.Mono.Add(3*time.Second))) {
+			t.Errorf("after %d and %d ms: permit %v %v, want %v", c.mono, c.wall, p, ok, c.want)
+		}
+	}
+}
--- a/steer/duty/state.go
+++ b/steer/duty/state.go
@@ -135,7 +135,9 @@
 		if result.Revision != 0 {
 			s.learn(now, s.row.notice(), false)
 		}
-		if s.news.after(s.row.notice()) {
+		version := s.row.notice()
+		version.Revision = max(version.Revision, s.write.Revision)
+		if s.news.after(version) && s.news.Token != s.row.Token {
 			// A notice of a later claim came before the answer.
 			s.held, s.needRead = false, true
 		}
