Usage counts: tell from how many sources a window comes

The log of a report has to name them. Counter.Sources returns the processes and the failure domains with received sums. Not run on its own; go vet passed.

--- a/steer/usage/counter.go
+++ b/steer/usage/counter.go
@@ -283,6 +283,16 @@
 	return total
 }
 
+// Sources returns how many processes, and how many failure domains by their sums,
+// the counts of a window come from.
+func (c *Counter) Sources(k int64) (processes, domains int) {
+	w := c.windows[k]
+	if w == nil {
+		return 0, 0
+	}
+	return len(w.sources), len(w.domains)
+}
+
 // Forget forgets the windows that are too old at a moment in true time. Requests
 // that started in them count as late from then on.
 func (c *Counter) Forget(now time.Time) { c.close(Window(now, c.length) - keptWindows - 1) }
