Gateway: wire the duties

The settings section duties names them. Without named duties there is no runner, payload, store call or metric.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
@@ -73,6 +74,8 @@
 	Endpoints endpoint.Protocol
 	// Ingress serves readiness and the directory of instances.
 	Ingress Ingress
+	// Duties takes the calls of the duties.
+	Duties duties.Platform
 	// Dial opens connections to endpoints.
 	Dial endpoint.DialFunc
 }
@@ -90,6 +93,7 @@
 	reach       *reachWatch
 	relay       *requestRelay
 	peers       *peer.Server
+	duties      *duties.Runner
 	metricsPage http.Handler
 	metrics     *metrics
 	writer      *telemetry.BoundedWriter
@@ -182,6 +186,9 @@
 		g.relay.Run,
 		newRegionLog(g.view.placer, g.logger).Run,
 	}
+	if g.duties != nil {
+		components = append(components, g.duties.Run)
+	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
 
@@ -249,6 +256,8 @@
 	answerAfterFraction = 0.95
 	// cutAfterFraction is when the wait for their answers ends.
 	cutAfterFraction = 0.98
+	// syncAfterFraction is when the wait for the last sync ends.
+	syncAfterFraction = 0.99
 )
 
 // stop shuts down gracefully: callers are sent to other instances, and the
@@ -276,6 +285,10 @@
 	if err := ending.Wait(); err != nil {
 		g.log.WithError(err).Error("Requests were cut at the end of the grace time.")
 	}
+	if g.duties != nil {
+		g.duties.Leave()
+		g.mesh.syncLast(until(syncAfterFraction))
+	}
 	for _, s := range servers {
 		_ = s.http.Close() // nothing depends on the other servers' responses any more
 	}
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -83,6 +83,7 @@
 	reach               *reach.Monitor
 	ready               func() bool
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
+	extension           extension        // nil if there is none
 	log                 logrus.FieldLogger
 	membersRead         chan struct{} // closed when the instances table has been read
 	membersReadOnce     sync.Once
@@ -169,7 +170,7 @@
 		return nil, fmt.Errorf("state of an instance names no instance")
 	}
 	m.receiveReport(r, 0)
-	return m.buildReport(r.Name), nil
+	return m.extendedReport(r.Name), nil
 }
 
 // Run registers this instance and exchanges reports until ctx ends.
@@ -305,7 +306,7 @@
 	defer cancel()
 	start := time.Now()
 	var received report
-	if err := m.caller.Call(ctx, address, methodSync, m.buildReport(name), &received); err != nil {
+	if err := m.caller.Call(ctx, address, methodSync, m.extendedReport(name), &received); err != nil {
 		m.log.WithError(err).WithField("instance", name).Debug("Failed to sync with an instance.")
 		m.recordUnreachable(name)
 		return
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -86,16 +86,21 @@
 // updateVerdict updates, with the result of an attempt, whether the request may
 // have run.
 func (x *exchange) updateVerdict(err error) {
-	var e *endpoint.Error
 	switch {
 	case err == nil:
 		x.verdict = verdict.Ran
-	case errors.As(err, &e) && e.Verdict == verdict.NotRun:
-	default:
+	case mayHaveRun(err):
 		x.verdict = x.verdict.Combine(verdict.MayHaveRun)
 	}
 }
 
+// mayHaveRun reports whether an attempt that ended with err has run its request, or
+// may have.
+func mayHaveRun(err error) bool {
+	var e *endpoint.Error
+	return !errors.As(err, &e) || e.Verdict != verdict.NotRun
+}
+
 // claimsNotRun reports whether a status claims that the request has not run.
 // Such a response is not passed on unless the endpoint has proved the claim.
 func claimsNotRun(status int) bool {
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
@@ -71,8 +72,8 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l, ended: make(chan struct{})}
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner) *sender {
+	return &sender{duties: d, client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l, ended: make(chan struct{})}
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
@@ -103,7 +104,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
@@ -116,6 +117,7 @@
 		reach:       reached,
 		relay:       relayed,
 		peers:       peers,
+		duties:      d,
 		metricsPage: t.Page,
 		metrics:     counts,
 		writer:      w,
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -48,6 +49,7 @@
 	relay      *requestRelay
 	metrics    *metrics
 	logLimiter *logLimiter
+	duties     *duties.Runner
 	// endBy is when requests have to end because this instance stops, nil while
 	// it runs. ended is closed then.
 	endBy atomic.Pointer[time.Time]
@@ -148,6 +150,9 @@
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
+	if mayHaveRun(err) {
+		s.duties.Count(start.Add(min(c.QueueWait, elapsed)), x.teamName())
+	}
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/settings"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
@@ -40,6 +41,9 @@
 	// RetrySlack is the number of such attempts that the fleet may make in
 	// addition. Required.
 	RetrySlack float64 `yaml:"retrySlack" validate:"gte=0"`
+	// Duties are calls to the platform that one instance at a time makes. Default:
+	// none.
+	Duties duties.Settings `yaml:"duties"`
 	// Log configures what is logged and how.
 	Log telemetry.LogSettings `yaml:"log"`
 }
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -108,6 +108,8 @@
 	// KnownMembers are the hashes of the member lists that it has, by failure
 	// domain. They are not sent to it again.
 	KnownMembers map[string]uint64 `json:"k,omitempty"`
+	// Extension is what front/duties tells the receiver.
+	Extension json.RawMessage `json:"ex,omitempty"`
 }
 
 // loadReport is the number of requests in flight at an endpoint.
@@ -242,6 +244,8 @@
 	if r.Name == m.self.Name {
 		return
 	}
+	extension := r.Extension
+	r.Extension = nil // not kept
 	m.mu.Lock()
 	other := m.members[r.Name]
 	if other == nil {
@@ -269,6 +273,7 @@
 	if reappeared {
 		m.log.WithFields(logrus.Fields{"instance": r.Name, "started": r.Started}).Info("Instance alive.")
 	}
+	m.receiveExtension(r.Name, extension, now)
 	m.receiveLeaving(now, r.LeavingEndpoints)
 	m.receiveRateLimits(r.Name, r.RateLimits, now)
 	m.crashes.detector.Receive(now, r.Crashes)
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -27,6 +27,7 @@
 		newRollouts,
 		newStoreView,
 		newMesh,
+		newDuties,
 		newPeerServer,
 		newRelayedStore,
 		newRetryBudgets,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -41,10 +41,14 @@
 	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter)
+	runner, err := newDuties(s, adapters, gatewayMesh, t, logger)
+	if err != nil {
+		return nil, err
+	}
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, t, gatewayMetrics, boundedWriter, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
