--- a/front/gateway/builds_test.go
+++ b/front/gateway/builds_test.go
@@ -48,6 +48,10 @@
 // fillValue sets each field of a value.
 func fillValue(v reflect.Value, next *int64) {
 	*next++
+	if v.Type() == reflect.TypeFor[json.RawMessage]() {
+		v.SetBytes([]byte(`{"a":1}`)) // arbitrary bytes are no JSON
+		return
+	}
 	switch v.Kind() {
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -99,8 +99,9 @@
 	return newDomainNetwork(t, perRegion, 1, quotas)
 }
 
-// newDomainNetwork is newNetwork with several failure domains in each region.
-func newDomainNetwork(t *testing.T, perRegion, domains int, quotas map[string]quota.Quota) (*network, []*mesh) {
+// newDomainNetwork is newNetwork with several failure domains in each region. prepare
+// is called for each instance before it runs.
+func newDomainNetwork(t *testing.T, perRegion, domains int, quotas map[string]quota.Quota, prepare ...func(*network, *mesh)) (*network, []*mesh) {
 	n := &network{instances: map[string]*mesh{}, tables: map[string]*relayedStore{}, watchers: map[string]*registry.Watcher{}, down: map[string]bool{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -131,6 +132,9 @@
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
 			n.instances[name] = m
+			for _, f := range prepare {
+				f(n, m)
+			}
 			all = append(all, m)
 			value, err := json.Marshal(Instance{Peers: name, Region: region, FailureDomain: domain})
 			if err != nil {
