--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -82,7 +82,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r, err := New(Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, RequireFence: true, Usage: UsageSettings{Window: 5}}, Instance{
+	r, err := New(Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, FencesChecked: true, Usage: UsageSettings{Window: 5}}, Instance{
 		Name: name, Started: started, FailureDomain: "d", Store: w, Platform: w, Rank: func() int { return 0 },
 		Meter: noop.NewMeterProvider().Meter(""), Log: log,
 	})
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -87,7 +87,7 @@
 
 func newPerformer(d Duty, s Settings, i Instance, limit *callLimit, m *metrics, log logrus.FieldLogger) *performer {
 	m.start(d.Kind())
-	settings := duty.Settings{Holder: i.Name, Started: i.Started, RequireFence: s.RequireFence, Lease: s.lease(), Interval: d.Interval()}
+	settings := duty.Settings{Holder: i.Name, Started: i.Started, RequireFence: s.FencesChecked, Lease: s.lease(), Interval: d.Interval()}
 	return &performer{
 		duty: d, settings: settings, address: s.Address, store: i.Store, rank: i.Rank, limit: limit, metrics: m, log: log,
 		state: duty.New(duty.Now(time.Now()), settings),
--- a/front/duties/settings.go
+++ b/front/duties/settings.go
@@ -11,9 +11,9 @@
 	// CallsPerSecond is how many calls a second the platform accepts from all
 	// instances together. Default: 1.
 	CallsPerSecond float64 `yaml:"callsPerSecond" validate:"gte=0"`
-	// RequireFence is whether the platform refuses lower fencing tokens. Default:
+	// FencesChecked is whether the platform refuses lower fencing tokens. Default:
 	// false.
-	RequireFence bool `yaml:"requireFence"`
+	FencesChecked bool `yaml:"fencesChecked"`
 	// Lease is the time, in seconds, within which holders must not alternate.
 	// Default: 3.
 	Lease float64 `yaml:"lease" validate:"gte=0"`
--- a/front/gateway/duties_test.go
+++ b/front/gateway/duties_test.go
@@ -105,7 +105,7 @@
 	_, all := newDomainNetwork(t, 12, 2, nil, func(n *network, m *mesh) {
 		w.network = n
 		place := dutyPlace{w, m.self.Name}
-		r, err := duties.New(duties.Settings{Names: []string{"usage"}, RequireFence: true, Usage: duties.UsageSettings{Window: dutyWindow.Seconds()}}, duties.Instance{
+		r, err := duties.New(duties.Settings{Names: []string{"usage"}, FencesChecked: true, Usage: duties.UsageSettings{Window: dutyWindow.Seconds()}}, duties.Instance{
 			Name: m.self.Name, Started: m.self.Started, FailureDomain: m.self.FailureDomain,
 			Store: place, Platform: place, Rank: m.dutyRank, Meter: noop.NewMeterProvider().Meter(""), Log: log,
 		})
