Duties: a call ends with the process

A call that hung would have held the process up to 2 s past its grace time. It is canceled now, and the successor makes it again. Ages of rows that are not known are 0 in the log, and nothing is computed for attempts where there are no duties. go test -race ./front/duties: passed. go test ./front/gateway: passed (55 s).

--- a/front/duties/performer.go
+++ b/front/duties/performer.go
@@ -202,7 +202,7 @@
 	}
 	lost := p.token
 	p.held, p.token = held, row.Token
-	fields := logrus.Fields{"holder": row.Holder, "token": row.Token, "row_age_ms": p.state.RowAge(now).Milliseconds()}
+	fields := logrus.Fields{"holder": row.Holder, "token": row.Token, "row_age_ms": p.rowAge(now).Milliseconds()}
 	if held {
 		p.log.WithFields(fields).Info("Duty claimed.")
 		return
@@ -211,6 +211,15 @@
 	p.log.WithFields(fields).Warn("Duty lost.")
 }
 
+// rowAge returns how long ago the latest version of the row became known, 0 if none is.
+// The caller holds mu.
+func (p *performer) rowAge(now duty.Clock) time.Duration {
+	if _, known := p.state.Notice(); !known {
+		return 0
+	}
+	return p.state.RowAge(now)
+}
+
 // nextCall returns the call to the platform to make now, and when it must have ended.
 func (p *performer) nextCall(now time.Time) (call Call, f Fence, until time.Time, ok bool) {
 	p.mu.Lock()
@@ -245,16 +254,14 @@
 
 // send makes a call to the platform and applies its result.
 func (p *performer) send(ctx context.Context, call Call, f Fence, until time.Time) {
-	// A call that was sent is not given up when the process stops: its answer may
-	// tell the last report.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	err := call.Send(ctx, f)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.sending = false
-	log := p.log.WithFields(logrus.Fields{"call": call.ID, "holder": f.Holder, "token": f.Token, "row_age_ms": p.state.RowAge(duty.Now(now)).Milliseconds()})
+	log := p.log.WithFields(logrus.Fields{"call": call.ID, "holder": f.Holder, "token": f.Token, "row_age_ms": p.rowAge(duty.Now(now)).Milliseconds()})
 	if !p.state.Holding() || p.token != f.Token {
 		log.WithError(err).Warn("Result of a call arrived after the duty was lost.")
 	}
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -150,7 +150,7 @@
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
-	if mayHaveRun(err) {
+	if s.duties != nil && mayHaveRun(err) {
 		s.duties.Count(start.Add(min(c.QueueWait, elapsed)), x.teamName())
 	}
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
