--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/settings"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
@@ -43,6 +44,9 @@
 	// Pipelining configures callers that send requests ahead. Default: their requests
 	// are served one after the other.
 	Pipelining PipeliningSettings `yaml:"pipelining"`
+	// Duties are calls to the platform that one instance at a time makes. Default:
+	// none.
+	Duties duties.Settings `yaml:"duties"`
 	// Log configures what is logged and how.
 	Log telemetry.LogSettings `yaml:"log"`
 }
