What reports of work times explain is not learned as mean work; tests in the model

Cause: the mean work of a route contained the slow moments, and the figure of a slow moment multiplied it, so they counted twice.

Change: an observed time is divided by the work time that the reports explain before it enters the mean, unless the endpoint says that it is faster than usual.

--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -152,10 +152,13 @@
 	if workTime < 0 {
 		return
 	}
-	e.workTime, e.workTimeAt = min(max(workTime, minWorkTime), maxSlowdown), now
+	e.workTime, e.workTimeAt = clampWorkTime(workTime), now
 	e.meanWorkTime += workTimeWeight * (e.workTime - e.meanWorkTime)
 }
 
+// clampWorkTime returns what a reported work time counts as.
+func clampWorkTime(workTime float64) float64 { return min(max(workTime, minWorkTime), maxSlowdown) }
+
 // reportsWorkTime reports whether the endpoint has reported how long work takes.
 func (e *endpoint) reportsWorkTime() bool { return !e.workTimeAt.IsZero() }
 
--- a/steer/placing/load_report_test.go
+++ b/steer/placing/load_report_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -106,3 +107,173 @@
 		}
 	}
 }
+
+// Guards against a half-life beyond the age at which a figure errs as much as the mean,
+// and against one so short that figures are hardly used.
+func TestHalfLifeFitsSlowMoments(t *testing.T) {
+	halfLife := DefaultRules().WorkTimeHalfLife
+	for _, c := range []struct {
+		age   time.Duration
+		serve bool // figures of that age serve better than the mean
+	}{{halfLife, true}, {2 * halfLife, false}} {
+		l := withSlowMoments(kano(0.001))
+		l.until = 10 * time.Minute
+		m := newModel(l, 1)
+		var pairs [][2]float64
+		m.after(0, func() { m.sample(c.age, &pairs) })
+		m.run(newPlaced(m))
+		mean, ofFigure, ofMean := 0.0, 0.0, 0.0
+		for _, p := range pairs {
+			mean += p[1] / float64(len(pairs))
+		}
+		for _, p := range pairs {
+			ofFigure += (p[1] - p[0]) * (p[1] - p[0]) / float64(len(pairs))
+			ofMean += (p[1] - mean) * (p[1] - mean) / float64(len(pairs))
+		}
+		t.Logf("age %v: mean square error of the figure %.3f, of the mean %.3f", c.age, ofFigure, ofMean)
+		if (ofFigure < ofMean) != c.serve {
+			t.Errorf("figures of age %v serve better than the mean: %t, want %t", c.age, !c.serve, c.serve)
+		}
+	}
+}
+
+// sample notes the work times of all endpoints once a second, each with the one after
+// a time.
+func (m *model) sample(age time.Duration, pairs *[][2]float64) {
+	for _, e := range m.endpoints {
+		before := m.workTime(e)
+		m.after(age, func() { *pairs = append(*pairs, [2]float64{before, m.workTime(e)}) })
+	}
+	if m.now < m.until {
+		m.after(time.Second, func() { m.sample(age, pairs) })
+	}
+}
+
+// Guards against the reports being left out: callers get fewer answers in time beside
+// endpoints with slow moments, without the fourth figure and without any.
+func TestCallersBesideSlowMoments(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		load       load
+		seeds      uint64
+		gain       float64 // answers in the goal, of 100, that the fourth figure brings at least
+		gainOfRead float64 // and all four
+	}{
+		{"ganguly, 10 instances", withSlowMoments(ganguly(320)), 4, 4, 8},
+		{"donor, 139 instances", donor(1140), 1, -3, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			inGoal := make(map[int]float64)
+			for _, read := range []int{0, 3, 4} {
+				var all figures
+				for seed := range c.seeds {
+					m := newModel(c.load, seed)
+					f := m.run(newPlacedWith(m, read, DefaultRules()))
+					all.requests, all.inGoal, all.late, all.refused = all.requests+f.requests, all.inGoal+f.inGoal, all.late+f.late, all.refused+f.refused
+				}
+				of := func(n int) float64 { return 100 * float64(n) / float64(all.requests) }
+				inGoal[read] = of(all.inGoal)
+				t.Logf("%d figures read: of 100 %.1f in the goal, %.1f late, %.1f refused", read, of(all.inGoal), of(all.late), of(all.refused))
+			}
+			if gain := inGoal[4] - inGoal[3]; gain < c.gain {
+				t.Errorf("the fourth figure brings %.1f of 100 into the goal, want %.1f", gain, c.gain)
+			}
+			if gain := inGoal[4] - inGoal[0]; gain < c.gainOfRead {
+				t.Errorf("the reports bring %.1f of 100 into the goal, want %.1f", gain, c.gainOfRead)
+			}
+		})
+	}
+}
+
+// Guards against a slowdown that counts twice, as a report and as an observation, and
+// against one that no report explains being lost.
+func TestSlowdownsAreLearnedBeyondReports(t *testing.T) {
+	for _, c := range []struct {
+		atChoice, withAnswer, ratio float64 // ratio of observed to expected work
+		want                        float64
+	}{
+		{1, 1, 1, 1},
+		{1, 2.5, 2.5, 1},      // became slow
+		{1, 2.5, 1.5, 1},      // became slow while the request ran
+		{2.5, 1, 0.4, 1},      // is no longer slow
+		{2.5, 2.5, 1, 1},      // is slow as expected
+		{1, 2.5, 5, 2},        // is slower than it says
+		{2.5, 1, 0.2, 0.5},    // is faster than it said
+		{0.25, 0, 4, 4},       // says that it is fast
+		{1, 1e4, 3, 1},        // says that it is very slow
+		{30, 1e4, 0.01, 0.01}, // is not
+	} {
+		choice := Choice{workTime: c.atChoice}
+		if got := c.ratio / choice.explained(c.ratio, c.withAnswer); got < 0.99*c.want || got > 1.01*c.want {
+			t.Errorf("%+v: unexplained ratio %.2f", c, got)
+		}
+	}
+}
+
+// Guards against an endpoint that draws requests by reporting that it is fast.
+func TestEndpointThatReportsTooLittleGetsFewRequests(t *testing.T) {
+	now, sent := time.Unix(1000, 0), make(map[string]int)
+	p := testPlacer(now, testEntries(2))
+	const requests = 60
+	for i := range 2 * requests { // the first half for learning the usual work
+		q := restrictionQuery
+		if i < requests {
+			q.Tried = []catalog.Incarnation{{ID: fmt.Sprint("e", i%2), StartMS: 1}}
+		}
+		c, err := p.Choose(now, q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		took, report := 300*time.Millisecond, Report{Requests: 1, WorkTime: 1}
+		if i >= requests {
+			sent[c.Endpoint.ID]++
+			if c.Endpoint.ID == "e0" {
+				took, report.WorkTime = 900*time.Millisecond, 0
+			}
+		}
+		now = now.Add(took)
+		p.DoneWith(now, c, OutcomeAnswered, took, report)
+	}
+	t.Log(sent)
+	if sent["e0"] > requests/3 {
+		t.Errorf("the slower endpoint gets %d of %d requests", sent["e0"], requests)
+	}
+}
+
+// Guards against an extreme report stopping or drawing all requests, against reports
+// that do not age, and against allocations for each endpoint.
+func TestReportsAreBoundedAndAge(t *testing.T) {
+	now, halfLife := time.Unix(1000, 0), DefaultRules().WorkTimeHalfLife
+	for reported, want := range map[float64]float64{0: 0.25, 0.1: 0.25, 0.5: 0.5, 2.5: 2.5, 30: 30, 1e4: 30} {
+		e := &endpoint{meanWorkTime: 1}
+		e.setWorkTime(now, reported)
+		if got := e.workTimeOf(now, halfLife); got != want {
+			t.Errorf("a report of %v counts as %v, want %v", reported, got, want)
+		}
+		half := e.meanWorkTime + (want-e.meanWorkTime)/2
+		if got := e.workTimeOf(now.Add(halfLife), halfLife); math.Abs(got-half) > 1e-9 {
+			t.Errorf("a report of %v counts as %v after the half-life, want %v", reported, got, half)
+		}
+		if got := e.workTimeOf(now.Add(time.Minute), halfLife); got != e.meanWorkTime {
+			t.Errorf("a report of %v counts as %v after a minute, want the mean %v", reported, got, e.meanWorkTime)
+		}
+	}
+	allocations := func(workTime float64) float64 {
+		p := New(DefaultRules(), Locality{Self: "i", Random: rand.NewPCG(1, 1)})
+		p.SetEndpoints(now, testEntries(150))
+		for _, e := range p.group("s").ordered {
+			e.setWorkTime(now, workTime)
+		}
+		return testing.AllocsPerRun(100, func() {
+			c, err := p.Choose(now, restrictionQuery)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Done(now, c, OutcomeUnknown, 0, -1)
+		})
+	}
+	if with, without := allocations(1), allocations(-1); with > without {
+		t.Errorf("%v allocations with reports, %v without", with, without)
+	}
+}
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -114,35 +114,38 @@
 }
 
 // learn updates the work times from an answered attempt. reported is the work time
-// that the endpoint reported with its answer, negative if none.
+// that the endpoint reported with its answer, negative if none. What the reports
+// explain is part of neither the slowdown nor the mean work, because the next report
+// multiplies both.
 func (c *Choice) learn(elapsed time.Duration, reported float64) {
 	w := c.group.work[c.route]
 	workTime := max(0, elapsed.Seconds()-c.roundTrip)
 	expected := max(c.Expected.Seconds()-c.roundTrip, 1e-3)
 	ratio := workTime / expected
-	if ratio >= minWorkRatio {
-		if c.state.reportsWorkTime() {
-			ratio = min(c.unexplained(ratio, reported), observationCap)
-		}
+	usual := workTime
+	if reported >= 0 {
+		explained := c.explained(ratio, reported)
+		ratio = min(ratio/explained, observationCap)
+		// An endpoint that says that it is fast, and is not, must not raise the
+		// mean above what was observed.
+		usual /= max(1, explained*c.workTime)
+	}
+	if workTime/expected >= minWorkRatio {
 		c.state.slowdown += slowdownWeight * (ratio*c.state.slowdown - c.state.slowdown)
 		c.state.slowdown = min(max(c.state.slowdown, 0.5), maxSlowdown)
 	}
 	if c.unloaded && c.state.slowdown < 2 {
-		w.learn(c.warmth, workTime)
+		w.learn(c.warmth, usual)
 	}
 	c.group.meanWork += learnWeight * (w.mean[c.warmth] - c.group.meanWork)
 }
 
-// unexplained returns the part of a ratio of observed to expected work that the
-// endpoint's reports do not explain. They explain any work time between the one that
-// was expected and the one that was reported with the answer, since it changes while
-// a request runs.
-func (c *Choice) unexplained(ratio, reported float64) float64 {
-	if reported < 0 {
-		return ratio
-	}
-	change := min(max(reported, minWorkTime), maxSlowdown) / c.workTime
-	return ratio / min(max(ratio, min(1, change)), max(1, change))
+// explained returns the part of a ratio of observed to expected work that the
+// endpoint's reports explain: any work time between the one that was expected and
+// the one that was reported with the answer, since it changes while a request runs.
+func (c *Choice) explained(ratio, reported float64) float64 {
+	change := clampWorkTime(reported) / c.workTime
+	return min(max(ratio, min(1, change)), max(1, change))
 }
 
 // Load is the number of this instance's requests at an endpoint.
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -75,7 +75,7 @@
 		QueueFactor:      3,
 		MaxLoadAge:       300 * time.Millisecond,
 		WorkTimeHalfLife: 150 * time.Millisecond,
-		TieMargin:        0.1,
+		TieMargin:        0.05,
 		BusyFrom:         0.5,
 		BusyTo:           0.9,
 		MaxSlotPrice:     3,
