--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -153,7 +153,7 @@
 		return
 	}
 	e.workTime, e.workTimeAt = clampWorkTime(workTime), now
-	e.meanWorkTime += workTimeWeight * (e.workTime - e.meanWorkTime)
+	e.meanWorkTime += workTimeWeight * (min(e.workTime, observationCap*e.meanWorkTime) - e.meanWorkTime)
 }
 
 // clampWorkTime returns what a reported work time counts as.
--- a/steer/placing/load_report_test.go
+++ b/steer/placing/load_report_test.go
@@ -277,3 +277,18 @@
 		t.Errorf("%v allocations with reports, %v without", with, without)
 	}
 }
+
+// Guards against one extreme report keeping requests away for seconds.
+func TestOneExtremeReportIsForgotten(t *testing.T) {
+	now, rules := time.Unix(1000, 0), DefaultRules()
+	e := &endpoint{slowdown: 1, meanWorkTime: 1, decayedAt: now}
+	e.setWorkTime(now, 1e4)
+	if got := e.workTimeOf(now, rules.WorkTimeHalfLife); got != maxSlowdown {
+		t.Errorf("the report counts as %v at once, want %v", got, maxSlowdown)
+	}
+	now = now.Add(2 * time.Second)
+	e.decay(now, rules.OutcomeHalfLife)
+	if got := e.workTimeOf(now, rules.WorkTimeHalfLife); got > 1.5 {
+		t.Errorf("the report counts as %v after 2 s, want at most 1.5", got)
+	}
+}
