Limits by rank at endpoints, and a queue by rank and latest start

Cause: up to three times as many requests as an endpoint has slots wait inside it, first come, first served, whatever their rank. Change: steer/priority decides the limit of a rank and orders waiting requests; steer/placing keeps the limits at services whose ranks differ. No caller sets ranks yet.

--- a/steer/placing/capacity.go
+++ b/steer/placing/capacity.go
@@ -70,6 +70,9 @@
 // slot usage of its demand.
 func (p *Placer) recordRequest(g *group, d *demand, q Query, now time.Time) {
 	for _, other := range g.demands {
+		if q.Waiting {
+			break // counted at its arrival
+		}
 		if other == d {
 			other.share += p.rules.ShareWeight
 		}
@@ -137,7 +140,8 @@
 	if now.Before(e.backoffUntil) || e.probing && len(e.starts) > 0 || e.restriction.forbids(now) {
 		return false
 	}
-	if float64(e.running(now, p.rules)) >= float64(e.Slots)*p.rules.QueueFactor {
+	running := e.running(now, p.rules)
+	if float64(running) >= float64(e.Slots)*p.rules.QueueFactor || !q.admits(now, running, e.Slots) {
 		return false
 	}
 	if !p.limitAllows(e, now) {
--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -57,6 +57,8 @@
 	defer g.mu.Unlock()
 	d := g.demand(q, p.locality.Region)
 	p.recordRequest(g, d, q, now)
+	g.updateRanks(p.ranks[q.Service])
+	q = g.observeRank(d, q, now)
 	object := uint64(0)
 	if q.Object != "" {
 		object = xxhash.Sum64String(q.Object)
@@ -67,7 +69,9 @@
 	}
 	best, count, atCapacity := s.best()
 	if best.e == nil {
-		d.updateRefusedShare(atCapacity, p.rules)
+		if !atCapacity || q.countsAsRefused() {
+			d.updateRefusedShare(atCapacity, p.rules)
+		}
 		return nil, s.refusal(atCapacity)
 	}
 	lateBy := best.lateBy(q, d.scarcity(p.rules))
@@ -78,6 +82,7 @@
 			QueueWait: seconds(best.queueWait), Warmth: best.warmth.String(), Candidates: count, Utilization: d.utilization, Limited: s.limited,
 		}
 	}
+	q.recordServed()
 	return s.reserve(best, count), nil
 }
 
@@ -115,6 +120,7 @@
 	if atCapacity {
 		r.Reason = ReasonAtCapacity
 		r.RetryAfter = seconds(s.work.mean[warmthWarm])
+		r.MayWait, r.Work = s.query.ranks != nil && s.busy, seconds(s.work.shortest())
 		if !s.busy && s.reopensAt.After(s.now) {
 			r.RetryAfter = s.reopensAt.Sub(s.now)
 		}
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/priority"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 	"github.com/cardamomfront/cardamomfront/steer/split"
 )
@@ -43,6 +44,7 @@
 	mu             sync.RWMutex
 	groups         map[string]*group
 	services       map[string]catalog.Service
+	ranks          map[string][]int         // of the services whose ranks differ
 	roundTrips     map[string]time.Duration // by region
 	drainedDomains map[string]bool          // failure domains to drain
 	fleet          []Member
@@ -68,11 +70,12 @@
 	mu         sync.Mutex
 	endpoints  map[catalog.Incarnation]*endpoint
 	ordered    []*endpoint
-	regions    map[string]bool    // in which the service has endpoints
-	work       map[string]*work   // by route
-	meanWork   float64            // mean work time over all routes, in seconds
-	recentWarm []sentObject       // objects recently sent to endpoints, to report to peers
-	demands    map[string]*demand // by the regions that may serve the requests
+	regions    map[string]bool      // in which the service has endpoints
+	work       map[string]*work     // by route
+	meanWork   float64              // mean work time over all routes, in seconds
+	recentWarm []sentObject         // objects recently sent to endpoints, to report to peers
+	demands    map[string]*demand   // by the regions that may serve the requests
+	ranks      *priority.Controller // nil if the service's requests do not differ in rank
 }
 
 // New returns a placer without endpoints.
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/priority"
 )
 
 // Query describes one attempt of a request that needs an endpoint.
@@ -27,6 +28,16 @@
 	GoalLeft time.Duration
 	// DeadlineLeft is the time left until the request's deadline.
 	DeadlineLeft time.Duration
+	// Rank is the request's rank, 0 the highest. It counts at services whose ranks
+	// differ, see SetRanks.
+	Rank int
+	// Team names the request's team, "" for none.
+	Team string
+	// Waiting is set if the request was refused with MayWait before and has waited.
+	Waiting bool
+
+	ranks      *priority.Controller // nil if ranks do not count
+	admittedAs int                  // the rank by which it is admitted
 }
 
 // Choice is an endpoint with the right to send one request to it. Done must be
@@ -80,6 +91,11 @@
 	Expected time.Duration
 	// RetryAfter is the time after which there may be capacity.
 	RetryAfter time.Duration
+	// MayWait is set if the request may wait for room: its service ranks requests,
+	// and endpoints that may serve it are at capacity.
+	MayWait bool
+	// Work is the shortest work that is expected of the request if MayWait is set.
+	Work time.Duration
 	// BestEndpoint names the endpoint with the earliest expected response, "" if
 	// none could take the request.
 	BestEndpoint string
--- /dev/null
+++ b/steer/priority/controller.go
@@ -0,0 +1,180 @@
+package priority
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Rules are the limits of a controller.
+type Rules struct {
+	// BusyFrom is the utilization of the slots from which they are scarce.
+	BusyFrom float64
+	// QueueShare is the longest queue inside an endpoint, as a fraction of its
+	// slots, for the highest rank that arrives.
+	QueueShare float64
+	// MinNeed is the fraction of the slots in use from which the demand of a rank
+	// counts. A few stray requests reserve no slot at each endpoint.
+	MinNeed float64
+	// DemandWindow is the time constant of the observed demand. An instance sees a
+	// few requests of each rank per second.
+	DemandWindow time.Duration
+	// Floor is the fraction of the mean served share that each rank and team gets.
+	Floor float64
+	// ServedWeight is the weight of one request in the mean served share.
+	ServedWeight float64
+}
+
+// DefaultRules returns the rules used when none are set.
+func DefaultRules() Rules {
+	return Rules{
+		BusyFrom:     0.5,
+		QueueShare:   0.5,
+		MinNeed:      0.01,
+		DemandWindow: 4 * time.Second,
+		Floor:        0.35, // the requirement is 0.25; admitted requests may still fail
+		ServedWeight: 0.02,
+	}
+}
+
+const (
+	// minCredit bounds how far a rank or team that was served well is in debt, so
+	// that its floor takes effect after a few requests.
+	minCredit = -1
+	// maxCredit bounds the requests that a starved rank or team gets at once.
+	maxCredit = 3
+	// maxTeams bounds the accounts of teams. It exceeds the number of teams of all
+	// known deployments; beyond it, further teams have no floor.
+	maxTeams = 1024
+)
+
+// Controller decides how many requests may be at an endpoint for a request of a
+// rank to be sent there. There is one for each service whose ranks differ.
+type Controller struct {
+	rules       Rules
+	ranks       []int     // ascending, so the highest comes first
+	work        []float64 // decayed slot seconds demanded, by rank
+	credit      []float64 // of each rank
+	teams       map[string]float64
+	served      float64 // mean share of the requests that are served
+	utilization float64
+	decayedAt   time.Time
+
+	above []float64 // slots that higher ranks need, as a fraction of all, by rank
+}
+
+// NewController returns a controller for the ranks of a service.
+func NewController(r Rules, ranks []int) *Controller {
+	ranks = slices.Compact(slices.Sorted(slices.Values(ranks)))
+	return &Controller{
+		rules: r, ranks: ranks, work: make([]float64, len(ranks)), credit: make([]float64, len(ranks)),
+		above: make([]float64, len(ranks)), teams: make(map[string]float64), served: 1,
+	}
+}
+
+// Ranks returns the ranks in ascending order. The result must not be changed.
+func (c *Controller) Ranks() []int { return c.ranks }
+
+// index returns the position of a rank. An unknown one counts as the next lower
+// one that is known, or as the lowest.
+func (c *Controller) index(rank int) int {
+	for i, known := range c.ranks {
+		if rank <= known {
+			return i
+		}
+	}
+	return len(c.ranks) - 1
+}
+
+// SetUtilization sets the fraction of the slots in use; it exceeds 1 if requests
+// are queued.
+func (c *Controller) SetUtilization(now time.Time, utilization float64) {
+	c.utilization = utilization
+	c.decay(now)
+	c.update()
+}
+
+// Observe records the arrival of a request and its expected work.
+func (c *Controller) Observe(now time.Time, rank int, work time.Duration) {
+	c.decay(now)
+	c.work[c.index(rank)] += max(0, work.Seconds())
+	c.update()
+}
+
+// decay reduces the observed demand by the time since the last call.
+func (c *Controller) decay(now time.Time) {
+	elapsed := now.Sub(c.decayedAt)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-elapsed.Seconds() / c.rules.DemandWindow.Seconds())
+	for i := range c.work {
+		c.work[i] *= factor
+	}
+	c.decayedAt = now
+}
+
+// update computes the need of the higher ranks.
+func (c *Controller) update() {
+	total := 0.0
+	for _, w := range c.work {
+		total += w
+	}
+	higher := 0.0
+	for i, w := range c.work {
+		c.above[i] = 0
+		if total > 0 {
+			c.above[i] = higher / total * min(1, c.utilization)
+		}
+		higher += w
+	}
+}
+
+// Limit returns the number of requests at an endpoint with some slots up to which
+// a request of a rank may be sent there.
+func (c *Controller) Limit(now time.Time, rank, slots int) int {
+	if now.After(c.decayedAt) {
+		c.decay(now)
+		c.update()
+	}
+	above := c.above[c.index(rank)]
+	switch {
+	case above < c.rules.MinNeed:
+		return slots + int(math.Ceil(float64(slots)*c.rules.QueueShare))
+	case c.utilization < c.rules.BusyFrom:
+		return slots
+	}
+	headroom := max(1, int(math.Round(above*float64(slots))))
+	return max(1, slots-headroom)
+}
+
+// Admit records an arriving request of a rank and a team in the accounts of the
+// floor.
+func (c *Controller) Admit(rank int, team string) {
+	c.served *= 1 - c.rules.ServedWeight
+	add := c.rules.Floor * c.served
+	i := c.index(rank)
+	c.credit[i] = min(maxCredit, c.credit[i]+add)
+	if _, ok := c.teams[team]; team != "" && (ok || len(c.teams) < maxTeams) {
+		c.teams[team] = min(maxCredit, c.teams[team]+add)
+	}
+}
+
+// Served records that a request is sent to an endpoint.
+func (c *Controller) Served(rank int, team string) {
+	c.served += c.rules.ServedWeight
+	i := c.index(rank)
+	c.credit[i] = max(minCredit, c.credit[i]-1)
+	if credit, ok := c.teams[team]; ok {
+		c.teams[team] = max(minCredit, credit-1)
+	}
+}
+
+// Effective returns the rank by which a request is admitted: the highest one while
+// its rank or its team is below its floor, or else its own.
+func (c *Controller) Effective(rank int, team string) int {
+	if c.credit[c.index(rank)] >= 1 || c.teams[team] >= 1 {
+		return c.ranks[0]
+	}
+	return rank
+}
