Requests wait in the instance for room for their rank

Cause: a request for whose rank no endpoint has room was refused at once. Change: front/waiting holds it, bounded in number and wait; it tries again when an attempt of this instance ends and at random intervals, and is refused as not run when its caller leaves or the instance stops. The catalog says which ranks count: those of teams only if the teams differ.

--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -114,7 +114,7 @@
 		r.startRelayAttempt(helper)
 		return nil
 	}
-	choice, err := r.sender.chooseEndpoint(r.exchange, r.tried)
+	choice, err := r.chooseOrWait()
 	if err != nil {
 		return err
 	}
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -265,6 +265,7 @@
 	g.handler.closeConnections.Store(true)
 	sleepUntil(until(refuseAfterFraction))
 	g.handler.refuseRequests.Store(true)
+	g.handler.sender.room.Close()
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), until(cutAfterFraction))
 	defer cancel()
 	var ending errgroup.Group
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -58,6 +58,7 @@
 	// maxEndpoints is then the number of endpoints that it may be sent to.
 	relayed      bool
 	maxEndpoints int
+	waiting      bool // for room, in this instance
 	logAll       bool // all log lines of this request are written
 	log          logrus.FieldLogger
 }
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
+	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/reach"
@@ -71,8 +72,12 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter) *sender {
-	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, logLimiter: l, ended: make(chan struct{})}
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, room *waiting.Room) *sender {
+	return &sender{client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, room: room, logLimiter: l, ended: make(chan struct{})}
+}
+
+func newRoom(t *telemetry.Metrics, log *logrus.Logger) (*waiting.Room, error) {
+	return waiting.New(t.Meter, log)
 }
 
 func newLogLimiter(log *logrus.Logger) *logLimiter {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
@@ -46,6 +47,7 @@
 	crashes    *crashWatch
 	reach      *reach.Monitor
 	relay      *requestRelay
+	room       *waiting.Room
 	metrics    *metrics
 	logLimiter *logLimiter
 	// endBy is when requests have to end because this instance stops, nil while
@@ -98,6 +100,9 @@
 		Goal:         x.route.Goal,
 		GoalLeft:     x.goalTime().Sub(now),
 		DeadlineLeft: x.deadline.Sub(now),
+		Rank:         x.catalog.RankOf(x.route, x.team),
+		Team:         x.teamName(),
+		Waiting:      x.waiting,
 	}
 	if x.route.Affinity {
 		q.Object = x.caller.Object
@@ -113,6 +118,7 @@
 		if choice, err = s.placer.Choose(now, q); err == nil {
 			return &placement{Choice: choice, reason: filter.reason}, nil
 		}
+		q.Repeated = true
 		if preferred.noFallback && hasNoHeadroom(err) {
 			break
 		}
@@ -148,6 +154,7 @@
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.Done(time.Now(), c.Choice, outcome, elapsed, reportedLoad(buffered, err))
+	s.room.Wake(x.service)
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -104,6 +104,7 @@
 	}
 	v.limiter.SetQuotas(now, quotas)
 	v.placer.SetServices(c.Services)
+	v.placer.SetRanks(c.Ranks())
 	v.catalog.Store(c)
 	v.log.WithFields(logrus.Fields{
 		"version": c.Version, "revision": c.Revision, "routes": len(c.Routes), "teams": len(c.Teams),
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -31,6 +31,7 @@
 		newRelayedStore,
 		newRetryBudgets,
 		newLogLimiter,
+		newRoom,
 		newCrashWatch,
 		newSender,
 		newHandler,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -41,7 +41,11 @@
 	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter)
+	room, err := newRoom(t, logger)
+	if err != nil {
+		return nil, err
+	}
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
--- a/steer/catalog/catalog.go
+++ b/steer/catalog/catalog.go
@@ -31,8 +31,9 @@
 	// limit.
 	MaxBody int64
 
-	byHost map[string][]*Route
-	keys   map[string]*Team
+	byHost    map[string][]*Route
+	keys      map[string]*Team
+	teamRanks bool // the teams differ in priority
 }
 
 // Route maps the requests of one host below a path prefix to services.
@@ -108,6 +109,7 @@
 
 // New returns a copy of c with its lookup tables.
 func New(c Catalog) *Catalog {
+	c.teamRanks = c.teamsDiffer()
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/steer/catalog/rank.go
+++ b/steer/catalog/rank.go
@@ -7,13 +7,14 @@
 // missing priority is 0, and would otherwise put the requests of all routes at the
 // same rank.
 func (c *Catalog) RankOf(r *Route, t *Team) int {
-	if t != nil && c.teamsDiffer() {
+	if t != nil && c.teamRanks {
 		return t.Priority
 	}
 	return r.Priority
 }
 
-// teamsDiffer reports whether the teams have different priorities.
+// teamsDiffer reports whether the teams have different priorities. New stores the
+// result, since it is needed for each request.
 func (c *Catalog) teamsDiffer() bool {
 	return slices.ContainsFunc(c.Teams, func(t Team) bool { return t.Priority != c.Teams[0].Priority })
 }
@@ -28,10 +29,9 @@
 			}
 		}
 	}
-	differ := c.teamsDiffer()
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if r.Open || !differ {
+		if r.Open || !c.teamRanks {
 			add(r, r.Priority)
 			continue
 		}
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -35,6 +35,8 @@
 	Team string
 	// Waiting is set if the request was refused with MayWait before and has waited.
 	Waiting bool
+	// Repeated is set if the same attempt was refused for other versions.
+	Repeated bool
 
 	ranks      *priority.Controller // nil if ranks do not count
 	admittedAs int                  // the rank by which it is admitted
--- a/steer/placing/rank.go
+++ b/steer/placing/rank.go
@@ -33,7 +33,7 @@
 	if g.ranks == nil {
 		return q
 	}
-	if len(q.Tried) == 0 && !q.Waiting {
+	if len(q.Tried) == 0 && !q.Waiting && !q.Repeated {
 		w := g.workFor(q)
 		work := w.all
 		if work == 0 {
