--- /dev/null
+++ b/front/gateway/waiting_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/cardamomfront/cardamomfront/front/waiting"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/verdict"
+)
+
+// Guards against a request of a lower rank that is sent into the queue of an
+// endpoint, refused although room comes, or refused other than as not run when the
+// instance stops.
+func TestLowerRankWaitsInTheInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFixture(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		room, err := waiting.New(noop.NewMeterProvider().Meter(""), log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.room, f.ended = room, make(chan struct{})
+		f.placer.SetRanks(map[string][]int{testService: {0, 2}})
+		setLoad := func(running int) {
+			f.placer.SetPeerLoads("peer", []placing.Load{
+				{Endpoint: catalog.Incarnation{ID: "v1"}, Running: running}, {Endpoint: catalog.Incarnation{ID: "v2"}, Running: running},
+			})
+		}
+		f.route.Goal = 4 * time.Second
+		run := func(rank int) error {
+			route := f.route
+			route.Priority = rank
+			x := &exchange{route: &route, service: testService, arrived: time.Now(), deadline: time.Now().Add(10 * time.Second), request: &http.Request{}, verdict: verdict.NotRun}
+			r := &attemptRun{exchange: x, sender: f.sender, ctx: t.Context()}
+			c, err := r.chooseOrWait()
+			if err == nil {
+				f.placer.Done(time.Now(), c.Choice, placing.OutcomeAnswered, 200*time.Millisecond, -1)
+			}
+			return err
+		}
+		ended := make(chan error, 1)
+		start := func() {
+			go func() { ended <- run(2) }()
+			synctest.Wait()
+			select {
+			case err := <-ended:
+				t.Fatalf("request of the lower rank did not wait: %v", err)
+			default:
+			}
+		}
+		for range 50 { // the work is learned
+			if err := run(0); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		setLoad(3)
+		if err := run(0); err != nil {
+			t.Errorf("request of the highest rank: %v", err)
+		}
+		start()
+		setLoad(0)
+		time.Sleep(400 * time.Millisecond)
+		if err := <-ended; err != nil {
+			t.Errorf("there is room, but %v", err)
+		}
+		setLoad(3)
+		start()
+		room.Close()
+		err = <-ended
+		x := &exchange{request: &http.Request{}, verdict: verdict.NotRun}
+		_, refused := f.giveUp(context.Background(), x, failure{}, err)
+		if refused == nil || refused.status != http.StatusServiceUnavailable || refused.reason != reasonStopping || refused.retryAfter <= 0 {
+			t.Errorf("stopped while it waits: %+v, %v", refused, err)
+		}
+		if !errors.As(err, new(*placing.Refusal)) {
+			t.Errorf("error %T", err)
+		}
+	})
+}
