--- a/front/waiting/room_test.go
+++ b/front/waiting/room_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 // fixture is a room whose requests start while there are slots.
 type fixture struct {
 	*Room
+	lock    sync.Mutex // guards the fields below
 	slots   int
 	started []string
 	errs    map[string]error
@@ -34,7 +36,9 @@
 // wait starts a request that waits, with a goroutine of its own.
 func (f *fixture) wait(ctx context.Context, name string, rank int, latest time.Duration) {
 	go func() {
-		f.errs[name] = f.Wait(ctx, Request{Service: "s", Rank: rank, LatestStart: time.Now().Add(latest), Start: func() error {
+		err := f.Wait(ctx, Request{Service: "s", Rank: rank, LatestStart: time.Now().Add(latest), Start: func() error {
+			f.lock.Lock()
+			defer f.lock.Unlock()
 			if f.slots == 0 {
 				return ErrNoRoom
 			}
@@ -42,10 +46,24 @@
 			f.started = append(f.started, name)
 			return nil
 		}})
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		f.errs[name] = err
 	}()
 	synctest.Wait()
 }
 
+// free makes room for one request, which a wake-up follows only if wake is set.
+func (f *fixture) free(wake bool) {
+	f.lock.Lock()
+	f.slots = 1
+	f.lock.Unlock()
+	if wake {
+		f.Wake("s")
+	}
+	synctest.Wait()
+}
+
 // Guards against a room that is not noticed, and against starts out of order.
 func TestRequestsStartByRank(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -53,15 +71,17 @@
 		f.wait(t.Context(), "low", 2, time.Second)
 		f.wait(t.Context(), "late", 0, 2*time.Second)
 		f.wait(t.Context(), "early", 0, time.Second)
-		f.slots = 1
-		f.Wake("s")
-		synctest.Wait()
-		f.slots = 1 // found by the timer
+		f.free(true)
+		f.free(false) // found by the timer
 		time.Sleep(400 * time.Millisecond)
+		f.lock.Lock()
 		if !slices.Equal(f.started, []string{"early", "late"}) {
 			t.Errorf("started: %v", f.started)
 		}
+		f.lock.Unlock()
 		time.Sleep(time.Second)
+		f.lock.Lock()
+		defer f.lock.Unlock()
 		var refused *RefusedError
 		if !errors.As(f.errs["low"], &refused) || refused.RetryAfter <= 0 {
 			t.Errorf("request that could not start in time: %v", f.errs["low"])
@@ -78,11 +98,11 @@
 		f.wait(ctx, "left", 0, 4*time.Second)
 		f.wait(t.Context(), "stopped", 1, 4*time.Second)
 		leave()
-		f.slots = 1
 		f.Close()
 		synctest.Wait()
-		f.Wake("s")
-		synctest.Wait()
+		f.free(true)
+		f.lock.Lock()
+		defer f.lock.Unlock()
 		if len(f.started) > 0 || !errors.Is(f.errs["left"], context.Canceled) || !errors.Is(f.errs["stopped"], ErrClosed) {
 			t.Errorf("started: %v; %v", f.started, f.errs)
 		}
