Ranks limit requests only where lower ones delay higher ones

Change: the headroom grows with the wait for a slot (mean work of the lower ranks divided by the slots) relative to the work of the higher ranks, from none at 0.35 to all at 0.75; below, the decision is that of before.

--- a/steer/placing/choose.go
+++ b/steer/placing/choose.go
@@ -72,13 +72,15 @@
 	best, count, atCapacity := s.best()
 	best = s.insteadOfBlocked(best)
 	if best.e == nil {
-		if !atCapacity || q.countsAsRefused() {
+		if !q.Waiting {
 			d.updateRefusedShare(atCapacity, p.rules)
 		}
 		return nil, s.refusal(atCapacity)
 	}
 	lateBy := best.lateBy(q, d.scarcity(p.rules))
-	d.updateRefusedShare(lateBy > 0, p.rules)
+	if !q.Waiting && !best.blocked {
+		d.updateRefusedShare(lateBy > 0, p.rules)
+	}
 	if lateBy > 0 {
 		return nil, &Refusal{
 			Reason: ReasonTooLate, Expected: seconds(best.expected), RetryAfter: seconds(lateBy), BestEndpoint: best.e.ID,
@@ -126,7 +128,6 @@
 	if atCapacity {
 		r.Reason = ReasonAtCapacity
 		r.RetryAfter = seconds(s.work.mean[warmthWarm])
-		r.MayWait, r.Work = s.query.ranks != nil && s.busy, seconds(s.work.shortest())
 		if !s.busy && s.reopensAt.After(s.now) {
 			r.RetryAfter = s.reopensAt.Sub(s.now)
 		}
--- a/steer/placing/query.go
+++ b/steer/placing/query.go
@@ -93,10 +93,11 @@
 	Expected time.Duration
 	// RetryAfter is the time after which there may be capacity.
 	RetryAfter time.Duration
-	// MayWait is set if the request may wait for room: its service ranks requests,
-	// and endpoints that may serve it are at capacity.
+	// MayWait is set if the request may wait: the endpoint that suits it best has no
+	// room for its rank.
 	MayWait bool
-	// Work is the shortest work that is expected of the request if MayWait is set.
+	// Work is the time from the start to the response that is expected of the request
+	// if MayWait is set.
 	Work time.Duration
 	// BestEndpoint names the endpoint with the earliest expected response, "" if
 	// none could take the request.
--- a/steer/placing/rank.go
+++ b/steer/placing/rank.go
@@ -89,9 +89,3 @@
 		q.ranks.Served(q.Rank, q.Team)
 	}
 }
-
-// countsAsRefused reports whether a refusal of the query for lack of room shows that
-// slots are oversubscribed. A request that leaves room for a higher rank does not.
-func (q *Query) countsAsRefused() bool {
-	return !q.Waiting && (q.ranks == nil || q.admittedAs == q.ranks.Ranks()[0])
-}
--- a/steer/priority/controller.go
+++ b/steer/priority/controller.go
@@ -46,6 +46,13 @@
 	// which the utilization exceeds BusyTo. In the model of steer/placing at 2.2
 	// times the usual load, 0.62 of rank 0 are in time with 3 and 0.52 with 0.
 	overload = 4
+	// contentionFrom and contentionTo are the waits for a slot, relative to the work of
+	// the request that waits, between which headroom begins and is complete. In the
+	// model of steer/placing, headroom for requests that wait 0.2 of their work costs
+	// the lower rank 0.14 of its answers in time and gains the higher rank nothing.
+	contentionFrom, contentionTo = 0.35, 0.75
+	// tiny is a decayed demand that counts as none.
+	tiny = 1e-6
 	// minCredit bounds how far a rank or team that was served well is in debt, so
 	// that its floor takes effect after a few requests.
 	minCredit = -1
@@ -62,21 +69,25 @@
 	rules       Rules
 	ranks       []int     // ascending, so the highest comes first
 	work        []float64 // decayed slot seconds demanded, by rank
+	count       []float64 // decayed number of requests, by rank
 	credit      []float64 // of each rank
 	teams       map[string]float64
 	served      float64 // mean share of the requests that are served
 	utilization float64
 	decayedAt   time.Time
 
-	above []float64 // slots that higher ranks need, as a fraction of all, by rank
+	// Of each rank: the slots that higher ranks need, as a fraction of all; the mean
+	// work of this and lower ranks relative to that of higher ones; and the mean work
+	// of lower ranks relative to that of this and higher ones.
+	above, delay, behind []float64
 }
 
 // NewController returns a controller for the ranks of a service.
 func NewController(r Rules, ranks []int) *Controller {
 	ranks = slices.Compact(slices.Sorted(slices.Values(ranks)))
 	return &Controller{
-		rules: r, ranks: ranks, work: make([]float64, len(ranks)), credit: make([]float64, len(ranks)),
-		above: make([]float64, len(ranks)), teams: make(map[string]float64), served: 1,
+		rules: r, ranks: ranks, work: make([]float64, len(ranks)), count: make([]float64, len(ranks)), credit: make([]float64, len(ranks)),
+		above: make([]float64, len(ranks)), delay: make([]float64, len(ranks)), behind: make([]float64, len(ranks)), teams: make(map[string]float64), served: 1,
 	}
 }
 
@@ -105,7 +116,9 @@
 // Observe records the arrival of a request and its expected work.
 func (c *Controller) Observe(now time.Time, rank int, work time.Duration) {
 	c.decay(now)
-	c.work[c.index(rank)] += max(0, work.Seconds())
+	i := c.index(rank)
+	c.work[i] += max(0, work.Seconds())
+	c.count[i]++
 	c.update()
 }
 
@@ -118,42 +131,73 @@
 	factor := math.Exp(-elapsed.Seconds() / c.rules.DemandWindow.Seconds())
 	for i := range c.work {
 		c.work[i] *= factor
+		c.count[i] *= factor
 	}
 	c.decayedAt = now
 }
 
-// update computes the need of the higher ranks.
+// update computes what Limit needs of the demand.
 func (c *Controller) update() {
-	total := 0.0
-	for _, w := range c.work {
-		total += w
+	total, n := 0.0, 0.0
+	for i := range c.work {
+		total += c.work[i]
+		n += c.count[i]
 	}
-	higher := 0.0
+	higher, ahead := 0.0, 0.0
 	for i, w := range c.work {
 		c.above[i] = 0
 		if total > 0 {
 			c.above[i] = higher / total * min(1, c.utilization)
 		}
+		c.delay[i] = relativeWork(total-higher, n-ahead, higher, ahead)
 		higher += w
+		ahead += c.count[i]
+		c.behind[i] = relativeWork(total-higher, n-ahead, higher, ahead)
+	}
+}
+
+// relativeWork returns the mean work of n requests relative to that of m others, 0
+// without either.
+func relativeWork(workN, n, workM, m float64) float64 {
+	if workN < tiny || n < tiny || workM < tiny || m < tiny {
+		return 0
 	}
+	return workN / n / (workM / m)
+}
+
+// contention returns how much an endpoint's requests delay more urgent ones, from 0 to
+// 1. With all slots in use, a slot becomes free after about the work of one request
+// divided by the slots. That matters if it is long relative to the work of the urgent
+// request: goals are about twice the work.
+func contention(relativeWork float64, slots int) float64 {
+	wait := relativeWork / float64(max(1, slots))
+	return min(1, max(0, (wait-contentionFrom)/(contentionTo-contentionFrom)))
 }
 
 // Limit returns the number of requests at an endpoint with some slots up to which
-// a request of a rank may be sent there.
+// a request of a rank may be sent there. It is unlimited where requests of lower ranks
+// are too short to delay those of higher ranks.
 func (c *Controller) Limit(now time.Time, rank, slots int) int {
 	if now.After(c.decayedAt) {
 		c.decay(now)
 		c.update()
 	}
-	above := c.above[c.index(rank)]
-	switch {
-	case above < c.rules.MinNeed:
+	i := c.index(rank)
+	if c.above[i] < c.rules.MinNeed {
+		if contention(c.behind[i], slots) == 0 {
+			return math.MaxInt
+		}
 		return slots + int(math.Ceil(float64(slots)*c.rules.QueueShare))
+	}
+	factor := contention(c.delay[i], slots)
+	switch {
+	case factor == 0:
+		return math.MaxInt
 	case c.utilization < c.rules.BusyFrom:
 		return slots
 	}
-	spare := 1 + overload*max(0, c.utilization-c.rules.BusyTo)
-	return max(1, slots-int(math.Round(above*float64(slots)+spare)))
+	spare := c.above[i]*float64(slots) + 1 + overload*max(0, c.utilization-c.rules.BusyTo)
+	return max(1, slots-max(1, int(math.Round(factor*spare))))
 }
 
 // Admit records an arriving request of a rank and a team in the accounts of the
