--- a/steer/priority/controller.go
+++ b/steer/priority/controller.go
@@ -44,7 +44,7 @@
 const (
 	// overload is how many further slots of an endpoint are spared for each 1 by
 	// which the utilization exceeds BusyTo. In the model of steer/placing at 2.2
-	// times the usual load, 0.62 of rank 0 are in time with 3 and 0.52 with 0.
+	// times the usual load, 0.60 of rank 0 are in time with 4 and 0.52 with 0.
 	overload = 4
 	// contentionFrom and contentionTo are the waits for a slot, relative to the work of
 	// the request that waits, between which headroom begins and is complete. In the
