--- a/front/gateway/waiting_test.go
+++ b/front/gateway/waiting_test.go
@@ -13,9 +13,11 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
+	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -90,3 +92,40 @@
 		}
 	})
 }
+
+// rankCodec returns a catalog with two ranks at one service.
+type rankCodec struct{ Codec }
+
+func (rankCodec) Catalog(map[string]registry.Row) (*catalog.Catalog, error) {
+	backends := []catalog.Backend{{Service: testService}}
+	return catalog.New(catalog.Catalog{Routes: []catalog.Route{
+		{Name: "lock", KnownKind: true, Backends: backends}, {Name: "schedule", KnownKind: true, Priority: 2, Backends: backends},
+	}}), nil
+}
+
+// Guards against a catalog whose ranks do not reach the placer.
+func TestRanksOfTheCatalogTakeEffect(t *testing.T) {
+	now := time.Unix(1000, 0)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := placing.New(placing.DefaultRules(), placing.Locality{Self: "i", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r"}})
+	p.SetEndpoints(now, []catalog.Endpoint{{ID: "e", Service: testService, FailureDomain: "d", Slots: 3}})
+	choose := func(route string, rank int) error {
+		c, err := p.Choose(now, placing.Query{Service: testService, Route: route, Rank: rank, Goal: 4 * time.Second, GoalLeft: 4 * time.Second, DeadlineLeft: time.Minute})
+		if err == nil {
+			p.Done(now, c, placing.OutcomeAnswered, 200*time.Millisecond, -1)
+		}
+		return err
+	}
+	newStoreView(Adapters{Codec: rankCodec{}}, p, quota.New(), nil, nil, log).applyCatalog(now, nil)
+	for range 50 {
+		if err := choose("lock", 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.SetPeerLoads("peer", []placing.Load{{Endpoint: catalog.Incarnation{ID: "e"}, Running: 2}})
+	var refusal *placing.Refusal
+	if err := choose("schedule", 2); !errors.As(err, &refusal) || !refusal.MayWait {
+		t.Errorf("request of the lower rank: %v", err)
+	}
+}
