--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
@@ -47,6 +48,7 @@
 	crashes    *crashWatch
 	reach      *reach.Monitor
 	relay      *requestRelay
+	room       *waiting.Room
 	metrics    *metrics
 	logLimiter *logLimiter
 	duties     *duties.Runner
@@ -100,6 +102,9 @@
 		Goal:         x.route.Goal,
 		GoalLeft:     x.goalTime().Sub(now),
 		DeadlineLeft: x.deadline.Sub(now),
+		Rank:         x.catalog.RankOf(x.route, x.team),
+		Team:         x.teamName(),
+		Waiting:      x.waiting,
 	}
 	if x.route.Affinity {
 		q.Object = x.caller.Object
@@ -115,6 +120,7 @@
 		if choice, err = s.placer.Choose(now, q); err == nil {
 			return &placement{Choice: choice, reason: filter.reason}, nil
 		}
+		q.Repeated = true
 		if preferred.noFallback && hasNoHeadroom(err) {
 			break
 		}
@@ -153,6 +159,7 @@
 	if s.duties != nil && mayHaveRun(err) {
 		s.duties.Count(start.Add(min(c.QueueWait, elapsed)), x.teamName())
 	}
+	s.room.Wake(x.service)
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -45,7 +45,11 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner)
+	room, err := newRoom(t, logger)
+	if err != nil {
+		return nil, err
+	}
+	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
--- a/steer/placing/capacity.go
+++ b/steer/placing/capacity.go
@@ -70,6 +70,9 @@
 // slot usage of its demand.
 func (p *Placer) recordRequest(g *group, d *demand, q Query, now time.Time) {
 	for _, other := range g.demands {
+		if q.Waiting {
+			break // counted at its arrival
+		}
 		if other == d {
 			other.share += p.rules.ShareWeight
 		}
