Metrics of the wait exist from the start

Cause: TestMetricsMatchDocumentation of platform failed: the documented series appeared only after the first wait. Change: counters of waits and of their time replace the histogram, and the series of rank 0 begin at 0. Result: the test passes; front/waiting passes with the race detector.

--- a/front/waiting/room.go
+++ b/front/waiting/room.go
@@ -57,8 +57,8 @@
 	total   int
 	summary summary
 
-	waits    metric.Float64Histogram
-	refusals metric.Int64Counter
+	ended   metric.Int64Counter
+	seconds metric.Float64Counter
 }
 
 // queue holds the requests that wait for one service.
@@ -78,15 +78,18 @@
 func New(meter metric.Meter, log logrus.FieldLogger) (*Room, error) {
 	r := &Room{log: log.WithField("prefix", "waiting"), rules: priority.DefaultQueueRules(), closed: make(chan struct{}), queues: make(map[string]*queue)}
 	waiting, err1 := meter.Int64ObservableGauge("cardamomfront.waiting",
-		metric.WithDescription("Requests that wait in this instance for room at an endpoint, by service and rank."))
-	waits, err2 := meter.Float64Histogram("cardamomfront.waiting.duration",
-		metric.WithUnit("s"), metric.WithDescription("Time that requests waited in this instance, by rank and outcome."))
-	refusals, err3 := meter.Int64Counter("cardamomfront.waiting.refusals",
-		metric.WithDescription("Requests that were refused for lack of room, by rank."))
+		metric.WithDescription("Requests that wait in this instance for room at an endpoint, by rank."))
+	ended, err2 := meter.Int64Counter("cardamomfront.waiting.ended",
+		metric.WithDescription("Requests that have waited in this instance, by rank and outcome."))
+	seconds, err3 := meter.Float64Counter("cardamomfront.waiting.time",
+		metric.WithUnit("s"), metric.WithDescription("Time that requests have waited in this instance, by rank."))
 	if err := errors.Join(err1, err2, err3); err != nil {
 		return nil, err
 	}
-	r.waits, r.refusals = waits, refusals
+	r.ended, r.seconds = ended, seconds
+	// The series of the highest rank exist from the start, so that their rates do.
+	r.count(0, outcomeStarted, 0, 0)
+	r.count(0, outcomeRefused, 0, 0)
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		r.observe(o, waiting)
 		return nil
@@ -98,15 +101,29 @@
 func (r *Room) observe(o metric.Observer, waiting metric.Int64Observable) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for service, q := range r.queues {
-		byRank := make(map[int]int64)
+	byRank := map[int]int64{0: 0}
+	for _, q := range r.queues {
 		for i := range q.Len() {
 			byRank[q.At(i).Rank]++
 		}
-		for rank, n := range byRank {
-			o.ObserveInt64(waiting, n, metric.WithAttributes(attribute.String("service", service), rankAttribute(rank)))
-		}
 	}
+	for rank, n := range byRank {
+		o.ObserveInt64(waiting, n, metric.WithAttributes(rankAttribute(rank)))
+	}
+}
+
+// Outcomes of a wait, the values of the metrics' outcome attribute.
+const (
+	outcomeStarted = "started"
+	outcomeRefused = "refused"
+	outcomeEnded   = "ended" // the caller has left, the instance stops, or no endpoint can serve it in time
+)
+
+// count adds requests that have waited to the metrics.
+func (r *Room) count(rank int, outcome string, n int64, waited time.Duration) {
+	ctx := context.Background()
+	r.ended.Add(ctx, n, metric.WithAttributes(rankAttribute(rank), attribute.String("outcome", outcome)))
+	r.seconds.Add(ctx, waited.Seconds(), metric.WithAttributes(rankAttribute(rank)))
 }
 
 // Close refuses the requests that wait, and further ones.
@@ -117,17 +134,16 @@
 func (r *Room) Wait(ctx context.Context, request Request) error {
 	arrived := time.Now()
 	err := r.wait(ctx, request, arrived)
-	outcome := "started"
+	outcome := outcomeStarted
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
-		outcome = "refused"
-		r.refusals.Add(context.Background(), 1, metric.WithAttributes(rankAttribute(request.Rank)))
+		outcome = outcomeRefused
 	case err != nil:
-		outcome = "ended"
+		outcome = outcomeEnded
 	}
 	waited := time.Since(arrived)
-	r.waits.Record(context.Background(), waited.Seconds(), metric.WithAttributes(rankAttribute(request.Rank), attribute.String("outcome", outcome)))
+	r.count(request.Rank, outcome, 1, waited)
 	r.logSummary(waited, refused != nil)
 	return err
 }
