Limit of requests at endpoints that join or recover, not switched on

Cause: an endpoint that is new or back is either flooded by all instances at once or left idle. Nothing in its answers changes that.

Change: steer/pace, a limit that grows with answers in the usual time and falls with slow answers, sheds and failures; steer/placing keeps one for each endpoint that joins during traffic or recovers, if Rules.Pace is set. The model has endpoints that go and come back.

--- a/steer/placing/capacity.go
+++ b/steer/placing/capacity.go
@@ -143,6 +143,9 @@
 	if !p.limitAllows(e, now) {
 		return false
 	}
+	if !p.paceAllows(e, now) {
+		return false
+	}
 	if !e.cold(now) {
 		return true
 	}
@@ -153,6 +156,10 @@
 // coldRate returns how many requests per second this instance may send to a
 // cold endpoint, and whether it may send any.
 func (p *Placer) coldRate(e *endpoint, service string) (float64, bool) {
+	if p.rules.Pace {
+		senders, chosen := p.coldSenders(e)
+		return p.services[service].ColdRate * p.rules.ColdRateShare / float64(senders), chosen
+	}
 	senders, chosen := p.senders(e, p.rules.MaxColdSenders, func(region string) bool { return region == e.region })
 	return p.services[service].ColdRate * p.rules.ColdRateShare / float64(senders), chosen
 }
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -69,6 +69,7 @@
 	coldTokens  ratelimit.Bucket
 	limitTokens ratelimit.Bucket // while the endpoint names a limit
 	limitPart   limitPart
+	pacing      pacing
 }
 
 // cold reports whether the endpoint is cold.
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -44,6 +44,7 @@
 	slowFor               time.Duration
 	slowShare, slowFactor float64
 	tails, tailFactor     float64 // share of requests with more work, and the factor
+	churn                 churn
 }
 
 // modelRegion is a region with its numbers of instances and endpoints.
@@ -100,6 +101,7 @@
 	bucket  ratelimit.Bucket // of the all-knowing dispatcher
 	arrived []time.Time      // requests while it is limited
 	slow    bool             // in a slow moment
+	churned churned
 }
 
 // modelRequest is one attempt of a caller.
@@ -339,6 +341,11 @@
 // reach delivers a request to its endpoint.
 func (m *model) reach(r *modelRequest) {
 	e := r.at
+	if e.churned.down {
+		m.fail(r)
+		return
+	}
+	e.recordArrival(m)
 	if m.rateLimit(e).Named {
 		e.arrived = append(e.arrived, m.clock())
 	}
@@ -372,15 +379,24 @@
 		e.known = e.known[1:]
 	}
 	d = time.Duration(float64(d) * (0.85 + 0.3*m.r.Float64()))
+	if m.now < e.churned.coldUntil {
+		d = time.Duration(float64(d) * DefaultRules().ColdSlowdown)
+	}
 	if m.slowFor > 0 {
 		d = time.Duration(float64(d) * m.workTime(e))
 	}
 	if m.tails > 0 && m.moments.Float64() < m.tails {
 		d = time.Duration(float64(d) * m.tailFactor)
 	}
+	life := e.churned.life
 	m.after(d, func() {
+		if life != e.churned.life {
+			m.fail(r)
+			return
+		}
 		r.load, r.workTime = e.running+len(e.waiting), m.workTime(e)
 		e.running--
+		e.recordAnswer(m)
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -82,6 +82,7 @@
 		e.backOff(now, p.rules)
 	case OutcomeUnknown:
 	}
+	p.observePace(now, c, o, elapsed, r)
 }
 
 // markReachable resets the connection failures and reduces the shares of
@@ -109,6 +110,7 @@
 		for _, e := range g.ordered {
 			e.connectFailures, e.probing, e.backoffUntil = 0, false, time.Time{}
 			e.failures, e.faults, e.slowdown = 0, 0, 1
+			e.pacing.limit.End()
 		}
 	})
 }
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -52,6 +52,9 @@
 	fleet          []Member
 	topology       int // counts the changes of the fleet and of the regions of services
 	slots          int // of all endpoints
+	paceMembers    []pacedMember
+	listedAt       time.Time // of the last list of endpoints
+	firstListAt    time.Time
 
 	restrictions restrictions
 	balance      *split.Balance
@@ -78,6 +81,8 @@
 	meanWork   float64            // mean work time over all routes, in seconds
 	recentWarm []sentObject       // objects recently sent to endpoints, to report to peers
 	demands    map[string]*demand // by the regions that may serve the requests
+
+	paceChanges []PaceChange // not read yet
 }
 
 // New returns a placer without endpoints.
@@ -118,6 +123,7 @@
 		p.fleet = members
 		p.topology++
 	}
+	p.rememberMembers(p.listedAt)
 }
 
 // SetDrainedDomains sets the failure domains whose endpoints must get no
@@ -143,6 +149,7 @@
 		for _, e := range g.ordered {
 			if e.FailureDomain == domain && e.coldUntil.Before(until) {
 				e.coldUntil = until
+				p.beginPace(g, e, now)
 			}
 		}
 		g.mu.Unlock()
@@ -160,6 +167,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.rememberMembers(now)
 	p.slots = 0
 	for i := range all {
 		p.slots += all[i].Slots
@@ -177,6 +185,9 @@
 		}
 		g.update(now, endpoints, p)
 	}
+	if p.firstListAt.IsZero() && len(all) > 0 {
+		p.firstListAt = now
+	}
 }
 
 // update replaces the endpoints of a service.
@@ -186,6 +197,7 @@
 	previous := g.endpoints
 	g.endpoints = make(map[catalog.Incarnation]*endpoint, len(endpoints))
 	g.ordered = g.ordered[:0]
+	var joined []*endpoint
 	regions := g.regions
 	g.regions = make(map[string]bool)
 	for i := range endpoints {
@@ -203,6 +215,7 @@
 				coldTokens:   ratelimit.NewBucket(1),
 				limitTokens:  ratelimit.NewBucket(limitBurst),
 			}
+			joined = append(joined, e)
 		}
 		e.setEntry(endpoints[i])
 		e.restriction = p.restrictions.of(in)
@@ -210,6 +223,9 @@
 		g.ordered = append(g.ordered, e)
 		g.regions[e.region] = true
 	}
+	for _, e := range joined {
+		p.paceNew(g, e, now)
+	}
 	if !maps.Equal(regions, g.regions) {
 		p.topology++
 		for _, d := range g.demands {
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -65,6 +65,9 @@
 	// A value below 1 is a margin for instances that disagree about the members
 	// of the fleet.
 	ColdRateShare float64
+	// Pace is whether requests at endpoints that join during traffic or recover are
+	// limited by how these answer.
+	Pace bool
 }
 
 // DefaultRules returns the rules used when none are set.
