Endpoints that join or recover get the pace of their answers, setting endpointPace

Cause: see the limit of requests at these endpoints; nothing switched it on.

Slow answers keep the limit from ending for up to 10 s. An endpoint whose answers or peers show as many requests as slots has reached its pace.

--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/pacing"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/relay"
@@ -182,6 +183,12 @@
 		g.relay.Run,
 		newRegionLog(g.view.placer, g.logger).Run,
 	}
+	if g.settings.Load().EndpointPace {
+		components = append(components, pacing.NewLog(g.view.placer, g.logger).Run)
+		if err := pacing.RegisterGauge(g.metrics.meter, g.view.placer); err != nil {
+			return nil, err
+		}
+	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
 
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -66,7 +66,9 @@
 }
 
 func newPlacer(s *Settings) *placing.Placer {
-	return placing.New(placing.DefaultRules(), placing.Locality{
+	rules := placing.DefaultRules()
+	rules.Pace = s.EndpointPace
+	return placing.New(rules, placing.Locality{
 		Self: s.Name, Region: s.Region, FailureDomain: s.FailureDomain, Regions: s.FailureDomains, Joins: !s.Bootstrap,
 		Random: rand.NewPCG(xxhash.Sum64String(s.Name), 0),
 	})
--- a/front/gateway/reload.go
+++ b/front/gateway/reload.go
@@ -63,6 +63,6 @@
 		g.log.Info("Settings unchanged.")
 		return
 	}
-	restart := s.Name != old.Name || s.Region != old.Region || s.FailureDomain != old.FailureDomain || s.Listen != old.Listen
+	restart := s.Name != old.Name || s.Region != old.Region || s.FailureDomain != old.FailureDomain || s.Listen != old.Listen || s.EndpointPace != old.EndpointPace
 	g.log.WithFields(logrus.Fields{"store": s.Store, "needs_restart": restart}).Info("Settings reloaded.")
 }
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -40,6 +40,9 @@
 	// RetrySlack is the number of such attempts that the fleet may make in
 	// addition. Required.
 	RetrySlack float64 `yaml:"retrySlack" validate:"gte=0"`
+	// EndpointPace is whether requests at endpoints that join or recover are limited by
+	// how these answer. Default: false.
+	EndpointPace bool `yaml:"endpointPace"`
 	// Log configures what is logged and how.
 	Log telemetry.LogSettings `yaml:"log"`
 }
--- a/steer/pace/pace.go
+++ b/steer/pace/pace.go
@@ -16,12 +16,15 @@
 	initial = 2
 	// idleSpread is the time over which all instances may begin to send, one after
 	// the other, to an endpoint of which nothing is known to run there.
-	idleSpread = 10 * time.Second
+	idleSpread = 5 * time.Second
 	// servingSpread is the same for an endpoint that is known to run requests.
-	servingSpread = 3 * time.Second
+	servingSpread = 2 * time.Second
 	// spreadsToEnd is after how many spreads without a shed or a failure the limit
 	// ends, so that an endpoint with little traffic does not keep it for ever.
 	spreadsToEnd = 2
+	// slowHold is how long slow answers keep the limit from ending. An endpoint that is
+	// slow for longer is a slow endpoint, not one that starts.
+	slowHold = 10 * time.Second
 	// ratioWeight is the weight of one answer in the mean ratio. One request with
 	// seven times the usual work must not count as a slow endpoint.
 	ratioWeight = 0.3
@@ -90,15 +93,18 @@
 // Begin starts the limit for an endpoint with a number of slots. The order of the
 // instances counts from a time on, which is the end of the endpoint's cold period.
 func (l *Limit) Begin(from time.Time, slots int) {
-	*l = Limit{slots: max(1, slots), allowed: min(initial, float64(max(1, slots))), from: from, ratio: 1}
+	*l = Limit{slots: max(1, slots), allowed: initialOf(slots), from: from, ratio: 1}
 }
 
+// initialOf returns the limit at first.
+func initialOf(slots int) float64 { return float64(max(1, min(slots, initial))) }
+
 // End ends the limit.
 func (l *Limit) End() { *l = Limit{} }
 
 // Active reports whether the endpoint is limited.
 func (l *Limit) Active(now time.Time) bool {
-	if l.slots > 0 && l.elapsed(now, spreadsToEnd) >= spreadsToEnd {
+	if l.slots > 0 && l.elapsed(now, spreadsToEnd) >= spreadsToEnd && (l.ratio <= growRatio || now.Sub(l.from) >= slowHold) {
 		l.End()
 	}
 	return l.slots > 0
@@ -130,7 +136,9 @@
 	if !l.Active(now) {
 		return true
 	}
-	l.setServing(now, running-own)
+	if l.setServing(now, running-own); l.slots == 0 {
+		return true
+	}
 	allowed := int(l.allowed)
 	first := min(allowed, p.Fleet)
 	if p.Rank >= max(first, int(math.Ceil(l.elapsed(now, 1)*float64(p.Fleet)))) {
@@ -145,17 +153,23 @@
 	if others <= 0 {
 		return
 	}
-	if l.servingAt.IsZero() {
-		l.servingAt = l.from
-		if now.After(l.from) {
-			l.servingAt = now
-		}
-	}
-	if now.Sub(l.fellAt) >= fallInterval {
+	l.markServing(now)
+	switch {
+	case now.Sub(l.fellAt) < fallInterval:
+	case others >= l.slots && now.After(l.from):
+		l.End()
+	default:
 		l.allowed = max(l.allowed, float64(min(others+1, l.slots)))
 	}
 }
 
+// markServing records that the endpoint is known to run requests.
+func (l *Limit) markServing(now time.Time) {
+	if l.servingAt.IsZero() {
+		l.servingAt = later(now, l.from)
+	}
+}
+
 // SetLoad records the number of requests at the endpoint at the time of an answer,
 // the answered one included.
 func (l *Limit) SetLoad(now time.Time, requests int) {
@@ -195,11 +209,11 @@
 	switch {
 	case l.ratio > slowRatio:
 		// An endpoint that is slow with so few requests is slow for another reason.
-		return l.fall(now, initial)
+		return l.fall(now, initialOf(l.slots))
 	case l.ratio > growRatio || l.load > l.slots:
 		return Unchanged
 	}
-	l.setServing(now, 1)
+	l.markServing(now)
 	l.allowed = max(l.allowed, min(l.allowed+1, float64(2*l.load)))
 	if l.allowed < float64(l.slots) {
 		return Unchanged
