--- a/front/gateway/reload_test.go
+++ b/front/gateway/reload_test.go
@@ -135,3 +135,17 @@
 		}
 	}
 }
+
+// Guards against a pace that runs where the settings do not ask for it.
+func TestEndpointPaceIsOffByDefault(t *testing.T) {
+	for content, want := range map[string]bool{
+		settingsText: false, settingsText + "endpointPace: true\n": true, settingsText + "endpointPace: false\n": false,
+	} {
+		if s, err := DecodeSettings("settings.yaml", []byte(content)); err != nil || s.EndpointPace != want {
+			t.Errorf("%s: %+v, %v; want %v", content, s, err, want)
+		}
+	}
+	if _, err := DecodeSettings("settings.yaml", []byte(settingsText+"endpointPace: 2\n")); err == nil {
+		t.Error("a number is accepted")
+	}
+}
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -359,6 +359,7 @@
 		m.after(r.roundTrip/2, func() {
 			e.sent--
 			m.policy.done(m, r, OutcomeShed)
+			e.churned.count(m, r, false)
 			m.refuse(r, 100*time.Millisecond)
 		})
 	}
@@ -382,6 +383,9 @@
 	if m.now < e.churned.coldUntil {
 		d = time.Duration(float64(d) * DefaultRules().ColdSlowdown)
 	}
+	if e.churned.watched && (span{m.churn.absent.to, m.churn.absent.to + m.churn.weakFor}).has(m.now) {
+		d = time.Duration(float64(d) * m.churn.weakFactor)
+	}
 	if m.slowFor > 0 {
 		d = time.Duration(float64(d) * m.workTime(e))
 	}
@@ -411,6 +415,7 @@
 	r.at.sent--
 	m.policy.done(m, r, OutcomeAnswered)
 	elapsed := m.now - r.first
+	r.at.churned.count(m, r, elapsed <= m.goal)
 	m.count(r, func(f *figures) {
 		f.times = append(f.times, elapsed)
 		if elapsed <= m.goal {
