--- a/steer/placing/pace_test.go
+++ b/steer/placing/pace_test.go
@@ -165,3 +165,37 @@
 		t.Errorf("fleet of %d long after the others stopped", got.Fleet)
 	}
 }
+
+// BenchmarkChooseUnderPace measures a choice among 150 endpoints, half of which are
+// under pace, in a fleet of 139.
+func BenchmarkChooseUnderPace(b *testing.B) {
+	for _, paced := range []bool{false, true} {
+		b.Run(fmt.Sprint(paced), func(b *testing.B) {
+			rules := DefaultRules()
+			rules.Pace = paced
+			p := New(rules, Locality{Self: "i0", Region: "east", FailureDomain: "e1", Regions: testRegions})
+			p.SetServices(map[string]catalog.Service{"s": {Name: "s"}})
+			var fleet []Member
+			for i := range 139 {
+				fleet = append(fleet, Member{fmt.Sprint("i", i), "east"})
+			}
+			p.SetFleet(fleet)
+			var all []catalog.Endpoint
+			for i := range 150 {
+				all = append(all, endpointAt(fmt.Sprint("e", i), "e1"))
+			}
+			p.SetEndpoints(epoch, all[:75])
+			now := epoch.Add(startGrace)
+			p.SetEndpoints(now, all)
+			q := Query{Service: "s", Route: "r", Goal: time.Second, GoalLeft: time.Second, DeadlineLeft: time.Hour}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, err := p.Choose(now, q)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Done(now, c, OutcomeUnknown, 0, -1)
+			}
+		})
+	}
+}
