--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/pacing"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/pipeline"
 	"github.com/cardamomfront/cardamomfront/front/registry"
@@ -197,6 +198,12 @@
 	if g.duties != nil {
 		components = append(components, g.duties.Run)
 	}
+	if g.settings.Load().EndpointPace {
+		components = append(components, pacing.NewLog(g.view.placer, g.logger).Run)
+		if err := pacing.RegisterGauge(g.metrics.meter, g.view.placer); err != nil {
+			return nil, err
+		}
+	}
 	return components, g.metrics.registerGauges(g, watchers)
 }
 
--- a/front/gateway/settings.go
+++ b/front/gateway/settings.go
@@ -47,6 +47,9 @@
 	// Duties are calls to the platform that one instance at a time makes. Default:
 	// none.
 	Duties duties.Settings `yaml:"duties"`
+	// EndpointPace is whether requests at endpoints that join or recover are limited by
+	// how these answer. Default: false.
+	EndpointPace bool `yaml:"endpointPace"`
 	// Log configures what is logged and how.
 	Log telemetry.LogSettings `yaml:"log"`
 }
--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -46,6 +46,7 @@
 	slowFor               time.Duration
 	slowShare, slowFactor float64
 	tails, tailFactor     float64 // share of requests with more work, and the factor
+	churn                 churn
 }
 
 // modelKind is a kind of requests with its work, goal, limit and rank.
@@ -111,6 +112,7 @@
 	bucket  ratelimit.Bucket // of the all-knowing dispatcher
 	arrived []time.Time      // requests while it is limited
 	slow    bool             // in a slow moment
+	churned churned
 }
 
 // modelRequest is one attempt of a caller.
@@ -378,6 +380,11 @@
 // reach delivers a request to its endpoint.
 func (m *model) reach(r *modelRequest) {
 	e := r.at
+	if e.churned.down {
+		m.fail(r)
+		return
+	}
+	e.recordArrival(m)
 	if m.rateLimit(e).Named {
 		e.arrived = append(e.arrived, m.clock())
 	}
@@ -391,6 +398,7 @@
 		m.after(r.roundTrip/2, func() {
 			e.sent--
 			m.policy.done(m, r, OutcomeShed)
+			e.churned.count(m, r, false)
 			m.refuse(r, 100*time.Millisecond)
 		})
 	}
@@ -411,15 +419,27 @@
 		e.known = e.known[1:]
 	}
 	d = time.Duration(float64(d) * (0.85 + 0.3*m.r.Float64()))
+	if m.now < e.churned.coldUntil {
+		d = time.Duration(float64(d) * DefaultRules().ColdSlowdown)
+	}
+	if e.churned.watched && (span{m.churn.absent.to, m.churn.absent.to + m.churn.weakFor}).has(m.now) {
+		d = time.Duration(float64(d) * m.churn.weakFactor)
+	}
 	if m.slowFor > 0 {
 		d = time.Duration(float64(d) * m.workTime(e))
 	}
 	if m.tails > 0 && m.moments.Float64() < m.tails {
 		d = time.Duration(float64(d) * m.tailFactor)
 	}
+	life := e.churned.life
 	m.after(d, func() {
+		if life != e.churned.life {
+			m.fail(r)
+			return
+		}
 		r.load, r.workTime = e.running+len(e.waiting), m.workTime(e)
 		e.running--
+		e.recordAnswer(m)
 		if len(e.waiting) > 0 {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
@@ -434,6 +454,7 @@
 	r.at.sent--
 	m.policy.done(m, r, OutcomeAnswered)
 	elapsed := m.now - r.first
+	r.at.churned.count(m, r, elapsed <= m.goal)
 	m.count(r, func(f *figures) {
 		f.times = append(f.times, elapsed)
 		if elapsed <= r.kind.goal {
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -54,6 +54,9 @@
 	fleet          []Member
 	topology       int // counts the changes of the fleet and of the regions of services
 	slots          int // of all endpoints
+	paceMembers    []pacedMember
+	listedAt       time.Time // of the last list of endpoints
+	firstListAt    time.Time
 
 	restrictions restrictions
 	balance      *split.Balance
@@ -81,6 +84,8 @@
 	recentWarm []sentObject         // objects recently sent to endpoints, to report to peers
 	demands    map[string]*demand   // by the regions that may serve the requests
 	ranks      *priority.Controller // nil if the service's requests do not differ in rank
+
+	paceChanges []PaceChange // not read yet
 }
 
 // New returns a placer without endpoints.
@@ -121,6 +126,7 @@
 		p.fleet = members
 		p.topology++
 	}
+	p.rememberMembers(p.listedAt)
 }
 
 // SetDrainedDomains sets the failure domains whose endpoints must get no
@@ -146,6 +152,7 @@
 		for _, e := range g.ordered {
 			if e.FailureDomain == domain && e.coldUntil.Before(until) {
 				e.coldUntil = until
+				p.beginPace(g, e, now)
 			}
 		}
 		g.mu.Unlock()
@@ -163,6 +170,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.rememberMembers(now)
 	p.slots = 0
 	for i := range all {
 		p.slots += all[i].Slots
@@ -180,6 +188,9 @@
 		}
 		g.update(now, endpoints, p)
 	}
+	if p.firstListAt.IsZero() && len(all) > 0 {
+		p.firstListAt = now
+	}
 }
 
 // update replaces the endpoints of a service.
@@ -189,6 +200,7 @@
 	previous := g.endpoints
 	g.endpoints = make(map[catalog.Incarnation]*endpoint, len(endpoints))
 	g.ordered = g.ordered[:0]
+	var joined []*endpoint
 	regions := g.regions
 	g.regions = make(map[string]bool)
 	for i := range endpoints {
@@ -206,6 +218,7 @@
 				coldTokens:   ratelimit.NewBucket(1),
 				limitTokens:  ratelimit.NewBucket(limitBurst),
 			}
+			joined = append(joined, e)
 		}
 		e.setEntry(endpoints[i])
 		e.restriction = p.restrictions.of(in)
@@ -213,6 +226,9 @@
 		g.ordered = append(g.ordered, e)
 		g.regions[e.region] = true
 	}
+	for _, e := range joined {
+		p.paceNew(g, e, now)
+	}
 	if !maps.Equal(regions, g.regions) {
 		p.topology++
 		for _, d := range g.demands {
