Large fleets know the load of endpoints in all regions

Cause: above 16 instances, the sums of requests at endpoints went to instances of the same region only, left out endpoints with a single request of a failure domain, and did not have the hub's own requests. Ruled out: requests waiting in instances (3 lines of it), the order of requests within an instance.

Change: the sums go to all regions, with every endpoint that has requests, and contain the hub's own. Builds before understand them: the fields are the same.

--- a/front/gateway/domains.go
+++ b/front/gateway/domains.go
@@ -46,7 +46,7 @@
 	AgeMS int64 `json:"g"`
 	// Demand is the sum of their demands.
 	Demand quota.Demand `json:"q,omitempty"`
-	// Busy are the sums of their requests at endpoints, for the same region.
+	// Busy are the sums of their requests at endpoints.
 	Busy []loadReport `json:"b,omitempty"`
 	// Warmed are objects that they have sent to endpoints, for the same region.
 	Warmed []warmedReport `json:"w,omitempty"`
@@ -88,7 +88,7 @@
 	AgeMS int64 `json:"g"`
 	// Demand is the sum of their demands.
 	Demand quota.Demand `json:"q,omitempty"`
-	// Busy are the sums of the requests of the region's instances at endpoints.
+	// Busy are the sums of the requests of these instances at endpoints.
 	Busy []loadReport `json:"b,omitempty"`
 	// Warmed are objects that the region's instances have sent to endpoints.
 	Warmed []warmedReport `json:"w,omitempty"`
@@ -291,8 +291,9 @@
 	}
 	if to != nil {
 		summary.memberList = summary.without(to.KnownMembers)
+		summary.Busy = sum.busy()
 		if to.Region == m.self.Region {
-			summary.Busy, summary.Warmed = sum.busy(), sum.limitedWarmed()
+			summary.Warmed = sum.limitedWarmed()
 		}
 	}
 	return summary
@@ -537,12 +538,12 @@
 	}
 }
 
-// add adds the summary of a failure domain, with its loads if it is in the same
-// region.
+// add adds the summary of a failure domain, with its warmed objects if it is in the
+// same region.
 func (s *summary) add(d domainSummary, sameRegion bool) {
 	s.demand.Add(d.Demand)
+	s.addLoads(d.Busy)
 	if sameRegion {
-		s.addLoads(d.Busy)
 		s.warmed = append(s.warmed, d.Warmed...)
 	}
 	for _, reported := range d.Rollouts {
@@ -556,17 +557,12 @@
 	}
 }
 
-// minBusy is the number of requests from which an endpoint is listed in a
-// summary. Fewer fit into the slots of any endpoint.
-const minBusy = 2
-
-// busy returns the endpoints with several requests.
+// busy returns the endpoints with requests. Small numbers count, too: each failure
+// domain has few requests at an endpoint, and all together may exceed its slots.
 func (s *summary) busy() []loadReport {
-	var busy []loadReport
+	busy := make([]loadReport, 0, len(s.loads))
 	for in, n := range s.loads {
-		if n >= minBusy {
-			busy = append(busy, loadReport{ID: in.ID, StartMS: in.StartMS, Running: n})
-		}
+		busy = append(busy, loadReport{ID: in.ID, StartMS: in.StartMS, Running: n})
 	}
 	return busy
 }
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -418,3 +418,24 @@
 		}
 	})
 }
+
+// Guards against endpoints that look idle in a large fleet: an instance has to know the
+// requests of other regions there, and of failure domains with a single one.
+func TestLoadsOfAllRegionsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := newDomainNetwork(t, 7, 1, nil)
+		e := catalog.Endpoint{ID: "e", StartMS: 1, Service: "s", FailureDomain: all[0].self.FailureDomain, Slots: 2 * len(all)}
+		for _, m := range all {
+			m.placer.SetEndpoints(time.Now(), []catalog.Endpoint{e})
+			if _, err := m.placer.Choose(time.Now(), placing.Query{Service: "s", Route: "r", Goal: time.Second, GoalLeft: time.Second, DeadlineLeft: time.Minute}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * maxSummaryAge)
+		for _, m := range all {
+			if got := m.placer.Usages(time.Now())[0].Running; got != len(all) {
+				t.Errorf("%s knows %d of %d requests at the endpoint", m.self.Name, got, len(all))
+			}
+		}
+	})
+}
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -199,7 +199,9 @@
 	switch {
 	case !large:
 	case domain != r.FailureDomain:
-		r.OwnDomain = m.summarizeOwnDomain(r, other, now)
+		own := r
+		own.Loads = m.localLoads()
+		r.OwnDomain = m.summarizeOwnDomain(own, other, now)
 		r.Demand, r.Rollouts = nil, nil // they are part of the summary
 	case m.isHub && !slices.Contains(m.ownHubs, to):
 		r.Fleet = m.summarizeFleet(r, to, other, now)
@@ -222,14 +224,21 @@
 // addLoads adds this instance's requests at endpoints, and the endpoints that have
 // announced their shutdown to it.
 func (m *mesh) addLoads(r *report, now time.Time) {
-	for _, l := range m.placer.LocalLoads() {
-		r.Loads = append(r.Loads, loadReport{ID: l.Endpoint.ID, StartMS: l.Endpoint.StartMS, Running: l.Running})
-	}
+	r.Loads = m.localLoads()
 	for _, in := range m.placer.Leaving(now, leavingReportPeriod) {
 		r.LeavingEndpoints = append(r.LeavingEndpoints, incarnationReport{ID: in.ID, StartMS: in.StartMS})
 	}
 }
 
+// localLoads returns this instance's requests at endpoints.
+func (m *mesh) localLoads() []loadReport {
+	var loads []loadReport
+	for _, l := range m.placer.LocalLoads() {
+		loads = append(loads, loadReport{ID: l.Endpoint.ID, StartMS: l.Endpoint.StartMS, Running: l.Running})
+	}
+	return loads
+}
+
 // addWarmed adds the objects that this instance has recently sent to endpoints,
 // for the same region: objects are requested by region.
 func (m *mesh) addWarmed(r *report, now time.Time) {
