--- a/front/gateway/crashes_test.go
+++ b/front/gateway/crashes_test.go
@@ -105,7 +105,7 @@
 	x := &exchange{route: &f.route, service: testService, fingerprint: fingerprint}
 	choice := &placing.Choice{Endpoint: catalog.Endpoint{ID: version, Service: testService, Address: version + ":80", Version: version}}
 	sentAt := time.Now()
-	observed := f.rollouts.startAttempt(testService, sentAt, choice)
+	observed := f.rollouts.StartAttempt(testService, sentAt, choice)
 	time.Sleep(10 * time.Millisecond)
 	err := &endpoint.Error{Reason: endpoint.ReasonBroken, Verdict: verdict.MayHaveRun}
 	f.recordResult(x, observed, choice, sentAt, placing.OutcomeFailed, nil, err, time.Since(sentAt))
@@ -120,7 +120,7 @@
 				x := &exchange{route: &f.route, service: testService}
 				choice := &placing.Choice{Endpoint: catalog.Endpoint{ID: "v2", Service: testService, Version: "v2"}}
 				err := &endpoint.Error{Reason: endpoint.ReasonDeadline, Verdict: verdict.MayHaveRun}
-				f.recordResult(x, f.rollouts.startAttempt(testService, time.Now(), choice), choice, time.Now(), placing.OutcomeTimedOut, nil, err, time.Second)
+				f.recordResult(x, f.rollouts.StartAttempt(testService, time.Now(), choice), choice, time.Now(), placing.OutcomeTimedOut, nil, err, time.Second)
 				time.Sleep(100 * time.Millisecond)
 				if cut {
 					cutOffMonitor(f.reached.monitor)
@@ -128,7 +128,7 @@
 					f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
 				}
 				f.reached.settleFailures(time.Now())
-				failures := f.rollouts.get(testService).LocalEvidence(time.Now()).New.Failures
+				failures := f.rollouts.Get(testService).LocalEvidence(time.Now()).New.Failures
 				if (failures == 0) != cut {
 					t.Errorf("%v failures count", failures)
 				}
@@ -148,7 +148,7 @@
 				time.Sleep(2 * causeWait)
 				f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
 				f.reached.settleFailures(time.Now())
-				evidence := f.rollouts.get(testService).LocalEvidence(time.Now())
+				evidence := f.rollouts.Get(testService).LocalEvidence(time.Now())
 				failures := evidence.Old.Failures + evidence.New.Failures
 				if want := map[bool]float64{true: 0, false: 2}[requests[0] == requests[1]]; float64(failures) != want {
 					t.Errorf("%v failures count, want %v", failures, want)
--- a/front/gateway/domains.go
+++ b/front/gateway/domains.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/relay"
@@ -51,7 +52,7 @@
 	// Warmed are objects that they have sent to endpoints, for the same region.
 	Warmed []warmedReport `json:"w,omitempty"`
 	// Rollouts are the sums of their reports on the rollouts in progress.
-	Rollouts []rolloutReport `json:"v,omitempty"`
+	Rollouts []rollouts.Report `json:"v,omitempty"`
 }
 
 // memberList lists the instances of a failure domain that are alive.
@@ -93,7 +94,7 @@
 	// Warmed are objects that the region's instances have sent to endpoints.
 	Warmed []warmedReport `json:"w,omitempty"`
 	// Rollouts are the sums of their reports on the rollouts in progress.
-	Rollouts []rolloutReport `json:"v,omitempty"`
+	Rollouts []rollouts.Report `json:"v,omitempty"`
 	// Domains are the instances of all failure domains.
 	Domains []memberList `json:"ds,omitempty"`
 }
@@ -350,7 +351,7 @@
 	m.limiter.SetRegionDemand(name, s.Demand, at, maxSummaryAge)
 	m.placer.SetPeerLoads(name, placingLoads(s.Busy))
 	m.placer.AddPeerWarmed(now, placingWarmed(s.Warmed))
-	m.rollouts.receiveReports(name, s.Rollouts, at, now)
+	m.rollouts.ReceiveReports(name, s.Rollouts, at, now)
 }
 
 // receiveFleet applies a hub's summary of the rest of the fleet.
@@ -371,7 +372,7 @@
 	m.limiter.SetRegionDemand(fleetName, f.Demand, at, maxSummaryAge)
 	m.placer.SetPeerLoads(fleetName, placingLoads(f.Busy))
 	m.placer.AddPeerWarmed(now, placingWarmed(f.Warmed))
-	m.rollouts.receiveReports(fleetName, f.Rollouts, at, now)
+	m.rollouts.ReceiveReports(fleetName, f.Rollouts, at, now)
 }
 
 // receiveMembers applies a list of instances and returns it in full. The caller
@@ -432,7 +433,7 @@
 	other.direct = false
 	m.limiter.RemovePeer(name)
 	m.placer.SetPeerLoads(name, nil)
-	m.rollouts.removePeer(name)
+	m.rollouts.RemovePeer(name)
 }
 
 // dropParts drops what this instance knows of parts of the fleet, which the
@@ -456,7 +457,7 @@
 func (m *mesh) dropSource(name string) {
 	m.limiter.RemovePeer(name)
 	m.placer.SetPeerLoads(name, nil)
-	m.rollouts.removePeer(name)
+	m.rollouts.RemovePeer(name)
 }
 
 // demandSources returns the number of sources from which the demands of the
@@ -520,7 +521,7 @@
 	demand   quota.Demand
 	loads    map[catalog.Incarnation]int
 	warmed   []warmedReport
-	rollouts []rolloutReport
+	rollouts []rollouts.Report
 }
 
 func newSummary() *summary {
@@ -590,7 +591,7 @@
 }
 
 // addRollout adds a report on a rollout.
-func (s *summary) addRollout(reported rolloutReport) {
+func (s *summary) addRollout(reported rollouts.Report) {
 	for i := range s.rollouts {
 		total := &s.rollouts[i]
 		if total.Service != reported.Service || total.Era != reported.Era || total.Revision != reported.Revision {
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -400,19 +400,19 @@
 		ordered := time.Now()
 		order := catalog.RolloutOrder{Service: "s", To: "v2", Duration: 12 * time.Second, Revision: 5}
 		for _, m := range all {
-			m.rollouts.setOrders(time.Now(), map[string]catalog.RolloutOrder{"s": order}, 0)
+			m.rollouts.SetOrders(time.Now(), map[string]catalog.RolloutOrder{"s": order}, 0)
 			time.Sleep(10 * time.Millisecond)
 		}
 		for range 10 {
 			time.Sleep(time.Second)
 			for _, m := range all {
-				if start := m.rollouts.get("s").StartTime(); start.Before(ordered) {
+				if start := m.rollouts.Get("s").StartTime(); start.Before(ordered) {
 					t.Fatalf("%s after the order, %s has a start %s before it", time.Since(ordered), m.self.Name, ordered.Sub(start))
 				}
 			}
 		}
 		for _, m := range all {
-			if late := m.rollouts.get("s").StartTime().Sub(ordered); late > 100*time.Millisecond {
+			if late := m.rollouts.Get("s").StartTime().Sub(ordered); late > 100*time.Millisecond {
 				t.Errorf("%s has a start %s after the order", m.self.Name, late)
 			}
 		}
--- a/front/gateway/fallback_test.go
+++ b/front/gateway/fallback_test.go
@@ -1,12 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 )
@@ -20,6 +26,61 @@
 	fallbackFleet = 8
 )
 
+const (
+	testService = "ledger"
+	// duration is how long a rollout may take.
+	duration = 10 * time.Second
+	// recordsReadWait is the time until an instance has read the rollout records.
+	recordsReadWait = 150 * time.Millisecond
+)
+
+// emptyStore is a store without rows. It counts the reads.
+type emptyStore struct{ reads int }
+
+func (s *emptyStore) Read(context.Context, string) (registry.Batch, error) {
+	s.reads++
+	return registry.Batch{}, nil
+}
+
+func (*emptyStore) Write(context.Context, registry.Change) error { return nil }
+
+// emptyCodec decodes the tables of emptyStore.
+type emptyCodec struct{}
+
+func (emptyCodec) Tables() (operator, endpoints, records string) {
+	return "orders", "endpoints", "records"
+}
+
+func (emptyCodec) RolloutRecords(map[string]registry.Row) (map[string]catalog.RolloutRecord, []error) {
+	return nil, nil
+}
+
+func (emptyCodec) EncodeRolloutRecord(service string, _ catalog.RolloutRecord) (string, []byte, error) {
+	return service, nil, nil
+}
+
+// newReadRollouts returns rollouts with an order of testService from v1 to v2, after
+// they have been evaluated and their records have been read once. It is called in
+// a synctest bubble.
+func newReadRollouts(t *testing.T) *rollouts.Rollouts {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := new(emptyStore)
+	r := rollouts.New(store, emptyCodec{}, log)
+	r.SetOrders(time.Now(), map[string]catalog.RolloutOrder{
+		testService: {Service: testService, To: "v2", Duration: duration, Key: "order", Revision: 1},
+	}, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), recordsReadWait)
+	defer cancel()
+	if err := r.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if store.reads != 1 {
+		t.Fatalf("the records were read %d times, want once", store.reads)
+	}
+	return r
+}
+
 // versionFixture is the sender of one instance during a rollout from v1 to v2,
 // with a placer of its own.
 type versionFixture struct {
@@ -32,11 +93,7 @@
 // newVersionFixture orders a rollout at the current time. Each version has one
 // endpoint.
 func newVersionFixture(t *testing.T) *versionFixture {
-	w := newSingleInstanceSim(t, false)
-	w.now = time.Now()
-	w.giveOrder("v2")
-	w.applyOrders(0)
-	w.step(0)
+	orders := newReadRollouts(t)
 	placer := placing.New(placing.DefaultRules(), placing.Locality{Self: "i", Region: "east", FailureDomain: "e1", Regions: map[string]string{"e1": "east"}})
 	var endpoints []catalog.Endpoint
 	for _, version := range []string{"v1", "v2"} {
@@ -46,7 +103,7 @@
 	}
 	placer.SetEndpoints(time.Now(), endpoints)
 	return &versionFixture{
-		sender: &sender{rollouts: w.instances[0], placer: placer}, placer: placer,
+		sender: &sender{rollouts: orders, placer: placer}, placer: placer,
 		route: catalog.Route{Name: "r", Goal: time.Second, Idempotent: true},
 	}
 }
@@ -59,7 +116,7 @@
 	if err != nil {
 		return ""
 	}
-	f.rollouts.startAttempt(testService, time.Now(), c.Choice)
+	f.rollouts.StartAttempt(testService, time.Now(), c.Choice)
 	f.placer.Done(time.Now(), c.Choice, placing.OutcomeUnknown, 0, -1)
 	return c.Endpoint.Version
 }
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cardamomfront/cardamomfront/front/pipeline"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/relay"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
 
@@ -88,7 +89,7 @@
 	adapters    Adapters
 	handler     *handler
 	view        *storeView
-	rollouts    *rollouts
+	rollouts    *rollouts.Rollouts
 	mesh        *mesh
 	tables      *relayedStore
 	client      *endpoint.Client
@@ -165,7 +166,7 @@
 func (g *Gateway) components(ctx context.Context) ([]func(context.Context) error, error) {
 	operator, endpoints, _ := g.adapters.Codec.Tables()
 	status := new(registry.StoreStatus)
-	g.rollouts.versionReachedAt = status.ReachedAt
+	g.rollouts.SetVersionReachedAt(status.ReachedAt)
 	var watchers []*registry.Watcher
 	watch := func(options registry.WatchOptions, onChange func(time.Time, map[string]registry.Row)) *registry.Watcher {
 		options.Status, options.CallMargin = status, relayCallMargin
@@ -321,4 +322,18 @@
 	}
 }
 
+// runEvery calls f at each tick until ctx ends.
+func runEvery(ctx context.Context, d time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
+
 func sleepUntil(t time.Time) { time.Sleep(time.Until(t)) }
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -4,8 +4,8 @@
 // request to an endpoint.
 //
 // The protocols with callers, endpoints and the store are behind narrow
-// interfaces. The decisions are made in the packages catalog, placing, quota,
-// retry and rollout.
+// interfaces. Rollouts are carried out by front/rollouts. The decisions are made in
+// the packages catalog, placing, quota, retry and rollout.
 package gateway
 
 import (
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 )
 
@@ -57,9 +58,7 @@
 // Codec decodes and encodes the rows of the store's tables. Errors in a list
 // concern single rows; the other rows are decoded all the same.
 type Codec interface {
-	// Tables returns the names of the tables of operators, endpoints and
-	// rollout records.
-	Tables() (operator, endpoints, records string)
+	rollouts.Codec
 	// Catalog returns the newest catalog, nil if there is none.
 	Catalog(rows map[string]registry.Row) (*catalog.Catalog, error)
 	// RolloutOrders returns the orders to roll services out, by service.
@@ -68,8 +67,4 @@
 	DrainedDomains(rows map[string]registry.Row) map[string]bool
 	// Endpoint returns the endpoint that a row describes.
 	Endpoint(row registry.Row, now time.Time) (catalog.Endpoint, error)
-	// RolloutRecords returns the recorded results of rollouts, by service.
-	RolloutRecords(rows map[string]registry.Row) (map[string]catalog.RolloutRecord, []error)
-	// EncodeRolloutRecord returns the row that records a rollout's result.
-	EncodeRolloutRecord(service string, record catalog.RolloutRecord) (key string, value []byte, err error)
 }
--- a/front/gateway/lines_test.go
+++ b/front/gateway/lines_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -83,7 +84,7 @@
 			c := &placing.Choice{Endpoint: catalog.Endpoint{ID: "i-7f3a91c2", Version: "v1"}}
 			b.ReportAllocs()
 			for b.Loop() {
-				s.logAttempt(x, &placement{Choice: c, reason: versionAny}, placing.OutcomeAnswered, nil, nil, time.Second, 1)
+				s.logAttempt(x, &placement{Choice: c, reason: rollouts.ReasonAny}, placing.OutcomeAnswered, nil, nil, time.Second, 1)
 			}
 		})
 	}
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -62,7 +62,7 @@
 	delete(m.members, name)
 	m.limiter.RemovePeer(name)
 	m.placer.SetPeerLoads(name, nil)
-	m.rollouts.peerStopped(name)
+	m.rollouts.PeerStopped(name)
 	m.log.WithField("instance", name).Info("Instance removed.")
 }
 
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/reach"
@@ -78,7 +79,7 @@
 	caller              peer.Caller
 	placer              *placing.Placer
 	limiter             *quota.Limiter
-	rollouts            *rollouts
+	rollouts            *rollouts.Rollouts
 	crashes             *crashWatch
 	reach               *reach.Monitor
 	ready               func() bool
@@ -107,7 +108,7 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, w *crashWatch, reached *reachWatch, relayed *requestRelay, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashWatch, reached *reachWatch, relayed *requestRelay, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
@@ -133,7 +134,7 @@
 		wake:                make(chan struct{}),
 	}
 	w.notifyPeers, reached.notifyPeers, relayed.helpers = m.syncUrgently, m.syncUrgently, m.helpers
-	r.isLeader, r.notifyPeers, r.knownSize, r.recordDelay = m.isLeader, m.syncUrgently, m.knownSize, m.recordDelay
+	r.SetFleet(rollouts.Fleet{IsLeader: m.isLeader, NotifyPeers: m.syncUrgently, KnownSize: m.knownSize, RecordDelay: m.recordDelay})
 	return m
 }
 
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/rollout"
@@ -32,14 +33,14 @@
 // service's rollout. A failure without a response counts once it is known that
 // neither the request nor a cut of this instance is its cause: these say nothing
 // about a version.
-func (s *sender) recordResult(x *exchange, observed *rolloutAttempt, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
-	observed.end()
+func (s *sender) recordResult(x *exchange, observed *rollouts.Attempt, c *placing.Choice, sentAt time.Time, o placing.Outcome, response *bufferedResponse, err error, elapsed time.Duration) {
+	observed.End()
 	record := func(counts bool) {
 		if !counts {
-			observed.discard()
+			observed.Discard()
 			return
 		}
-		observed.settle(rolloutOutcome(o, response, err, elapsed, c), slowness(elapsed, c))
+		observed.Settle(rolloutOutcome(o, response, err, elapsed, c), slowness(elapsed, c))
 	}
 	switch {
 	case mayHaveCrashed(err):
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/health"
@@ -76,6 +77,12 @@
 	})
 }
 
+// newRollouts returns rollouts without orders. newMesh connects them with the other
+// instances, and newRelayedStore replaces their store.
+func newRollouts(adapters Adapters, log *logrus.Logger) *rollouts.Rollouts {
+	return rollouts.New(adapters.Store, adapters.Codec, log)
+}
+
 func newPeerServer(m *mesh, log *logrus.Logger) *peer.Server {
 	s := peer.NewServer(nil, log)
 	s.AllowPlainTCP = true
@@ -83,7 +90,7 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts.Rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
 	return &sender{duties: d, client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, room: room, logLimiter: l, ended: make(chan struct{})}
 }
 
@@ -119,7 +126,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
--- a/front/gateway/relay.go
+++ b/front/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 )
 
 // In a large fleet, one instance of each region reads the tables of the store,
@@ -110,13 +111,13 @@
 
 // newRelayedStore returns a store whose tables are served to other instances as
 // well. The rollouts read their records through it.
-func newRelayedStore(adapters Adapters, m *mesh, ro *rollouts, peers *peer.Server, log *logrus.Logger) *relayedStore {
+func newRelayedStore(adapters Adapters, m *mesh, ro *rollouts.Rollouts, peers *peer.Server, log *logrus.Logger) *relayedStore {
 	r := &relayedStore{
 		Store: adapters.Store, mesh: m, log: log.WithField("prefix", "relay"), started: time.Now(),
 		watchers: make(map[string]*registry.Watcher), lastDirect: make(map[string]time.Time), cached: make(map[string]cachedRead),
 	}
 	peers.Handle(methodTable, r.handleQuery)
-	ro.store = r
+	ro.SetStore(r)
 	return r
 }
 
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -43,7 +44,7 @@
 type sender struct {
 	client     *endpoint.Client
 	placer     *placing.Placer
-	rollouts   *rollouts
+	rollouts   *rollouts.Rollouts
 	budgets    *retryBudgets
 	crashes    *crashWatch
 	reach      *reach.Monitor
@@ -83,7 +84,7 @@
 // placement is an endpoint chosen for one attempt.
 type placement struct {
 	*placing.Choice
-	reason versionReason
+	reason rollouts.Reason
 }
 
 // chooseEndpoint reserves an endpoint of a version that the service's rollout
@@ -110,18 +111,18 @@
 		q.Object = x.caller.Object
 	}
 	var err error
-	preferred := s.rollouts.preferredVersions(x.service, now, len(tried) == 0)
-	for _, filter := range preferred.filters {
-		if filter.shareOf != nil && hasNoHeadroom(err) && !filter.shareOf.MayFallBackToNew(now) {
+	preferred := s.rollouts.PreferredVersions(x.service, now, len(tried) == 0)
+	for _, filter := range preferred.Filters {
+		if filter.ShareOf != nil && hasNoHeadroom(err) && !filter.ShareOf.MayFallBackToNew(now) {
 			break
 		}
-		q.Versions = filter.accepts
+		q.Versions = filter.Accepts
 		var choice *placing.Choice
 		if choice, err = s.placer.Choose(now, q); err == nil {
-			return &placement{Choice: choice, reason: filter.reason}, nil
+			return &placement{Choice: choice, reason: filter.Reason}, nil
 		}
 		q.Repeated = true
-		if preferred.noFallback && hasNoHeadroom(err) {
+		if preferred.NoFallback && hasNoHeadroom(err) {
 			break
 		}
 	}
@@ -137,7 +138,7 @@
 // attempt sends the request to one endpoint. attemptNumber counts from 1.
 func (s *sender) attempt(ctx context.Context, x *exchange, c *placement, attemptNumber int) result {
 	start := time.Now()
-	observed := s.rollouts.startAttempt(x.service, start, c.Choice)
+	observed := s.rollouts.StartAttempt(x.service, start, c.Choice)
 	s.reach.RequestStarted(start)
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -10,12 +10,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
-	"github.com/cardamomfront/cardamomfront/steer/rollout"
 )
 
 // Instance is an instance's row in the store.
@@ -98,7 +98,7 @@
 	// Crashes is what it has learned of requests that crash endpoints.
 	Crashes crash.Report `json:"cr,omitzero"`
 	// Rollouts are its reports on the rollouts in progress.
-	Rollouts []rolloutReport `json:"m,omitempty"`
+	Rollouts []rollouts.Report `json:"m,omitempty"`
 	// OwnDomain is the summary of its failure domain, from one hub to another of
 	// another failure domain.
 	OwnDomain *domainSummary `json:"od,omitempty"`
@@ -156,16 +156,6 @@
 // peers: the time of three exchanges, so that one may be lost.
 const leavingReportPeriod = 1600 * time.Millisecond
 
-// rolloutReport is an instance's evidence on a rollout.
-type rolloutReport struct {
-	Service  string                `json:"s"`
-	Era      uint64                `json:"c,omitempty"`
-	Revision uint64                `json:"r"`
-	AgeMS    int64                 `json:"a"`
-	Result   catalog.RolloutResult `json:"x,omitempty"`
-	Evidence rollout.Evidence      `json:"e"`
-}
-
 // buildReport returns this instance's report for another instance.
 func (m *mesh) buildReport(to string) report {
 	now := time.Now()
@@ -178,7 +168,7 @@
 	var sampledAt time.Time
 	r.Demand, sampledAt = m.limiter.ReportDemand(now)
 	r.DemandAgeMS = now.Sub(sampledAt).Milliseconds()
-	r.Rollouts = m.rollouts.localReports(now)
+	r.Rollouts = m.rollouts.LocalReports(now)
 	r.RateLimits = rateLimitReports(m.placer.RateLimits(now))
 	r.Crashes = m.crashes.detector.Report(now)
 	m.mu.Lock()
@@ -292,7 +282,7 @@
 	m.limiter.SetPeerDemand(r.Name, r.quotaReport(now, m.maxOwnReportAge()), now)
 	m.placer.SetPeerLoads(r.Name, placingLoads(r.Loads))
 	m.placer.AddPeerWarmed(now, placingWarmed(r.Warmed))
-	m.rollouts.receiveReports(r.Name, r.Rollouts, now, now)
+	m.rollouts.ReceiveReports(r.Name, r.Rollouts, now, now)
 }
 
 // quotaReport returns what the report, received at now, says for the quotas.
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -10,6 +10,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
@@ -22,7 +23,7 @@
 	placer   *placing.Placer
 	limiter  *quota.Limiter
 	client   *endpoint.Client
-	rollouts *rollouts
+	rollouts *rollouts.Rollouts
 	log      logrus.FieldLogger
 
 	catalog       atomic.Pointer[catalog.Catalog]
@@ -37,7 +38,7 @@
 	faults    lineLimiter // lines on rows that can't be decoded
 }
 
-func newStoreView(adapters Adapters, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, r *rollouts, log *logrus.Logger) *storeView {
+func newStoreView(adapters Adapters, p *placing.Placer, l *quota.Limiter, c *endpoint.Client, r *rollouts.Rollouts, log *logrus.Logger) *storeView {
 	return &storeView{
 		codec:     adapters.Codec,
 		placer:    p,
@@ -61,7 +62,7 @@
 	v.logDrained(drained)
 	orders, faults := v.codec.RolloutOrders(rows)
 	v.logFaults(faults)
-	v.rollouts.setOrders(now, orders, latestEra(rows))
+	v.rollouts.SetOrders(now, orders, latestEra(rows))
 }
 
 // latestEra returns the latest era in which one of the rows was read.
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -29,8 +29,8 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewayRollouts := newRollouts(adapters, logger)
-	gatewayStoreView := newStoreView(adapters, placer, limiter, client, gatewayRollouts, logger)
+	rollouts := newRollouts(adapters, logger)
+	gatewayStoreView := newStoreView(adapters, placer, limiter, client, rollouts, logger)
 	gatewayMetrics, err := newMetrics(t)
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
 	gatewayCrashWatch := newCrashWatch(client, placer, gatewayReachWatch, logger)
 	gatewayRequestRelay := newRequestRelay(monitor)
-	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
+	gatewayMesh := newMesh(s, adapters, placer, limiter, rollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
 	runner, err := newDuties(s, adapters, gatewayMesh, t, logger)
@@ -49,10 +49,10 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner, room)
+	gatewaySender := newSender(client, placer, rollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
-	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
+	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, rollouts, peerServer, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
--- a/front/gateway/main_test.go
+++ b/front/rollouts/main_test.go
@@ -1,4 +1,4 @@
-package gateway
+package rollouts
 
 import (
 	"flag"
--- a/front/gateway/record.go
+++ b/front/rollouts/record.go
@@ -1,4 +1,4 @@
-package gateway
+package rollouts
 
 import (
 	"context"
@@ -49,7 +49,7 @@
 // syncRecords reads the records if they may have changed, and records the
 // results of rollouts. Any instance that finds a new version worse records the
 // rollback; only the leader records starts, completions and expiries.
-func (r *rollouts) syncRecords(ctx context.Context, now time.Time) {
+func (r *Rollouts) syncRecords(ctx context.Context, now time.Time) {
 	if r.readDue(now) {
 		r.readRecords(ctx)
 		r.readStartTimes(ctx)
@@ -60,7 +60,7 @@
 		case ro.Result() == catalog.RolloutRolledBack && !r.rollbackDue(ro, now):
 		case ro.Result() == catalog.RolloutRolledBack:
 			r.writeRecord(ctx, service, ro, catalog.RolloutRolledBack)
-		case !r.isLeader():
+		case !r.fleet.IsLeader():
 		case ro.Result() == catalog.RolloutCompleted:
 			// A restore of the store has lost the record.
 			r.writeRecord(ctx, service, ro, catalog.RolloutCompleted)
@@ -78,8 +78,8 @@
 }
 
 // rollbackDue reports whether this instance is to record a rollback now.
-func (r *rollouts) rollbackDue(ro *rollout.Rollout, now time.Time) bool {
-	if r.isLeader() {
+func (r *Rollouts) rollbackDue(ro *rollout.Rollout, now time.Time) bool {
+	if r.fleet.IsLeader() {
 		return true
 	}
 	r.mu.Lock()
@@ -89,11 +89,11 @@
 		at = now
 		r.haltedAt[ro] = now
 	}
-	return now.Sub(at) >= r.recordDelay()
+	return now.Sub(at) >= r.fleet.RecordDelay()
 }
 
 // readDue reports whether the records should be read now.
-func (r *rollouts) readDue(now time.Time) bool {
+func (r *Rollouts) readDue(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := !r.recordsLoaded || r.recordsEra < r.ordersEra
@@ -109,14 +109,14 @@
 
 // isPending reports whether a rollout has no final result on record. The caller
 // holds mu.
-func (r *rollouts) isPending(service string, ro *rollout.Rollout) bool {
+func (r *Rollouts) isPending(service string, ro *rollout.Rollout) bool {
 	record := r.records[service]
 	return !record.AppliesTo(ro.Order()) || record.Result == catalog.RolloutRunning
 }
 
 // pending returns the rollouts without a final result on record. It leaves out
 // those whose order and record were read in different eras of the store.
-func (r *rollouts) pending() map[string]*rollout.Rollout {
+func (r *Rollouts) pending() map[string]*rollout.Rollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pending := make(map[string]*rollout.Rollout)
@@ -132,7 +132,7 @@
 }
 
 // readRecords reads the records.
-func (r *rollouts) readRecords(ctx context.Context) {
+func (r *Rollouts) readRecords(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	_, _, table := r.codec.Tables()
@@ -151,8 +151,8 @@
 // readStartTimes reads the start times of the recorded rollouts, once for each,
 // if this instance is the leader: it may have started after they did. Reports
 // pass the start times on to the other instances.
-func (r *rollouts) readStartTimes(ctx context.Context) {
-	if !r.isLeader() {
+func (r *Rollouts) readStartTimes(ctx context.Context) {
+	if !r.fleet.IsLeader() {
 		return
 	}
 	wanted := make(map[string]*rollout.Rollout)
@@ -190,14 +190,14 @@
 }
 
 // markStartRead marks a rollout whose start time need not be read any more.
-func (r *rollouts) markStartRead(service string, revision uint64) {
+func (r *Rollouts) markStartRead(service string, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.startRead[service] = revision
 }
 
 // applyStart applies the recorded start time of a rollout.
-func (r *rollouts) applyStart(service string, start startRecord, clock clockReading) {
+func (r *Rollouts) applyStart(service string, start startRecord, clock clockReading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ro := r.active[service]
@@ -213,14 +213,14 @@
 
 // isStartRead reports whether the recorded start time of a rollout has been
 // read.
-func (r *rollouts) isStartRead(ro *rollout.Rollout) bool {
+func (r *Rollouts) isStartRead(ro *rollout.Rollout) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.startRead[ro.Order().Service] == ro.Order().Revision
 }
 
 // hasRecord reports whether the store has a record of a rollout.
-func (r *rollouts) hasRecord(service string, ro *rollout.Rollout) bool {
+func (r *Rollouts) hasRecord(service string, ro *rollout.Rollout) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.records[service].AppliesTo(ro.Order())
@@ -228,7 +228,7 @@
 
 // writeRecord writes a result on the condition that the record is unchanged
 // since it was read and that the order is still in force.
-func (r *rollouts) writeRecord(ctx context.Context, service string, ro *rollout.Rollout, result catalog.RolloutResult) {
+func (r *Rollouts) writeRecord(ctx context.Context, service string, ro *rollout.Rollout, result catalog.RolloutResult) {
 	r.mu.Lock()
 	known, clock := r.records[service], r.clock
 	r.mu.Unlock()
@@ -260,7 +260,7 @@
 
 // recordChange returns the change that writes a record if the stored one still
 // has the revision in record and the order is unchanged.
-func (r *rollouts) recordChange(service string, order catalog.RolloutOrder, record catalog.RolloutRecord) (registry.Change, error) {
+func (r *Rollouts) recordChange(service string, order catalog.RolloutOrder, record catalog.RolloutRecord) (registry.Change, error) {
 	key, value, err := r.codec.EncodeRolloutRecord(service, record)
 	operator, _, table := r.codec.Tables()
 	row := registry.RowName{Table: table, Key: key}
@@ -286,7 +286,7 @@
 
 // applyRecord applies the record of a rollout, if there is one. The caller
 // holds mu.
-func (r *rollouts) applyRecord(ro *rollout.Rollout) {
+func (r *Rollouts) applyRecord(ro *rollout.Rollout) {
 	if record := r.records[ro.Order().Service]; record.AppliesTo(ro.Order()) {
 		ro.ApplyRecord(record.Result)
 	}
@@ -294,7 +294,7 @@
 
 // isRecordGone reports whether a known record that a read has not returned is to
 // be forgotten. The caller holds mu.
-func (r *rollouts) isRecordGone(service string, known catalog.RolloutRecord, b registry.Batch) bool {
+func (r *Rollouts) isRecordGone(service string, known catalog.RolloutRecord, b registry.Batch) bool {
 	if known.Era == b.Era {
 		return known.Revision <= b.Revision
 	}
@@ -304,7 +304,7 @@
 }
 
 // setRecords applies the records that a read of the whole table has returned.
-func (r *rollouts) setRecords(records map[string]catalog.RolloutRecord, b registry.Batch) {
+func (r *Rollouts) setRecords(records map[string]catalog.RolloutRecord, b registry.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recordsLoaded = true
--- a/front/gateway/rollouts.go
+++ b/front/rollouts/rollouts.go
@@ -1,7 +1,13 @@
-package gateway
+// Package rollouts carries out, at one instance, the operators' orders to roll
+// services out to new versions: it chooses the versions that an attempt may use,
+// passes the outcomes of attempts to the evidence on the versions, exchanges that
+// evidence with the other instances, and keeps the results of rollouts on record
+// in the shared store. The decisions are those of steer/rollout.
+package rollouts
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -21,22 +27,53 @@
 // rollout in progress.
 const logEvidenceInterval = time.Second
 
-// rollouts carries out the operators' orders to roll services out to new
-// versions.
-type rollouts struct {
-	store       registry.Store
-	codec       Codec
-	isLeader    func() bool // whether this instance records starts, completions and expiries
-	notifyPeers func()      // syncs with the other instances at once
-	knownSize   func() int  // how many instances, including this one, may be running; 0 if unknown
+// Store is the part of the shared store that rollouts use.
+type Store interface {
+	// Read returns a consistent snapshot of all rows of a table.
+	Read(ctx context.Context, table string) (registry.Batch, error)
+	// Write applies a change if its conditions hold. Its errors are those of
+	// registry.Store.
+	Write(ctx context.Context, c registry.Change) error
+}
+
+// Codec decodes and encodes the rows of rollout records. Errors in a list concern
+// single rows; the other rows are decoded all the same.
+type Codec interface {
+	// Tables returns the names of the tables of operators, endpoints and
+	// rollout records.
+	Tables() (operator, endpoints, records string)
+	// RolloutRecords returns the recorded results of rollouts, by service.
+	RolloutRecords(rows map[string]registry.Row) (map[string]catalog.RolloutRecord, []error)
+	// EncodeRolloutRecord returns the row that records a rollout's result.
+	EncodeRolloutRecord(service string, record catalog.RolloutRecord) (key string, value []byte, err error)
+}
+
+// Fleet is what rollouts ask of the exchange with the other instances.
+type Fleet struct {
+	// IsLeader reports whether this instance records starts, completions and
+	// expiries.
+	IsLeader func() bool
+	// NotifyPeers syncs with the other instances at once.
+	NotifyPeers func()
+	// KnownSize returns how many instances, including this one, may be running, or
+	// 0 if unknown.
+	KnownSize func() int
+	// RecordDelay returns how long an instance that is not the leader waits before
+	// it records a rollback, so that not all instances record it at the same time.
+	RecordDelay func() time.Duration
+}
+
+// Rollouts carries out the operators' orders to roll services out to new
+// versions. It is safe for concurrent use.
+type Rollouts struct {
+	store Store
+	codec Codec
+	fleet Fleet
 	// versionReachedAt returns a time by which the store had reached a version,
 	// or the zero time if unknown.
 	versionReachedAt func(registry.Version) time.Time
 	now              func() time.Time
-	// recordDelay is how long an instance that is not the leader waits before it
-	// records a rollback, so that not all instances record it at the same time.
-	recordDelay func() time.Duration
-	log         logrus.FieldLogger
+	log              logrus.FieldLogger
 
 	mu            sync.Mutex
 	active        map[string]*rollout.Rollout
@@ -53,18 +90,19 @@
 	startRead        map[string]uint64 // revisions of the orders whose start time was read, by service
 }
 
-// newRollouts returns rollouts without orders. newMesh sets isLeader, notifyPeers
-// and knownSize.
-func newRollouts(adapters Adapters, log *logrus.Logger) *rollouts {
-	return &rollouts{
-		store:            adapters.Store,
-		codec:            adapters.Codec,
-		isLeader:         func() bool { return false },
-		notifyPeers:      func() {},
-		knownSize:        func() int { return 0 },
+// New returns rollouts without orders, of an instance that knows no others.
+func New(s Store, c Codec, log *logrus.Logger) *Rollouts {
+	return &Rollouts{
+		store: s,
+		codec: c,
+		fleet: Fleet{
+			IsLeader:    func() bool { return false },
+			NotifyPeers: func() {},
+			KnownSize:   func() int { return 0 },
+			RecordDelay: func() time.Duration { return 0 },
+		},
 		versionReachedAt: func(registry.Version) time.Time { return time.Time{} },
 		now:              time.Now,
-		recordDelay:      func() time.Duration { return 0 },
 		log:              log.WithField("prefix", "moves"),
 		active:           make(map[string]*rollout.Rollout),
 		records:          make(map[string]catalog.RolloutRecord),
@@ -73,9 +111,21 @@
 	}
 }
 
-// setOrders sets the orders in force. era is the store's era in which they were
+// SetFleet replaces the functions of the exchange with the other instances. It
+// must not be called after Run or the first attempt.
+func (r *Rollouts) SetFleet(f Fleet) { r.fleet = f }
+
+// SetStore replaces the store. It must not be called after Run.
+func (r *Rollouts) SetStore(s Store) { r.store = s }
+
+// SetVersionReachedAt sets the function that returns a time by which the store had
+// reached a version, or the zero time if unknown. It must not be called after the
+// first SetOrders.
+func (r *Rollouts) SetVersionReachedAt(f func(registry.Version) time.Time) { r.versionReachedAt = f }
+
+// SetOrders sets the orders in force. era is the store's era in which they were
 // read.
-func (r *rollouts) setOrders(now time.Time, orders map[string]catalog.RolloutOrder, era uint64) {
+func (r *Rollouts) SetOrders(now time.Time, orders map[string]catalog.RolloutOrder, era uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ordersEra = max(r.ordersEra, era)
@@ -115,7 +165,7 @@
 
 // rebase continues a rollout whose order was read again after a restore of the
 // store. The caller holds mu.
-func (r *rollouts) rebase(ro *rollout.Rollout, order catalog.RolloutOrder) {
+func (r *Rollouts) rebase(ro *rollout.Rollout, order catalog.RolloutOrder) {
 	previous := ro.Order()
 	if r.startRead[order.Service] == previous.Revision {
 		r.startRead[order.Service] = order.Revision
@@ -128,91 +178,93 @@
 	r.applyRecord(ro)
 }
 
-// rolloutAttempt is an attempt that is observed for a rollout. Without a rollout,
+// Attempt is an attempt that is observed for a rollout. Without a rollout,
 // nothing is recorded.
-type rolloutAttempt struct {
-	rollouts *rollouts
+type Attempt struct {
+	rollouts *Rollouts
 	rollout  *rollout.Rollout // nil without a rollout
 	attempt  *rollout.Attempt
 }
 
-// startAttempt records the start of an attempt at a service's endpoint.
-func (r *rollouts) startAttempt(service string, now time.Time, c *placing.Choice) *rolloutAttempt {
-	a := &rolloutAttempt{rollouts: r, rollout: r.get(service)}
+// StartAttempt records the start of an attempt at a service's endpoint.
+func (r *Rollouts) StartAttempt(service string, now time.Time, c *placing.Choice) *Attempt {
+	a := &Attempt{rollouts: r, rollout: r.Get(service)}
 	if a.rollout != nil {
 		a.attempt = a.rollout.StartAttempt(now, c.Endpoint.Version, c.Nominal)
 	}
 	return a
 }
 
-// end records that the attempt has ended; settle or discard follows.
-func (a *rolloutAttempt) end() {
+// End records that the attempt has ended; Settle or Discard follows.
+func (a *Attempt) End() {
 	if a.rollout != nil {
 		a.rollout.EndAttempt(time.Now(), a.attempt)
 	}
 }
 
-// settle records the outcome of the attempt. A failure of the new version is
+// Settle records the outcome of the attempt. A failure of the new version is
 // reported to the peers at once.
-func (a *rolloutAttempt) settle(outcome rollout.Outcome, slowness float64) {
+func (a *Attempt) Settle(outcome rollout.Outcome, slowness float64) {
 	if a.rollout == nil {
 		return
 	}
 	a.rollout.SettleAttempt(time.Now(), a.attempt, outcome, slowness)
 	if outcome.Failed() && a.attempt.IsNew() && a.rollout.Result() == catalog.RolloutRunning {
-		a.rollouts.notifyPeers()
+		a.rollouts.fleet.NotifyPeers()
 	}
 }
 
-// discard records that the outcome of the attempt says nothing about its version.
-func (a *rolloutAttempt) discard() {
+// Discard records that the outcome of the attempt says nothing about its version.
+func (a *Attempt) Discard() {
 	if a.rollout != nil {
 		a.rollout.DiscardAttempt(a.attempt)
 	}
 }
 
-// get returns the rollout of a service, or nil.
-func (r *rollouts) get(service string) *rollout.Rollout {
+// Get returns the rollout of a service, or nil.
+func (r *Rollouts) Get(service string) *rollout.Rollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.active[service]
 }
 
-// versionReason is why an attempt goes to its version.
-type versionReason string
+// Reason is why an attempt goes to its version.
+type Reason string
 
 const (
-	// versionAny means that no rollout restricts the versions.
-	versionAny versionReason = "any"
-	// versionByShare means that the rollout's share chose the version.
-	versionByShare versionReason = "share"
-	// versionFallback means that the preferred version had no endpoint with
+	// ReasonAny means that no rollout restricts the versions.
+	ReasonAny Reason = "any"
+	// ReasonShare means that the rollout's share chose the version.
+	ReasonShare Reason = "share"
+	// ReasonFallback means that the preferred version had no endpoint with
 	// headroom.
-	versionFallback versionReason = "fallback"
-	// versionByResult means that the rollout has ended with this version.
-	versionByResult versionReason = "result"
+	ReasonFallback Reason = "fallback"
+	// ReasonResult means that the rollout has ended with this version.
+	ReasonResult Reason = "result"
 )
 
-// versionFilter selects versions.
-type versionFilter struct {
-	accepts func(string) bool // nil selects all
-	reason  versionReason
-	// shareOf is the rollout whose share bounds these attempts, or nil.
-	shareOf *rollout.Rollout
+// Filter selects versions.
+type Filter struct {
+	// Accepts reports whether a version is selected; nil selects all.
+	Accepts func(version string) bool
+	// Reason is why these versions are used.
+	Reason Reason
+	// ShareOf is the rollout whose share bounds these attempts, or nil.
+	ShareOf *rollout.Rollout
 }
 
-// versionPreference says which versions of a service one attempt may use.
-type versionPreference struct {
-	// filters select versions, the preferred ones first.
-	filters []versionFilter
-	// noFallback stops an attempt for which the first filter's endpoints have
+// Preference says which versions of a service one attempt may use.
+type Preference struct {
+	// Filters select versions, the preferred ones first.
+	Filters []Filter
+	// NoFallback stops an attempt for which the first filter's endpoints have
 	// no headroom from using the next filter.
-	noFallback bool
+	NoFallback bool
 }
 
-// preferredVersions returns the versions for one attempt. firstAttempt is false
+// PreferredVersions returns the versions for one attempt. firstAttempt is false
 // for a retry.
-func (r *rollouts) preferredVersions(service string, now time.Time, firstAttempt bool) versionPreference {
+func (r *Rollouts) PreferredVersions(service string, now time.Time, firstAttempt bool) Preference {
 	r.mu.Lock()
 	ro, record, recordsLoaded := r.active[service], r.records[service], r.recordsLoaded
 	r.mu.Unlock()
@@ -222,27 +274,27 @@
 	}
 	isNew := func(v string) bool { return v == to }
 	isOld := func(v string) bool { return v != to }
-	newFirst := []versionFilter{{accepts: isNew, reason: versionByShare}, {accepts: isOld, reason: versionFallback}}
-	oldFirst := []versionFilter{{accepts: isOld, reason: versionByShare}, {accepts: isNew, reason: versionFallback, shareOf: ro}}
+	newFirst := []Filter{{Accepts: isNew, Reason: ReasonShare}, {Accepts: isOld, Reason: ReasonFallback}}
+	oldFirst := []Filter{{Accepts: isOld, Reason: ReasonShare}, {Accepts: isNew, Reason: ReasonFallback, ShareOf: ro}}
 	switch {
 	case result == catalog.RolloutRolledBack:
-		return versionPreference{filters: []versionFilter{{accepts: isOld, reason: versionByResult}}}
+		return Preference{Filters: []Filter{{Accepts: isOld, Reason: ReasonResult}}}
 	case result == catalog.RolloutCompleted:
-		return versionPreference{filters: []versionFilter{{accepts: isNew, reason: versionByResult}, {reason: versionFallback}}}
+		return Preference{Filters: []Filter{{Accepts: isNew, Reason: ReasonResult}, {Reason: ReasonFallback}}}
 	case ro == nil:
-		return versionPreference{filters: []versionFilter{{reason: versionAny}}}
+		return Preference{Filters: []Filter{{Reason: ReasonAny}}}
 	case recordsLoaded && ro.DrainingOld(now):
 		// Old endpoints only finish the requests that run there.
-		return versionPreference{filters: newFirst, noFallback: true}
+		return Preference{Filters: newFirst, NoFallback: true}
 	case recordsLoaded && firstAttempt && ro.UseNewVersion(now):
-		return versionPreference{filters: newFirst}
+		return Preference{Filters: newFirst}
 	}
-	return versionPreference{filters: oldFirst}
+	return Preference{Filters: oldFirst}
 }
 
 // Run evaluates the rollouts and records results until ctx ends. Recording
 // blocks on the store; evaluating does not.
-func (r *rollouts) Run(ctx context.Context) error {
+func (r *Rollouts) Run(ctx context.Context) error {
 	var recorder sync.WaitGroup
 	recorder.Go(func() { runEvery(ctx, evaluateInterval, func(now time.Time) { r.syncRecords(ctx, now) }) })
 	runEvery(ctx, evaluateInterval, r.haltWorseVersions)
@@ -265,7 +317,7 @@
 }
 
 // haltWorseVersions halts rollouts whose new version is worse than the old one.
-func (r *rollouts) haltWorseVersions(now time.Time) {
+func (r *Rollouts) haltWorseVersions(now time.Time) {
 	logDue := now.Sub(r.evidenceLoggedAt) >= logEvidenceInterval
 	if logDue {
 		r.evidenceLoggedAt = now
@@ -274,7 +326,7 @@
 		if ro.Result() != catalog.RolloutRunning {
 			continue
 		}
-		ro.SetFleet(r.knownSize())
+		ro.SetFleet(r.fleet.KnownSize())
 		evaluation := ro.Evaluate(now)
 		log := r.log.WithFields(evidenceFields(evaluation)).WithFields(logrus.Fields{
 			"service": service, "to": ro.Order().To, "age_ms": now.Sub(ro.StartTime()).Milliseconds(),
@@ -299,16 +351,34 @@
 	}
 }
 
-// localReports returns this instance's reports on the rollouts in progress.
-func (r *rollouts) localReports(now time.Time) []rolloutReport {
+// hundredths rounds a number for a log line.
+func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
+// Report is an instance's evidence on a rollout, as sent to other instances.
+type Report struct {
+	// Service names the rollout's service.
+	Service string `json:"s"`
+	// Era and Revision identify the order.
+	Era      uint64 `json:"c,omitempty"`
+	Revision uint64 `json:"r"`
+	// AgeMS is the time since the rollout's start, in milliseconds.
+	AgeMS int64 `json:"a"`
+	// Result is the result that the instance knows.
+	Result catalog.RolloutResult `json:"x,omitempty"`
+	// Evidence is what the instance has observed.
+	Evidence rollout.Evidence `json:"e"`
+}
+
+// LocalReports returns this instance's reports on the rollouts in progress.
+func (r *Rollouts) LocalReports(now time.Time) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var reports []rolloutReport
+	var reports []Report
 	for service, ro := range r.active {
 		if !r.isPending(service, ro) {
 			continue
 		}
-		reports = append(reports, rolloutReport{
+		reports = append(reports, Report{
 			Service: service, Era: ro.Order().Era, Revision: ro.Order().Revision, AgeMS: now.Sub(ro.StartTime()).Milliseconds(),
 			Result: ro.Result(), Evidence: ro.LocalEvidence(now),
 		})
@@ -316,12 +386,12 @@
 	return reports
 }
 
-// receiveReports applies the reports of another instance, or the sum of several
+// ReceiveReports applies the reports of another instance, or the sum of several
 // that were made at measuredAt or later. Their ages are at most those at the time
 // of sending.
-func (r *rollouts) receiveReports(instance string, reports []rolloutReport, measuredAt, now time.Time) {
+func (r *Rollouts) ReceiveReports(instance string, reports []Report, measuredAt, now time.Time) {
 	for _, reported := range reports {
-		ro := r.get(reported.Service)
+		ro := r.Get(reported.Service)
 		if ro == nil || ro.Order().Era != reported.Era || ro.Order().Revision != reported.Revision {
 			continue
 		}
@@ -339,8 +409,8 @@
 	}
 }
 
-// peerStopped records that an instance was removed from the fleet.
-func (r *rollouts) peerStopped(instance string) {
+// PeerStopped records that an instance was removed from the fleet.
+func (r *Rollouts) PeerStopped(instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ro := range r.active {
@@ -348,9 +418,9 @@
 	}
 }
 
-// removePeer removes an instance's evidence, which its region's summary now
+// RemovePeer removes an instance's evidence, which its region's summary now
 // contains.
-func (r *rollouts) removePeer(instance string) {
+func (r *Rollouts) RemovePeer(instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, ro := range r.active {
--- a/front/gateway/rollouts_sim_test.go
+++ b/front/rollouts/rollouts_sim_test.go
@@ -1,4 +1,4 @@
-package gateway
+package rollouts
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 )
 
 // recordCodec writes records as "VERSION RESULT".
-type recordCodec struct{ Codec }
+type recordCodec struct{}
 
 func (recordCodec) Tables() (operator, endpoints, records string) {
 	return tableOrders, "endpoints", tableRecords
@@ -79,7 +79,7 @@
 	// not read the latest of several orders for one version can't tell it from
 	// the earlier one, written again.
 	orders     map[string]int
-	instances  []*rollouts
+	instances  []*Rollouts
 	isLeader   []bool
 	acting     int // the instance that is making calls
 	fault      fault
@@ -101,7 +101,7 @@
 // outside a rapid test.
 func newSingleInstanceSim(t *testing.T, isLeader bool) *rolloutSim {
 	w := &rolloutSim{t: t, now: time.Unix(1_000_000, 0), tables: map[string]map[string]registry.Row{}, orders: map[string]int{}}
-	w.instances, w.isLeader = make([]*rollouts, 1), []bool{isLeader}
+	w.instances, w.isLeader = make([]*Rollouts, 1), []bool{isLeader}
 	w.start(0)
 	return w
 }
@@ -110,9 +110,9 @@
 func (w *rolloutSim) start(i int) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := newRollouts(Adapters{Store: w, Codec: recordCodec{}}, log)
+	r := New(w, recordCodec{}, log)
 	r.now = func() time.Time { return w.now }
-	r.isLeader = func() bool { return w.isLeader[i] }
+	r.fleet.IsLeader = func() bool { return w.isLeader[i] }
 	w.instances[i] = r
 }
 
@@ -190,7 +190,7 @@
 	return o, ok && ordered && o.AppliesTo(order)
 }
 
-// Read implements registry.Store.
+// Read implements Store.
 func (w *rolloutSim) Read(_ context.Context, table string) (registry.Batch, error) {
 	if w.fault == faultDown || w.fault == faultRecordsOnly && table != tableRecords {
 		return registry.Batch{}, errTimeout
@@ -202,21 +202,7 @@
 	return b, nil
 }
 
-// SetAddress implements Store.
-func (w *rolloutSim) SetAddress(string) {}
-
-// Changes implements registry.Store.
-func (w *rolloutSim) Changes(context.Context, string, registry.Version, time.Duration) (registry.Batch, error) {
-	return registry.Batch{}, errTimeout
-}
-
-// Put implements registry.Store.
-func (w *rolloutSim) Put(context.Context, string, string, []byte) error { return errTimeout }
-
-// Remove implements registry.Store.
-func (w *rolloutSim) Remove(context.Context, string, string) error { return errTimeout }
-
-// Write implements registry.Store.
+// Write implements Store.
 func (w *rolloutSim) Write(_ context.Context, c registry.Change) error {
 	ro := w.instances[w.acting].active[testService]
 	decidedFor, decidedAt, startTime := ro.Order(), w.now, ro.StartTime()
@@ -290,7 +276,7 @@
 	if o, ok := w.order(); ok {
 		orders[testService] = o
 	}
-	w.instances[i].setOrders(w.now, orders, w.era)
+	w.instances[i].SetOrders(w.now, orders, w.era)
 }
 
 // step lets an instance evaluate its rollouts and record results.
@@ -305,13 +291,13 @@
 	if from == to {
 		return
 	}
-	w.instances[to].receiveReports(fmt.Sprint(from), w.instances[from].localReports(w.now), w.now, w.now)
+	w.instances[to].ReceiveReports(fmt.Sprint(from), w.instances[from].LocalReports(w.now), w.now, w.now)
 }
 
 // addGoodResponses adds good responses of the new version to an instance's
 // evidence.
 func (w *rolloutSim) addGoodResponses(i int) {
-	ro := w.instances[i].get(testService)
+	ro := w.instances[i].Get(testService)
 	if ro == nil {
 		return
 	}
@@ -326,7 +312,7 @@
 
 // reportSound lets an instance know from a peer that the new version is sound.
 func (w *rolloutSim) reportSound(i int) {
-	ro := w.instances[i].get(testService)
+	ro := w.instances[i].Get(testService)
 	good := rollout.Judgments{Attempts: 60}
 	ro.SetPeerEvidence("peer", rollout.Evidence{NewJudged: good, RampJudged: good}, w.now)
 	ro.Evaluate(w.now)
@@ -334,7 +320,7 @@
 
 // haltNewVersion lets an instance find the new version worse.
 func (w *rolloutSim) haltNewVersion(i int) {
-	ro := w.instances[i].get(testService)
+	ro := w.instances[i].Get(testService)
 	if ro == nil {
 		return
 	}
@@ -389,7 +375,7 @@
 		w.t.Fatalf("order %d to %s: final record is %+v", order.Revision, order.To, known)
 	}
 	for i, r := range w.instances {
-		if got := r.get(testService).Result(); got != known.Result {
+		if got := r.Get(testService).Result(); got != known.Result {
 			w.t.Fatalf("instance %d has %s, the record has %s", i, got, known.Result)
 		}
 	}
--- a/front/gateway/rollouts_test.go
+++ b/front/rollouts/rollouts_test.go
@@ -1,4 +1,4 @@
-package gateway
+package rollouts
 
 import (
 	"testing"
@@ -132,7 +132,7 @@
 				w.restore(older)
 				for range 2 * int(duration/time.Second) {
 					w.round(noInstance)
-					if got := w.instances[0].get(testService).Result(); got != result {
+					if got := w.instances[0].Get(testService).Result(); got != result {
 						t.Fatalf("result %s after the restore", got)
 					}
 				}
@@ -160,7 +160,7 @@
 	w.round(noInstance)
 	w.haltNewVersion(1)
 	w.round(noInstance)
-	if got := w.instances[1].get(testService).Result(); got != catalog.RolloutCompleted {
+	if got := w.instances[1].Get(testService).Result(); got != catalog.RolloutCompleted {
 		t.Fatalf("result %s at the instance that has not read the record, want completed", got)
 	}
 }
@@ -200,12 +200,12 @@
 		noFallback bool
 	}{{0.5, false}, {0.84, false}, {0.88, true}, {0.99, true}} {
 		now := w.now.Add(time.Duration(c.elapsed * float64(duration)))
-		if retry := r.preferredVersions(testService, now, false); retry.noFallback != c.noFallback || retry.filters[0].accepts("v2") != c.noFallback {
-			t.Errorf("at %g: no fallback %t, retry to the new version first %t", c.elapsed, retry.noFallback, retry.filters[0].accepts("v2"))
+		if retry := r.PreferredVersions(testService, now, false); retry.NoFallback != c.noFallback || retry.Filters[0].Accepts("v2") != c.noFallback {
+			t.Errorf("at %g: no fallback %t, retry to the new version first %t", c.elapsed, retry.NoFallback, retry.Filters[0].Accepts("v2"))
 		}
 	}
 	w.haltNewVersion(0)
-	if now := w.now.Add(duration * 9 / 10); r.preferredVersions(testService, now, false).noFallback {
+	if now := w.now.Add(duration * 9 / 10); r.PreferredVersions(testService, now, false).NoFallback {
 		t.Error("no fallback to the old version although the new one is bad")
 	}
 }
@@ -217,14 +217,14 @@
 	w.giveOrder("v2")
 	w.applyOrders(0)
 	r := w.instances[0]
-	r.get(testService).ObserveStart(w.now.Add(-duration * 19 / 20))
+	r.Get(testService).ObserveStart(w.now.Add(-duration * 19 / 20))
 	w.now = w.now.Add(duration / 5) // the full share is for the new version
 	w.reportSound(0)
-	if r.preferredVersions(testService, w.now, true).filters[0].accepts("v2") {
+	if r.PreferredVersions(testService, w.now, true).Filters[0].Accepts("v2") {
 		t.Error("the new version is preferred although no record was read")
 	}
 	w.step(0)
-	if !r.preferredVersions(testService, w.now, true).filters[0].accepts("v2") {
+	if !r.PreferredVersions(testService, w.now, true).Filters[0].Accepts("v2") {
 		t.Error("the old version is preferred although the record was read")
 	}
 }
