Move the reach watch and the crash watch out of front/gateway

Cause: front/gateway holds several concerns and must not grow.

Change: front/reachability probes endpoints, observes dials and holds back failures without a response; front/crashes finds out which requests ran at endpoints that ended. Both take the function that notifies the other instances by SetNotifyPeers; the gateway asks Monitor and Detector, which are those of steer/reach and steer/crash, and passes on failures by ConnectionBroke and NoResponse. Log lines, times and bounds are unchanged. The tests of the sender let Run settle failures instead of calling it directly.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 
 # The packages whose goroutines share memory. Others are pure, or start
 # commands, which the detector doesn't see into.
-RACE := ./front/gateway ./front/rollouts ./front/pipeline ./front/duties ./front/registry ./front/endpoint/... ./front/peer ./front/broker \
-	./front/caller/... ./front/dispatch ./front/telemetry ./front/waiting ./front/storage ./front/storage/attempts \
+RACE := ./front/gateway ./front/rollouts ./front/reachability ./front/pipeline \
+	./front/duties ./front/registry ./front/endpoint/... ./front/peer ./front/broker ./front/caller/... ./front/dispatch ./front/telemetry ./front/waiting ./front/storage ./front/storage/attempts \
 	./front/storage/membership ./front/storage/shares ./front/storage/shifts ./platform/...
 
 # The detector itself crashes on arm64 in these, in a timer of a synctest bubble.
--- a/front/gateway/crashes.go
+++ b/front/crashes/crashes.go
@@ -1,4 +1,7 @@
-package gateway
+// Package crashes finds out which requests ran at endpoints whose processes ended,
+// and whether a failed request counts as a failure of its endpoint's version. The
+// decisions are those of steer/crash.
+package crashes
 
 import (
 	"context"
@@ -9,13 +12,14 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
-// Times of a crashWatch.
+// Times of a Watch.
 const (
 	// reachedElsewhereWait is how long a response of another endpoint is waited
 	// for before one is dialed.
@@ -29,40 +33,51 @@
 	causeWait = 1500 * time.Millisecond
 )
 
-// crashWatch finds out which requests ran at endpoints when their processes
+// Watch finds out which requests ran at endpoints when their processes
 // ended. A connection may break for other reasons, so the endpoint is dialed
 // again: only the address of a process that has ended refuses connections.
-type crashWatch struct {
+// It is safe for concurrent use.
+type Watch struct {
 	detector    *crash.Detector
 	client      *endpoint.Client
 	placer      *placing.Placer
-	reach       *reachWatch
+	reach       *reachability.Watch
+	dialTimeout time.Duration
 	notifyPeers func() // syncs with the other instances at once
 	log         logrus.FieldLogger
 
 	mu     sync.Mutex
-	broken map[catalog.Incarnation][]brokenRequest // while their endpoints are dialed
+	broken map[catalog.Incarnation][]Request // while their endpoints are dialed
 }
 
-// brokenRequest is a request whose connection broke. settle is called once it is
-// known whether that counts as a failure of the endpoint's version.
-type brokenRequest struct {
-	run    crash.Run
-	settle func(counts bool)
+// Request is a request whose connection broke.
+type Request struct {
+	// Run identifies the request.
+	Run crash.Run
+	// Settle is called once it is known whether the request counts as a failure of
+	// the endpoint's version.
+	Settle func(counts bool)
 }
 
-// newCrashWatch returns a watch. newMesh sets notifyPeers.
-func newCrashWatch(c *endpoint.Client, p *placing.Placer, reached *reachWatch, log *logrus.Logger) *crashWatch {
-	w := &crashWatch{
-		client: c, placer: p, reach: reached, notifyPeers: func() {},
-		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]brokenRequest),
+// New returns a watch. dialTimeout bounds the dial of an endpoint.
+func New(c *endpoint.Client, p *placing.Placer, reached *reachability.Watch, dialTimeout time.Duration, log *logrus.Logger) *Watch {
+	w := &Watch{
+		client: c, placer: p, reach: reached, dialTimeout: dialTimeout, notifyPeers: func() {},
+		log: log.WithField("prefix", "crashes"), broken: make(map[catalog.Incarnation][]Request),
 	}
 	w.detector = crash.New(crash.DefaultRules(), w.logEvent)
 	return w
 }
 
+// SetNotifyPeers sets the function that syncs with the other instances at once. It
+// must not be called after the first ConnectionBroke.
+func (w *Watch) SetNotifyPeers(f func()) { w.notifyPeers = f }
+
+// Detector returns the detector that decides which requests are refused.
+func (w *Watch) Detector() *crash.Detector { return w.detector }
+
 // logEvent logs a change of what is believed of a request.
-func (w *crashWatch) logEvent(e crash.Event) {
+func (w *Watch) logEvent(e crash.Event) {
 	log := w.log.WithFields(logrus.Fields{"fingerprint": e.Fingerprint.String(), "endpoints": e.Endpoints, "trials": e.Trials})
 	switch e.Kind {
 	case crash.EventRefused:
@@ -76,17 +91,17 @@
 	}
 }
 
-// mayHaveCrashed reports whether an attempt ended as it does when the endpoint's
+// MayHaveCrashed reports whether an attempt ended as it does when the endpoint's
 // process ends while the request runs.
-func mayHaveCrashed(err error) bool {
+func MayHaveCrashed(err error) bool {
 	var e *endpoint.Error
 	return errors.As(err, &e) && e.Verdict != verdict.NotRun &&
 		(e.Reason == endpoint.ReasonBroken || e.Reason == endpoint.ReasonTruncated)
 }
 
-// connectionBroke records that a connection broke while a request ran, and finds
+// ConnectionBroke records that a connection broke while a request ran, and finds
 // out in the background whether the endpoint's process has ended.
-func (w *crashWatch) connectionBroke(e catalog.Endpoint, r brokenRequest) {
+func (w *Watch) ConnectionBroke(e catalog.Endpoint, r Request) {
 	in := e.Incarnation()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -97,10 +112,15 @@
 	}
 }
 
+// NoResponse records that a request got no response and that its connection did not
+// break while it ran. settle is called once it is known whether the request counts
+// as a failure of the endpoint's version.
+func (w *Watch) NoResponse(at time.Time, settle func(counts bool)) { w.reach.WhenReached(at, settle) }
+
 // investigate finds out whether an endpoint whose connection broke at brokeAt has
 // ended, and settles the requests that ran there.
-func (w *crashWatch) investigate(e catalog.Endpoint, brokeAt time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
+func (w *Watch) investigate(e catalog.Endpoint, brokeAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.dialTimeout)
 	defer cancel()
 	ended, err := w.client.Refuses(ctx, targetOf(&e))
 	w.mu.Lock()
@@ -122,18 +142,18 @@
 	caused := ended && w.detector.CausedBySuspect(time.Now(), e.Incarnation())
 	for _, r := range requests {
 		if caused {
-			r.settle(false)
+			r.Settle(false)
 			continue
 		}
-		w.reach.whenReached(brokeAt, r.settle)
+		w.reach.WhenReached(brokeAt, r.Settle)
 	}
 }
 
 // recordEnd records the end of an endpoint and waits until its cause can be told.
-func (w *crashWatch) recordEnd(e catalog.Endpoint, at time.Time, requests []brokenRequest) {
+func (w *Watch) recordEnd(e catalog.Endpoint, at time.Time, requests []Request) {
 	runs := make([]crash.Run, len(requests))
 	for i, r := range requests {
-		runs[i] = r.run
+		runs[i] = r.Run
 	}
 	w.detector.ObserveEnd(time.Now(), at, e.Incarnation(), runs)
 	w.confirmReach(e.Incarnation())
@@ -143,7 +163,7 @@
 
 // confirmReach dials other endpoints until one accepts, unless a response has
 // shown already that this instance reaches any.
-func (w *crashWatch) confirmReach(ended catalog.Incarnation) {
+func (w *Watch) confirmReach(ended catalog.Incarnation) {
 	if !w.detector.Unconfirmed(ended) {
 		return
 	}
@@ -152,7 +172,7 @@
 		if !w.detector.Unconfirmed(ended) {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), endpointDialTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), w.dialTimeout)
 		start := time.Now()
 		if refuses, err := w.client.Refuses(ctx, targetOf(&other)); err == nil && !refuses {
 			w.detector.ObserveReached(time.Now(), start, other.Incarnation())
@@ -161,14 +181,19 @@
 	}
 }
 
+// targetOf returns the client's target for an endpoint.
+func targetOf(e *catalog.Endpoint) endpoint.Target {
+	return endpoint.Target{Address: e.Address, Incarnation: e.ID}
+}
+
 // maxLoggedFingerprints bounds the fingerprints in one log line.
 const maxLoggedFingerprints = 20
 
 // fingerprintTexts returns the fingerprints of requests for a log line.
-func fingerprintTexts(all []brokenRequest) []string {
+func fingerprintTexts(all []Request) []string {
 	texts := make([]string, 0, maxLoggedFingerprints)
 	for _, r := range all[:min(len(all), maxLoggedFingerprints)] {
-		texts = append(texts, r.run.Fingerprint.String())
+		texts = append(texts, r.Run.Fingerprint.String())
 	}
 	return texts
 }
--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -207,5 +207,5 @@
 // mayRepeat reports whether a request that was sent to an endpoint may be sent to
 // another one with regard to the crashes that it may cause.
 func (s *sender) mayRepeat(x *exchange) bool {
-	return !x.crash.Once && s.crashes.detector.MayRepeat(time.Now(), x.fingerprint)
+	return !x.crash.Once && s.crashes.Detector().MayRepeat(time.Now(), x.fingerprint)
 }
--- a/front/gateway/crashes_test.go
+++ b/front/gateway/crashes_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -25,24 +26,27 @@
 // instances to know.
 const crashSettleTime = 3 * time.Second
 
+// reachCheckWait is the time until failures without a response have been checked.
+const reachCheckWait = 150 * time.Millisecond
+
 // endsWith records at an instance that an endpoint ended while a request ran, and
 // that another endpoint was reached since.
 func endsWith(m *mesh, id string, f crash.Fingerprint) {
 	now := time.Now()
-	m.crashes.detector.ObserveEnd(now, now, catalog.Incarnation{ID: id}, []crash.Run{{Fingerprint: f, SentAt: now.Add(-10 * time.Millisecond)}})
+	m.crashes.Detector().ObserveEnd(now, now, catalog.Incarnation{ID: id}, []crash.Run{{Fingerprint: f, SentAt: now.Add(-10 * time.Millisecond)}})
 	time.Sleep(time.Millisecond)
-	m.crashes.detector.ObserveReached(time.Now(), now, catalog.Incarnation{ID: "other"})
-	m.crashes.notifyPeers()
+	m.crashes.Detector().ObserveReached(time.Now(), now, catalog.Incarnation{ID: "other"})
+	m.syncUrgently()
 }
 
 // refusedAt returns the number of instances that refuse a request.
 func refusedAt(all []*mesh, f crash.Fingerprint) int {
 	n := 0
 	for _, m := range all {
-		if d := m.crashes.detector.Begin(time.Now(), f); d.Refused {
+		if d := m.crashes.Detector().Begin(time.Now(), f); d.Refused {
 			n++
 		} else if d.Allowed {
-			m.crashes.detector.Finish(time.Now(), f, d, false)
+			m.crashes.Detector().Finish(time.Now(), f, d, false)
 		}
 	}
 	return n
@@ -95,7 +99,7 @@
 	t.Cleanup(client.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f.reached = newReachWatch(newReachMonitor(), client, f.placer, log)
+	f.reached = reachability.New(newReachMonitor(), client, f.placer, log)
 	f.crashes = newCrashWatch(client, f.placer, f.reached, log)
 	return f
 }
@@ -111,6 +115,16 @@
 	f.recordResult(x, observed, choice, sentAt, placing.OutcomeFailed, nil, err, time.Since(sentAt))
 }
 
+// settleFailures lets the failures be settled of which it is known whether they
+// count.
+func (f *versionFixture) settleFailures(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), reachCheckWait)
+	defer cancel()
+	if err := f.reached.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A request without a response counts if another got one since.
 func TestCutOfThisInstanceIsNotTheVersionsFault(t *testing.T) {
 	for name, cut := range map[string]bool{"cut off": true, "endpoints reached": false} {
@@ -123,11 +137,11 @@
 				f.recordResult(x, f.rollouts.StartAttempt(testService, time.Now(), choice), choice, time.Now(), placing.OutcomeTimedOut, nil, err, time.Second)
 				time.Sleep(100 * time.Millisecond)
 				if cut {
-					cutOffMonitor(f.reached.monitor)
+					cutOffMonitor(f.reached.Monitor())
 				} else {
-					f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
+					f.reached.Monitor().ConnectionEnded(time.Now(), "another", true)
 				}
-				f.reached.settleFailures(time.Now())
+				f.settleFailures(t)
 				failures := f.rollouts.Get(testService).LocalEvidence(time.Now()).New.Failures
 				if (failures == 0) != cut {
 					t.Errorf("%v failures count", failures)
@@ -145,9 +159,9 @@
 				f := newCrashFixture(t)
 				f.crash("v1", requests[0])
 				f.crash("v2", requests[1])
-				time.Sleep(2 * causeWait)
-				f.reached.monitor.ConnectionEnded(time.Now(), "another", true)
-				f.reached.settleFailures(time.Now())
+				time.Sleep(3 * time.Second) // twice the time until the cause is decided
+				f.reached.Monitor().ConnectionEnded(time.Now(), "another", true)
+				f.settleFailures(t)
 				evidence := f.rollouts.Get(testService).LocalEvidence(time.Now())
 				failures := evidence.Old.Failures + evidence.New.Failures
 				if want := map[bool]float64{true: 0, false: 2}[requests[0] == requests[1]]; float64(failures) != want {
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -126,8 +127,8 @@
 			r := newRollouts(Adapters{}, log)
 			view := &storeView{}
 			placer := placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region})
-			reached := newReachWatch(newReachMonitor(), nil, placer, log)
-			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, reached, log), reached, newRequestRelay(reached.monitor), log)
+			reached := reachability.New(newReachMonitor(), nil, placer, log)
+			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, reached, log), reached, newRequestRelay(reached.Monitor()), log)
 			m.ready = func() bool { return true }
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
--- a/front/gateway/fallback_test.go
+++ b/front/gateway/fallback_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
@@ -86,7 +87,7 @@
 type versionFixture struct {
 	*sender
 	placer  *placing.Placer
-	reached *reachWatch
+	reached *reachability.Watch
 	route   catalog.Route
 }
 
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomfront/cardamomfront/front/pacing"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/pipeline"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/relay"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
@@ -93,7 +94,7 @@
 	mesh        *mesh
 	tables      *relayedStore
 	client      *endpoint.Client
-	reach       *reachWatch
+	reach       *reachability.Watch
 	relay       *requestRelay
 	peers       *peer.Server
 	pipeline    *pipeline.Server // nil unless pipelining is set
--- a/front/gateway/gauges.go
+++ b/front/gateway/gauges.go
@@ -65,7 +65,7 @@
 		o.ObserveInt64(all.instances, int64(g.mesh.size()))
 		all.observeUsage(o, g, now)
 		cutOff := int64(0)
-		if cut, _ := g.reach.monitor.IsCutOff(); cut {
+		if cut, _ := g.reach.Monitor().IsCutOff(); cut {
 			cutOff = 1
 		}
 		o.ObserveInt64(all.cutOff, cutOff)
--- a/front/gateway/handler.go
+++ b/front/gateway/handler.go
@@ -135,12 +135,12 @@
 	if r := h.refuseWhileStopping(); r != nil {
 		return nil, r
 	}
-	x.crash = h.sender.crashes.detector.Begin(time.Now(), x.fingerprint)
+	x.crash = h.sender.crashes.Detector().Begin(time.Now(), x.fingerprint)
 	if !x.crash.Allowed {
 		return nil, crashRefusal(x.crash)
 	}
 	defer func() {
-		h.sender.crashes.detector.Finish(time.Now(), x.fingerprint, x.crash, x.attempts > 0)
+		h.sender.crashes.Detector().Finish(time.Now(), x.fingerprint, x.crash, x.attempts > 0)
 	}()
 	if r := h.checkQuota(x); r != nil {
 		return nil, r
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -4,7 +4,8 @@
 // request to an endpoint.
 //
 // The protocols with callers, endpoints and the store are behind narrow
-// interfaces. Rollouts are carried out by front/rollouts. The decisions are made in
+// interfaces. Rollouts are carried out by front/rollouts; front/reachability and
+// front/crashes find out why requests got no response. The decisions are made in
 // the packages catalog, placing, quota, retry and rollout.
 package gateway
 
--- a/front/gateway/members.go
+++ b/front/gateway/members.go
@@ -120,7 +120,7 @@
 	for i, other := range fleet {
 		names[i] = other.Name
 	}
-	m.crashes.detector.SetFleet(m.self.Name, names)
+	m.crashes.Detector().SetFleet(m.self.Name, names)
 	for region, roundTrip := range roundTrips {
 		m.placer.SetRoundTrip(region, roundTrip)
 	}
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -11,7 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -80,7 +82,7 @@
 	placer              *placing.Placer
 	limiter             *quota.Limiter
 	rollouts            *rollouts.Rollouts
-	crashes             *crashWatch
+	crashes             *crashes.Watch
 	reach               *reach.Monitor
 	ready               func() bool
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
@@ -108,7 +110,7 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashWatch, reached *reachWatch, relayed *requestRelay, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashes.Watch, reached *reachability.Watch, relayed *requestRelay, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
@@ -122,7 +124,7 @@
 		limiter:             l,
 		rollouts:            r,
 		crashes:             w,
-		reach:               reached.monitor,
+		reach:               reached.Monitor(),
 		ready:               v.ready,
 		storeReachableSince: func() time.Time { return time.Time{} },
 		log:                 log.WithField("prefix", "mesh"),
@@ -133,7 +135,9 @@
 		membersRead:         make(chan struct{}),
 		wake:                make(chan struct{}),
 	}
-	w.notifyPeers, reached.notifyPeers, relayed.helpers = m.syncUrgently, m.syncUrgently, m.helpers
+	w.SetNotifyPeers(m.syncUrgently)
+	reached.SetNotifyPeers(m.syncUrgently)
+	relayed.helpers = m.helpers
 	r.SetFleet(rollouts.Fleet{IsLeader: m.isLeader, NotifyPeers: m.syncUrgently, KnownSize: m.knownSize, RecordDelay: m.recordDelay})
 	return m
 }
--- a/front/gateway/outcome.go
+++ b/front/gateway/outcome.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/crash"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -43,19 +45,19 @@
 		observed.Settle(rolloutOutcome(o, response, err, elapsed, c), slowness(elapsed, c))
 	}
 	switch {
-	case mayHaveCrashed(err):
-		s.crashes.connectionBroke(c.Endpoint, brokenRequest{run: crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt}, settle: record})
+	case crashes.MayHaveCrashed(err):
+		s.crashes.ConnectionBroke(c.Endpoint, crashes.Request{Run: crash.Run{Fingerprint: x.fingerprint, SentAt: sentAt}, Settle: record})
 		return
-	case !hasResponded(err):
-		s.crashes.reach.whenReached(time.Now(), record)
+	case !reachability.HasResponded(err):
+		s.crashes.NoResponse(time.Now(), record)
 		return
 	}
 	record(true)
 	switch {
 	case err == nil && !claimsNotRun(response.Status):
-		s.crashes.detector.ObserveAnswer(time.Now(), sentAt, c.Endpoint.Incarnation(), x.fingerprint)
+		s.crashes.Detector().ObserveAnswer(time.Now(), sentAt, c.Endpoint.Incarnation(), x.fingerprint)
 	case err == nil || o == placing.OutcomeShed:
-		s.crashes.detector.ObserveReached(time.Now(), sentAt, c.Endpoint.Incarnation())
+		s.crashes.Detector().ObserveReached(time.Now(), sentAt, c.Endpoint.Incarnation())
 	}
 }
 
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -9,9 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
@@ -61,7 +63,7 @@
 	return endpoint.NewClient(endpoint.Settings{
 		InvalidLoads:  invalidLoads,
 		DialTimeout:   endpointDialTimeout,
-		Dial:          observeDials(adapters.Dial, m),
+		Dial:          reachability.ObserveDials(adapters.Dial, m),
 		Protocol:      adapters.Endpoints,
 		DisableProbes: true,
 		Connections:   health.ConnectionRules{FreshFor: health.DefaultFreshFor, ReusableFor: endpointIdleTimeout},
@@ -77,6 +79,10 @@
 	})
 }
 
+func newCrashWatch(c *endpoint.Client, p *placing.Placer, reached *reachability.Watch, log *logrus.Logger) *crashes.Watch {
+	return crashes.New(c, p, reached, endpointDialTimeout, log)
+}
+
 // newRollouts returns rollouts without orders. newMesh connects them with the other
 // instances, and newRelayedStore replaces their store.
 func newRollouts(adapters Adapters, log *logrus.Logger) *rollouts.Rollouts {
@@ -90,7 +96,7 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts.Rollouts, m *metrics, b *retryBudgets, w *crashWatch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts.Rollouts, m *metrics, b *retryBudgets, w *crashes.Watch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
 	return &sender{duties: d, client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, room: room, logLimiter: l, ended: make(chan struct{})}
 }
 
@@ -126,7 +132,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachWatch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachability.Watch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -9,8 +9,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
@@ -46,7 +48,7 @@
 	placer     *placing.Placer
 	rollouts   *rollouts.Rollouts
 	budgets    *retryBudgets
-	crashes    *crashWatch
+	crashes    *crashes.Watch
 	reach      *reach.Monitor
 	relay      *requestRelay
 	room       *waiting.Room
@@ -148,7 +150,7 @@
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
 	})
-	s.reach.RequestEnded(time.Now(), hasResponded(err))
+	s.reach.RequestEnded(time.Now(), reachability.HasResponded(err))
 	s.applyRestrictions(x, c.Choice, start, response, err)
 	var buffered *bufferedResponse
 	if err == nil {
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -170,7 +170,7 @@
 	r.DemandAgeMS = now.Sub(sampledAt).Milliseconds()
 	r.Rollouts = m.rollouts.LocalReports(now)
 	r.RateLimits = rateLimitReports(m.placer.RateLimits(now))
-	r.Crashes = m.crashes.detector.Report(now)
+	r.Crashes = m.crashes.Detector().Report(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.Leaving, r.CutOff = m.leaving, now.Before(m.cutOffUntil)
@@ -266,7 +266,7 @@
 	m.receiveExtension(r.Name, extension, now)
 	m.receiveLeaving(now, r.LeavingEndpoints)
 	m.receiveRateLimits(r.Name, r.RateLimits, now)
-	m.crashes.detector.Receive(now, r.Crashes)
+	m.crashes.Detector().Receive(now, r.Crashes)
 	switch {
 	case r.OwnDomain != nil:
 		m.receiveSummary(*r.OwnDomain, now)
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/wire"
 
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 )
@@ -19,7 +20,7 @@
 		newLog,
 		newMetrics,
 		newReachMonitor,
-		newReachWatch,
+		reachability.New,
 		newRequestRelay,
 		newClient,
 		newPlacer,
--- a/front/gateway/pending_failures.go
+++ b/front/reachability/pending_failures.go
@@ -1,4 +1,4 @@
-package gateway
+package reachability
 
 import (
 	"time"
@@ -22,9 +22,9 @@
 	maxPendingFailures = 512
 )
 
-// whenReached calls settle once it is known whether a failure counts: if this
+// WhenReached calls settle once it is known whether a failure counts: if this
 // instance has reached an endpoint since.
-func (w *reachWatch) whenReached(at time.Time, settle func(counts bool)) {
+func (w *Watch) WhenReached(at time.Time, settle func(counts bool)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.failures) < maxPendingFailures {
@@ -33,7 +33,7 @@
 }
 
 // settleFailures settles the failures of which it is known whether they count.
-func (w *reachWatch) settleFailures(now time.Time) {
+func (w *Watch) settleFailures(now time.Time) {
 	w.mu.Lock()
 	waiting := w.failures
 	w.failures = nil
--- a/front/gateway/reach.go
+++ b/front/reachability/reachability.go
@@ -1,4 +1,8 @@
-package gateway
+// Package reachability finds out whether this instance reaches any endpoint at all:
+// it observes the dials of the endpoint client, probes endpoints when that is due,
+// and holds failures without a response back until it is known whether they are
+// this instance's own. The decisions are those of steer/reach.
+package reachability
 
 import (
 	"context"
@@ -26,9 +30,9 @@
 	minDialEvidence = 250 * time.Millisecond
 )
 
-// reachWatch probes endpoints to find out whether this instance is cut off from all
-// of them.
-type reachWatch struct {
+// Watch probes endpoints to find out whether this instance is cut off from all
+// of them. It is safe for concurrent use.
+type Watch struct {
 	monitor     *reach.Monitor
 	client      *endpoint.Client
 	placer      *placing.Placer
@@ -39,31 +43,44 @@
 	failures []pendingFailure
 }
 
-// newReachWatch returns a watch. newMesh sets notifyPeers.
-func newReachWatch(m *reach.Monitor, c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *reachWatch {
-	return &reachWatch{monitor: m, client: c, placer: p, notifyPeers: func() {}, log: log.WithField("prefix", "reach")}
+// New returns a watch that reports what it finds out to m.
+func New(m *reach.Monitor, c *endpoint.Client, p *placing.Placer, log *logrus.Logger) *Watch {
+	return &Watch{monitor: m, client: c, placer: p, notifyPeers: func() {}, log: log.WithField("prefix", "reach")}
 }
 
+// SetNotifyPeers sets the function that syncs with the other instances at once. It
+// must not be called after Run.
+func (w *Watch) SetNotifyPeers(f func()) { w.notifyPeers = f }
+
+// Monitor returns the monitor that knows whether this instance is cut off.
+func (w *Watch) Monitor() *reach.Monitor { return w.monitor }
+
 // Run probes endpoints when that is due until ctx ends.
-func (w *reachWatch) Run(ctx context.Context) error {
-	runEvery(ctx, probeCheckInterval, func(now time.Time) {
-		w.settleFailures(now)
-		if n := w.monitor.Probe(now); n > 0 {
-			w.probe(ctx, n)
+func (w *Watch) Run(ctx context.Context) error {
+	ticker := time.NewTicker(probeCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			w.settleFailures(now)
+			if n := w.monitor.Probe(now); n > 0 {
+				w.probe(ctx, n)
+			}
 		}
-	})
-	return nil
+	}
 }
 
 // probe dials up to n endpoints at the same time.
-func (w *reachWatch) probe(ctx context.Context, n int) {
+func (w *Watch) probe(ctx context.Context, n int) {
 	endpoints := w.placer.SpreadEndpoints(n, catalog.Incarnation{})
 	ctx, cancel := context.WithTimeout(ctx, probeDialTimeout)
 	defer cancel()
 	results := make(chan bool, len(endpoints))
 	for _, e := range endpoints {
 		go func() {
-			refuses, err := w.client.Refuses(ctx, targetOf(&e))
+			refuses, err := w.client.Refuses(ctx, endpoint.Target{Address: e.Address, Incarnation: e.ID})
 			results <- err == nil && !refuses
 		}()
 	}
@@ -89,9 +106,9 @@
 	}
 }
 
-// observeDials returns a dial function that reports to m whether endpoints accept
+// ObserveDials returns a dial function that reports to m whether endpoints accept
 // connections. A nil dial means the system's dialer.
-func observeDials(dial endpoint.DialFunc, m *reach.Monitor) endpoint.DialFunc {
+func ObserveDials(dial endpoint.DialFunc, m *reach.Monitor) endpoint.DialFunc {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
@@ -110,8 +127,8 @@
 	}
 }
 
-// hasResponded reports whether an endpoint has sent a response to a request.
-func hasResponded(err error) bool {
+// HasResponded reports whether an endpoint has sent a response to a request.
+func HasResponded(err error) bool {
 	var e *endpoint.Error
 	if !errors.As(err, &e) {
 		return err == nil
