Move the client of the request relay out of front/gateway

What depends on the caller's request (whether it may be sent through others, its log line, the refusals, serving it here) stays in front/gateway. The header and the dial timeout are unchanged.

Trial: with requests not counted, TestRequestCountsUntilItsResponseIsRead fails.

--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -110,7 +110,7 @@
 
 // startAttempt starts one more attempt. Errors: *placing.Refusal.
 func (r *attemptRun) startAttempt() error {
-	if helper, ok := r.sender.relay.choose(r.exchange, r.helpers); ok {
+	if helper, ok := r.sender.chooseHelper(r.exchange, r.helpers); ok {
 		r.startRelayAttempt(helper)
 		return nil
 	}
--- a/front/gateway/domains_test.go
+++ b/front/gateway/domains_test.go
@@ -128,7 +128,7 @@
 			view := &storeView{}
 			placer := placing.New(placing.DefaultRules(), placing.Locality{Self: name, Region: region})
 			reached := reachability.New(newReachMonitor(), nil, placer, log)
-			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, reached, log), reached, newRequestRelay(reached.Monitor()), log)
+			m := newMesh(s, Adapters{}, placer, limiter, r, view, newCrashWatch(nil, placer, reached, log), reached, newRelayClient(), log)
 			m.ready = func() bool { return true }
 			m.storeReachableSince = func() time.Time { return n.reachableSince(name) }
 			m.caller = instanceCaller{network: n, self: name, region: region}
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
 	"github.com/cardamomfront/cardamomfront/front/relay"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 )
@@ -95,7 +96,7 @@
 	tables      *relayedStore
 	client      *endpoint.Client
 	reach       *reachability.Watch
-	relay       *requestRelay
+	relay       *relayclient.Client
 	peers       *peer.Server
 	pipeline    *pipeline.Server // nil unless pipelining is set
 	duties      *duties.Runner
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -5,8 +5,9 @@
 //
 // The protocols with callers, endpoints and the store are behind narrow
 // interfaces. Rollouts are carried out by front/rollouts; front/reachability and
-// front/crashes find out why requests got no response. The decisions are made in
-// the packages catalog, placing, quota, retry and rollout.
+// front/crashes find out why requests got no response; front/relayclient sends
+// requests through other instances. The decisions are made in the packages catalog,
+// placing, quota, retry and rollout.
 package gateway
 
 import (
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
@@ -110,7 +111,7 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashes.Watch, reached *reachability.Watch, relayed *requestRelay, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashes.Watch, reached *reachability.Watch, relayed *relayclient.Client, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
@@ -137,7 +138,7 @@
 	}
 	w.SetNotifyPeers(m.syncUrgently)
 	reached.SetNotifyPeers(m.syncUrgently)
-	relayed.helpers = m.helpers
+	relayed.SetHelpers(m.helpers)
 	r.SetFleet(rollouts.Fleet{IsLeader: m.isLeader, NotifyPeers: m.syncUrgently, KnownSize: m.knownSize, RecordDelay: m.recordDelay})
 	return m
 }
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
@@ -79,6 +80,8 @@
 	})
 }
 
+func newRelayClient() *relayclient.Client { return relayclient.New(ignoreOutcomes{}) }
+
 func newCrashWatch(c *endpoint.Client, p *placing.Placer, reached *reachability.Watch, log *logrus.Logger) *crashes.Watch {
 	return crashes.New(c, p, reached, endpointDialTimeout, log)
 }
@@ -96,7 +99,7 @@
 	return s
 }
 
-func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts.Rollouts, m *metrics, b *retryBudgets, w *crashes.Watch, reached *reach.Monitor, relayed *requestRelay, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
+func newSender(c *endpoint.Client, p *placing.Placer, r *rollouts.Rollouts, m *metrics, b *retryBudgets, w *crashes.Watch, reached *reach.Monitor, relayed *relayclient.Client, l *logLimiter, d *duties.Runner, room *waiting.Room) *sender {
 	return &sender{duties: d, client: c, placer: p, rollouts: r, metrics: m, budgets: b, crashes: w, reach: reached, relay: relayed, room: room, logLimiter: l, ended: make(chan struct{})}
 }
 
@@ -132,7 +135,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachability.Watch, relayed *requestRelay, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachability.Watch, relayed *relayclient.Client, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
--- a/front/gateway/request_relay.go
+++ b/front/gateway/request_relay.go
@@ -5,16 +5,14 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/relay"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/reach"
@@ -26,13 +24,7 @@
 // answers the caller; the second one does all the rest, as for callers of its own,
 // and never passes a request on.
 
-// headerRelayEndpoints is the number of endpoints that a relayed request may still
-// be sent to.
-const headerRelayEndpoints = endpoint.HeaderPrefix + "Relay-Endpoints"
-
 const (
-	// relayDialTimeout bounds the dial of a connection to another instance.
-	relayDialTimeout = 500 * time.Millisecond
 	// sameRegionHelperTime is the round trip to an instance of this region that has
 	// not been measured.
 	sameRegionHelperTime = 4 * time.Millisecond
@@ -46,35 +38,10 @@
 	reasonHelperOutdated = "helper-outdated"
 )
 
-// requestRelay sends requests through other instances while this one is cut off.
-type requestRelay struct {
-	client  *endpoint.Client
-	monitor *reach.Monitor
-	helpers func() []reach.Helper // instances that reach endpoints
-
-	mu      sync.Mutex
-	random  *rand.Rand
-	running map[string]int // requests, by address
-}
-
-// newRequestRelay returns a relay. newMesh sets its helpers.
-func newRequestRelay(m *reach.Monitor) *requestRelay {
-	return &requestRelay{
-		client:  endpoint.NewClient(endpoint.Settings{DialTimeout: relayDialTimeout, DisableProbes: true}, ignoreOutcomes{}),
-		monitor: m,
-		helpers: func() []reach.Helper { return nil },
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		running: make(map[string]int),
-	}
-}
-
-// Run closes idle connections to other instances until ctx ends.
-func (r *requestRelay) Run(ctx context.Context) error { return r.client.Run(ctx) }
-
-// choose returns the helper for a request, if this instance is cut off and there is
-// one. tried are addresses of helpers that have failed.
-func (r *requestRelay) choose(x *exchange, tried map[string]bool) (reach.Helper, bool) {
-	if cutOff, _ := r.monitor.IsCutOff(); !cutOff || x.relayed {
+// chooseHelper returns the helper for a request, if this instance is cut off and there
+// is one. tried are addresses of helpers that have failed.
+func (s *sender) chooseHelper(x *exchange, tried map[string]bool) (reach.Helper, bool) {
+	if cutOff, _ := s.reach.IsCutOff(); !cutOff || x.relayed {
 		return reach.Helper{}, false
 	}
 	var regions []string
@@ -85,49 +52,23 @@
 		}
 		regions = homes
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var helpers []reach.Helper
-	for _, h := range r.helpers() {
-		if !tried[h.Address] {
-			h.Running = r.running[h.Address]
-			helpers = append(helpers, h)
-		}
-	}
-	return reach.ChooseHelper(r.random, helpers, regions)
-}
-
-// count adds n to the number of requests that run at a helper.
-func (r *requestRelay) count(address string, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.running[address] += n; r.running[address] <= 0 {
-		delete(r.running, address)
-	}
-}
-
-// send sends a request through a helper, which may send it to a number of endpoints.
-func (r *requestRelay) send(ctx context.Context, x *exchange, h reach.Helper, endpoints int) (*bufferedResponse, error) {
-	r.count(h.Address, 1)
-	defer r.count(h.Address, -1)
-	response, err := r.client.Send(ctx, endpoint.Target{Address: h.Address}, &endpoint.Request{
-		HTTP:        x.attemptRequest(),
-		ID:          x.caller.ID,
-		Team:        x.teamName(),
-		Idempotent:  x.route.Idempotent,
-		Deadline:    x.deadline,
-		RelayHeader: http.Header{headerRelayEndpoints: {strconv.Itoa(endpoints)}},
-	})
-	if err != nil {
-		return nil, err
-	}
-	return bufferResponse(response)
+	return s.relay.Choose(regions, tried)
 }
 
 // relayAttempt sends the request through a helper.
 func (s *sender) relayAttempt(ctx context.Context, x *exchange, h reach.Helper, attemptNumber, endpoints int) result {
 	start := time.Now()
-	response, err := s.relay.send(ctx, x, h, endpoints)
+	var response *bufferedResponse
+	err := s.relay.Send(ctx, h, endpoint.Request{
+		HTTP:       x.attemptRequest(),
+		ID:         x.caller.ID,
+		Team:       x.teamName(),
+		Idempotent: x.route.Idempotent,
+		Deadline:   x.deadline,
+	}, endpoints, func(unread *endpoint.Response) (err error) {
+		response, err = bufferResponse(unread)
+		return err
+	})
 	s.logRelayAttempt(x, h, response, err, time.Since(start), attemptNumber)
 	if err == nil {
 		return result{response: response}
@@ -174,7 +115,7 @@
 	}
 	x := &exchange{caller: h.protocol.Parse(r), arrived: time.Now(), request: r, relayed: true, verdict: verdict.NotRun}
 	x.caller.DeadlineLeft, _ = relay.Remaining(r) // the relay has read it before
-	x.maxEndpoints, _ = strconv.Atoi(r.Header.Get(headerRelayEndpoints))
+	x.maxEndpoints = relayclient.MaxEndpoints(r)
 	x.log = h.log.WithFields(logrus.Fields{"request": x.caller.ID, "relayed": true})
 	x.logAll = h.logLimiter.allowRequest(x.arrived)
 	response, refusal := h.serve(x)
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/reachability"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
 	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
@@ -50,7 +51,7 @@
 	budgets    *retryBudgets
 	crashes    *crashes.Watch
 	reach      *reach.Monitor
-	relay      *requestRelay
+	relay      *relayclient.Client
 	room       *waiting.Room
 	metrics    *metrics
 	logLimiter *logLimiter
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -21,7 +21,7 @@
 		newMetrics,
 		newReachMonitor,
 		reachability.New,
-		newRequestRelay,
+		newRelayClient,
 		newClient,
 		newPlacer,
 		quota.New,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -38,8 +38,8 @@
 	}
 	watch := reachability.New(monitor, client, placer, logger)
 	crashesWatch := newCrashWatch(client, placer, watch, logger)
-	gatewayRequestRelay := newRequestRelay(monitor)
-	gatewayMesh := newMesh(s, adapters, placer, limiter, rollouts, gatewayStoreView, crashesWatch, watch, gatewayRequestRelay, logger)
+	relayclientClient := newRelayClient()
+	gatewayMesh := newMesh(s, adapters, placer, limiter, rollouts, gatewayStoreView, crashesWatch, watch, relayclientClient, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
 	runner, err := newDuties(s, adapters, gatewayMesh, t, logger)
@@ -50,10 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewaySender := newSender(client, placer, rollouts, gatewayMetrics, gatewayRetryBudgets, crashesWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner, room)
+	gatewaySender := newSender(client, placer, rollouts, gatewayMetrics, gatewayRetryBudgets, crashesWatch, monitor, relayclientClient, gatewayLogLimiter, runner, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, rollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, watch, gatewayRequestRelay, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, watch, relayclientClient, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
