--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -110,7 +110,7 @@
 
 // startAttempt starts one more attempt. Errors: *placing.Refusal.
 func (r *attemptRun) startAttempt() error {
-	if helper, ok := r.sender.relay.choose(r.exchange, r.helpers); ok {
+	if helper, ok := r.sender.chooseHelper(r.exchange, r.helpers); ok {
 		r.startRelayAttempt(helper)
 		return nil
 	}
@@ -207,5 +207,5 @@
 // mayRepeat reports whether a request that was sent to an endpoint may be sent to
 // another one with regard to the crashes that it may cause.
 func (s *sender) mayRepeat(x *exchange) bool {
-	return !x.crash.Once && s.crashes.detector.MayRepeat(time.Now(), x.fingerprint)
+	return !x.crash.Once && s.crashes.Detector().MayRepeat(time.Now(), x.fingerprint)
 }
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -11,8 +11,12 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/peer"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"github.com/cardamomfront/cardamomfront/steer/reach"
@@ -78,8 +82,8 @@
 	caller              peer.Caller
 	placer              *placing.Placer
 	limiter             *quota.Limiter
-	rollouts            *rollouts
-	crashes             *crashWatch
+	rollouts            *rollouts.Rollouts
+	crashes             *crashes.Watch
 	reach               *reach.Monitor
 	ready               func() bool
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
@@ -107,7 +111,7 @@
 }
 
 // newMesh returns a mesh without other instances.
-func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts, v *storeView, w *crashWatch, reached *reachWatch, relayed *requestRelay, log *logrus.Logger) *mesh {
+func newMesh(s *Settings, adapters Adapters, p *placing.Placer, l *quota.Limiter, r *rollouts.Rollouts, v *storeView, w *crashes.Watch, reached *reachability.Watch, relayed *relayclient.Client, log *logrus.Logger) *mesh {
 	client := peer.NewClient(nil, peerDialTimeout)
 	client.AllowPlainTCP = true
 	m := &mesh{
@@ -121,7 +125,7 @@
 		limiter:             l,
 		rollouts:            r,
 		crashes:             w,
-		reach:               reached.monitor,
+		reach:               reached.Monitor(),
 		ready:               v.ready,
 		storeReachableSince: func() time.Time { return time.Time{} },
 		log:                 log.WithField("prefix", "mesh"),
@@ -132,8 +136,10 @@
 		membersRead:         make(chan struct{}),
 		wake:                make(chan struct{}),
 	}
-	w.notifyPeers, reached.notifyPeers, relayed.helpers = m.syncUrgently, m.syncUrgently, m.helpers
-	r.isLeader, r.notifyPeers, r.knownSize, r.recordDelay = m.isLeader, m.syncUrgently, m.knownSize, m.recordDelay
+	w.SetNotifyPeers(m.syncUrgently)
+	reached.SetNotifyPeers(m.syncUrgently)
+	relayed.SetHelpers(m.helpers)
+	r.SetFleet(rollouts.Fleet{IsLeader: m.isLeader, NotifyPeers: m.syncUrgently, KnownSize: m.knownSize, RecordDelay: m.recordDelay})
 	return m
 }
 
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -9,8 +9,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/reachability"
+	"github.com/cardamomfront/cardamomfront/front/relayclient"
+	"github.com/cardamomfront/cardamomfront/front/rollouts"
 	"github.com/cardamomfront/cardamomfront/front/waiting"
 	"github.com/cardamomfront/cardamomfront/steer/catalog"
 	"github.com/cardamomfront/cardamomfront/steer/placing"
@@ -43,11 +47,11 @@
 type sender struct {
 	client     *endpoint.Client
 	placer     *placing.Placer
-	rollouts   *rollouts
+	rollouts   *rollouts.Rollouts
 	budgets    *retryBudgets
-	crashes    *crashWatch
+	crashes    *crashes.Watch
 	reach      *reach.Monitor
-	relay      *requestRelay
+	relay      *relayclient.Client
 	room       *waiting.Room
 	metrics    *metrics
 	logLimiter *logLimiter
@@ -83,7 +87,7 @@
 // placement is an endpoint chosen for one attempt.
 type placement struct {
 	*placing.Choice
-	reason versionReason
+	reason rollouts.Reason
 }
 
 // chooseEndpoint reserves an endpoint of a version that the service's rollout
@@ -110,18 +114,18 @@
 		q.Object = x.caller.Object
 	}
 	var err error
-	preferred := s.rollouts.preferredVersions(x.service, now, len(tried) == 0)
-	for _, filter := range preferred.filters {
-		if filter.shareOf != nil && hasNoHeadroom(err) && !filter.shareOf.MayFallBackToNew(now) {
+	preferred := s.rollouts.PreferredVersions(x.service, now, len(tried) == 0)
+	for _, filter := range preferred.Filters {
+		if filter.ShareOf != nil && hasNoHeadroom(err) && !filter.ShareOf.MayFallBackToNew(now) {
 			break
 		}
-		q.Versions = filter.accepts
+		q.Versions = filter.Accepts
 		var choice *placing.Choice
 		if choice, err = s.placer.Choose(now, q); err == nil {
-			return &placement{Choice: choice, reason: filter.reason}, nil
+			return &placement{Choice: choice, reason: filter.Reason}, nil
 		}
 		q.Repeated = true
-		if preferred.noFallback && hasNoHeadroom(err) {
+		if preferred.NoFallback && hasNoHeadroom(err) {
 			break
 		}
 	}
@@ -137,7 +141,7 @@
 // attempt sends the request to one endpoint. attemptNumber counts from 1.
 func (s *sender) attempt(ctx context.Context, x *exchange, c *placement, attemptNumber int) result {
 	start := time.Now()
-	observed := s.rollouts.startAttempt(x.service, start, c.Choice)
+	observed := s.rollouts.StartAttempt(x.service, start, c.Choice)
 	s.reach.RequestStarted(start)
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
@@ -147,7 +151,7 @@
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
 	})
-	s.reach.RequestEnded(time.Now(), hasResponded(err))
+	s.reach.RequestEnded(time.Now(), reachability.HasResponded(err))
 	s.applyRestrictions(x, c.Choice, start, response, err)
 	var buffered *bufferedResponse
 	if err == nil {
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/telemetry"
 	"github.com/cardamomfront/cardamomfront/steer/quota"
 	"io"
@@ -29,16 +30,16 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewayRollouts := newRollouts(adapters, logger)
-	gatewayStoreView := newStoreView(adapters, placer, limiter, client, gatewayRollouts, logger)
+	rollouts := newRollouts(adapters, logger)
+	gatewayStoreView := newStoreView(adapters, placer, limiter, client, rollouts, logger)
 	gatewayMetrics, err := newMetrics(t)
 	if err != nil {
 		return nil, err
 	}
-	gatewayReachWatch := newReachWatch(monitor, client, placer, logger)
-	gatewayCrashWatch := newCrashWatch(client, placer, gatewayReachWatch, logger)
-	gatewayRequestRelay := newRequestRelay(monitor)
-	gatewayMesh := newMesh(s, adapters, placer, limiter, gatewayRollouts, gatewayStoreView, gatewayCrashWatch, gatewayReachWatch, gatewayRequestRelay, logger)
+	watch := reachability.New(monitor, client, placer, logger)
+	crashesWatch := newCrashWatch(client, placer, watch, logger)
+	relayclientClient := newRelayClient()
+	gatewayMesh := newMesh(s, adapters, placer, limiter, rollouts, gatewayStoreView, crashesWatch, watch, relayclientClient, logger)
 	gatewayRetryBudgets := newRetryBudgets(gatewayLiveSettings, gatewayMesh)
 	gatewayLogLimiter := newLogLimiter(logger)
 	runner, err := newDuties(s, adapters, gatewayMesh, t, logger)
@@ -49,10 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
-	gatewaySender := newSender(client, placer, gatewayRollouts, gatewayMetrics, gatewayRetryBudgets, gatewayCrashWatch, monitor, gatewayRequestRelay, gatewayLogLimiter, runner, room)
+	gatewaySender := newSender(client, placer, rollouts, gatewayMetrics, gatewayRetryBudgets, crashesWatch, monitor, relayclientClient, gatewayLogLimiter, runner, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
-	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, gatewayRollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, gatewayRollouts, gatewayMesh, gatewayRelayedStore, client, gatewayReachWatch, gatewayRequestRelay, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
+	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, rollouts, peerServer, logger)
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, watch, relayclientClient, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
