Model of two services over uneven regions, by kind and region

Change: the model records the figures by kind and region of the caller, and the kind and warmth of each run. No code that serves changes.

--- a/steer/placing/model_test.go
+++ b/steer/placing/model_test.go
@@ -211,16 +211,22 @@
 	perRegion []figures
 	ofHomed   figures
 	ofKind    map[string]*figures
-	windows   []figures // by the time of the first attempt
-	runs      [][]runAt // by the region from which the requests came
+	ofPair    map[pair]*figures // by kind and region of the caller
+	windows   []figures         // by the time of the first attempt
+	runs      [][]runAt         // by the region from which the requests came
 }
 
 // runAt is where a request ran and when it was sent there.
 type runAt struct {
 	sentAt time.Duration
 	region string
+	kind   string
+	warm   bool // the endpoint had the object in memory
 }
 
+// pair is a kind of requests and the region from which they come.
+type pair struct{ kind, region string }
+
 // epoch is the model's start time.
 var epoch = time.Unix(100_000, 0)
 
@@ -234,7 +240,7 @@
 
 // newModel creates a deployment.
 func newModel(l load, seed uint64) *model {
-	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), moments: rand.New(rand.NewPCG(seed, 8)), perRegion: make([]figures, len(l.regions)), ofKind: make(map[string]*figures), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1), runs: make([][]runAt, len(l.regions))}
+	m := &model{load: l, r: rand.New(rand.NewPCG(seed, 7)), moments: rand.New(rand.NewPCG(seed, 8)), perRegion: make([]figures, len(l.regions)), ofKind: make(map[string]*figures), ofPair: make(map[pair]*figures), byRegion: make([][]int, len(l.regions)), windows: make([]figures, l.until/windowLength+1), runs: make([][]runAt, len(l.regions))}
 	for i, region := range l.regions {
 		for j := range region.instances {
 			m.byRegion[i] = append(m.byRegion[i], len(m.instances))
@@ -408,9 +414,9 @@
 func (m *model) work(r *modelRequest) {
 	e := r.at
 	e.running++
-	m.runs[r.region] = append(m.runs[r.region], runAt{r.sentAt, e.region})
-	d := r.kind.cold
-	if i := slices.Index(e.known, r.object); i >= 0 {
+	d, i := r.kind.cold, slices.Index(e.known, r.object)
+	m.runs[r.region] = append(m.runs[r.region], runAt{r.sentAt, e.region, r.kind.name, i >= 0})
+	if i >= 0 {
 		d = r.kind.warm
 		e.known = slices.Delete(e.known, i, i+1)
 	}
@@ -474,7 +480,11 @@
 	if m.ofKind[r.kind.name] == nil {
 		m.ofKind[r.kind.name] = &figures{}
 	}
-	groups = append(groups, m.ofKind[r.kind.name])
+	of := pair{r.kind.name, m.regions[r.region].name}
+	if m.ofPair[of] == nil {
+		m.ofPair[of] = &figures{}
+	}
+	groups = append(groups, m.ofKind[r.kind.name], m.ofPair[of])
 	for _, f := range groups {
 		f.requests++
 		add(f)
