Test of the stability bound with a small region, known red

Cause: in the model of a third of ledger-service and donor-portal, with a small region and requests that differ in rank, the placers as they are exceed the bound of 0.15 in some runs. No test showed it.

No code that serves changes.

--- a/steer/placing/uneven_test.go
+++ b/steer/placing/uneven_test.go
@@ -155,3 +155,25 @@
 		})
 	}
 }
+
+// Guards against a region with a tenth of the endpoints whose requests change their
+// region too fast.
+func TestRequestsOfUnevenRegionsMoveSlowly(t *testing.T) {
+	for _, c := range []struct {
+		load  load
+		seeds []uint64
+	}{
+		{unevenLedger(1), []uint64{16, 18, 34}},
+		{unevenPortal(1), []uint64{3, 11, 19}},
+	} {
+		for _, seed := range c.seeds {
+			m := newModel(c.load, seed)
+			f := m.run(newPlacedWith(m, 4, DefaultRules()))
+			change := m.largestRegionChange()
+			t.Logf("seed %d: %v; %v", seed, change, f)
+			if change.part > maxRegionChange {
+				t.Errorf("seed %d: %v move, %.2f allowed", seed, change, maxRegionChange)
+			}
+		}
+	}
+}
