--- a/front/pipeline/conn.go
+++ b/front/pipeline/conn.go
@@ -144,6 +144,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below, for handlers that have hijacked it.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
