Sums of loads count by their age

Cause: above 16 instances the loads of others are sums that are about as old as a request takes. By then all instances that know of an endpoint with few requests have chosen it.

Change: the number of requests at an endpoint by such a sum counts with a weight that halves every 500 ms, against the mean of its region. Smaller fleets, whose instances report to each other, decide as before. The model delivers sums over all regions, as the gateway does.

--- a/front/gateway/domains.go
+++ b/front/gateway/domains.go
@@ -350,7 +350,7 @@
 	m.mu.Unlock()
 	name := summaryName(s.Domain)
 	m.limiter.SetRegionDemand(name, s.Demand, at, maxSummaryAge)
-	m.placer.SetPeerLoads(name, placingLoads(s.Busy))
+	m.placer.SetPeerSums(name, placingLoads(s.Busy), at)
 	m.placer.AddPeerWarmed(now, placingWarmed(s.Warmed))
 	m.rollouts.ReceiveReports(name, s.Rollouts, at, now)
 }
@@ -371,7 +371,7 @@
 	m.dropParts()
 	m.mu.Unlock()
 	m.limiter.SetRegionDemand(fleetName, f.Demand, at, maxSummaryAge)
-	m.placer.SetPeerLoads(fleetName, placingLoads(f.Busy))
+	m.placer.SetPeerSums(fleetName, placingLoads(f.Busy), at)
 	m.placer.AddPeerWarmed(now, placingWarmed(f.Warmed))
 	m.rollouts.ReceiveReports(fleetName, f.Rollouts, at, now)
 }
--- a/steer/placing/endpoint.go
+++ b/steer/placing/endpoint.go
@@ -38,8 +38,10 @@
 	// running there.
 	starts []time.Time
 	// peerRequests are the numbers of running requests of other instances, by
-	// instance.
+	// instance, or by the source of a sum over several.
 	peerRequests map[string]int
+	// peerSums are the sources of sums, of all endpoints of the service.
+	peerSums peerSums
 	// reportedRequests is the number of requests of other instances, as the
 	// endpoint itself reported at reportedAt.
 	reportedRequests int
@@ -83,8 +85,13 @@
 		return len(e.starts) + e.reportedRequests
 	}
 	n := len(e.starts)
-	for _, other := range e.peerRequests {
-		n += other
+	for source, other := range e.peerRequests {
+		if e.peerSums[source] == nil {
+			n += other
+		}
+	}
+	if len(e.peerSums) > 0 {
+		n += e.peerSums.estimate(e, now, r.PeerSumHalfLife)
 	}
 	return n
 }
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -173,16 +173,11 @@
 
 // SetPeerLoads replaces the loads of a peer; nil removes them.
 func (p *Placer) SetPeerLoads(instance string, loads []Load) {
-	running := make(map[catalog.Incarnation]int, len(loads))
-	for _, l := range loads {
-		running[l.Endpoint] = l.Running
-	}
+	running := runningByEndpoint(loads)
 	p.eachGroup(func(_ string, g *group) {
+		delete(g.peerSums, instance)
 		for in, e := range g.endpoints {
-			delete(e.peerRequests, instance)
-			if n := running[in]; n > 0 {
-				e.peerRequests[instance] = n
-			}
+			e.setPeerRequests(instance, running[in])
 		}
 	})
 }
--- a/steer/placing/placer.go
+++ b/steer/placing/placer.go
@@ -78,11 +78,12 @@
 	mu         sync.Mutex
 	endpoints  map[catalog.Incarnation]*endpoint
 	ordered    []*endpoint
-	regions    map[string]bool      // in which the service has endpoints
-	work       map[string]*work     // by route
-	meanWork   float64              // mean work time over all routes, in seconds
-	recentWarm []sentObject         // objects recently sent to endpoints, to report to peers
-	demands    map[string]*demand   // by the regions that may serve the requests
+	regions    map[string]bool    // in which the service has endpoints
+	work       map[string]*work   // by route
+	meanWork   float64            // mean work time over all routes, in seconds
+	recentWarm []sentObject       // objects recently sent to endpoints, to report to peers
+	demands    map[string]*demand // by the regions that may serve the requests
+	peerSums   peerSums
 	ranks      *priority.Controller // nil if the service's requests do not differ in rank
 
 	paceChanges []PaceChange // not read yet
@@ -183,7 +184,7 @@
 	for name, endpoints := range byService {
 		g := p.groups[name]
 		if g == nil {
-			g = &group{endpoints: make(map[catalog.Incarnation]*endpoint), work: make(map[string]*work), demands: make(map[string]*demand)}
+			g = &group{endpoints: make(map[catalog.Incarnation]*endpoint), work: make(map[string]*work), demands: make(map[string]*demand), peerSums: make(peerSums)}
 			p.groups[name] = g
 		}
 		g.update(now, endpoints, p)
@@ -211,6 +212,7 @@
 				region:       p.locality.Regions[endpoints[i].FailureDomain],
 				hash:         xxhash.Sum64String(in.ID),
 				peerRequests: make(map[string]int),
+				peerSums:     g.peerSums,
 				warm:         make(map[uint64]time.Time),
 				slowdown:     1,
 				meanWorkTime: 1,
--- a/steer/placing/policies_test.go
+++ b/steer/placing/policies_test.go
@@ -167,18 +167,20 @@
 	}
 }
 
-// exchangeSums delivers to each instance the sum of the loads of the others of its
-// region and the objects that they have sent, after relayLag.
+// exchangeSums delivers to each instance the sum of the loads of all others, and the
+// objects that those of its region have sent, after relayLag.
 func (p *placed) exchangeSums(m *model) {
+	sum := make(map[catalog.Incarnation]int)
+	own := make([][]Load, len(p.placers))
+	for i, placer := range p.placers {
+		own[i] = placer.LocalLoads()
+		for _, l := range own[i] {
+			sum[l.Endpoint] += l.Running
+		}
+	}
 	for _, members := range m.byRegion {
-		sum := make(map[catalog.Incarnation]int)
-		own := make(map[int][]Load, len(members))
 		var warmed []WarmedObject
 		for _, i := range members {
-			own[i] = p.placers[i].LocalLoads()
-			for _, l := range own[i] {
-				sum[l.Endpoint] += l.Running
-			}
 			warmed = append(warmed, p.placers[i].WarmedObjects(m.clock())...)
 		}
 		for _, i := range members {
@@ -190,8 +192,9 @@
 			for in, n := range others {
 				loads = append(loads, Load{Endpoint: in, Running: n})
 			}
+			measuredAt := m.clock()
 			m.after(relayLag, func() {
-				p.placers[i].SetPeerLoads("region", loads)
+				p.placers[i].SetPeerSums("fleet", loads, measuredAt)
 				p.placers[i].AddPeerWarmed(m.clock(), warmed)
 			})
 		}
--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -23,6 +23,9 @@
 	// TieMargin is the part of a request's work by which scores are near ties, where
 	// endpoints report how long work takes.
 	TieMargin float64
+	// PeerSumHalfLife is the age at which the requests at an endpoint, as known by
+	// sums over other instances, count half as much as the mean of its region.
+	PeerSumHalfLife time.Duration
 	// BusyFrom and BusyTo are the utilizations of a service between which the
 	// price of a slot rises from zero to its maximum. Below BusyFrom, a cold
 	// endpoint costs only the request's own time; above BusyTo, it also costs
@@ -79,6 +82,7 @@
 		MaxLoadAge:       300 * time.Millisecond,
 		WorkTimeHalfLife: 150 * time.Millisecond,
 		TieMargin:        0.05,
+		PeerSumHalfLife:  500 * time.Millisecond,
 		BusyFrom:         0.5,
 		BusyTo:           0.9,
 		MaxSlotPrice:     3,
