Disprove notices that the store does not confirm

Cause: a notice with a revision that the store does not have made each candidate read the row at every step, and none claimed. Change: the second read in a row that does not show the notice's version replaces it; the first postpones the next call.

--- a/steer/duty/state.go
+++ b/steer/duty/state.go
@@ -16,6 +16,8 @@
 	news   Notice
 	heard  bool
 	newsAt time.Time
+	// doubted is the version of a notice that a read has not shown.
+	doubted Notice
 
 	// overdueAt is when the next action is overdue, for rank 0.
 	overdueAt     time.Time
@@ -160,6 +162,7 @@
 	}
 	s.needRead, s.backoff = false, 0
 	s.learn(now, row.notice(), true)
+	s.doubt(now, row.notice())
 	version := Notice{Revision: row.Revision, Era: row.Era}
 	own := row.valid() && row.Holder == s.settings.Holder && row.Started == s.settings.Started
 	if !own && (!s.known || row.notice().after(s.row.notice())) {
@@ -189,6 +192,22 @@
 	s.base, s.firstStart = Notice{}, Clock{}
 }
 
+// doubt compares a version that was read with the latest one that is known. The first
+// read may have started before a notice's write. A second one that does not show the
+// version proves the notice wrong, and it would otherwise prevent all claims.
+func (s *State) doubt(now Clock, read Notice) {
+	if !s.news.after(read) {
+		return
+	}
+	if s.news != s.doubted {
+		s.doubted = s.news
+		s.fail(now)
+		return
+	}
+	s.heard = false
+	s.learn(now, read, true)
+}
+
 // ReadFailed records that the row could not be read.
 func (s *State) ReadFailed(now Clock) { s.fail(now) }
 
