Bound what a payload of the duties changes and keeps

Cause: a due time in the far future closed all windows for good; counts above 1 MB were not sent at all, so a hub that started during an outage of the store got none; single bounds allowed gigabytes of counts, and names had no bound. Change: a due time that would mean a window was recorded before its end is ignored. Since returns at most 30,000 counts, the earliest changes first. The counts of other instances take at most 24 MB, names 256 bytes. A hub sums up its own failure domain only for remote hubs.

--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -26,6 +26,7 @@
 	answer   func(f Fence) error
 	calls    []Fence
 	at       []time.Time
+	reads    int
 	windows  map[int64]int // delivered calls
 }
 
@@ -34,6 +35,7 @@
 func (w *world) Read(context.Context, string) (registry.Batch, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reads++
 	b := registry.Batch{Revision: w.revision}
 	if w.revision > 0 {
 		b.Rows = []registry.Row{{Key: string(KindUsage), Value: w.row, Revision: w.revision}}
@@ -79,10 +81,18 @@
 
 // newRunner returns a runner of rank 0.
 func (w *world) newRunner(t *testing.T, name string, started int64) *Runner {
+	t.Helper()
+	return w.newRunnerWith(t, name, started, func(*Settings) {})
+}
+
+// newRunnerWith returns a runner of rank 0 whose settings adjust changes.
+func (w *world) newRunnerWith(t *testing.T, name string, started int64, adjust func(*Settings)) *Runner {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r, err := New(Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, FencesChecked: true, Usage: UsageSettings{Window: 5}}, Instance{
+	s := Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, FencesChecked: true, Usage: UsageSettings{Window: 5}}
+	adjust(&s)
+	r, err := New(s, Instance{
 		Name: name, Started: started, FailureDomain: "d", Store: w, Platform: w, Rank: func() int { return 0 },
 		Meter: noop.NewMeterProvider().Meter(""), Log: log,
 	})
--- a/front/duties/exchange.go
+++ b/front/duties/exchange.go
@@ -24,8 +24,13 @@
 	maxUnacknowledged = 8
 	// maxPayloadBytes bounds a payload that is taken in.
 	maxPayloadBytes = 2 * maxDataBytes
+	// maxHolderBytes bounds the holder's name in a notice, which is kept and passed on.
+	maxHolderBytes = 256
 )
 
+// errLongHolder reports a notice whose holder's name is too long.
+var errLongHolder = errors.New("the holder's name in the notice is too long")
+
 // tooLargeError reports data of another instance that is not taken in.
 type tooLargeError struct{ bytes int }
 
@@ -186,6 +191,11 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return err
 	}
+	for _, p := range in.Parts {
+		if p.Notice != nil && len(p.Notice.Holder) > maxHolderBytes {
+			return errLongHolder
+		}
+	}
 	e.mu.Lock()
 	s := e.peer(now, from)
 	s.acknowledge(in.Ack)
--- a/front/duties/usage.go
+++ b/front/duties/usage.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,11 +16,18 @@
 // with 85 teams sends 330 KB a second to the other hub of its failure domain.
 const maxDataBytes = 1 << 20
 
+// maxDataCounts bounds the counts of one payload; later ones follow in the next.
+// With short team names they take about half of maxDataBytes. All counts that a hub of
+// 300 instances knows may take more than maxDataBytes, as when its fellow starts.
+const maxDataCounts = 30_000
+
+// clockError bounds how far the wall clocks of two instances differ.
+const clockError = time.Second
+
 // usageDuty reports how many requests of each team began to run in each window.
 type usageDuty struct {
 	settings UsageSettings
 	address  string
-	domain   string
 	platform Platform
 	plan     *usage.Plan
 	metrics  *metrics
@@ -33,7 +39,7 @@
 
 func newUsageDuty(s Settings, own usage.Source, p Platform, m *metrics, log logrus.FieldLogger) *usageDuty {
 	return &usageDuty{
-		settings: s.Usage, address: s.Address, domain: own.Domain, platform: p, metrics: m, log: log,
+		settings: s.Usage, address: s.Address, platform: p, metrics: m, log: log,
 		plan: usage.NewPlan(s.Usage.window()), counter: usage.NewCounter(own, s.Usage.window()),
 	}
 }
@@ -117,6 +123,9 @@
 // Heard implements Duty.
 func (u *usageDuty) Heard(due time.Time) {
 	recorded := u.plan.RecordedTo(due)
+	if usage.End(recorded, u.settings.window()).After(time.Now().Add(clockError)) {
+		return // a window that has not ended can't have been recorded
+	}
 	u.plan.Recorded(recorded)
 	u.close(recorded)
 }
@@ -171,23 +180,25 @@
 	case RelationFellowHub:
 		scope = usage.All
 	case RelationRemoteHub:
-		scope = usage.Sums
-	}
-	u.mu.Lock()
-	delta, next := u.counter.Since(change, scope)
-	u.mu.Unlock()
-	if to == RelationRemoteHub {
-		delta.Domains = slices.DeleteFunc(delta.Domains, func(d usage.DomainCounts) bool { return d.Domain != u.domain })
-	}
-	if delta.Empty() {
-		return nil, next
-	}
-	data, err := json.Marshal(delta)
-	if err != nil || len(data) > maxDataBytes {
-		u.log.WithError(err).WithField("bytes", len(data)).Error("Counts for another instance are not sent.")
-		return nil, change
-	}
-	return data, next
+		scope = usage.DomainSum
+	}
+	for limit := maxDataCounts; limit > 0; limit /= 4 {
+		u.mu.Lock()
+		delta, next := u.counter.SinceLimited(change, scope, limit)
+		u.mu.Unlock()
+		if delta.Empty() {
+			return nil, next
+		}
+		data, err := json.Marshal(delta)
+		if err != nil {
+			u.log.WithError(err).Error("Failed to encode counts for another instance.")
+			return nil, change
+		}
+		if len(data) <= maxDataBytes {
+			return data, next
+		}
+	}
+	return nil, change // no count is as large
 }
 
 // Merge implements Sharer.
--- a/steer/usage/counter.go
+++ b/steer/usage/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -19,6 +20,16 @@
 	// maxSources bounds the sources and the failure domains of one window. A
 	// failure domain of 6,600 instances in 22 has 300, and as many that restarted.
 	maxSources = 1024
+	// maxNameBytes bounds the names of an instance and of a failure domain.
+	maxNameBytes = 256
+	// maxBytes bounds what the counts of other instances take, estimated with
+	// cellBytes and cellsBytes. 300 instances with 85 teams come to 21 MB in all
+	// windows that are kept, as while the store is down.
+	maxBytes = 24 << 20
+	// cellBytes and cellsBytes estimate the memory of one count, and of one source or
+	// failure domain in one window, without their names.
+	cellBytes  = 64
+	cellsBytes = 160
 	// maxCount bounds a count: 2.4 million requests a second come to 12 million in
 	// a window.
 	maxCount = 1_000_000_000
@@ -70,6 +81,8 @@
 	Domain
 	// Sums: the sums of all known failure domains.
 	Sums
+	// DomainSum: the sum of the own failure domain.
+	DomainSum
 	// All: the counts of all known sources, and the received sums.
 	All
 )
@@ -86,6 +99,7 @@
 type window struct {
 	sources map[Source]cells
 	domains map[string]cells // received sums
+	bytes   int              // estimated memory of the counts of other instances
 }
 
 // Counter holds the counts of all sources that are known.
@@ -94,6 +108,7 @@
 	length  time.Duration
 	windows map[int64]*window
 	change  uint64
+	bytes   int   // sum of those of the windows
 	closed  int64 // counts up to this window are not taken in any more
 	late    int64
 	ignored int64
@@ -112,8 +127,13 @@
 		c.late++
 		return false
 	}
-	counts := c.sourceCells(k, c.own)
-	if counts == nil || !c.set(counts, team, counts[team].count+1) {
+	w := c.window(k)
+	counts := w.sources[c.own]
+	if counts == nil {
+		counts = make(cells)
+		w.sources[c.own] = counts
+	}
+	if !c.raise(counts, team, counts[team].count+1) {
 		c.ignored++
 		return false
 	}
@@ -129,14 +149,15 @@
 		if s.Source == c.own {
 			continue
 		}
-		c.mergeWindows(newest, s.Windows, func(k int64) cells { return c.sourceCells(k, s.Source) })
+		names := max(len(s.Instance), len(s.Domain))
+		c.mergeWindows(newest, s.Windows, func(w *window) cells { return cellsOf(c, w, w.sources, s.Source, names) })
 	}
 	for _, s := range d.Domains {
-		c.mergeWindows(newest, s.Windows, func(k int64) cells { return c.domainCells(k, s.Domain) })
+		c.mergeWindows(newest, s.Windows, func(w *window) cells { return cellsOf(c, w, w.domains, s.Domain, len(s.Domain)) })
 	}
 }
 
-func (c *Counter) mergeWindows(newest int64, windows map[int64]Counts, into func(k int64) cells) {
+func (c *Counter) mergeWindows(newest int64, windows map[int64]Counts, into func(w *window) cells) {
 	for k, counts := range windows {
 		if k <= c.closed {
 			continue // usual: another instance has not closed it yet
@@ -145,17 +166,32 @@
 			c.ignored++
 			continue
 		}
-		known := into(k)
+		w := c.window(k)
+		known := into(w)
 		for team, count := range counts {
-			if known == nil || !c.set(known, team, count) {
+			_, ok := known[team]
+			if known == nil || !ok && !c.hasRoom(cellBytes+len(team)) || !c.raise(known, team, count) {
 				c.ignored++
+				continue
+			}
+			if !ok {
+				c.take(w, cellBytes+len(team))
 			}
 		}
 	}
 }
 
-// set raises a count. It reports false if the count is out of range.
-func (c *Counter) set(counts cells, team string, count int64) bool {
+// hasRoom reports whether the counts of other instances may take some more memory.
+func (c *Counter) hasRoom(bytes int) bool { return c.bytes+bytes <= maxBytes }
+
+// take counts memory that the counts of other instances take in a window.
+func (c *Counter) take(w *window, bytes int) {
+	c.bytes += bytes
+	w.bytes += bytes
+}
+
+// raise raises a count. It reports false if the count is out of range.
+func (c *Counter) raise(counts cells, team string, count int64) bool {
 	known, ok := counts[team]
 	if count <= 0 || count > maxCount || !ok && (len(counts) >= maxTeams || len(team) > maxTeamBytes) {
 		return false
@@ -176,20 +212,15 @@
 	return w
 }
 
-// sourceCells returns the counts of a source, nil if there are too many sources.
-func (c *Counter) sourceCells(k int64, s Source) cells {
-	return bounded(c.window(k).sources, s, s == c.own)
-}
-
-func (c *Counter) domainCells(k int64, domain string) cells {
-	return bounded(c.window(k).domains, domain, false)
-}
-
-func bounded[K comparable](m map[K]cells, key K, always bool) cells {
+// cellsOf returns the counts of a source or failure domain of which m are the known
+// ones in a window. It returns nil if there are too many or if their names, of which
+// names is the length of the longest, are too long.
+func cellsOf[K comparable](c *Counter, w *window, m map[K]cells, key K, names int) cells {
 	counts := m[key]
-	if counts == nil && (always || len(m) < maxSources) {
+	if counts == nil && len(m) < maxSources && names <= maxNameBytes && c.hasRoom(cellsBytes+2*names) {
 		counts = make(cells)
 		m[key] = counts
+		c.take(w, cellsBytes+2*names)
 	}
 	return counts
 }
@@ -198,38 +229,81 @@
 // time. Number 0 returns all that is known. The caller keeps a number for each peer
 // process and scope, and the earlier number until the peer has received the delta.
 func (c *Counter) Since(change uint64, scope Scope) (Delta, uint64) {
+	return c.SinceLimited(change, scope, 0)
+}
+
+// SinceLimited is Since with at most limit counts, those that changed first; 0 means
+// that there is no limit.
+func (c *Counter) SinceLimited(change uint64, scope Scope, limit int) (Delta, uint64) {
+	upTo := c.lastOf(change, scope, limit)
 	sources, domains := make(map[Source]map[int64]Counts), make(map[string]map[int64]Counts)
-	for k, w := range c.windows {
-		for s, counts := range w.sources {
-			if scope == All || scope == Own && s == c.own || scope == Domain && s.Domain == c.own.Domain {
-				add(sources, s, k, counts, change)
+	c.each(scope, func(k int64, s Source, counts cells) {
+		add(sources, s, k, counts, change, upTo)
+	}, func(k int64, domain string, counts cells) {
+		add(domains, domain, k, counts, change, upTo)
+	})
+	var d Delta
+	for s, windows := range sources {
+		d.Sources = append(d.Sources, SourceCounts{Source: s, Windows: windows})
+	}
+	for domain, windows := range domains {
+		d.Domains = append(d.Domains, DomainCounts{Domain: domain, Windows: windows})
+	}
+	return d, upTo
+}
+
+// lastOf returns the number of the last change that a delta of limit counts has.
+func (c *Counter) lastOf(change uint64, scope Scope, limit int) uint64 {
+	if limit <= 0 {
+		return c.change
+	}
+	var changes []uint64
+	collect := func(counts cells) {
+		for _, v := range counts {
+			if v.changed > change {
+				changes = append(changes, v.changed)
 			}
 		}
+	}
+	c.each(scope, func(_ int64, _ Source, counts cells) { collect(counts) }, func(_ int64, _ string, counts cells) { collect(counts) })
+	if len(changes) <= limit {
+		return c.change
+	}
+	slices.Sort(changes)
+	return changes[limit-1]
+}
+
+// each calls source and domain for the counts of a scope.
+func (c *Counter) each(scope Scope, source func(k int64, s Source, counts cells), domain func(k int64, domain string, counts cells)) {
+	for k, w := range c.windows {
 		switch scope {
+		case Own:
+			source(k, c.own, w.sources[c.own])
+		case Domain, All:
+			for s, counts := range w.sources {
+				if scope == All || s.Domain == c.own.Domain {
+					source(k, s, counts)
+				}
+			}
 		case Sums:
-			for domain, sums := range w.sums() {
-				add(domains, domain, k, sums, change)
+			for d, sums := range w.sums() {
+				domain(k, d, sums)
 			}
-		case All:
-			for domain, sums := range w.domains {
-				add(domains, domain, k, sums, change)
+		case DomainSum:
+			domain(k, c.own.Domain, w.sum(c.own.Domain))
+		}
+		if scope == All {
+			for d, sums := range w.domains {
+				domain(k, d, sums)
 			}
 		}
 	}
-	var d Delta
-	for s, windows := range sources {
-		d.Sources = append(d.Sources, SourceCounts{Source: s, Windows: windows})
-	}
-	for domain, windows := range domains {
-		d.Domains = append(d.Domains, DomainCounts{Domain: domain, Windows: windows})
-	}
-	return d, c.change
 }
 
-// add adds the cells that have changed to a delta.
-func add[K comparable](to map[K]map[int64]Counts, key K, k int64, counts cells, change uint64) {
+// add adds the cells that have changed after one change and up to another to a delta.
+func add[K comparable](to map[K]map[int64]Counts, key K, k int64, counts cells, change, upTo uint64) {
 	for team, v := range counts {
-		if v.changed <= change {
+		if v.changed <= change || v.changed > upTo {
 			continue
 		}
 		if to[key] == nil {
@@ -250,24 +324,46 @@
 		if sums[s.Domain] == nil {
 			sums[s.Domain] = make(cells)
 		}
-		for team, v := range counts {
-			sum := sums[s.Domain][team]
-			sums[s.Domain][team] = cell{count: sum.count + v.count, changed: max(sum.changed, v.changed)}
-		}
+		sums[s.Domain].addAll(counts)
 	}
 	for domain, received := range w.domains {
 		if sums[domain] == nil {
 			sums[domain] = make(cells)
 		}
-		for team, v := range received {
-			if v.count > sums[domain][team].count {
-				sums[domain][team] = v
-			}
-		}
+		sums[domain].raiseAll(received)
 	}
 	return sums
 }
 
+// sum returns the sum of one failure domain; see sums.
+func (w *window) sum(domain string) cells {
+	sum := make(cells)
+	for s, counts := range w.sources {
+		if s.Domain == domain {
+			sum.addAll(counts)
+		}
+	}
+	sum.raiseAll(w.domains[domain])
+	return sum
+}
+
+// addAll adds counts of a source.
+func (c cells) addAll(counts cells) {
+	for team, v := range counts {
+		sum := c[team]
+		c[team] = cell{count: sum.count + v.count, changed: max(sum.changed, v.changed)}
+	}
+}
+
+// raiseAll raises the counts to received ones.
+func (c cells) raiseAll(received cells) {
+	for team, v := range received {
+		if v.count > c[team].count {
+			c[team] = v
+		}
+	}
+}
+
 // Total returns the counts of a window, as far as they are known.
 func (c *Counter) Total(k int64) Counts {
 	total := make(Counts)
@@ -302,7 +398,13 @@
 
 func (c *Counter) close(k int64) {
 	c.closed = max(c.closed, k)
-	maps.DeleteFunc(c.windows, func(k int64, _ *window) bool { return k <= c.closed })
+	maps.DeleteFunc(c.windows, func(k int64, w *window) bool {
+		if k > c.closed {
+			return false
+		}
+		c.bytes -= w.bytes
+		return true
+	})
 }
 
 // Late returns how many requests ended after their window was closed.
--- a/steer/usage/counter_test.go
+++ b/steer/usage/counter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,6 +160,64 @@
 	}
 }
 
+// Guards against memory that one peer fills with long names or with all that single
+// bounds allow, and against own counts that are refused since others take the room.
+func TestMemoryOfOtherInstancesIsBounded(t *testing.T) {
+	c := NewCounter(Source{Instance: "own", Started: 1, Domain: "a"}, length)
+	k := Window(start, length)
+	long := strings.Repeat("x", maxNameBytes+1)
+	c.Merge(start, Delta{
+		Sources: []SourceCounts{{Source{long, 1, "b"}, map[int64]Counts{k: {"t": 1}}}, {Source{"i", 1, long}, map[int64]Counts{k: {"t": 1}}}},
+		Domains: []DomainCounts{{long, map[int64]Counts{k: {"t": 1}}}},
+	})
+	if c.Ignored() != 3 || c.bytes != 0 {
+		t.Errorf("%d of 3 long names ignored, %d bytes kept", c.Ignored(), c.bytes)
+	}
+	names := make(Counts, maxTeams)
+	for i := range maxTeams {
+		names[fmt.Sprintf("%0*d", maxTeamBytes, i)] = 1
+	}
+	for i := range 40 {
+		c.Merge(start, Delta{Sources: []SourceCounts{{Source{fmt.Sprint(i), 1, "b"}, map[int64]Counts{k: names, k - 1: names}}}})
+	}
+	if c.bytes > maxBytes || c.bytes < maxBytes/2 || c.Ignored() < 1000 {
+		t.Errorf("%d bytes kept, %d counts ignored", c.bytes, c.Ignored())
+	}
+	if !c.Add(start, "t") {
+		t.Error("an own count is refused")
+	}
+	c.Close(k)
+	if c.bytes != 0 {
+		t.Errorf("%d bytes without windows", c.bytes)
+	}
+}
+
+// Guards against counts that are left out where a delta is limited.
+func TestLimitedDeltasTellAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := NewCounter(Source{Instance: "x", Started: 1, Domain: "a"}, length), NewCounter(Source{Instance: "y", Started: 1, Domain: "a"}, length)
+		scope := rapid.SampledFrom([]Scope{Own, Domain, DomainSum, Sums, All}).Draw(t, "scope")
+		change := uint64(0)
+		send := func() {
+			var d Delta
+			d, change = from.SinceLimited(change, scope, rapid.IntRange(1, 4).Draw(t, "limit"))
+			passOn(t, start, to, d)
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			from.Add(start, rapid.SampledFrom([]string{"t", "u", "v", "w", "x", "y"}).Draw(t, "team"))
+			if rapid.Bool().Draw(t, "send") {
+				send()
+			}
+		}
+		for range 6 {
+			send()
+		}
+		if got, want := to.Total(Window(start, length)), from.Total(Window(start, length)); !maps.Equal(got, want) {
+			t.Fatalf("%v, want %v", got, want)
+		}
+	})
+}
+
 // Guards against reports of windows that are too old after an outage of the store,
 // and against records that are sent again although they were delivered.
 func TestPlanSkipsOldWindows(t *testing.T) {
