Check the permit again just before a call

Cause: a process that is frozen between the choice of a call and the call made it after the lease, if the monotonic clock stood still. Change: send checks the permit and its token again.

--- a/front/duties/performer.go
+++ b/front/duties/performer.go
@@ -252,10 +252,27 @@
 	return call, Fence{Address: p.address, Holder: p.settings.Holder, Token: permit.Token}, until, true
 }
 
+// mayStillSend reports whether a call is still permitted. The process may have been
+// frozen since the call was chosen, and the deadline's clock with it.
+func (p *performer) mayStillSend(f Fence) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	permit, ok := p.state.Permit(duty.Now(time.Now()))
+	if ok && permit.Token == f.Token {
+		return true
+	}
+	p.sending = false
+	p.log.WithFields(logrus.Fields{"holder": f.Holder, "token": f.Token}).Warn("A call is not made, its permit has ended.")
+	return false
+}
+
 // send makes a call to the platform and applies its result.
 func (p *performer) send(ctx context.Context, call Call, f Fence, until time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	if !p.mayStillSend(f) {
+		return
+	}
 	err := call.Send(ctx, f)
 	p.mu.Lock()
 	defer p.mu.Unlock()
