Return the revision of a conditional write

Cause: registry.Store.Write returned no revision, so the holder of a duty read the row after each write.

--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -27,6 +27,9 @@
 	calls    []Fence
 	at       []time.Time
 	reads    int
+	writes   int
+	// hidesRevision lets a write return no revision.
+	hidesRevision bool
 	windows  map[int64]int // delivered calls
 }
 
@@ -43,18 +46,22 @@
 	return b, w.storeErr
 }
 
-func (w *world) Write(_ context.Context, c registry.Change) error {
+func (w *world) Write(_ context.Context, c registry.Change) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.writes++
 	switch {
 	case w.storeErr != nil:
-		return w.storeErr
+		return 0, w.storeErr
 	case c.Conditions[0].Revision != w.revision:
-		return &registry.ConflictError{Conditions: c.Conditions}
+		return 0, &registry.ConflictError{Conditions: c.Conditions}
 	}
 	w.revision++
 	w.row = c.Rows[0].Value
-	return nil
+	if w.hidesRevision {
+		return 0, nil
+	}
+	return w.revision, nil
 }
 
 func (w *world) Kind(name string) (Kind, bool) { return Kind(name), name == string(KindUsage) }
--- a/front/duties/performer.go
+++ b/front/duties/performer.go
@@ -131,7 +131,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err = p.store.Write(ctx, registry.Change{
+	revision, err := p.store.Write(ctx, registry.Change{
 		Era:        a.Write.Era,
 		Conditions: []registry.Condition{{RowName: name, Revision: a.Write.Revision}},
 		Rows:       []registry.NewRow{{RowName: name, Value: value}},
@@ -139,8 +139,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := duty.Now(time.Now())
-	// The store's client does not return the row's new revision, which costs a read.
 	result := duty.Result{Outcome: outcomeOf(err)}
+	if result.Outcome == duty.Applied && revision > a.Write.Revision {
+		result.Revision = revision // otherwise a read finds it out
+	}
 	if err != nil {
 		p.log.WithError(err).WithFields(logrus.Fields{"action": a.Kind.String(), "token": a.Write.Token, "outcome": outcomeName(result.Outcome)}).Warn("Failed to write the row of the duty.")
 	}
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -22,7 +22,7 @@
 // itself, not from another instance.
 type Store interface {
 	Read(ctx context.Context, table string) (registry.Batch, error)
-	Write(ctx context.Context, c registry.Change) error
+	Write(ctx context.Context, c registry.Change) (revision uint64, err error)
 }
 
 // Instance is what the duties need of their instance.
--- a/front/gateway/duties_test.go
+++ b/front/gateway/duties_test.go
@@ -62,19 +62,19 @@
 	return b, nil
 }
 
-func (p dutyPlace) Write(_ context.Context, c registry.Change) error {
+func (p dutyPlace) Write(_ context.Context, c registry.Change) (uint64, error) {
 	if err := p.enter(); err != nil {
-		return err
+		return 0, err
 	}
 	p.worldMu.Lock()
 	defer p.worldMu.Unlock()
 	p.calls[p.self]++
 	if c.Conditions[0].Revision != p.rev {
-		return &registry.ConflictError{Conditions: c.Conditions}
+		return 0, &registry.ConflictError{Conditions: c.Conditions}
 	}
 	p.rev++
 	p.row = c.Rows[0].Value
-	return nil
+	return p.rev, nil
 }
 
 func (p dutyPlace) Kind(string) (duties.Kind, bool) { return duties.KindUsage, true }
--- a/front/gateway/record.go
+++ b/front/gateway/record.go
@@ -244,7 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	err = r.store.Write(ctx, change)
+	_, err = r.store.Write(ctx, change)
 	var conflict *registry.ConflictError
 	switch {
 	case err == nil:
--- a/front/gateway/rollouts_sim_test.go
+++ b/front/gateway/rollouts_sim_test.go
@@ -217,16 +217,16 @@
 func (w *rolloutSim) Remove(context.Context, string, string) error { return errTimeout }
 
 // Write implements registry.Store.
-func (w *rolloutSim) Write(_ context.Context, c registry.Change) error {
+func (w *rolloutSim) Write(_ context.Context, c registry.Change) (uint64, error) {
 	ro := w.instances[w.acting].active[testService]
 	decidedFor, decidedAt, startTime := ro.Order(), w.now, ro.StartTime()
-	apply := func() error {
+	apply := func() (uint64, error) {
 		if c.Era != w.era {
-			return &registry.EraError{Expected: c.Era, Actual: w.era}
+			return 0, &registry.EraError{Expected: c.Era, Actual: w.era}
 		}
 		for _, k := range c.Conditions {
 			if w.tables[k.Table][k.Key].Revision != k.Revision {
-				return &registry.ConflictError{Conditions: c.Conditions}
+				return 0, &registry.ConflictError{Conditions: c.Conditions}
 			}
 		}
 		w.checkWrite(decidedFor, decidedAt, ro.Result(), c.Rows[0].Value)
@@ -237,17 +237,17 @@
 		for _, r := range c.Rows {
 			w.set(r.Table, r.Key, r.Value)
 		}
-		return nil
+		return w.revision, nil
 	}
 	switch w.fault {
 	case faultResponseLost:
-		_ = apply()
-		return errTimeout
+		_, _ = apply()
+		return 0, errTimeout
 	case faultLate:
-		w.lateWrites = append(w.lateWrites, func() { _ = apply() })
-		return errTimeout
+		w.lateWrites = append(w.lateWrites, func() { _, _ = apply() })
+		return 0, errTimeout
 	case faultNotApplied, faultDown:
-		return errTimeout
+		return 0, errTimeout
 	case faultNone, faultRecordsOnly:
 	}
 	return apply()
--- a/front/registry/count.go
+++ b/front/registry/count.go
@@ -69,14 +69,14 @@
 }
 
 // Write implements Store. A change is counted under the table of its first row.
-func (c *countingStore) Write(ctx context.Context, change Change) error {
-	err := c.Store.Write(ctx, change)
+func (c *countingStore) Write(ctx context.Context, change Change) (uint64, error) {
+	revision, err := c.Store.Write(ctx, change)
 	table := ""
 	if len(change.Rows) > 0 {
 		table = change.Rows[0].Table
 	}
 	c.count("write", table, err)
-	return err
+	return revision, err
 }
 
 // Put implements Store.
--- a/front/registry/registry.go
+++ b/front/registry/registry.go
@@ -119,12 +119,13 @@
 	// Changes returns the rows of a table that have changed after a version. It
 	// waits up to wait for a change.
 	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Batch, error)
-	// Write applies a change if its conditions hold. After an error other than
+	// Write applies a change if its conditions hold. It returns the revision of the
+	// written rows, or 0 if the store did not return it. After an error other than
 	// *ConflictError and *UnavailableError the outcome is unknown: the change
 	// may have been applied, or may be applied later. In particular, *EraError
 	// reports that the conditions were checked against revisions of another era,
 	// or that the change was not sent.
-	Write(ctx context.Context, c Change) error
+	Write(ctx context.Context, c Change) (revision uint64, err error)
 	// Put writes a row unconditionally.
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Remove removes a row unconditionally.
--- a/front/registry/watch_test.go
+++ b/front/registry/watch_test.go
@@ -147,7 +147,7 @@
 	return Batch{Rows: rows, Revision: s.revision, Era: s.era}, nil
 }
 
-func (s *fakeStore) Write(context.Context, Change) error               { return nil }
+func (s *fakeStore) Write(context.Context, Change) (uint64, error)     { return 0, nil }
 func (s *fakeStore) Put(context.Context, string, string, []byte) error { return nil }
 func (s *fakeStore) Remove(context.Context, string, string) error      { return nil }
 
