Count long attempts before they end

Cause: an attempt was counted at its end; one that ended more than 5 s after its window was missing from the report. Change: an attempt without an answer is counted 1 s after the end of its window, or 1.5 s after it was sent if that is later, but not while it waits for a connection. Counts that prove wrong after that stay, and have a metric. The fleet of 12 instances with two failure domains reports requests of 0, 4 and 8 s exactly.

--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -30,10 +30,11 @@
 	writes   int
 	// hidesRevision lets a write return no revision.
 	hidesRevision bool
-	windows  map[int64]int // delivered calls
+	windows       map[int64]int // delivered calls
+	counts        map[int64]usage.Counts
 }
 
-func newWorld() *world { return &world{windows: map[int64]int{}} }
+func newWorld() *world { return &world{windows: map[int64]int{}, counts: map[int64]usage.Counts{}} }
 
 func (w *world) Read(context.Context, string) (registry.Batch, error) {
 	w.mu.Lock()
@@ -76,6 +77,7 @@
 		}
 	}
 	w.windows[r.Window]++
+	w.counts[r.Window] = r.Counts
 	return nil
 }
 
--- a/front/duties/metrics.go
+++ b/front/duties/metrics.go
@@ -81,7 +81,9 @@
 		metric.WithDescription("Requests that ended after their window was recorded, and are not reported."))
 	ignored, err5 := m.meter.Int64ObservableCounter("cardamomfront.usage.ignored",
 		metric.WithDescription("Counts that were out of bounds and are not reported."))
-	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
+	notRun, err6 := m.meter.Int64ObservableCounter("cardamomfront.usage.notrun",
+		metric.WithDescription("Requests that were counted before their end and turned out not to have run."))
+	if err := errors.Join(err1, err2, err3, err4, err5, err6); err != nil {
 		return err
 	}
 	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -102,8 +104,9 @@
 			late, tooLarge := r.usage.counts()
 			o.ObserveInt64(lateCounts, late)
 			o.ObserveInt64(ignored, tooLarge)
+			o.ObserveInt64(notRun, r.attempts.notRunCount())
 		}
 		return nil
-	}, held, token, age, lateCounts, ignored)
+	}, held, token, age, lateCounts, ignored, notRun)
 	return err
 }
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -49,6 +49,7 @@
 type Runner struct {
 	performers []*performer
 	usage      *usageDuty
+	attempts   *attempts
 	exchange   *exchange
 	log        logrus.FieldLogger
 }
@@ -81,6 +82,9 @@
 	if len(r.performers) == 0 {
 		return nil, nil
 	}
+	if r.usage != nil {
+		r.attempts = newAttempts(s.Usage.window(), r.usage.count)
+	}
 	r.exchange = newExchange(r.performers, i.Started, r.log)
 	return r, m.observe(r)
 }
@@ -102,9 +106,15 @@
 	}
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
+	counting := time.NewTicker(countInterval)
+	defer counting.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case now := <-counting.C:
+			if r.attempts != nil {
+				r.attempts.countLong(now)
+			}
 		case now := <-ticker.C:
 			r.exchange.prune(now)
 			if r.usage != nil {
@@ -124,6 +134,16 @@
 	}
 }
 
+// StartAttempt starts an attempt of a team's request that an endpoint is expected to
+// begin to run at a time. It returns nil if the attempt is not counted. The caller ends
+// it.
+func (r *Runner) StartAttempt(begins time.Time, team string) *Attempt {
+	if r == nil || r.attempts == nil || team == "" {
+		return nil
+	}
+	return r.attempts.add(begins, team)
+}
+
 // Payload returns what is new for another instance, nil if nothing is.
 func (r *Runner) Payload(now time.Time, to Peer) json.RawMessage {
 	if r == nil {
--- a/front/endpoint/client.go
+++ b/front/endpoint/client.go
@@ -63,6 +63,9 @@
 	// time after the endpoint was chosen. If it returns false, the request is not
 	// sent. Nil permits all.
 	Permit func() bool
+	// Sent is called when the request is about to be written to a connection, and
+	// again if it is written to another one. It may be nil.
+	Sent func()
 	// ProgressTimeout bounds the time without progress on the connection. With
 	// 0 only the context's deadline applies.
 	ProgressTimeout time.Duration
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -123,6 +123,9 @@
 	x.watchdog = newProgressWatchdog(cn.tracked, r.ProgressTimeout, x.cancel)
 	x.body = &callerBody{body: r.HTTP.Body, watchdog: x.watchdog, length: r.HTTP.ContentLength}
 	id := c.nextExchangeID()
+	if r.Sent != nil {
+		r.Sent()
+	}
 	resp, err := cn.http.RoundTrip(x.httpRequest(r, id)) //nolint:bodyclose // responseBody closes it
 	x.watchdog.stop()
 	if err != nil {
--- a/front/gateway/duties_test.go
+++ b/front/gateway/duties_test.go
@@ -146,21 +146,24 @@
 					down := n.down[m.self.Name]
 					n.mu.Unlock()
 					if team := fmt.Sprint("team-", i%5); !down {
-						runners[m.self.Name].Count(time.Now(), team)
+						a := runners[m.self.Name].StartAttempt(time.Now(), team)
+						a.Sent()
+						// Some are answered after their window is recorded.
+						time.AfterFunc(time.Duration(i%3)*4*time.Second, func() { a.End(true) })
 						truth[window][team]++
 					}
 				}
 			}
 		}
 		count(30 * time.Second)
-		time.Sleep(12 * time.Second) // all is reported
+		time.Sleep(15 * time.Second) // all has ended and is reported
 		w.worldMu.Lock()
 		holder := w.holders[len(w.holders)-1]
 		w.worldMu.Unlock()
 		n.setDown(holder, true)
 		time.Sleep(10 * time.Second)
 		count(30 * time.Second)
-		time.Sleep(12 * time.Second)
+		time.Sleep(15 * time.Second)
 		w.worldMu.Lock()
 		defer w.worldMu.Unlock()
 		if last := w.holders[len(w.holders)-1]; last == holder {
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -139,6 +139,7 @@
 	start := time.Now()
 	observed := s.rollouts.startAttempt(x.service, start, c.Choice)
 	s.reach.RequestStarted(start)
+	counted := s.duties.StartAttempt(start.Add(c.QueueWait), x.teamName())
 	response, err := s.client.Send(ctx, targetOf(&c.Endpoint), &endpoint.Request{
 		HTTP:       x.attemptRequest(),
 		ID:         x.caller.ID,
@@ -146,6 +147,7 @@
 		Idempotent: x.route.Idempotent,
 		Deadline:   x.deadline,
 		Permit:     func() bool { return s.placer.MaySend(time.Now(), c.Endpoint.Incarnation()) },
+		Sent:       counted.Sent,
 	})
 	s.reach.RequestEnded(time.Now(), hasResponded(err))
 	s.applyRestrictions(x, c.Choice, start, response, err)
@@ -156,9 +158,7 @@
 	elapsed := time.Since(start)
 	outcome := outcomeOf(ctx, buffered, err, elapsed, c.Choice)
 	s.placer.DoneWith(time.Now(), c.Choice, outcome, elapsed, placing.Report(reportedLoad(buffered, err)))
-	if s.duties != nil && mayHaveRun(err) {
-		s.duties.Count(start.Add(min(c.QueueWait, elapsed)), x.teamName())
-	}
+	counted.End(mayHaveRun(err))
 	s.room.Wake(x.service)
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
