Release the duty at a planned stop

Cause: after a planned stop of the holder its successor waited until the next action was 2 s overdue. Change: the holder marks its claim as released when it begins to stop, if it has heard of another instance. Rank 0 claims then, without a wait for the lease: no call is made after that write begins. The model of the faults has planned stops.

--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -32,9 +32,13 @@
 	hidesRevision bool
 	windows       map[int64]int // delivered calls
 	counts        map[int64]usage.Counts
+	// deliveredAt is when the windows were first delivered.
+	deliveredAt map[int64]time.Time
 }
 
-func newWorld() *world { return &world{windows: map[int64]int{}, counts: map[int64]usage.Counts{}} }
+func newWorld() *world {
+	return &world{windows: map[int64]int{}, counts: map[int64]usage.Counts{}, deliveredAt: map[int64]time.Time{}}
+}
 
 func (w *world) Read(context.Context, string) (registry.Batch, error) {
 	w.mu.Lock()
@@ -77,6 +81,9 @@
 		}
 	}
 	w.windows[r.Window]++
+	if w.deliveredAt[r.Window].IsZero() {
+		w.deliveredAt[r.Window] = time.Now()
+	}
 	w.counts[r.Window] = r.Counts
 	return nil
 }
--- a/front/duties/exchange.go
+++ b/front/duties/exchange.go
@@ -19,6 +19,9 @@
 	// peerTimeout is how long the state of an instance is kept after the last
 	// payload from it or for it.
 	peerTimeout = time.Minute
+	// successorTimeout is how long after its last payload an instance counts as one that
+	// may take over the duties. The holder's notices are acknowledged every window.
+	successorTimeout = 10 * time.Second
 	// maxUnacknowledged bounds the payloads to one instance whose receipt may still
 	// be acknowledged.
 	maxUnacknowledged = 8
@@ -82,6 +85,7 @@
 	started  int64
 	relation Relation
 	usedAt   time.Time
+	heardAt  time.Time // last payload from it
 	sentAt   time.Time
 	ack      uint64 // highest received Seq
 	ackDue   bool
@@ -198,6 +202,7 @@
 	}
 	e.mu.Lock()
 	s := e.peer(now, from)
+	s.heardAt = now
 	s.acknowledge(in.Ack)
 	for _, p := range e.performers {
 		if n := in.Parts[p.duty.Kind()].Notice; n != nil {
@@ -247,6 +252,18 @@
 	}
 }
 
+// hasSuccessor reports whether another instance may take over the duties.
+func (e *exchange) hasSuccessor(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.peers {
+		if !s.heardAt.IsZero() && now.Sub(s.heardAt) <= successorTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // leave lets the last counts pass without a pause.
 func (e *exchange) leave() {
 	e.mu.Lock()
--- a/front/duties/performer.go
+++ b/front/duties/performer.go
@@ -46,6 +46,7 @@
 	token    uint64
 	attempts map[int64]int // calls made, by ID
 	sending  bool
+	leaving  bool
 	backoff  time.Duration
 	sendAt   time.Time
 	lastAt   time.Time // when a call was last delivered
@@ -75,6 +76,9 @@
 	rank := p.rank()
 	p.mu.Lock()
 	now := duty.Now(time.Now())
+	if p.leaving && !p.sending {
+		p.state.Leave()
+	}
 	a := p.state.Next(now, rank)
 	if a.Kind == duty.Act {
 		state, due, changed := p.duty.Prepare(now.Wall, a.Write, p.state.RestoredAt())
@@ -89,7 +93,7 @@
 	case duty.None:
 	case duty.Read:
 		p.read(ctx)
-	case duty.Claim, duty.Act, duty.Renew:
+	case duty.Claim, duty.Act, duty.Renew, duty.Release:
 		p.write(ctx, a)
 	}
 }
@@ -209,6 +213,10 @@
 		p.log.WithFields(fields).Info("Duty claimed.")
 		return
 	}
+	if row.Released {
+		p.log.WithFields(fields).Info("Duty released.")
+		return
+	}
 	fields["lost_token"] = lost
 	p.log.WithFields(fields).Warn("Duty lost.")
 }
@@ -302,6 +310,13 @@
 	log.WithError(err).WithField("again_ms", p.backoff.Milliseconds()).Warn("A call is not known to be delivered, it is made again.")
 }
 
+// leave gives up the duty once the call in progress has ended.
+func (p *performer) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+}
+
 // notice returns the latest version of the row that is known.
 func (p *performer) notice() (duty.Notice, bool) {
 	p.mu.Lock()
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// Release gives up the duties soon, so that another instance takes over before this one
+// stops. Without another instance they are kept until the end. It does not wait.
+func (r *Runner) Release() {
+	if r == nil || !r.exchange.hasSuccessor(time.Now()) {
+		return
+	}
+	for _, p := range r.performers {
+		p.leave()
+	}
+}
+
 // Leave lets the last counts pass to the other instances without a pause.
 func (r *Runner) Leave() {
 	if r != nil {
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -295,6 +295,7 @@
 	until := func(fraction float64) time.Time { return start.Add(time.Duration(fraction * float64(grace))) }
 	g.handler.sender.endAt(until(answerAfterFraction))
 	g.mesh.announceLeaving()
+	g.duties.Release()
 	go g.mesh.unregister(ctx)
 	sleepUntil(until(closeAfterFraction))
 	g.handler.closeConnections.Store(true)
--- a/steer/duty/adversary_test.go
+++ b/steer/duty/adversary_test.go
@@ -115,7 +115,7 @@
 	})
 }
 
-var faults = []string{"kill", "freeze", "suspend", "cut", "clock", "outage", "restore"}
+var faults = []string{"kill", "freeze", "suspend", "cut", "clock", "outage", "restore", "leave"}
 
 // holder returns an instance that holds the duty as far as it knows, or other.
 func (s *sim) holder(other *process) *process {
@@ -132,6 +132,14 @@
 	case "kill":
 		p.downUntil = s.now + d/8
 		s.start(p)
+	case "leave": // and stop some time later
+		p.state.Leave()
+		started := p.started
+		s.schedule(s.between(0, 4*time.Second), func() {
+			if p.started == started {
+				s.fault("kill", p, s.between(0, 8*time.Second))
+			}
+		})
 	case "freeze":
 		p.frozenUntil = s.now + d
 	case "suspend":
@@ -283,7 +291,7 @@
 		a.Write.State, _ = st.Encode()
 		a.Write.Due = p.plan.Due(st).UnixMilli()
 		s.writeRow(p, a.Kind, a.Write)
-	case duty.Claim, duty.Renew:
+	case duty.Claim, duty.Renew, duty.Release:
 		s.writeRow(p, a.Kind, a.Write)
 	}
 }
--- a/steer/duty/doc.go
+++ b/steer/duty/doc.go
@@ -15,7 +15,7 @@
 //		// Observe(now, row), or ReadFailed(now).
 //	case duty.Act:
 //		// Set a.Write.State and a.Write.Due, then go on as below.
-//	case duty.Claim, duty.Renew:
+//	case duty.Claim, duty.Renew, duty.Release:
 //		// Begin(now, a.Write); write a.Write.Encode() if the row has the
 //		// revision a.Write.Revision, in the era a.Write.Era; Written(now, result).
 //	}
--- a/steer/duty/duty.go
+++ b/steer/duty/duty.go
@@ -61,10 +61,12 @@
 	Act
 	// Renew: write the row unchanged, to extend the lease.
 	Renew
+	// Release: write the row to give up the claim.
+	Release
 )
 
 // String returns the kind's name for logs.
-func (k Kind) String() string { return [...]string{"none", "read", "claim", "act", "renew"}[k] }
+func (k Kind) String() string { return [...]string{"none", "read", "claim", "act", "renew", "release"}[k] }
 
 // Action is the store call that is needed now.
 type Action struct {
--- a/steer/duty/row.go
+++ b/steer/duty/row.go
@@ -21,6 +21,9 @@
 	Due int64 `json:"d,omitempty"`
 	// StateEra is the store's era in which State was written.
 	StateEra uint64 `json:"e,omitempty"`
+	// Released is whether the holder has given up the claim. It never acts again under
+	// the token. Earlier versions ignore it and wait until an action is overdue.
+	Released bool `json:"l,omitempty"`
 	// State is the duty's own state, a JSON value.
 	State json.RawMessage `json:"x,omitempty"`
 
@@ -71,10 +74,11 @@
 	Due      int64  `json:"d"`
 	Revision uint64 `json:"r"`
 	Era      uint64 `json:"e,omitempty"`
+	Released bool   `json:"l,omitempty"`
 }
 
 func (r Row) notice() Notice {
-	return Notice{Holder: r.Holder, Started: r.Started, Token: r.Token, Due: r.Due, Revision: r.Revision, Era: r.Era}
+	return Notice{Holder: r.Holder, Started: r.Started, Token: r.Token, Due: r.Due, Revision: r.Revision, Era: r.Era, Released: r.Released}
 }
 
 func (n Notice) valid() bool { return n.Holder != "" && n.Token != 0 && n.Token>>eraShift == n.Era }
--- a/steer/duty/state.go
+++ b/steer/duty/state.go
@@ -42,6 +42,11 @@
 	base       Notice
 	firstStart Clock
 
+	// leaving is set once the process is about to stop, released from the start of the
+	// write that gives up the claim.
+	leaving  bool
+	released bool
+
 	needRead bool
 	refused  uint64 // highest refused token
 	refusals int
@@ -64,9 +69,13 @@
 		return Action{}
 	case s.needRead:
 		return Action{Kind: Read}
+	case s.held && s.leaving:
+		write := s.row
+		write.Released = true
+		return Action{Kind: Release, Write: write}
 	case s.held:
 		return s.nextOfHolder(now)
-	case rank < 0:
+	case rank < 0 || s.leaving:
 		return Action{}
 	}
 	return s.nextOfCandidate(now, rank)
@@ -99,11 +108,13 @@
 	if now.Mono.Before(s.noClaimBefore) {
 		return Action{}
 	}
-	if !s.settings.RequireFence && s.row.Revision != 0 && now.Mono.Before(s.newsAt.Add(s.settings.Lease+leaseMargin)) {
+	// The lease of a released claim has ended: no call was made after the release began.
+	released := s.row.valid() && s.row.Released
+	if !s.settings.RequireFence && s.row.Revision != 0 && !released && now.Mono.Before(s.newsAt.Add(s.settings.Lease+leaseMargin)) {
 		return Action{}
 	}
 	claim := s.row
-	claim.Holder, claim.Started, claim.Token = s.settings.Holder, s.settings.Started, s.row.nextToken()
+	claim.Holder, claim.Started, claim.Token, claim.Released = s.settings.Holder, s.settings.Started, s.row.nextToken(), false
 	if claim.Token <= s.refused {
 		// The platform has seen a token that the store has lost.
 		claim.Token = s.refused + 1<<min(s.refusals-1, maxTokenStep)
@@ -114,6 +125,7 @@
 // Begin records that the write of a row starts.
 func (s *State) Begin(now Clock, write Row) {
 	s.writing, s.write, s.writeStart = true, write, now
+	s.released = s.released || write.Released
 	if base := (Notice{Revision: write.Revision, Era: write.Era}); base != s.base || s.firstStart.Mono.IsZero() {
 		s.base, s.firstStart = base, now
 	}
@@ -131,9 +143,9 @@
 		s.backoff = 0
 		s.row = s.write
 		s.row.Revision = result.Revision
-		s.held, s.leaseStart = s.row.Token > s.refused, s.writeStart
+		s.held, s.leaseStart = s.row.Token > s.refused && !s.row.Released, s.writeStart
 		s.base, s.firstStart = Notice{}, Clock{}
-		s.needRead = !s.held || result.Revision == 0
+		s.needRead = !s.held && !s.row.Released || result.Revision == 0
 		if result.Revision != 0 {
 			s.learn(now, s.row.notice(), false)
 		}
@@ -164,7 +176,7 @@
 	s.learn(now, row.notice(), true)
 	s.doubt(now, row.notice())
 	version := Notice{Revision: row.Revision, Era: row.Era}
-	own := row.valid() && row.Holder == s.settings.Holder && row.Started == s.settings.Started
+	own := row.valid() && !row.Released && row.Holder == s.settings.Holder && row.Started == s.settings.Started
 	if !own && (!s.known || row.notice().after(s.row.notice())) {
 		s.restoredAt = now.Wall
 	}
@@ -249,6 +261,11 @@
 	}
 }
 
+// Leave gives up the duty, if the instance holds it, before the process stops. It must
+// not be called while a call to the platform is in progress. The process does not claim
+// again, and makes no call once the write that gives up the claim has begun.
+func (s *State) Leave() { s.leaving = true }
+
 // SetPending sets whether calls are still to be made for what the row's state says.
 // Without fencing the lease is renewed for them.
 func (s *State) SetPending(pending bool) { s.pending = pending }
@@ -256,7 +273,7 @@
 // Permit returns the permit for calls to the platform, if there is one now. It
 // covers what the state of Row says, and nothing else.
 func (s *State) Permit(now Clock) (Permit, bool) {
-	if !s.held || !s.leased(now) {
+	if !s.held || s.released || !s.leased(now) {
 		return Permit{}, false
 	}
 	p := Permit{Token: s.row.Token}
@@ -321,6 +338,8 @@
 	}
 	s.news, s.heard, s.newsAt = n, true, now.Mono
 	switch {
+	case n.valid() && n.Released:
+		s.overdueAt = now.Mono
 	case !n.valid():
 		s.overdueAt = now.Mono
 		if n.Era > 0 || n.Revision > 0 {
