--- a/steer/duty/duty.go
+++ b/steer/duty/duty.go
@@ -66,7 +66,9 @@
 )
 
 // String returns the kind's name for logs.
-func (k Kind) String() string { return [...]string{"none", "read", "claim", "act", "renew", "release"}[k] }
+func (k Kind) String() string {
+	return [...]string{"none", "read", "claim", "act", "renew", "release"}[k]
+}
 
 // Action is the store call that is needed now.
 type Action struct {
