--- a/front/duties/release_test.go
+++ b/front/duties/release_test.go
@@ -17,11 +17,14 @@
 		w := newWorld()
 		adjust := func(s *Settings) { s.FencesChecked = fencesChecked }
 		a, b := w.newRunnerWith(t, "a", 1, adjust), w.newRunnerWith(t, "b", 2, adjust)
-		rank := 1
-		b.performers[0].rank = func() int {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			return rank
+		ranks := map[string]int{"a": 0, "b": 1}
+		for _, r := range []*Runner{a, b} {
+			p := r.performers[0]
+			p.rank = func() int {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				return ranks[p.settings.Holder]
+			}
 		}
 		start(t, b)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -38,10 +41,9 @@
 		run(20*time.Second + phase)
 		stopAt := time.Now()
 		w.mu.Lock()
-		rank = 0
+		ranks["a"], ranks["b"] = -1, 0
 		w.mu.Unlock()
 		leave(a)
-		a.performers[0].rank = func() int { return -1 }
 		run(grace)
 		a.Leave()
 		exchangeOnce(a, "a", 1, b, "b", 2)
--- a/steer/usage/counter.go
+++ b/steer/usage/counter.go
@@ -235,28 +235,35 @@
 // SinceLimited is Since with at most limit counts, those that changed first; 0 means
 // that there is no limit.
 func (c *Counter) SinceLimited(change uint64, scope Scope, limit int) (Delta, uint64) {
+	d, n := c.between(change, c.change, scope)
+	if limit <= 0 || n <= limit {
+		return d, c.change
+	}
 	upTo := c.lastOf(change, scope, limit)
+	d, _ = c.between(change, upTo, scope)
+	return d, upTo
+}
+
+// between returns what has changed after a change and up to another, and how many
+// counts these are.
+func (c *Counter) between(change, upTo uint64, scope Scope) (d Delta, n int) {
 	sources, domains := make(map[Source]map[int64]Counts), make(map[string]map[int64]Counts)
 	c.each(scope, func(k int64, s Source, counts cells) {
-		add(sources, s, k, counts, change, upTo)
+		n += add(sources, s, k, counts, change, upTo)
 	}, func(k int64, domain string, counts cells) {
-		add(domains, domain, k, counts, change, upTo)
+		n += add(domains, domain, k, counts, change, upTo)
 	})
-	var d Delta
 	for s, windows := range sources {
 		d.Sources = append(d.Sources, SourceCounts{Source: s, Windows: windows})
 	}
 	for domain, windows := range domains {
 		d.Domains = append(d.Domains, DomainCounts{Domain: domain, Windows: windows})
 	}
-	return d, upTo
+	return d, n
 }
 
-// lastOf returns the number of the last change that a delta of limit counts has.
+// lastOf returns the number of the last of the first limit changes after a change.
 func (c *Counter) lastOf(change uint64, scope Scope, limit int) uint64 {
-	if limit <= 0 {
-		return c.change
-	}
 	var changes []uint64
 	collect := func(counts cells) {
 		for _, v := range counts {
@@ -266,9 +273,6 @@
 		}
 	}
 	c.each(scope, func(_ int64, _ Source, counts cells) { collect(counts) }, func(_ int64, _ string, counts cells) { collect(counts) })
-	if len(changes) <= limit {
-		return c.change
-	}
 	slices.Sort(changes)
 	return changes[limit-1]
 }
@@ -300,8 +304,9 @@
 	}
 }
 
-// add adds the cells that have changed after one change and up to another to a delta.
-func add[K comparable](to map[K]map[int64]Counts, key K, k int64, counts cells, change, upTo uint64) {
+// add adds the cells that have changed after one change and up to another to a delta,
+// and returns their number.
+func add[K comparable](to map[K]map[int64]Counts, key K, k int64, counts cells, change, upTo uint64) (n int) {
 	for team, v := range counts {
 		if v.changed <= change || v.changed > upTo {
 			continue
@@ -313,7 +318,9 @@
 			to[key][k] = make(Counts)
 		}
 		to[key][k][team] = v.count
+		n++
 	}
+	return n
 }
 
 // sums returns, for each failure domain, the larger of the sum of its known sources
