Remove Runner.Count, which only tests called

Cause: requests are counted through StartAttempt since long attempts are counted before they end. Result: tests of front/duties, steer/duty, steer/usage and the duties of front/gateway pass.

--- a/front/duties/bounds_test.go
+++ b/front/duties/bounds_test.go
@@ -32,7 +32,7 @@
 		r := w.newRunner(t, "b", 1)
 		n := duty.Notice{Holder: "a", Started: 1, Token: 1, Due: time.Now().Add(time.Hour).UnixMilli(), Revision: 1}
 		r.Receive(time.Now(), Peer{Name: "a", Started: 1}, encode(t, 1, part{Notice: &n}))
-		r.Count(time.Now(), "team")
+		r.usage.count(time.Now(), "team")
 		if late, _ := r.usage.counts(); late != 0 {
 			t.Errorf("%d counts of the current window are late", late)
 		}
--- a/front/duties/bytes_test.go
+++ b/front/duties/bytes_test.go
@@ -64,7 +64,7 @@
 				for i, r := range f.runners {
 					for k := range c.perSecond / perSecond {
 						team := fmt.Sprintf("tenant-%03d", (i*7+(tick%perSecond)*c.perSecond/perSecond+k+tick/perSecond*c.perSecond)%teams)
-						r.Count(time.Now(), team)
+						r.usage.count(time.Now(), team)
 						window := usage.Window(time.Now(), testWindow)
 						if truth[window] == nil {
 							truth[window] = usage.Counts{}
--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -143,7 +143,6 @@
 		}
 	}
 	var off *Runner
-	off.Count(time.Now(), "team")
 	off.Receive(time.Now(), Peer{Name: "b"}, json.RawMessage(`{}`))
 	if p := off.Payload(time.Now(), Peer{Name: "b"}); p != nil {
 		t.Errorf("payload %s", p)
@@ -256,7 +255,7 @@
 		total := func(r *Runner) int64 {
 			return r.usage.counter.Total(usage.Window(time.Now(), 5*time.Second))["team"]
 		}
-		a.Count(time.Now(), "team")
+		a.usage.count(time.Now(), "team")
 		if a.Payload(time.Now(), toB) == nil { // lost
 			t.Fatal("no payload")
 		}
@@ -275,7 +274,7 @@
 		if p := a.Payload(time.Now(), toB); p != nil {
 			t.Errorf("a payload without news: %s", p)
 		}
-		a.Count(time.Now(), "team")
+		a.usage.count(time.Now(), "team")
 		again := w.newRunner(t, "b", 3)
 		toAgain := Peer{Name: "b", Started: 3, Relation: RelationCollector}
 		again.Receive(time.Now(), toA, a.Payload(time.Now(), toAgain))
--- a/front/duties/lease_test.go
+++ b/front/duties/lease_test.go
@@ -199,7 +199,7 @@
 					if step%5 == 0 && !w.isCutOff(from) && !w.isCutOff(to) {
 						exchangeOnce(runners[from], from, int64(i+1), runners[to], to, int64((i+1+step%2)%3+1))
 					}
-					runners[from].Count(time.Now(), "team")
+					runners[from].usage.count(time.Now(), "team")
 				}
 				time.Sleep(50 * time.Millisecond)
 			}
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -126,17 +126,9 @@
 	return nil
 }
 
-// Count counts a request of a team that an endpoint began to run at a time, or may
-// have run. Requests without a team are not counted.
-func (r *Runner) Count(began time.Time, team string) {
-	if r != nil && r.usage != nil && team != "" {
-		r.usage.count(began, team)
-	}
-}
-
 // StartAttempt starts an attempt of a team's request that an endpoint is expected to
-// begin to run at a time. It returns nil if the attempt is not counted. The caller ends
-// it.
+// begin to run at a time. It returns nil if the attempt is not counted, as without a
+// team. The caller ends it.
 func (r *Runner) StartAttempt(begins time.Time, team string) *Attempt {
 	if r == nil || r.attempts == nil || team == "" {
 		return nil
