--- a/front/duties/duties_test.go
+++ b/front/duties/duties_test.go
@@ -26,14 +26,24 @@
 	answer   func(f Fence) error
 	calls    []Fence
 	at       []time.Time
-	windows  map[int64]int // delivered calls
+	reads    int
+	writes   int
+	// hidesRevision lets a write return no revision.
+	hidesRevision bool
+	windows       map[int64]int // delivered calls
+	counts        map[int64]usage.Counts
+	// deliveredAt is when the windows were first delivered.
+	deliveredAt map[int64]time.Time
 }
 
-func newWorld() *world { return &world{windows: map[int64]int{}} }
+func newWorld() *world {
+	return &world{windows: map[int64]int{}, counts: map[int64]usage.Counts{}, deliveredAt: map[int64]time.Time{}}
+}
 
 func (w *world) Read(context.Context, string) (registry.Batch, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reads++
 	b := registry.Batch{Revision: w.revision}
 	if w.revision > 0 {
 		b.Rows = []registry.Row{{Key: string(KindUsage), Value: w.row, Revision: w.revision}}
@@ -41,18 +51,22 @@
 	return b, w.storeErr
 }
 
-func (w *world) Write(_ context.Context, c registry.Change) error {
+func (w *world) Write(_ context.Context, c registry.Change) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.writes++
 	switch {
 	case w.storeErr != nil:
-		return w.storeErr
+		return 0, w.storeErr
 	case c.Conditions[0].Revision != w.revision:
-		return &registry.ConflictError{Conditions: c.Conditions}
+		return 0, &registry.ConflictError{Conditions: c.Conditions}
 	}
 	w.revision++
 	w.row = c.Rows[0].Value
-	return nil
+	if w.hidesRevision {
+		return 0, nil
+	}
+	return w.revision, nil
 }
 
 func (w *world) Kind(name string) (Kind, bool) { return Kind(name), name == string(KindUsage) }
@@ -67,6 +81,10 @@
 		}
 	}
 	w.windows[r.Window]++
+	if w.deliveredAt[r.Window].IsZero() {
+		w.deliveredAt[r.Window] = time.Now()
+	}
+	w.counts[r.Window] = r.Counts
 	return nil
 }
 
@@ -79,10 +97,18 @@
 
 // newRunner returns a runner of rank 0.
 func (w *world) newRunner(t *testing.T, name string, started int64) *Runner {
+	t.Helper()
+	return w.newRunnerWith(t, name, started, func(*Settings) {})
+}
+
+// newRunnerWith returns a runner of rank 0 whose settings adjust changes.
+func (w *world) newRunnerWith(t *testing.T, name string, started int64, adjust func(*Settings)) *Runner {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r, err := New(Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, FencesChecked: true, Usage: UsageSettings{Window: 5}}, Instance{
+	s := Settings{Names: []string{string(KindUsage)}, CallsPerSecond: 50, FencesChecked: true, Usage: UsageSettings{Window: 5}}
+	adjust(&s)
+	r, err := New(s, Instance{
 		Name: name, Started: started, FailureDomain: "d", Store: w, Platform: w, Rank: func() int { return 0 },
 		Meter: noop.NewMeterProvider().Meter(""), Log: log,
 	})
@@ -117,7 +143,6 @@
 		}
 	}
 	var off *Runner
-	off.Count(time.Now(), "team")
 	off.Receive(time.Now(), Peer{Name: "b"}, json.RawMessage(`{}`))
 	if p := off.Payload(time.Now(), Peer{Name: "b"}); p != nil {
 		t.Errorf("payload %s", p)
@@ -230,7 +255,7 @@
 		total := func(r *Runner) int64 {
 			return r.usage.counter.Total(usage.Window(time.Now(), 5*time.Second))["team"]
 		}
-		a.Count(time.Now(), "team")
+		a.usage.count(time.Now(), "team")
 		if a.Payload(time.Now(), toB) == nil { // lost
 			t.Fatal("no payload")
 		}
@@ -249,7 +274,7 @@
 		if p := a.Payload(time.Now(), toB); p != nil {
 			t.Errorf("a payload without news: %s", p)
 		}
-		a.Count(time.Now(), "team")
+		a.usage.count(time.Now(), "team")
 		again := w.newRunner(t, "b", 3)
 		toAgain := Peer{Name: "b", Started: 3, Relation: RelationCollector}
 		again.Receive(time.Now(), toA, a.Payload(time.Now(), toAgain))
--- a/front/duties/performer.go
+++ b/front/duties/performer.go
@@ -46,6 +46,7 @@
 	token    uint64
 	attempts map[int64]int // calls made, by ID
 	sending  bool
+	leaving  bool
 	backoff  time.Duration
 	sendAt   time.Time
 	lastAt   time.Time // when a call was last delivered
@@ -75,6 +76,9 @@
 	rank := p.rank()
 	p.mu.Lock()
 	now := duty.Now(time.Now())
+	if p.leaving && !p.sending {
+		p.state.Leave()
+	}
 	a := p.state.Next(now, rank)
 	if a.Kind == duty.Act {
 		state, due, changed := p.duty.Prepare(now.Wall, a.Write, p.state.RestoredAt())
@@ -89,7 +93,7 @@
 	case duty.None:
 	case duty.Read:
 		p.read(ctx)
-	case duty.Claim, duty.Act, duty.Renew:
+	case duty.Claim, duty.Act, duty.Renew, duty.Release:
 		p.write(ctx, a)
 	}
 }
@@ -131,7 +135,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err = p.store.Write(ctx, registry.Change{
+	revision, err := p.store.Write(ctx, registry.Change{
 		Era:        a.Write.Era,
 		Conditions: []registry.Condition{{RowName: name, Revision: a.Write.Revision}},
 		Rows:       []registry.NewRow{{RowName: name, Value: value}},
@@ -139,8 +143,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := duty.Now(time.Now())
-	// The store's client does not return the row's new revision, which costs a read.
 	result := duty.Result{Outcome: outcomeOf(err)}
+	if result.Outcome == duty.Applied && revision > a.Write.Revision {
+		result.Revision = revision // otherwise a read finds it out
+	}
 	if err != nil {
 		p.log.WithError(err).WithFields(logrus.Fields{"action": a.Kind.String(), "token": a.Write.Token, "outcome": outcomeName(result.Outcome)}).Warn("Failed to write the row of the duty.")
 	}
@@ -207,6 +213,10 @@
 		p.log.WithFields(fields).Info("Duty claimed.")
 		return
 	}
+	if row.Released {
+		p.log.WithFields(fields).Info("Duty released.")
+		return
+	}
 	fields["lost_token"] = lost
 	p.log.WithFields(fields).Warn("Duty lost.")
 }
@@ -252,10 +262,27 @@
 	return call, Fence{Address: p.address, Holder: p.settings.Holder, Token: permit.Token}, until, true
 }
 
+// mayStillSend reports whether a call is still permitted. The process may have been
+// frozen since the call was chosen, and the deadline's clock with it.
+func (p *performer) mayStillSend(f Fence) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	permit, ok := p.state.Permit(duty.Now(time.Now()))
+	if ok && permit.Token == f.Token {
+		return true
+	}
+	p.sending = false
+	p.log.WithFields(logrus.Fields{"holder": f.Holder, "token": f.Token}).Warn("A call is not made, its permit has ended.")
+	return false
+}
+
 // send makes a call to the platform and applies its result.
 func (p *performer) send(ctx context.Context, call Call, f Fence, until time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	if !p.mayStillSend(f) {
+		return
+	}
 	err := call.Send(ctx, f)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -283,6 +310,13 @@
 	log.WithError(err).WithField("again_ms", p.backoff.Milliseconds()).Warn("A call is not known to be delivered, it is made again.")
 }
 
+// leave gives up the duty once the call in progress has ended.
+func (p *performer) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+}
+
 // notice returns the latest version of the row that is known.
 func (p *performer) notice() (duty.Notice, bool) {
 	p.mu.Lock()
--- a/front/duties/runner.go
+++ b/front/duties/runner.go
@@ -22,7 +22,7 @@
 // itself, not from another instance.
 type Store interface {
 	Read(ctx context.Context, table string) (registry.Batch, error)
-	Write(ctx context.Context, c registry.Change) error
+	Write(ctx context.Context, c registry.Change) (revision uint64, err error)
 }
 
 // Instance is what the duties need of their instance.
@@ -49,6 +49,7 @@
 type Runner struct {
 	performers []*performer
 	usage      *usageDuty
+	attempts   *attempts
 	exchange   *exchange
 	log        logrus.FieldLogger
 }
@@ -81,6 +82,9 @@
 	if len(r.performers) == 0 {
 		return nil, nil
 	}
+	if r.usage != nil {
+		r.attempts = newAttempts(s.Usage.window(), r.usage.count)
+	}
 	r.exchange = newExchange(r.performers, i.Started, r.log)
 	return r, m.observe(r)
 }
@@ -102,9 +106,15 @@
 	}
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
+	counting := time.NewTicker(countInterval)
+	defer counting.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case now := <-counting.C:
+			if r.attempts != nil {
+				r.attempts.countLong(now)
+			}
 		case now := <-ticker.C:
 			r.exchange.prune(now)
 			if r.usage != nil {
@@ -116,12 +126,14 @@
 	return nil
 }
 
-// Count counts a request of a team that an endpoint began to run at a time, or may
-// have run. Requests without a team are not counted.
-func (r *Runner) Count(began time.Time, team string) {
-	if r != nil && r.usage != nil && team != "" {
-		r.usage.count(began, team)
+// StartAttempt starts an attempt of a team's request that an endpoint is expected to
+// begin to run at a time. It returns nil if the attempt is not counted, as without a
+// team. The caller ends it.
+func (r *Runner) StartAttempt(begins time.Time, team string) *Attempt {
+	if r == nil || r.attempts == nil || team == "" {
+		return nil
 	}
+	return r.attempts.add(begins, team)
 }
 
 // Payload returns what is new for another instance, nil if nothing is.
@@ -142,6 +154,17 @@
 	}
 }
 
+// Release gives up the duties soon, so that another instance takes over before this one
+// stops. Without another instance they are kept until the end. It does not wait.
+func (r *Runner) Release() {
+	if r == nil || !r.exchange.hasSuccessor(time.Now()) {
+		return
+	}
+	for _, p := range r.performers {
+		p.leave()
+	}
+}
+
 // Leave lets the last counts pass to the other instances without a pause.
 func (r *Runner) Leave() {
 	if r != nil {
--- a/front/gateway/fallback_test.go
+++ b/front/gateway/fallback_test.go
@@ -43,7 +43,7 @@
 	return registry.Batch{}, nil
 }
 
-func (*emptyStore) Write(context.Context, registry.Change) error { return nil }
+func (*emptyStore) Write(context.Context, registry.Change) (uint64, error) { return 0, nil }
 
 // emptyCodec decodes the tables of emptyStore.
 type emptyCodec struct{}
--- a/front/rollouts/rollouts.go
+++ b/front/rollouts/rollouts.go
@@ -33,7 +33,7 @@
 	Read(ctx context.Context, table string) (registry.Batch, error)
 	// Write applies a change if its conditions hold. Its errors are those of
 	// registry.Store.
-	Write(ctx context.Context, c registry.Change) error
+	Write(ctx context.Context, c registry.Change) (uint64, error)
 }
 
 // Codec decodes and encodes the rows of rollout records. Errors in a list concern
