--- a/front/abort/abort_test.go
+++ b/front/abort/abort_test.go
@@ -47,6 +47,7 @@
 				if err != nil {
 					return
 				}
+				defer func() { _ = response.Body.Close() }()
 				if text, err := io.ReadAll(response.Body); err == nil {
 					t.Errorf("body %q looks complete", text)
 				}
--- a/front/pipeline/ahead.go
+++ b/front/pipeline/ahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -55,7 +56,8 @@
 func (a *ahead) run(r *http.Request) {
 	defer close(a.done)
 	defer func() {
-		if v := recover(); v != nil && v != http.ErrAbortHandler {
+		v := recover()
+		if err, _ := v.(error); v != nil && !errors.Is(err, http.ErrAbortHandler) {
 			a.conn.server.logPanic(r.RemoteAddr, v)
 		}
 		if !a.completed || closes(a.header) {
--- a/front/pipeline/bench_test.go
+++ b/front/pipeline/bench_test.go
@@ -44,6 +44,7 @@
 					b.Fatal(err)
 				}
 				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
 			}
 		})
 	}
--- a/front/pipeline/pipeline_test.go
+++ b/front/pipeline/pipeline_test.go
@@ -178,6 +178,7 @@
 			return strings.Join(all, " "), f.end
 		}
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		if err != nil {
 			f.t.Errorf("body of an answer: %v", err)
 		}
@@ -370,7 +371,7 @@
 			f := start(t, &Server{})
 			f.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
-				f.backend.ServeHTTP(w, r)
+				f.ServeHTTP(w, r)
 			})
 			f.send(test.text)
 			_ = f.caller.Close()
--- a/front/pipeline/same_test.go
+++ b/front/pipeline/same_test.go
@@ -121,6 +121,7 @@
 			return fmt.Sprintf("%s%v %s", all.String(), err, rest)
 		}
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		if err != nil {
 			body = nil
 		}
--- a/steer/usage/counter.go
+++ b/steer/usage/counter.go
@@ -75,15 +75,15 @@
 type Scope int
 
 const (
-	// Own: the instance's own counts.
+	// Own selects the instance's own counts.
 	Own Scope = iota
-	// Domain: the counts of all known sources of the own failure domain.
+	// Domain selects the counts of all known sources of the own failure domain.
 	Domain
-	// Sums: the sums of all known failure domains.
+	// Sums selects the sums of all known failure domains.
 	Sums
-	// DomainSum: the sum of the own failure domain.
+	// DomainSum selects the sum of the own failure domain.
 	DomainSum
-	// All: the counts of all known sources, and the received sums.
+	// All selects the counts of all known sources, and the received sums.
 	All
 )
 
