--- a/steer/placing/rules.go
+++ b/steer/placing/rules.go
@@ -82,7 +82,7 @@
 		MaxLoadAge:       300 * time.Millisecond,
 		WorkTimeHalfLife: 150 * time.Millisecond,
 		TieMargin:        0.05,
-		PeerSumHalfLife:  500 * time.Millisecond,
+		PeerSumHalfLife:  2 * time.Second,
 		BusyFrom:         0.5,
 		BusyTo:           0.9,
 		MaxSlotPrice:     3,
