--- a/review/standin2/early.go
+++ b/review/standin2/early.go
@@ -214,7 +214,7 @@
 		go heartbeat(s, e.id, l.Addr().String(), "intake")
 		endpoints = append(endpoints, e)
 	}
-	g, err := startGateway(root, dir, "front-kano-fagge-1", "127.0.0.1", "kano-fagge", s.address, true)
+	g, err := startGateway(root, dir, "front-kano-fagge-1", ownHost(), "kano-fagge", s.address, true)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,7 +14,10 @@
 )
 
 var cases = map[string]func(root, folder string, trouble bool) (broken bool, err error){
-	"early": runEarly,
+	"early":  runEarly,
+	"forged": runForged,
+	"behind": runBehind,
+	"term":   runTerm,
 }
 
 func main() {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -67,6 +67,13 @@
 log: {level: info, format: json}
 `))
 
+// ownHost returns a loopback address that only this process uses, so that no other run
+// takes a port between its choice and its use.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid/250%250, 1+pid%250)
+}
+
 // freeAddress returns an address at which nothing listens.
 func freeAddress(host string) (string, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
