--- a/review/standin2/link.go
+++ b/review/standin2/link.go
@@ -81,10 +81,19 @@
 			}
 		}
 	}()
+	broken := false
 	for p := range pieces {
 		time.Sleep(time.Until(p.at))
+		if broken {
+			continue
+		}
 		if _, err := to.Write(p.bytes); err != nil {
-			_ = from.Close()
+			// What is under way in the other direction still arrives: that direction
+			// ends the connection when it has read the reset itself.
+			broken = true
+			if roundTrip > 0 {
+				_ = from.Close() // the client has left
+			}
 			continue
 		}
 		switch {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -74,26 +74,25 @@
 	return fmt.Sprintf("127.%d.%d.1", 1+pid/250%250, 1+pid%250)
 }
 
-// freeAddress returns an address at which nothing listens.
-func freeAddress(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+// freeAddresses returns addresses at which nothing listens.
+func freeAddresses(host string) (addresses [6]string, err error) {
+	for i := range addresses {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return addresses, err
+		}
+		defer l.Close() // after all have been drawn
+		addresses[i] = l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // startGateway starts the program that DEPLOY's role names, with the settings file in
 // the environment variable, and waits until it is ready.
 func startGateway(root, dir, name, host, zone, store string, bootstrap bool) (*gateway, error) {
-	var addresses [6]string
-	for i := range addresses {
-		a, err := freeAddress(host)
-		if err != nil {
-			return nil, err
-		}
-		addresses[i] = a
+	addresses, err := freeAddresses(host)
+	if err != nil {
+		return nil, err
 	}
 	region := map[string]string{"kano-fagge": "kano", "kaduna-tudun": "kaduna"}[zone]
 	var text bytes.Buffer
@@ -107,7 +106,7 @@
 	if err := os.WriteFile(file, text.Bytes(), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
