--- a/review/standin2/behind.go
+++ b/review/standin2/behind.go
@@ -46,7 +46,7 @@
 		if err != nil {
 			return
 		}
-		id, expected := r.Header.Get("Request-Id"), r.Header.Get("Expect-Instance")
+		id, expected := r.Header.Get("Request-Id"), r.Header.Get(wire.Headers.Expected)
 		if expected != "" && expected != t.id {
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
 			continue
@@ -178,7 +178,7 @@
 	if err != nil {
 		return false, err
 	}
-	s.set("op", "config", manifest(7))
+	s.set("op", "config", manifest())
 	var targets []*aheadTarget
 	for i := range 8 {
 		t := &aheadTarget{id: fmt.Sprintf("i-tracker-%d", i), trouble: trouble && i == 0, rec: rec, ran: make(map[string]bool)}
--- a/review/standin2/early.go
+++ b/review/standin2/early.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return
 		}
-		if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id {
+		if expected := r.Header.Get(wire.Headers.Expected); expected != "" && expected != e.id {
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.id)
 			return
 		}
@@ -155,7 +155,7 @@
 			return
 		}
 		n, err := io.Copy(io.Discard, resp.Body)
-		rec.printf("answer    %s: status %d, stamp %q, %d bytes, error %v", id, resp.StatusCode, resp.Header.Get("Response-Stamp"), n, err)
+		rec.printf("answer    %s: status %d, stamp %q, %d bytes, error %v", id, resp.StatusCode, resp.Header.Get(wire.Headers.Signature), n, err)
 	}()
 	body := upload(number)
 	_, err = fmt.Fprintf(c, "POST /consign/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\nAuthorization: Token %s\r\n%s\r\n\r\n", number, hostName, id, teamKey, framing)
@@ -194,7 +194,7 @@
 	if err != nil {
 		return false, err
 	}
-	s.set("op", "config", manifest(7))
+	s.set("op", "config", manifest())
 	var endpoints []*uploadEndpoint
 	for i := range 2 {
 		e := &uploadEndpoint{id: fmt.Sprintf("i-7f3a91c%d", i), early: trouble, rec: rec, got: make(map[string]*received)}
@@ -265,9 +265,7 @@
 // heartbeat registers an endpoint in the store, as often as endpoints report.
 func heartbeat(s *store, id, address, service string) {
 	for seq := 1; ; seq++ {
-		s.set("servers", id, map[string]any{
-			"service": service, "address": address, "zone": "kano-fagge", "version": "v1", "slots": 3, "state": "ready", "coldLeftS": 0, "seq": seq, "born": 1765000000000,
-		})
+		s.set("servers", id, entry(service, address, seq))
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
--- a/review/standin2/forged.go
+++ b/review/standin2/forged.go
@@ -53,7 +53,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		id, expected := r.Header.Get("Request-Id"), r.Header.Get("Expect-Instance")
+		id, expected := r.Header.Get("Request-Id"), r.Header.Get(wire.Headers.Expected)
 		switch {
 		case expected != "" && expected != t.id:
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
@@ -75,14 +75,14 @@
 // may write one in between.
 func (t *serviceTarget) report(s *store) {
 	for seq := 1; ; seq++ {
-		s.set("servers", t.id, t.entry(seq))
+		s.set("servers", t.id, entry(t.service, t.address, seq))
 		time.Sleep(50 * time.Millisecond)
 		t.mu.Lock()
 		forged := t.forged
 		t.forged = nil
 		t.mu.Unlock()
 		if forged != nil {
-			e := t.entry(seq)
+			e := entry(t.service, t.address, seq)
 			what := forged(e)
 			t.rec.printf("written   servers/%s of %s by another writer: %s", t.id, t.service, what)
 			s.set("servers", t.id, e)
@@ -91,13 +91,6 @@
 	}
 }
 
-func (t *serviceTarget) entry(seq int) map[string]any {
-	return map[string]any{
-		"service": t.service, "address": t.address, "zone": "kano-fagge", "version": "v1", "slots": 3, "state": "ready",
-		"coldLeftS": 0, "seq": seq, "born": 1765000000000,
-	}
-}
-
 // defects make an entry that names no target to use: a field is missing or of another
 // type.
 var defects = []struct {
@@ -105,7 +98,7 @@
 	apply func(map[string]any)
 }{
 	{"seq is missing", func(e map[string]any) { delete(e, "seq") }},
-	{"coldLeftS is missing", func(e map[string]any) { delete(e, "coldLeftS") }},
+	{"coldLeftS is missing", func(e map[string]any) { delete(e, wire.Fields.ColdLeft) }},
 	{"seq is null", func(e map[string]any) { e["seq"] = nil }},
 	{"service is missing, there is Service", func(e map[string]any) { e["Service"] = e["service"]; delete(e, "service") }},
 	// Entries with these defects are not used; they are the control.
@@ -129,7 +122,7 @@
 	if err != nil {
 		return false, err
 	}
-	s.set("op", "config", manifest(7))
+	s.set("op", "config", manifest())
 	var targets []*serviceTarget
 	for _, service := range []string{"tracker", "ledger", "intake"} {
 		for i := range 3 {
@@ -229,5 +222,5 @@
 		return
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
-	rec.printf("answer    %s: status %d, stamp %q, error %v", id, resp.StatusCode, resp.Header.Get("Response-Stamp"), err)
+	rec.printf("answer    %s: status %d, stamp %q, error %v", id, resp.StatusCode, resp.Header.Get(wire.Headers.Signature), err)
 }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -39,9 +39,9 @@
 	}
 	s := &store{address: l.Addr().String(), started: time.Now(), rows: make(map[string]row), changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
-	mux.HandleFunc("POST /rows-tx", s.tx)
+	mux.HandleFunc("GET "+wire.Paths.Rows, s.get)
+	mux.HandleFunc("GET "+wire.Paths.Changes, s.feed)
+	mux.HandleFunc("POST "+wire.Paths.Transaction, s.tx)
 	go func() { _ = http.Serve(l, mux) }()
 	return s, nil
 }
--- a/review/standin2/term.go
+++ b/review/standin2/term.go
@@ -52,7 +52,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		id, expected := r.Header.Get("Request-Id"), r.Header.Get("Expect-Instance")
+		id, expected := r.Header.Get("Request-Id"), r.Header.Get(wire.Headers.Expected)
 		switch {
 		case expected != "" && expected != t.id:
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
@@ -176,7 +176,7 @@
 	if err != nil {
 		return false, err
 	}
-	m := manifest(7)
+	m := manifest()
 	m["tenants"].([]any)[0].(map[string]any)["ratePerS"] = 0 // no limit
 	s.set("op", "config", m)
 	var targets []*termTarget
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -149,33 +149,4 @@
 const (
 	hostName = "jepu9.example"
 	teamKey  = "tnfzs989anu6wsjnbanf"
-	teamName = "yefi830"
 )
-
-// manifest returns a manifest like that of the page's example.
-func manifest(version int) map[string]any {
-	route := func(name, prefix, kind, service string, timeout float64) map[string]any {
-		r := map[string]any{
-			"name": name, "host": hostName, "prefix": prefix, "routeType": kind, "aimS": 0.8, "priority": 1, "service": service,
-			"attempts": 2, "public": false, "sessionAffinity": true, "homeRegions": []string{},
-		}
-		if timeout > 0 {
-			r["timeoutS"] = timeout
-		}
-		return r
-	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "healthPath": "/healthz", "maxConns": 330, "protocol": "h1", "tls": false, "coldStartS": 3.0, "coldPerS": 2.5}
-	}
-	return map[string]any{
-		"version": fmt.Sprintf("%08x", version),
-		"routes": []any{
-			route("r-status", "/status/", "safe", "tracker", 2.5),
-			route("r-book", "/book/", "unsafe", "ledger", 2.5),
-			route("r-consign", "/consign/", "upload", "intake", 0),
-		},
-		"services": []any{service("tracker"), service("ledger"), service("intake")},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"tenants":  []any{map[string]any{"name": teamName, "apiKeys": []string{teamKey}, "priority": 0, "ratePerS": 43, "burst": 43, "homeRegions": []string{}}},
-	}
-}
