--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,4 +1,4 @@
-// Command standin2 plays the cases 6 to 10 of the review: it starts the project's own
+// Command standin2 plays the cases 6 to 9 of the review: it starts the project's own
 // program as separate processes on loopback addresses, and stands in for the platform's
 // store, the endpoints and the clients.
 //
--- a/review/standin2/term.go
+++ b/review/standin2/term.go
@@ -221,8 +221,8 @@
 			return false, err
 		}
 		time.Sleep(3 * time.Second) // stabilityS
-		// Clients turn away from an instance when the directory no longer names it: no new
-		// connections are made 3 s after the SIGTERM, and few before.
+		// Clients make new connections until 1.5 s after the SIGTERM: the directory's last
+		// answer before it counts for 2 s.
 		end := time.Now().Add(5 * time.Second)
 		var running sync.WaitGroup
 		for _, a := range clients {
