--- a/front/caller/server.go
+++ b/front/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"github.com/cardamomfront/cardamomfront/front/abort"
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
 
@@ -43,7 +44,8 @@
 	n.UseFunc(srv.recoverPanic)
 	n.UseHandlerFunc(srv.route)
 	srv.http = &http.Server{
-		Handler:           n,
+		Handler:           linger.Handler(n),
+		ConnContext:       linger.ConnContext,
 		ReadHeaderTimeout: s.HeaderTimeout,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		IdleTimeout:       idleTimeout,
@@ -51,7 +53,8 @@
 	return srv
 }
 
-// Serve serves requests on l until Shutdown.
+// Serve serves requests on l until Shutdown. The listener must close its connections
+// in stages.
 func (s *Server) Serve(l net.Listener) error {
 	err := s.http.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/front/pacing"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/pipeline"
@@ -100,6 +101,7 @@
 	peers       *peer.Server
 	pipeline    *pipeline.Server // nil unless pipelining is set
 	duties      *duties.Runner
+	closer      *linger.Closer // of all connections to the HTTP servers
 	metricsPage http.Handler
 	metrics     *metrics
 	writer      *telemetry.BoundedWriter
@@ -238,12 +240,13 @@
 	l := g.settings.Load().Listen
 	chain := negroni.New()
 	chain.UseHandler(g.handler)
+	callers := linger.Handler(chain)
 	pages := []struct {
 		address       string
 		handler       http.Handler
 		takesRequests bool
 	}{
-		{l.Callers, chain, true},
+		{l.Callers, callers, true},
 		{l.Relay, relay.NewHandler(g.handler.serveRelayed, g.logger), true},
 		{l.Ready, g.adapters.Ingress.Ready(g.ready), false},
 		{l.Directory, g.adapters.Ingress.Directory(g.mesh.callerAddresses, func() time.Duration { return g.settings.Load().lifetime() }), false},
@@ -258,12 +261,13 @@
 		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, &server{listener: listener, takesRequests: p.takesRequests, http: &http.Server{
+		servers = append(servers, &server{listener: g.closer.Listener(listener), takesRequests: p.takesRequests, http: &http.Server{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnContext: linger.ConnContext,
 		}})
 	}
 	if ahead := g.settings.Load().Pipelining.MaxAhead; ahead > 0 {
-		g.pipeline = newPipeline(chain, g.handler.mayRunAhead, ahead)
+		g.pipeline = newPipeline(callers, g.handler.mayRunAhead, ahead)
 		servers[0].http = g.pipeline
 	}
 	return servers, nil
@@ -287,6 +291,9 @@
 	cutAfterFraction = 0.98
 	// syncAfterFraction is when the wait for the last sync ends.
 	syncAfterFraction = 0.99
+	// deliverAfterFraction is when the wait for callers that have not received
+	// their answers ends.
+	deliverAfterFraction = 0.99
 )
 
 // stop shuts down gracefully: callers are sent to other instances, and the
@@ -323,6 +330,9 @@
 	for _, s := range servers {
 		_ = s.http.Close() // nothing depends on the other servers' responses any more
 	}
+	delivered, cancelDelivered := context.WithDeadline(context.WithoutCancel(ctx), until(deliverAfterFraction))
+	defer cancelDelivered()
+	g.closer.Shutdown(delivered)
 }
 
 // runEvery calls f at each tick until ctx ends.
--- a/front/gateway/pipelining.go
+++ b/front/gateway/pipelining.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/front/pipeline"
 )
 
@@ -13,6 +14,7 @@
 	return &pipeline.Server{
 		Handler: h, MayRunAhead: mayRunAhead, MaxAhead: maxAhead,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: linger.ConnContext,
 	}
 }
 
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomfront/cardamomfront/front/crashes"
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/reachability"
 	"github.com/cardamomfront/cardamomfront/front/registry"
@@ -107,6 +108,10 @@
 	return waiting.New(t.Meter, log)
 }
 
+func newCloser(t *telemetry.Metrics, log *logrus.Logger) (*linger.Closer, error) {
+	return linger.New(linger.DefaultLimits(), t.Meter, log)
+}
+
 func newLogLimiter(log *logrus.Logger) *logLimiter {
 	return &logLimiter{log: log.WithField("prefix", "request")}
 }
@@ -135,7 +140,7 @@
 }
 
 // newGateway assembles an instance.
-func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachability.Watch, relayed *relayclient.Client, peers *peer.Server, d *duties.Runner, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
+func newGateway(s *liveSettings, adapters Adapters, h *handler, v *storeView, r *rollouts.Rollouts, m *mesh, tables *relayedStore, c *endpoint.Client, reached *reachability.Watch, relayed *relayclient.Client, peers *peer.Server, d *duties.Runner, closer *linger.Closer, t *telemetry.Metrics, counts *metrics, w *telemetry.BoundedWriter, log *logrus.Logger) *Gateway {
 	return &Gateway{
 		settings:    s,
 		adapters:    adapters,
@@ -149,6 +154,7 @@
 		relay:       relayed,
 		peers:       peers,
 		duties:      d,
+		closer:      closer,
 		metricsPage: t.Page,
 		metrics:     counts,
 		writer:      w,
--- a/front/gateway/wire.go
+++ b/front/gateway/wire.go
@@ -34,6 +34,7 @@
 		newRetryBudgets,
 		newLogLimiter,
 		newRoom,
+		newCloser,
 		newCrashWatch,
 		newSender,
 		newHandler,
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -54,6 +54,10 @@
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
 	peerServer := newPeerServer(gatewayMesh, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, rollouts, peerServer, logger)
-	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, watch, relayclientClient, peerServer, runner, t, gatewayMetrics, boundedWriter, logger)
+	closer, err := newCloser(t, logger)
+	if err != nil {
+		return nil, err
+	}
+	gateway := newGateway(gatewayLiveSettings, adapters, gatewayHandler, gatewayStoreView, rollouts, gatewayMesh, gatewayRelayedStore, client, watch, relayclientClient, peerServer, runner, closer, t, gatewayMetrics, boundedWriter, logger)
 	return gateway, nil
 }
--- a/front/instance/instance.go
+++ b/front/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 )
 
@@ -35,19 +36,21 @@
 	peers       *peer.Server
 	operators   *http.Server
 	relays      *dispatch.RelayServer
+	closer      *linger.Closer // of all connections to the HTTP servers
 	components  []Component
 	plannedStop *plannedStop
 	log         logrus.FieldLogger
 }
 
 // New returns an instance that is not running.
-func New(s *Settings, callers *caller.Server, peers *peer.Server, operators *http.Server, relays *dispatch.RelayServer, components []Component, stop *plannedStop, log *logrus.Logger) *Instance {
+func New(s *Settings, callers *caller.Server, peers *peer.Server, operators *http.Server, relays *dispatch.RelayServer, closer *linger.Closer, components []Component, stop *plannedStop, log *logrus.Logger) *Instance {
 	return &Instance{
 		settings:    s,
 		callers:     callers,
 		peers:       peers,
 		operators:   operators,
 		relays:      relays,
+		closer:      closer,
 		components:  components,
 		plannedStop: stop,
 		log:         log.WithField("prefix", "instance"),
@@ -91,7 +94,6 @@
 		i.log.Error("A component failed, stopping.")
 	}
 	i.stop(runCtx)
-	_ = i.operators.Close()
 	cancelRun()
 	err = group.Wait()
 	i.log.Info("Stopped.")
@@ -105,18 +107,18 @@
 			ls.close()
 		}
 	}()
-	if ls.callers, err = listenCallers(i.settings.Callers); err != nil {
+	if ls.callers, err = listenCallers(i.settings.Callers, i.closer); err != nil {
 		return ls, err
 	}
 	if ls.peers, err = i.peers.Listen(i.settings.Peers.Listen); err != nil {
 		return ls, err
 	}
 	if i.settings.Peers.Relay != "" {
-		if ls.relays, err = i.peers.Listen(i.settings.Peers.Relay); err != nil {
+		if ls.relays, err = i.peers.ListenWrapped(i.settings.Peers.Relay, i.closer.Listener); err != nil {
 			return ls, err
 		}
 	}
-	ls.operators, err = net.Listen("tcp", i.settings.Operators.Listen)
+	ls.operators, err = listen(i.settings.Operators.Listen, i.closer)
 	return ls, err
 }
 
@@ -145,6 +147,8 @@
 		i.log.WithError(err).Error("Requests were cut at the end of the drain time.")
 	}
 	i.plannedStop.removeRow(ctx)
+	_ = i.operators.Close() // nothing depends on its responses any more
+	i.closer.Shutdown(drainCtx)
 }
 
 // announce announces the planned stop to the fleet. It has its own timeout,
--- a/front/instance/providers.go
+++ b/front/instance/providers.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomfront/cardamomfront/front/caller"
 	"github.com/cardamomfront/cardamomfront/front/dispatch"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/front/operator"
 	"github.com/cardamomfront/cardamomfront/front/operator/explain"
 	"github.com/cardamomfront/cardamomfront/front/peer"
@@ -43,6 +44,10 @@
 	return telemetry.NewLog(s.Log, w)
 }
 
+func newCloser(m *telemetry.Metrics, log *logrus.Logger) (*linger.Closer, error) {
+	return linger.New(linger.DefaultLimits(), m.Meter, log)
+}
+
 func newStorageClient(s *Settings, m *telemetry.Metrics) (*storage.Client, error) {
 	traffic, err := telemetry.NewTraffic(m, "platform")
 	if err != nil {
--- a/front/instance/wire.go
+++ b/front/instance/wire.go
@@ -23,6 +23,7 @@
 		newLog,
 		wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)),
 		telemetry.NewMetrics,
+		newCloser,
 		storageSet,
 		peerSet,
 		configurationSet,
--- a/front/instance/wire_gen.go
+++ b/front/instance/wire_gen.go
@@ -97,9 +97,13 @@
 	callerServer := caller.NewServer(serverSettings, handler, httpHandler, callerMetrics, logger)
 	httpServer := newOperatorServer(metrics, watcher, manager, agent, service, callerMetrics)
 	relayServer := newRelayServer(s, dispatcher, server, logger)
+	closer, err := newCloser(metrics, logger)
+	if err != nil {
+		return nil, err
+	}
 	v := newComponents(watcher, keys, endpointClient, recorder, manager, keeper, agent, service, relayClient, instanceRelaySender)
 	instancePlannedStop := newPlannedStop(keeper, agent, service, logger)
-	instance := New(s, callerServer, server, httpServer, relayServer, v, instancePlannedStop, logger)
+	instance := New(s, callerServer, server, httpServer, relayServer, closer, v, instancePlannedStop, logger)
 	return instance, nil
 }
 
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -53,13 +53,25 @@
 // Listen opens the server's listener on addr. Errors: *PlainAddressError if
 // addr requires TLS and none is configured, or a network error.
 func (s *Server) Listen(addr string) (net.Listener, error) {
+	return s.ListenWrapped(addr, func(l net.Listener) net.Listener { return l })
+}
+
+// ListenWrapped is like Listen. wrap is given the listener of the connections
+// below TLS.
+func (s *Server) ListenWrapped(addr string, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	if s.tls == nil {
 		if err := checkLoopback(addr); err != nil && !s.AllowPlainTCP {
 			return nil, err
 		}
-		return net.Listen("tcp", addr)
 	}
-	return tls.Listen("tcp", addr, s.tls)
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if s.tls == nil {
+		return wrap(l), nil
+	}
+	return tls.NewListener(wrap(l), s.tls), nil
 }
 
 // Serve accepts connections until ctx ends and then closes all of them.
--- a/front/pipeline/server.go
+++ b/front/pipeline/server.go
@@ -49,6 +49,8 @@
 	IdleTimeout       time.Duration
 	MaxHeaderBytes    int
 	ErrorLog          *log.Logger
+	// ConnContext is as in http.Server, and gets the listener's connections.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 
 	initOnce sync.Once
 	http     *http.Server
@@ -77,11 +79,20 @@
 		s.http = &http.Server{
 			Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: s.ReadHeaderTimeout,
 			IdleTimeout: s.IdleTimeout, MaxHeaderBytes: s.MaxHeaderBytes, ErrorLog: s.ErrorLog,
-			ConnContext: func(ctx context.Context, nc net.Conn) context.Context { return nc.(*conn).start(ctx) },
+			ConnContext: s.connContext,
 		}
 	})
 }
 
+// connContext returns the context of the requests of a connection.
+func (s *Server) connContext(ctx context.Context, nc net.Conn) context.Context {
+	c := nc.(*conn)
+	if s.ConnContext != nil {
+		ctx = s.ConnContext(ctx, c.Conn)
+	}
+	return c.start(ctx)
+}
+
 // Serve accepts and serves connections until Shutdown or Close, and then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
