--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # The packages whose goroutines share memory. Others are pure, or start
 # commands, which the detector doesn't see into.
-RACE := ./front/gateway ./front/rollouts ./front/reachability ./front/relayclient ./front/pipeline ./front/linger \
+RACE := ./front/gateway ./front/rollouts ./front/reachability ./front/relayclient ./front/pipeline ./front/linger ./front/duplex \
 	./front/duties ./front/registry ./front/endpoint/... ./front/peer ./front/broker ./front/caller/... ./front/dispatch ./front/telemetry ./front/waiting ./front/storage ./front/storage/attempts \
 	./front/storage/membership ./front/storage/shares ./front/storage/shifts ./platform/...
 
--- a/front/caller/early_answer_test.go
+++ b/front/caller/early_answer_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
+	"github.com/cardamomfront/cardamomfront/platform/standin"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 )
 
@@ -101,6 +103,54 @@
 	}
 }
 
+// Guards against a body that reaches its endpoint with a hole, because the endpoint
+// answers before it has read it.
+func TestEarlyAnswerLeavesNoHoleInTheBody(t *testing.T) {
+	const length = 1000
+	want := standin.NumberedBody(length)
+	received := make(chan standin.Upload, 1)
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		body := make([]byte, 100)
+		_, err := io.ReadFull(r.Body, body)
+		if err = errors.Join(err, control.EnableFullDuplex()); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(w, "begin")
+		_ = control.Flush()
+		rest, err := io.ReadAll(r.Body)
+		received <- standin.Upload{Body: append(body, rest...), Whole: err == nil}
+	}))
+	t.Cleanup(e.Close)
+	client := endpoint.NewClient(endpoint.Settings{DisableProbes: true}, make(countedOutcomes, 10))
+	t.Cleanup(client.Close)
+	for name, declared := range map[string]int64{"with a length": length, "chunked": -1} {
+		t.Run(name, func(t *testing.T) {
+			source := &fakeSource{}
+			source.setIndex(testIndex(t, true), false)
+			s, _ := testServer(t, source, senderFunc(func(ctx context.Context, r *endpoint.Request) (*endpoint.Response, error) {
+				return client.Send(ctx, endpoint.Target{Address: e.Listener.Addr().String()}, r)
+			}))
+			server := httptest.NewServer(s)
+			t.Cleanup(server.Close)
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, server.URL+"/upload", standin.Paced(bytes.NewReader(want), 100, 5*time.Millisecond))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.ContentLength = declared
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			if response, err := server.Client().Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			got := <-received
+			if !bytes.Equal(got.Body, want) || !got.Whole {
+				t.Errorf("the endpoint got %d bytes of %d, unchanged: %v, to the end: %v", len(got.Body), length, bytes.HasPrefix(want, got.Body), got.Whole)
+			}
+		})
+	}
+}
+
 // A caller that speaks HTTP/1.0 must not take the end of a cut response for a planned
 // one.
 func TestCutResponseIsAFailureForHTTP10(t *testing.T) {
--- a/front/caller/server.go
+++ b/front/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"github.com/cardamomfront/cardamomfront/front/abort"
+	"github.com/cardamomfront/cardamomfront/front/duplex"
 	"github.com/cardamomfront/cardamomfront/front/linger"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
 )
@@ -44,7 +45,7 @@
 	n.UseFunc(srv.recoverPanic)
 	n.UseHandlerFunc(srv.route)
 	srv.http = &http.Server{
-		Handler:           linger.Handler(n),
+		Handler:           linger.Handler(duplex.Handler(n)),
 		ConnContext:       linger.ConnContext,
 		ReadHeaderTimeout: s.HeaderTimeout,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
--- a/front/dispatch/relayserver.go
+++ b/front/dispatch/relayserver.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cardamomfront/cardamomfront/front/broker"
+	"github.com/cardamomfront/cardamomfront/front/duplex"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/peer"
 	"github.com/cardamomfront/cardamomfront/front/relay"
@@ -38,7 +39,7 @@
 // listener must accept only connections of instances.
 func NewRelayServer(d *Dispatcher, log logrus.FieldLogger) *RelayServer {
 	s := &RelayServer{dispatcher: d}
-	s.http = &http.Server{Handler: relay.NewHandler(s.serve, log), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout}
+	s.http = &http.Server{Handler: duplex.Handler(relay.NewHandler(s.serve, log)), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout}
 	return s
 }
 
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cardamomfront/cardamomfront/front/duplex"
 	"github.com/cardamomfront/cardamomfront/steer/health"
 	"github.com/cardamomfront/cardamomfront/steer/ratelimit"
 	"github.com/cardamomfront/cardamomfront/steer/verdict"
@@ -147,6 +148,7 @@
 		ContentLength: r.HTTP.ContentLength,
 	}
 	if r.HTTP.Body != nil && r.HTTP.Body != http.NoBody && r.HTTP.ContentLength != 0 {
+		duplex.PassOn(r.HTTP.Context())
 		out.Body = x.body
 	} else {
 		x.body.fullyRead = true
--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/negroni/v3"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cardamomfront/cardamomfront/front/duplex"
 	"github.com/cardamomfront/cardamomfront/front/duties"
 	"github.com/cardamomfront/cardamomfront/front/endpoint"
 	"github.com/cardamomfront/cardamomfront/front/linger"
@@ -240,14 +241,14 @@
 	l := g.settings.Load().Listen
 	chain := negroni.New()
 	chain.UseHandler(g.handler)
-	callers := linger.Handler(chain)
+	callers := linger.Handler(duplex.Handler(chain))
 	pages := []struct {
 		address       string
 		handler       http.Handler
 		takesRequests bool
 	}{
 		{l.Callers, callers, true},
-		{l.Relay, relay.NewHandler(g.handler.serveRelayed, g.logger), true},
+		{l.Relay, duplex.Handler(relay.NewHandler(g.handler.serveRelayed, g.logger)), true},
 		{l.Ready, g.adapters.Ingress.Ready(g.ready), false},
 		{l.Directory, g.adapters.Ingress.Directory(g.mesh.callerAddresses, func() time.Duration { return g.settings.Load().lifetime() }), false},
 		{l.Metrics, g.metricsPage, false},
