--- a/front/gateway/attempts.go
+++ b/front/gateway/attempts.go
@@ -24,7 +24,8 @@
 	response *bufferedResponse // for the caller
 	failure  *failure
 	err      error
-	relayed  bool // through another instance
+	relayed  bool       // through another instance
+	choice   *placement // nil if relayed
 }
 
 // attemptRun runs the attempts of one request. They run one after the other,
@@ -42,6 +43,7 @@
 	helpers     map[string]bool // addresses of instances through which it was sent
 	lastFailure failure
 	hedgeTimer  *time.Timer
+	unended     *result // with a response whose end is not known, while it is compared
 }
 
 // send makes attempts until one succeeds or no further one is allowed.
@@ -67,6 +69,9 @@
 	for {
 		select {
 		case <-r.hedgeTimer.C:
+			if r.unended != nil {
+				return r.unended.response, nil
+			}
 			r.hedge()
 			continue
 		case <-r.sender.ended:
@@ -75,7 +80,10 @@
 			r.inFlight--
 			r.updateVerdict(res.err)
 			if res.failure == nil {
-				return res.response, nil
+				if response := r.settle(res); response != nil {
+					return response, nil
+				}
+				continue
 			}
 			r.lastFailure = *res.failure
 			r.delivered += r.deliveries(res)
@@ -83,6 +91,9 @@
 		if r.inFlight > 0 {
 			continue
 		}
+		if r.unended != nil {
+			return r.unended.response, nil
+		}
 		if refusal := r.lastFailure.refusal; refusal != nil {
 			return r.sender.giveUp(r.ctx, r.exchange, r.lastFailure, refusal)
 		}
@@ -164,18 +175,20 @@
 }
 
 // hedge starts another attempt while the slow one goes on. The first response
-// wins.
-func (r *attemptRun) hedge() {
+// wins. It reports whether the attempt has been started.
+func (r *attemptRun) hedge() bool {
 	if r.delivered+r.inFlight >= r.endpointLimit() || r.attempts >= maxAttempts || !r.sender.mayRepeat(r.exchange) {
-		return
+		return false
 	}
 	if time.Until(r.deadline) < minAttemptTime || !r.sender.budgets.tryWithdraw(r.service) {
-		return
+		return false
 	}
 	if err := r.startAttempt(); err != nil {
 		r.sender.budgets.refund(r.service)
 		r.log.WithError(err).Debug("Request not hedged: no other endpoint.")
+		return false
 	}
+	return true
 }
 
 // neverSent reports whether an attempt never reached its endpoint.
--- a/front/gateway/sender.go
+++ b/front/gateway/sender.go
@@ -56,6 +56,7 @@
 	metrics    *metrics
 	logLimiter *logLimiter
 	duties     *duties.Runner
+	longRoutes longRoutes
 	// endBy is when requests have to end because this instance stops, nil while
 	// it runs. ended is closed then.
 	endBy atomic.Pointer[time.Time]
@@ -167,9 +168,9 @@
 	s.recordResult(x, observed, c.Choice, start, outcome, buffered, err, elapsed)
 	s.logAttempt(x, c, outcome, buffered, err, elapsed, attemptNumber)
 	if err == nil && buffered.Status < http.StatusInternalServerError && !claimsNotRun(buffered.Status) {
-		return result{response: buffered}
+		return result{response: buffered, choice: c}
 	}
-	return result{failure: &failure{response: buffered, err: err}, err: err}
+	return result{failure: &failure{response: buffered, err: err}, err: err, choice: c}
 }
 
 // applyRestrictions applies what an endpoint's response asks of this instance: no
--- a/steer/placing/outcome.go
+++ b/steer/placing/outcome.go
@@ -85,6 +85,16 @@
 	p.observePace(now, c, o, elapsed, r)
 }
 
+// Fault records that the response to an attempt, which counted as an answer, was
+// faulty.
+func (p *Placer) Fault(now time.Time, c *Choice) {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.state.decay(now, p.rules.OutcomeHalfLife)
+	c.state.failures += failureWeight * (1 - c.state.failures)
+	c.state.fault()
+}
+
 // markReachable resets the connection failures and reduces the shares of
 // failures and faults.
 func (e *endpoint) markReachable() {
