--- a/scripts/at-rest.sh
+++ b/scripts/at-rest.sh
@@ -18,7 +18,7 @@
 spawn() { "$@" >>"$dir/log" 2>&1 & pids+=($!); }
 page() { bin/cardamomctl request --direct --entry "http://$1" GET "$2" 2>/dev/null; }
 until_ok() { for _ in $(seq 600); do if "$@" >/dev/null 2>&1; then return 0; fi; sleep 0.1; done; echo "gave up after 600 attempts: $*" >&2; exit 1; }
-ready() { page "$1" /ready | grep -q '"status":200'; }
+ready() { [[ $(page "$1" /ready) == *'"status":200'* ]]; }
 
 spawn bin/cardamomctl serve platform --listen $platform
 sed 's/^environment: .*/environment: rest/' "$document" >"$dir/document.yaml"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,11 @@
 ctl() { bin/cardamomctl "$@"; }
 
 # field NAME prints the first field of this name in the JSON on standard input.
-field() { sed -n "s/.*\"$1\": *\"\{0,1\}\([^\",}]*\).*/\1/p" | head -n 1; }
+field() {
+	local all
+	all=$(sed -n "s/.*\"$1\": *\"\{0,1\}\([^\",}]*\).*/\1/p")
+	echo "${all%%$'\n'*}"
+}
 
 # until_ok COMMAND... retries a command until it succeeds, at most 600 times.
 until_ok() {
