--- a/front/endpoint/conn.go
+++ b/front/endpoint/conn.go
@@ -31,6 +31,9 @@
 	// guarded by writing.
 	writeFailed bool
 
+	// exchanging is set until a request has been sent and its response has been read.
+	exchanging atomic.Bool
+
 	// progressUnixNano is when bytes were last sent or received, in nanoseconds
 	// since the Unix epoch.
 	progressUnixNano atomic.Int64
@@ -38,6 +41,7 @@
 
 // beginExchange resets the tracking before a request is sent.
 func (c *trackedConn) beginExchange(now time.Time) {
+	c.exchanging.Store(true)
 	c.writing.Lock()
 	c.writeFailed = false
 	c.writing.Unlock()
@@ -47,6 +51,26 @@
 	c.progressUnixNano.Store(now.UnixNano())
 }
 
+// Close implements net.Conn. During an exchange it resets the connection. Otherwise the
+// system would go on sending what has not been delivered of the request, which would
+// arrive long after it has been given up.
+func (c *trackedConn) Close() error {
+	if c.exchanging.Load() {
+		resetOnClose(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// resetOnClose makes the close of a connection drop what has not been delivered.
+func resetOnClose(c net.Conn) {
+	if secured, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = secured.NetConn()
+	}
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // a connection that is gone delivers nothing
+	}
+}
+
 // seal forbids further writes and reports whether any write has started since
 // beginExchange. If it reports false, no byte of the request has been sent or
 // will be sent.
--- a/front/endpoint/exchange.go
+++ b/front/endpoint/exchange.go
@@ -352,6 +352,7 @@
 func (x *exchange) finish() {
 	x.watchdog.stop()
 	if x.body.isFullyRead() {
+		x.conn.tracked.exchanging.Store(false)
 		x.pool.put(x.conn, time.Now())
 	} else {
 		x.conn.close()
