--- a/front/duplex/duplex.go
+++ b/front/duplex/duplex.go
@@ -152,7 +152,7 @@
 		return
 	}
 	if http.NewResponseController(w.ResponseWriter).EnableFullDuplex() != nil {
-		w.body.end()
+		w.body.end() // whoever it was passed to sees that it is broken
 	}
 	w.Header().Set("Connection", "close")
 }
