Logs: what is held back after a restore, and the catalog of each refusal

Now 'Store restored from an older copy' and 'Delayed changes in force' name the number of such rows and the first eight keys, and each refusal names its catalog.

--- a/front/gateway/refusal.go
+++ b/front/gateway/refusal.go
@@ -82,9 +82,11 @@
 		"reason": r.reason, "status": r.status, "verdict": x.verdict.String(),
 		"tries": x.attempts, "ms": time.Since(x.arrived).Milliseconds(), "team": x.teamName(),
 	}
+	if x.catalog != nil {
+		fields["catalog"] = x.catalog.Version
+	}
 	if x.route != nil {
 		fields["route"] = x.route.Name
-		fields["catalog"] = x.catalog.Version
 	}
 	if x.fingerprint != 0 {
 		fields["object"], fields["fingerprint"] = x.caller.Object, x.fingerprint.String()
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -108,7 +108,7 @@
 	v.placer.SetRanks(c.Ranks())
 	v.catalog.Store(c)
 	v.log.WithFields(logrus.Fields{
-		"version": c.Version, "revision": c.Revision, "routes": len(c.Routes), "teams": len(c.Teams),
+		"version": c.Version, "era": c.Era, "revision": c.Revision, "routes": len(c.Routes), "teams": len(c.Teams),
 	}).Info("Catalog in force.")
 	v.logUnknownKinds(c)
 	v.logReady(now)
--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -421,9 +422,6 @@
 // made shortly before the restore are lost until their writers repeat them, so
 // what the copy has in an older state than known is delayed.
 func (w *Watcher) applyRestore(b Batch, now time.Time) {
-	w.log.WithFields(logrus.Fields{
-		"era": b.Era, "previous_era": w.version.Era, "revision": b.Revision, "previous_revision": w.version.Revision,
-	}).Warn("Store restored from an older copy.")
 	w.restoredAt = now
 	clear(w.delayedChanges)
 	for _, row := range w.missingRows(b) {
@@ -437,6 +435,18 @@
 		}
 		w.rows[row.Key] = row
 	}
+	w.log.WithFields(logrus.Fields{
+		"era": b.Era, "previous_era": w.version.Era, "revision": b.Revision, "previous_revision": w.version.Revision,
+	}).WithFields(w.delayedFields()).Warn("Store restored from an older copy.")
+}
+
+// maxLoggedKeys bounds the keys in one log line.
+const maxLoggedKeys = 8
+
+// delayedFields returns the number of delayed changes and some of their keys.
+func (w *Watcher) delayedFields() logrus.Fields {
+	keys := slices.Sorted(maps.Keys(w.delayedChanges))
+	return logrus.Fields{"delayed": len(keys), "keys": keys[:min(len(keys), maxLoggedKeys)]}
 }
 
 // missingRows returns removals for the known rows that are missing from a read
@@ -486,6 +496,7 @@
 	if len(w.delayedChanges) == 0 || now.Before(w.delayEnd()) {
 		return false
 	}
+	w.log.WithFields(w.delayedFields()).Info("Delayed changes in force.")
 	for key, row := range w.delayedChanges {
 		if row.Removed {
 			delete(w.rows, key)
