--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -180,12 +180,12 @@
 		g.tables.serve(w)
 		return w
 	}
-	endpointsWatcher := watch(registry.WatchOptions{
-		Table: endpoints, CurrentPace: g.mesh.endpointsPace, RefreshInterval: endpointsRefreshInterval, RemovalDelay: endpointRemovalDelay, ReachableSince: g.mesh.storeReachableByPeersSince,
-	}, g.view.applyEndpointsTable)
+	endpointsOptions := g.view.endpointsOptions(endpoints, g.mesh.endpointsPace)
+	endpointsOptions.ReachableSince = g.mesh.storeReachableByPeersSince
+	endpointsWatcher := watch(endpointsOptions, g.view.applyEndpointsTable)
 	g.mesh.storeReachableSince = endpointsWatcher.ReachableSince
 	components := []func(context.Context) error{
-		g.mesh.afterMembersRead(watch(registry.WatchOptions{Table: operator, CurrentPace: g.mesh.operatorPace, RestoreDelay: operatorRestoreDelay}, g.view.applyOperatorTable).Run),
+		g.mesh.afterMembersRead(watch(g.view.operatorOptions(operator, g.mesh.operatorPace), g.view.applyOperatorTable).Run),
 		g.mesh.afterMembersRead(endpointsWatcher.Run),
 		g.mesh.afterRegistration(watch(registry.WatchOptions{Table: TableInstances, Pace: registry.Pace{PollInterval: instancesPollInterval}}, g.mesh.applyInstancesTable(ctx)).Run, g.settings.Load().Bootstrap),
 		g.mesh.Run,
--- a/front/gateway/relay_test.go
+++ b/front/gateway/relay_test.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// setDown sets whether all calls are rejected.
+func (s *tableStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // takeCalls returns the number of calls since the last time.
 func (s *tableStore) takeCalls() int {
 	s.mu.Lock()
--- /dev/null
+++ b/front/gateway/restore_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cardamomfront/cardamomfront/front/registry"
+	"github.com/cardamomfront/cardamomfront/steer/catalog"
+)
+
+// catalogKey is the key of the catalog's row in a test.
+const catalogKey = "config"
+
+// catalogCodec reads the generation of the catalog from its row.
+type catalogCodec struct{ Codec }
+
+func (catalogCodec) Catalog(rows map[string]registry.Row) (*catalog.Catalog, error) {
+	row, ok := rows[catalogKey]
+	if !ok {
+		return nil, nil
+	}
+	generation, err := strconv.ParseUint(string(row.Value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.New(catalog.Catalog{Version: string(row.Value), Generation: generation, Era: row.Era, Revision: row.Revision}), nil
+}
+
+func (catalogCodec) DrainedDomains(map[string]registry.Row) map[string]bool { return nil }
+
+func (catalogCodec) RolloutOrders(map[string]registry.Row) (map[string]catalog.RolloutOrder, []error) {
+	return nil, nil
+}
+
+// restoreDrill is a fleet whose store is restored from older copies while
+// operators change the catalog.
+type restoreDrill struct {
+	random     *rand.Rand
+	store      *tableStore
+	views      []*storeView
+	writtenAt  []time.Time // when the store acknowledged each generation, by generation
+	steps      []int       // number of changes in the store's history after each step
+	returnedAt time.Time   // end of the last outage
+	rewriteAt  time.Time   // when the operators notice it, zero if they have
+}
+
+// drillStep is the time between two steps of a drill.
+const drillStep = 50 * time.Millisecond
+
+// Bounds of the users' smallest deployment.
+const (
+	maxCatalogDelay = 2500 * time.Millisecond
+	stableTime      = 3 * time.Second
+)
+
+// newRestoreDrill starts three instances that follow the operators' table.
+func newRestoreDrill(t *testing.T, seed uint64) *restoreDrill {
+	d := &restoreDrill{random: rand.New(rand.NewPCG(seed, 1)), store: newTableStore(), returnedAt: time.Now()}
+	d.write()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	_, all := newDomainNetwork(t, 1, 1, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	for _, m := range all {
+		adapters := Adapters{Store: instanceStore{d.store, m.self.Name}, Codec: catalogCodec{}}
+		v := newStoreView(adapters, m.placer, m.limiter, nil, m.rollouts, log)
+		options := v.operatorOptions("op", m.operatorPace)
+		options.CallMargin = relayCallMargin
+		tables := newRelayedStore(adapters, m, m.rollouts, newPeerServer(m, log), log)
+		w := registry.NewWatcher(options, tables, v.applyOperatorTable, log)
+		d.views = append(d.views, v)
+		wg.Go(func() { _ = w.Run(ctx) })
+	}
+	return d
+}
+
+// write writes the next catalog.
+func (d *restoreDrill) write() {
+	d.writtenAt = append(d.writtenAt, time.Now())
+	d.writeAgain()
+}
+
+// writeAgain writes the newest catalog.
+func (d *restoreDrill) writeAgain() {
+	d.store.set(catalogKey, fmt.Sprint(len(d.writtenAt)))
+	d.rewriteAt = time.Time{}
+}
+
+// chance reports true once in mean on average.
+func (d *restoreDrill) chance(mean time.Duration) bool {
+	return d.random.Float64() < float64(drillStep)/float64(mean)
+}
+
+// step writes to the store, or takes it away or brings it back.
+func (d *restoreDrill) step() {
+	switch now := time.Now(); {
+	case d.store.down && d.chance(600*time.Millisecond):
+		age := 1 + d.random.IntN(int(3*time.Second/drillStep))
+		d.store.restore(d.steps[max(0, len(d.steps)-age)])
+		d.steps = d.steps[:max(1, len(d.steps)-age)]
+		d.store.setDown(false)
+		d.returnedAt = now
+		d.rewriteAt = now.Add(time.Duration(d.random.IntN(1000)) * time.Millisecond)
+		if d.random.IntN(2) == 0 {
+			d.write()
+		}
+	case d.store.down:
+	case !d.rewriteAt.IsZero():
+		if !now.Before(d.rewriteAt) {
+			d.writeAgain()
+		}
+	case d.chance(1500 * time.Millisecond):
+		d.write()
+	case d.chance(6 * time.Second):
+		d.store.setDown(true)
+	default:
+		d.store.set("endpoint", "reports")
+	}
+	d.steps = append(d.steps, len(d.store.history))
+}
+
+// check returns an error if an instance is behind.
+func (d *restoreDrill) check() error {
+	now := time.Now()
+	if d.store.down || now.Sub(d.returnedAt) <= stableTime {
+		return nil
+	}
+	inTime := len(d.writtenAt)
+	for inTime > 0 && now.Sub(d.writtenAt[inTime-1]) <= maxCatalogDelay {
+		inTime--
+	}
+	for _, v := range d.views {
+		if c := v.catalog.Load(); inTime > 0 && (c.Generation < uint64(inTime)) {
+			return fmt.Errorf("catalog %d in force %s after the store's return, want %d, written %s ago",
+				c.Generation, now.Sub(d.returnedAt), inTime, now.Sub(d.writtenAt[inTime-1]))
+		}
+	}
+	return nil
+}
+
+// A catalog that is written right after a restore of the store is in force in time,
+// although its revision is lower than that of one that the restore has undone.
+func TestCatalogIsInForceInTimeAfterARestore(t *testing.T) {
+	var late []string
+	const seeds = 60
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			d := newRestoreDrill(t, seed)
+			for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(drillStep) {
+				d.step()
+				if err := d.check(); err != nil {
+					late = append(late, fmt.Sprintf("seed %d: %v", seed, err))
+					return
+				}
+			}
+		})
+	}
+	if len(late) > 0 {
+		t.Errorf("%d of %d drills with a late catalog, the first: %s", len(late), seeds, late[0])
+	}
+}
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// operatorOptions returns how the operators' table is followed.
+func (v *storeView) operatorOptions(table string, pace func() registry.Pace) registry.WatchOptions {
+	return registry.WatchOptions{Table: table, CurrentPace: pace, RestoreDelay: operatorRestoreDelay}
+}
+
+// endpointsOptions returns how the endpoints table is followed.
+func (v *storeView) endpointsOptions(table string, pace func() registry.Pace) registry.WatchOptions {
+	return registry.WatchOptions{
+		Table: table, CurrentPace: pace, RefreshInterval: endpointsRefreshInterval, RemovalDelay: endpointRemovalDelay,
+	}
+}
+
 // applyOperatorTable applies the operators' table.
 func (v *storeView) applyOperatorTable(now time.Time, rows map[string]registry.Row) {
 	v.applyCatalog(now, rows)
