--- a/front/gateway/gateway.go
+++ b/front/gateway/gateway.go
@@ -189,6 +189,7 @@
 		g.mesh.afterMembersRead(endpointsWatcher.Run),
 		g.mesh.afterRegistration(watch(registry.WatchOptions{Table: TableInstances, Pace: registry.Pace{PollInterval: instancesPollInterval}}, g.mesh.applyInstancesTable(ctx)).Run, g.settings.Load().Bootstrap),
 		g.mesh.Run,
+		newCatalogFollower(g.mesh, g.view, g.logger).Run,
 		g.rollouts.Run,
 		g.client.Run,
 		g.reach.Run,
--- a/front/gateway/interfaces.go
+++ b/front/gateway/interfaces.go
@@ -63,6 +63,8 @@
 	rollouts.Codec
 	// Catalog returns the newest catalog, nil if there is none.
 	Catalog(rows map[string]registry.Row) (*catalog.Catalog, error)
+	// CatalogKey is the key of the operators' row that holds the catalog.
+	CatalogKey() string
 	// RolloutOrders returns the orders to roll services out, by service.
 	RolloutOrders(rows map[string]registry.Row) (map[string]catalog.RolloutOrder, []error)
 	// DrainedDomains returns the failure domains that are to be drained.
--- a/front/gateway/mesh.go
+++ b/front/gateway/mesh.go
@@ -86,6 +86,7 @@
 	crashes             *crashes.Watch
 	reach               *reach.Monitor
 	ready               func() bool
+	generation          func() uint64    // of the catalog in force
 	storeReachableSince func() time.Time // since when the endpoints table has been reachable
 	extension           extension        // nil if there is none
 	log                 logrus.FieldLogger
@@ -127,6 +128,7 @@
 		crashes:             w,
 		reach:               reached.Monitor(),
 		ready:               v.ready,
+		generation:          v.generation,
 		storeReachableSince: func() time.Time { return time.Time{} },
 		log:                 log.WithField("prefix", "mesh"),
 		members:             make(map[string]*member),
--- a/front/gateway/providers.go
+++ b/front/gateway/providers.go
@@ -93,10 +93,11 @@
 	return rollouts.New(adapters.Store, adapters.Codec, log)
 }
 
-func newPeerServer(m *mesh, log *logrus.Logger) *peer.Server {
+func newPeerServer(m *mesh, v *storeView, log *logrus.Logger) *peer.Server {
 	s := peer.NewServer(nil, log)
 	s.AllowPlainTCP = true
 	s.Handle(methodSync, m.handleSync)
+	s.Handle(methodCatalog, v.handleCatalog)
 	return s
 }
 
--- a/front/gateway/state.go
+++ b/front/gateway/state.go
@@ -78,6 +78,9 @@
 	// ReachableMS is for how long it has reached the endpoints table without
 	// interruption, in milliseconds; 0 while it does not.
 	ReachableMS int64 `json:"t,omitempty"`
+	// Catalog is the generation of the catalog that it follows, 0 without one. Older
+	// versions leave it out.
+	Catalog uint64 `json:"cg,omitempty"`
 	// Demand is its demand by team, in requests per second.
 	Demand quota.Demand `json:"q,omitempty"`
 	// DemandAgeMS is the age of the demand, in milliseconds.
@@ -160,7 +163,7 @@
 func (m *mesh) buildReport(to string) report {
 	now := time.Now()
 	r := m.self
-	r.Ready = m.ready()
+	r.Ready, r.Catalog = m.ready(), m.generation()
 	r.NoEndpoints, _ = m.reach.IsCutOff()
 	if since := m.storeReachableSince(); !since.IsZero() {
 		r.ReachableMS = max(1, now.Sub(since).Milliseconds())
--- a/front/gateway/store_view.go
+++ b/front/gateway/store_view.go
@@ -26,8 +26,10 @@
 	rollouts *rollouts.Rollouts
 	log      logrus.FieldLogger
 
+	catalogMu     sync.Mutex // guards changes of the catalog
 	catalog       atomic.Pointer[catalog.Catalog]
-	endpointsRead atomic.Bool // the endpoints table has been read
+	catalogRow    atomic.Pointer[registry.Row] // the row of the catalog in force
+	endpointsRead atomic.Bool                  // the endpoints table has been read
 	started       time.Time
 	readyOnce     sync.Once // guards the log message that this instance is ready
 	// Each of the fields below is used by the watcher of one table only.
@@ -130,6 +132,8 @@
 		v.log.WithError(err).Error("Failed to decode the catalog, the previous one stays in force.")
 		return
 	}
+	v.catalogMu.Lock()
+	defer v.catalogMu.Unlock()
 	old := v.catalog.Load()
 	if c == nil || !isNewer(c, old) {
 		v.logOlder(c, old)
@@ -143,6 +147,8 @@
 	v.placer.SetServices(c.Services)
 	v.placer.SetRanks(c.Ranks())
 	v.catalog.Store(c)
+	row := rows[v.codec.CatalogKey()]
+	v.catalogRow.Store(&row)
 	v.log.WithFields(logrus.Fields{
 		"version": c.Version, "era": c.Era, "revision": c.Revision, "routes": len(c.Routes), "teams": len(c.Teams),
 	}).Info("Catalog in force.")
--- a/front/gateway/waiting_test.go
+++ b/front/gateway/waiting_test.go
@@ -96,6 +96,8 @@
 // rankCodec returns a catalog with two ranks at one service.
 type rankCodec struct{ Codec }
 
+func (rankCodec) CatalogKey() string { return catalogKey }
+
 func (rankCodec) Catalog(map[string]registry.Row) (*catalog.Catalog, error) {
 	backends := []catalog.Backend{{Service: testService}}
 	return catalog.New(catalog.Catalog{Routes: []catalog.Route{
--- a/front/gateway/wire_gen.go
+++ b/front/gateway/wire_gen.go
@@ -52,7 +52,7 @@
 	}
 	gatewaySender := newSender(client, placer, rollouts, gatewayMetrics, gatewayRetryBudgets, crashesWatch, monitor, relayclientClient, gatewayLogLimiter, runner, room)
 	gatewayHandler := newHandler(adapters, gatewayStoreView, gatewaySender, gatewayMetrics, gatewayLogLimiter, logger)
-	peerServer := newPeerServer(gatewayMesh, logger)
+	peerServer := newPeerServer(gatewayMesh, gatewayStoreView, logger)
 	gatewayRelayedStore := newRelayedStore(adapters, gatewayMesh, rollouts, peerServer, logger)
 	closer, err := newCloser(t, logger)
 	if err != nil {
