--- a/front/registry/watch.go
+++ b/front/registry/watch.go
@@ -83,8 +83,8 @@
 }
 
 // StoreStatus is shared by the watchers of one store. They notify each other
-// when the store is back after an outage, and record the revisions that it has
-// reached. The zero value is ready for use.
+// when the store is back after an outage or in a new era, and record the revisions
+// that it has reached. The zero value is ready for use.
 type StoreStatus struct {
 	mu        sync.Mutex
 	recovered chan struct{}
@@ -108,6 +108,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if v.Era > s.era {
+		if s.observed != nil {
+			s.wake()
+		}
 		s.era, s.observed = v.Era, nil
 	}
 	if v.Era == s.era {
@@ -143,8 +146,15 @@
 	return s.observed[i].at
 }
 
+// latestEra returns the latest era that was observed.
+func (s *StoreStatus) latestEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // nextRecovery returns a channel that is closed when the store is next found to
-// be back after an outage.
+// be back after an outage, or in a new era.
 func (s *StoreStatus) nextRecovery() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,6 +168,11 @@
 func (s *StoreStatus) notifyRecovered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.wake()
+}
+
+// wake cancels the calls of all watchers. The caller holds mu.
+func (s *StoreStatus) wake() {
 	if s.recovered != nil {
 		close(s.recovered)
 	}
@@ -357,8 +372,11 @@
 }
 
 // readOrChanges reads the changes, or the whole table at the start and after a
-// gap.
+// gap or a restore.
 func (w *Watcher) readOrChanges(ctx context.Context) (Batch, error) {
+	if w.options.Status.latestEra() > w.version.Era {
+		w.needsFullRead = true // revisions of an earlier era don't tell what has changed
+	}
 	longPoll := w.longPoll()
 	timeout := longPoll + w.options.CallMargin
 	if w.needsFullRead {
--- a/front/registry/watch_test.go
+++ b/front/registry/watch_test.go
@@ -413,6 +413,29 @@
 	}
 }
 
+// After a restore, a watcher whose call the store holds reads its table as soon as
+// another watcher has noticed the new era, although the revisions have reached the
+// one that it waits for.
+func TestNewEraIsNoticedByAllWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		for _, value := range []string{"1", "2", "3"} {
+			s.set("catalog", value)
+		}
+		status := new(StoreStatus)
+		v := run(t, s, WatchOptions{Table: "held", Pace: Pace{LongPoll: 2 * time.Second}, Status: status})
+		run(t, s, WatchOptions{Table: "polled", Pace: Pace{PollInterval: testPollInterval}, Status: status})
+		time.Sleep(10 * time.Millisecond)
+		s.restore(1)
+		s.set("other", "1")
+		s.set("catalog", "4") // with the revision that is known
+		time.Sleep(testPollInterval + 10*time.Millisecond)
+		if err := v.equals(map[string]string{"catalog": "4", "other": "1"}); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // A response of the previous era that arrives late changes nothing, and the
 // revisions of the previous era say nothing about those of the next one.
 func TestLateResponseOfAnEarlierEraIsIgnored(t *testing.T) {
