Race detector: one processor for packages with tests in virtual time

Cause: Go 1.26 has one race context for all timers of a synctest bubble. A timer channel that expired while nobody waited for it is run by the goroutine that reads it, without the lock of the timers, so that two goroutines may use the context at once.

scripts/race.sh runs packages that import testing/synctest with -cpu 1, beside the others.

--- a/Makefile
+++ b/Makefile
@@ -19,17 +19,17 @@
 # commands, which the detector doesn't see into.
 RACE := ./front/gateway ./front/rollouts ./front/reachability ./front/relayclient ./front/pipeline ./front/linger ./front/duplex \
 	./front/duties ./front/registry ./front/endpoint/... ./front/peer ./front/broker ./front/caller/... ./front/dispatch ./front/telemetry ./front/waiting ./front/storage ./front/storage/attempts \
-	./front/storage/membership ./front/storage/shares ./front/storage/shifts ./platform/...
+	./front/storage/configuration ./front/storage/membership ./front/storage/shares ./front/storage/shifts ./platform/...
 
 # The detector itself crashes on arm64 in these, in a timer of a synctest bubble.
 RACE_CRASHES_ON_ARM64 := ./front/storage/membership
 
 race:
 ifeq ($(shell uname -m),aarch64)
-	scripts/test.sh -race -short $(filter-out $(RACE_CRASHES_ON_ARM64),$(RACE))
+	scripts/race.sh $(filter-out $(RACE_CRASHES_ON_ARM64),$(RACE))
 	scripts/test.sh -short $(RACE_CRASHES_ON_ARM64)
 else
-	scripts/test.sh -race -short $(RACE)
+	scripts/race.sh $(RACE)
 endif
 
 fmt:
