broker: a first claim states that its grants are recorded

Cause: a successor waives the report of an evicted broker if the row says that peers have recorded its grants. The first row of a group said the opposite until its second write. The first broker of a group has no earlier grants, and a broker uses a grant without a record only if the row allows it, so the claim may say so as soon as it names a peer.

--- a/front/broker/resume_test.go
+++ b/front/broker/resume_test.go
@@ -60,3 +60,35 @@
 	slot.Release(ReleaseInfo{})
 	s.pendingMessages.Wait()
 }
+
+// Guards against a group that stays closed for the longest timeout because its first broker
+// ended right after it had claimed the group.
+func TestFirstBrokerEndsAfterItsClaim(t *testing.T) {
+	const timeout = 20 * time.Second
+	doc, err := document.Decode("test.yaml", []byte(strings.ReplaceAll(testDocument, "TIMEOUT", timeout.String())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := document.Compile(doc)
+	store, f := standin.NewStore(), &fakeFleet{}
+	f.join("one", "127.0.0.1:1")
+	f.join("two", "127.0.0.1:2")
+	newService := func(name string) *Service {
+		return New(&fakeMember{name, f}, brokers.NewRows(store, "test"), func() *document.Index { return index }, peer.NewClient(nil, time.Second), logrus.New())
+	}
+	ctx, first := t.Context(), preferredBroker(testGroup, f.list(), index, false, "one")
+	newService(first).scan(ctx)
+	f.evict(first)
+	second := newService(f.list()[0].Name)
+	for range 3 {
+		second.scan(ctx) // claims the group, starts the tenure, records the report
+		second.requestReports()
+		second.pendingMessages.Wait()
+	}
+	slot, err := second.Acquire(ctx, Request{Group: testGroup, Deadline: time.Now().Add(timeout)})
+	if err != nil {
+		t.Fatalf("Acquire = %v, want a slot", err)
+	}
+	slot.Release(ReleaseInfo{})
+	second.pendingMessages.Wait()
+}
--- a/front/broker/succession.go
+++ b/front/broker/succession.go
@@ -137,6 +137,8 @@
 		UnrecordedGrants:     true,
 	}
 	if row.Version == 0 {
+		// No grants of earlier epochs, and its own are recorded if there is a peer.
+		next.UnrecordedGrants = !slices.ContainsFunc(members, func(name string) bool { return name != self })
 		return next
 	}
 	next.MissingReports = union(row.Members, row.MissingReports, []string{row.Holder})
