limit: count what a late handover's units gained before the quota changed

Cause: the tokens of a handover are reduced by what its units have gained since they were observed. That was computed with the current rate only, also for the time before the quota changed.

SetQuota now adds up the gain under the previous rate for each pending handover.

The new case of TestLoweredQuotaBringsNoTokens failed before: 17 of 12 admitted.

--- a/steer/limit/bucket.go
+++ b/steer/limit/bucket.go
@@ -113,6 +113,7 @@
 // SetQuota changes the team's quota. Tokens above the new capacity are lost.
 func (b *Bucket) SetQuota(now time.Time, q Quota) {
 	b.advance(now)
+	b.endRate(now)
 	b.quota = q
 	b.clampTokens()
 }
--- a/steer/limit/quotachange_test.go
+++ b/steer/limit/quotachange_test.go
@@ -62,6 +62,21 @@
 			}
 			return n + spend(lender, now)
 		}, 12},
+		{"handover that arrives after its units were refilled at the previous rate", func() int {
+			sender, receiver := full(share.TotalUnits), full(0)
+			transfer, ok := sender.ReserveTransfer(now, half)
+			if !ok {
+				t.Fatal("no units could be reserved")
+			}
+			sender.Observe(now, 2, half)
+			receiver.Observe(now, 2, half)
+			changed := now.Add(50 * time.Millisecond)
+			sender.SetQuota(changed, lowered)
+			receiver.SetQuota(changed, lowered)
+			n := spend(sender, changed) + spend(receiver, changed)
+			receiver.AcceptHandover(changed, Handover{Team: team, Version: 2, Owned: half, Units: half, Tokens: transfer.TokensFor(half)})
+			return n + spend(receiver, changed)
+		}, 12},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- a/steer/limit/transfer.go
+++ b/steer/limit/transfer.go
@@ -52,7 +52,23 @@
 	version      uint64
 	unclaimed    share.Units
 	gainedAt     time.Time
-	received     []uint64 // versions whose tokens have arrived
+	refilled     float64   // tokens that the whole quota gained until ratedFrom
+	ratedFrom    time.Time // start of the current rate, at least gainedAt
+	received     []uint64  // versions whose tokens have arrived
+}
+
+// refilledUntil returns the tokens that the whole quota has gained since the units were
+// observed.
+func (p *pendingHandover) refilledUntil(now time.Time, q Quota) float64 {
+	return p.refilled + q.Rate*now.Sub(p.ratedFrom).Seconds()
+}
+
+// endRate notes what the units of pending handovers have gained under the current quota.
+func (b *Bucket) endRate(now time.Time) {
+	for i := range b.pending {
+		p := &b.pending[i]
+		p.refilled, p.ratedFrom = p.refilledUntil(now, b.quota), now
+	}
 }
 
 // Observe applies the instance's units as read from the row at version. Units
@@ -64,7 +80,7 @@
 	b.clampTokens()
 	b.pending = slices.DeleteFunc(b.pending, func(p pendingHandover) bool { return now.Sub(p.gainedAt) > handoverWindow })
 	if version > previousVersion && owned > previousOwned {
-		b.pending = append(b.pending, pendingHandover{afterVersion: previousVersion, version: version, unclaimed: owned - previousOwned, gainedAt: now})
+		b.pending = append(b.pending, pendingHandover{afterVersion: previousVersion, version: version, unclaimed: owned - previousOwned, gainedAt: now, ratedFrom: now})
 	}
 }
 
@@ -112,7 +128,7 @@
 	}
 	p.received = append(p.received, h.Version)
 	p.unclaimed -= h.Units
-	refilled := b.quota.Rate * fraction(h.Units) * now.Sub(p.gainedAt).Seconds()
+	refilled := p.refilledUntil(now, b.quota) * fraction(h.Units)
 	tokens := math.Min(h.Tokens, b.quota.Burst*fraction(h.Units)) - refilled
 	b.tokens = math.Min(b.capacity(), b.tokens+math.Max(0, tokens))
 }
