configuration: ask the store for a document beside a silent peer

Cause: the document was asked of the announcing peer for 1 s before the store, and loads for one digest are shared, so that reads of the head waited too.

--- a/front/storage/configuration/adopt.go
+++ b/front/storage/configuration/adopt.go
@@ -107,22 +107,54 @@
 
 // fetchDocument returns a document after checking its digest. The sources, in
 // order, are the content received with the head, the peer that reported the
-// head, the store, and any other peer.
+// head, the store, and any other peer. A peer that does not respond in time is
+// asked beside the store.
 func (w *Watcher) fetchDocument(ctx context.Context, observed observedHead) ([]byte, error) {
 	if observed.content != nil {
 		return observed.content, checkDigest(observed.head.Digest, observed.content)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan fetchedDocument, 2)
+	pending := 0
+	start := func(fetch func() ([]byte, error)) {
+		pending++
+		go func() {
+			content, err := fetch()
+			responses <- fetchedDocument{content: content, err: err}
+		}()
+	}
 	if observed.sender != "" {
-		fetchCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		content, err := w.fetchFromPeer(fetchCtx, observed.sender, observed.head.Digest)
-		cancel()
-		if err == nil {
-			return content, nil
+		start(func() ([]byte, error) {
+			ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+			defer cancel()
+			return w.fetchFromPeer(ctx, observed.sender, observed.head.Digest)
+		})
+		patience := time.NewTimer(w.peerPatience())
+		defer patience.Stop()
+		select {
+		case r := <-responses:
+			if r.err == nil {
+				return r.content, nil
+			}
+			pending--
+		case <-patience.C:
 		}
 	}
-	content, err := w.store.GetObject(ctx, observed.head.Digest)
-	if err == nil {
+	start(func() ([]byte, error) {
+		content, err := w.store.GetObject(ctx, observed.head.Digest)
+		if err != nil {
+			return nil, err
+		}
 		return content, checkDigest(observed.head.Digest, content)
+	})
+	var err error
+	for ; pending > 0; pending-- {
+		r := <-responses
+		if r.err == nil {
+			return r.content, nil
+		}
+		err = r.err
 	}
 	for _, p := range w.directory.Peers() {
 		if content, peerErr := w.fetchFromPeer(ctx, p.Addr, observed.head.Digest); peerErr == nil {
@@ -132,6 +164,18 @@
 	return nil, err
 }
 
+// fetchedDocument is the result of a request for a document.
+type fetchedDocument struct {
+	content []byte
+	err     error
+}
+
+// peerPatience returns how long to wait for the peer that reported a head before the store
+// is asked for the document too. It leaves storeLoadTime before the snapshot is stale.
+func (w *Watcher) peerPatience() time.Duration {
+	return min(peerCallTimeout, max(w.inPeriods(pollTimeoutPeriods), time.Until(w.Current().FreshUntil)-storeLoadTime))
+}
+
 // announce sends the head in force to peers.
 func (w *Watcher) announce(peers []Peer) {
 	announcement := HeadAnnouncement{Head: w.Current().Head, Sender: w.settings.PeerAddr}
--- a/front/storage/configuration/settings.go
+++ b/front/storage/configuration/settings.go
@@ -39,6 +39,7 @@
 	readTimeout     = 4 * time.Second
 	loadTimeout     = 4 * time.Second
 	peerCallTimeout = time.Second
+	storeLoadTime   = time.Second // from the request for a document to its adoption
 	intervalJitter  = 0.1
 	// The refresh interval grows by this factor while the store does not
 	// respond, up to this many periods. Together with ReadSoftTimeout it stays
--- a/front/storage/configuration/watcher_test.go
+++ b/front/storage/configuration/watcher_test.go
@@ -232,3 +232,27 @@
 		}
 	})
 }
+
+// Guards against a snapshot that becomes stale while an instance waits for a document from a
+// peer that announced it and does not respond.
+func TestAnnouncementOfAnUnreachablePeer(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		m := f.members[0]
+		m.storeCut.Store(true)
+		for _, other := range f.members[1:] {
+			other.unreachable.Store(true)
+		}
+		for time.Until(m.w.Current().FreshUntil) > time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		promotion := f.mustPromote(1, true)
+		m.storeCut.Store(false)
+		m.w.enqueueAnnouncement(HeadAnnouncement{Head: promotion.Head, Sender: "1"})
+		for range 3000 {
+			time.Sleep(time.Millisecond)
+			if !m.w.Current().Fresh(time.Now()) {
+				t.Fatalf("stale at generation %d", m.w.Current().Head.Generation)
+			}
+		}
+	})
+}
