--- a/front/storage/configuration/refresh.go
+++ b/front/storage/configuration/refresh.go
@@ -22,9 +22,11 @@
 	pollTimeoutPeriods = 0.15
 	// Before polling the readers and possibly reading the store, an instance
 	// waits a random time between these two, so that instances do not all do so
-	// at once.
+	// at once. It does not wait beyond the snapshot age maxEscalationAgePeriods,
+	// so that a document can still be loaded before the snapshot is stale.
 	minEscalationDelayPeriods = 0.2
 	maxEscalationDelayPeriods = 0.6
+	maxEscalationAgePeriods   = 3.25
 )
 
 func (w *Watcher) inPeriods(n float64) time.Duration {
@@ -46,7 +48,7 @@
 	if w.snapshotWithin(freshAgePeriods) {
 		return
 	}
-	if !sleep(ctx, w.inPeriods(minEscalationDelayPeriods+(maxEscalationDelayPeriods-minEscalationDelayPeriods)*rand.Float64())) {
+	if !sleep(ctx, w.escalationDelay()) {
 		return
 	}
 	w.pollPeers(ctx, t.above())
@@ -57,6 +59,12 @@
 	w.readHead(ctx)
 }
 
+// escalationDelay returns the time to wait before the readers are polled.
+func (w *Watcher) escalationDelay() time.Duration {
+	delay := w.inPeriods(minEscalationDelayPeriods + (maxEscalationDelayPeriods-minEscalationDelayPeriods)*rand.Float64())
+	return max(0, min(delay, w.inPeriods(maxEscalationAgePeriods)-w.snapshotAge()))
+}
+
 // pollPeers requests reports from peers and returns when all exchanges are
 // done, or after pollTimeoutPeriods.
 func (w *Watcher) pollPeers(ctx context.Context, peers []Peer) {
@@ -80,8 +88,7 @@
 // snapshotWithin reports whether the snapshot is no older than a number of
 // periods. If so, it resets the refresh interval.
 func (w *Watcher) snapshotWithin(periods float64) bool {
-	age := w.settings.Generation.StaleAfter - time.Until(w.Current().FreshUntil)
-	if age > w.inPeriods(periods) {
+	if w.snapshotAge() > w.inPeriods(periods) {
 		return false
 	}
 	w.mu.Lock()
@@ -90,6 +97,11 @@
 	return true
 }
 
+// snapshotAge returns the age of what the instance knows.
+func (w *Watcher) snapshotAge() time.Duration {
+	return w.settings.Generation.StaleAfter - time.Until(w.Current().FreshUntil)
+}
+
 // sleep waits for d and reports false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/front/storage/configuration/watcher_test.go
+++ b/front/storage/configuration/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -256,3 +257,25 @@
 		}
 	})
 }
+
+// Guards against snapshots that become stale although the store responds, on instances
+// whose peers have all stopped to respond.
+func TestSnapshotsStayFreshWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, strings.Split(strings.Repeat("kano-a ", 16)+"kano-b", " ")...)
+		f.mustPromote(0, false)
+		time.Sleep(5 * time.Second)
+		f.store.SetFaults(standin.Faults{Delay: 400 * time.Millisecond})
+		for _, m := range f.members {
+			m.unreachable.Store(true)
+		}
+		for range 20_000 {
+			time.Sleep(50 * time.Millisecond)
+			for _, m := range f.members {
+				if !m.w.Current().Fresh(time.Now()) {
+					t.Fatal("a snapshot is stale")
+				}
+			}
+		}
+	})
+}
