configuration: a read of the head counts although it was announced first

Cause: an announcement and a read of the store wait for one load of the document. If the announcement is adopted first, the read was refused as a repetition, and the time of the read was lost.

Tracker.Confirm keeps the time of a read or report whose head was adopted meanwhile. Adopt is unchanged.

TestReadThatIsAdoptedSecond failed before (fresh for 2.48 s after a read, 4.5 s wanted).

--- a/front/storage/configuration/adopt.go
+++ b/front/storage/configuration/adopt.go
@@ -52,6 +52,8 @@
 	adopted := w.tracker.Adopt(observed.head, observed.asOf, observed.fromStore)
 	if adopted {
 		w.current.Store(&Snapshot{Head: observed.head, Index: index, content: content})
+	} else {
+		w.tracker.Confirm(observed.head, observed.asOf, observed.fromStore)
 	}
 	w.publishSnapshot()
 	w.mu.Unlock()
--- a/front/storage/configuration/watcher_test.go
+++ b/front/storage/configuration/watcher_test.go
@@ -279,3 +279,20 @@
 		}
 	})
 }
+
+// Guards against a read of the store that does not refresh a snapshot, because an
+// announcement of the same head was adopted while the read's document was loaded.
+func TestReadThatIsAdoptedSecond(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		m := f.members[0]
+		m.stop()
+		time.Sleep(2 * time.Second)
+		head := f.mustPromote(1, true).Head
+		readAt := time.Now()
+		m.w.handleAnnouncement(t.Context(), HeadAnnouncement{Head: head, Sender: "1"})
+		m.w.handleHead(t.Context(), generation.Newer, observedHead{head: head, asOf: readAt, fromStore: true})
+		if got := m.w.Current().FreshUntil.Sub(readAt); got != staleAfter {
+			t.Errorf("fresh until %v after the read, want %v", got, staleAfter)
+		}
+	})
+}
--- a/steer/generation/tracker.go
+++ b/steer/generation/tracker.go
@@ -102,6 +102,16 @@
 	return true
 }
 
+// Confirm records that the store held head at asOf, if that is the followed one: it
+// may have been adopted from another source while the caller loaded its document.
+func (t *Tracker) Confirm(head Head, asOf time.Time, fromStore bool) {
+	if t.head.Compare(head) != Same || asOf.IsZero() {
+		return
+	}
+	t.headFromStore = t.headFromStore || fromStore
+	t.advanceKnownAsOf(asOf)
+}
+
 // advanceKnownAsOf moves knownAsOf forward, never back.
 func (t *Tracker) advanceKnownAsOf(asOf time.Time) {
 	if !t.known || asOf.After(t.knownAsOf) {
