scripts/race.sh: run nothing for an empty list of packages

With packages of one kind only, the other list was empty, and scripts/test.sh then runs the whole tree. Checked with a package of each kind, with both, and with one whose test in virtual time fails (rc 1).

--- a/scripts/race.sh
+++ b/scripts/race.sh
@@ -11,9 +11,13 @@
 
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-scripts/test.sh -race -short -cpu 1 "${virtual[@]}" >"$output" 2>&1 &
 failed=0
-scripts/test.sh -race -short "${other[@]}" || failed=1
-wait $! || failed=1
+if [ ${#virtual[@]} -gt 0 ]; then
+	scripts/test.sh -race -short -cpu 1 "${virtual[@]}" >"$output" 2>&1 &
+fi
+if [ ${#other[@]} -gt 0 ]; then
+	scripts/test.sh -race -short "${other[@]}" || failed=1
+fi
+wait ${!:+$!} || failed=1
 cat "$output"
 exit "$failed"
