--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cardamomfront/cardamomfront/platform/standin"
 )
 
 // Exit codes of a case.
@@ -36,16 +38,16 @@
 
 // class is a kind of request.
 type class struct {
-	name, host, prefix, routeType, service, method string
-	perSecond                                      float64
-	limit                                          time.Duration
-	bytes, targets                                 int
+	name, host, prefix, service, method string
+	perSecond                           float64
+	limit                               time.Duration
+	bytes, targets                      int
 }
 
 var classes = []class{
-	{"status-check", "jepu9.example", "/lepu270/", "safe", "tracker", http.MethodGet, 60.9, 4 * time.Second, 0, 14},
-	{"book-pay", "hulo84.example", "/xapu221/", "unsafe", "ledger", http.MethodPost, 25.4, 6 * time.Second, 1200, 12},
-	{"consign-upload", "jepu9.example", "/fiti832/", "upload", "intake", http.MethodPost, 6.7, 5 * time.Second, 60_000, 12},
+	{"status-check", "jepu9.example", "/lepu270/", "tracker", http.MethodGet, 60.9, 4 * time.Second, 0, 14},
+	{"book-pay", "hulo84.example", "/xapu221/", "ledger", http.MethodPost, 25.4, 6 * time.Second, 1200, 12},
+	{"consign-upload", "jepu9.example", "/fiti832/", "intake", http.MethodPost, 6.7, 5 * time.Second, 60_000, 12},
 }
 
 // result counts the requests. A request is long if it has no final answer after its
@@ -56,30 +58,42 @@
 
 // game is one run of a case.
 type game struct {
+	binary   string
 	record   *record
+	store    *standin.Store
 	gateways []*gateway
 	targets  []*target
 	extras   atomic.Int64
 	result   result
 	ids      atomic.Int64
+	observe  func(sentAt time.Time, status int) // called with each result, if set
 }
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: stand-3 BINARY FOLDER RECORD")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand-3 logs|restore BINARY FOLDER RECORD")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
+	os.Exit(run(cases[os.Args[1]], os.Args[2], os.Args[3], os.Args[4]))
+}
+
+// cases are the cases by name. Each plays with a trouble and returns the exit code.
+var cases = map[string]func(g *game, trouble string) int{
+	"logs": func(g *game, trouble string) int {
+		g.play(trouble != "0" && trouble != "answers", trouble != "0" && trouble != "logs")
+		return g.verdict()
+	},
+	"restore": (*game).playRestore,
 }
 
-// run plays the case and returns its exit code.
-func run(binary, dir, recordFile string) int {
+// run plays a case and returns its exit code.
+func run(play func(*game, string) int, binary, dir, recordFile string) int {
 	out, err := os.Create(recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	g := &game{record: &record{out: out, start: time.Now()}}
+	g := &game{binary: binary, record: &record{out: out, start: time.Now()}}
 	defer func() {
 		for _, gw := range g.gateways {
 			if gw.cmd != nil {
@@ -91,9 +105,7 @@
 		g.record.printf("not run: %v", err)
 		return exitNotRun
 	}
-	trouble := os.Getenv("TROUBLE")
-	g.play(trouble != "0" && trouble != "answers", trouble != "0" && trouble != "logs")
-	return g.verdict()
+	return play(g, os.Getenv("TROUBLE"))
 }
 
 // begin starts the store, the targets and the gateways.
@@ -102,26 +114,11 @@
 	if err != nil {
 		return err
 	}
-	var routes, services []map[string]any
-	for _, c := range classes {
-		routes = append(routes, map[string]any{
-			"name": "r-" + c.name, "host": c.host, "prefix": c.prefix, "routeType": c.routeType, "timeoutS": routeTimeout.Seconds(), "aimS": 0.6,
-			"priority": 1, "service": c.service, "attempts": 2, "public": false, "sessionAffinity": true, "homeRegions": []string{},
-		})
-		services = append(services, map[string]any{
-			"name": c.service, "healthPath": "/healthz", "maxConns": 330, "protocol": "h1", "tls": false, "coldStartS": 3.0, "coldPerS": 2.5,
-		})
-	}
-	if err := store.Set("op", "config", map[string]any{
-		"version": "00000007", "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"tenants": []map[string]any{{"name": "yefi830", "apiKeys": []string{apiKey}, "priority": 0, "ratePerS": 0, "burst": 0, "homeRegions": []string{}}},
-	}); err != nil {
-		return err
-	}
+	g.store = store
+	store.SetRaw("op", "config", manifest)
 	for _, c := range classes {
 		for i := range c.targets {
-			t, err := startTarget(store, fmt.Sprintf("127.0.51.%d", i+1), fmt.Sprintf("i-%s-%d", c.service, i), c.service, zones[i%len(zones)], &g.extras)
+			t, err := startTarget(store, fmt.Sprintf("127.0.51.%d", i+1), fmt.Sprintf("i-%s-%d", c.service, i), c.service, zones[i%len(zones)], "v1", &g.extras)
 			if err != nil {
 				return err
 			}
@@ -221,7 +218,7 @@
 	}
 	r.Host = c.host
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Affinity-Key", fmt.Sprint(rand.IntN(24)))
+	r.Header.Set(wire.Object, fmt.Sprint(rand.IntN(24)))
 	r.Header.Set("Deadline-Ms", fmt.Sprint(c.limit.Milliseconds()))
 	r.Header.Set("Authorization", "Token "+apiKey)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
@@ -241,6 +238,9 @@
 			g.result.served.Add(1)
 		}
 	}
+	if g.observe != nil {
+		g.observe(start, status)
+	}
 	if took > routeTimeout {
 		g.result.long.Add(1)
 	}
--- a/review/stand-3/target.go
+++ b/review/stand-3/target.go
@@ -21,6 +21,8 @@
 	targetQueue     = 9
 	reportInterval  = 1500 * time.Millisecond
 	targetIdleClose = 10 * time.Second
+	// drainTime is how long a target serves after it has said that it leaves.
+	drainTime = 3 * time.Second
 	// longestExtraDelay is the longest time from an answer to the second one.
 	longestExtraDelay = 100 * time.Millisecond
 )
@@ -29,6 +31,7 @@
 // send bytes behind a complete answer.
 type target struct {
 	id, service, zone string
+	version           string
 	store             *standin.Store
 	listener          net.Listener
 	born              int64
@@ -41,19 +44,25 @@
 	slots   chan struct{}
 	pending atomic.Int64
 
-	mu   sync.Mutex
-	runs map[string]int // by request
+	draining         atomic.Bool
+	stopOnce         sync.Once
+	stopped, leaving chan struct{}
+
+	mu    sync.Mutex
+	runs  map[string]int // by request
+	conns map[net.Conn]bool
 }
 
-func startTarget(s *standin.Store, host, id, service, zone string, extras *atomic.Int64) (*target, error) {
+func startTarget(s *standin.Store, host, id, service, zone, version string, extras *atomic.Int64) (*target, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
 	t := &target{
-		id: id, service: service, zone: zone, store: s, listener: l, born: time.Now().UnixMilli(),
+		id: id, service: service, zone: zone, version: version, store: s, listener: l, born: time.Now().UnixMilli(),
 		shortest: 150 * time.Millisecond, longest: 450 * time.Millisecond, extras: extras,
-		slots: make(chan struct{}, targetSlots), runs: make(map[string]int),
+		slots: make(chan struct{}, targetSlots), runs: make(map[string]int), conns: make(map[net.Conn]bool),
+		stopped: make(chan struct{}), leaving: make(chan struct{}),
 	}
 	go t.accept()
 	go t.report()
@@ -62,15 +71,54 @@
 
 // report writes the target's entry to the store again and again.
 func (t *target) report() {
+	drained := t.leaving
 	for seq := 1; ; seq++ {
-		_ = t.store.Set("servers", t.id, map[string]any{
-			"service": t.service, "address": t.listener.Addr().String(), "zone": t.zone, "version": "v1", "slots": targetSlots,
-			"state": "ready", "coldLeftS": 0, "seq": seq, "born": t.born,
-		})
-		time.Sleep(reportInterval)
+		entry := fmt.Sprintf(entryFormat, t.service, t.listener.Addr().String(), t.zone, t.version, targetSlots, t.state(), seq, t.born)
+		t.store.SetRaw("servers", t.id, []byte(entry))
+		select {
+		case <-t.stopped:
+			return
+		case <-drained: // the state is reported at once
+			drained = nil
+		case <-time.After(reportInterval):
+		}
 	}
 }
 
+// state returns what the target says of itself.
+func (t *target) state() string {
+	if t.draining.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
+// stop ends the target at once. Its entry is removed after three missed reports.
+func (t *target) stop() {
+	t.stopOnce.Do(func() {
+		close(t.stopped)
+		_ = t.listener.Close()
+		t.mu.Lock()
+		for c := range t.conns {
+			_ = c.Close()
+		}
+		t.mu.Unlock()
+		go func() {
+			for range 4 { // a restore of the store may bring the entry back
+				time.Sleep(3 * reportInterval)
+				t.store.Delete("servers", t.id)
+			}
+		}()
+	})
+}
+
+// drain announces that the target leaves, and stops it drainTime after that.
+func (t *target) drain() {
+	t.draining.Store(true)
+	close(t.leaving)
+	time.AfterFunc(drainTime, t.stop)
+}
+
 func (t *target) accept() {
 	for {
 		c, err := t.listener.Accept()
@@ -83,7 +131,15 @@
 
 // serve answers the requests of one connection, one after the other.
 func (t *target) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	t.mu.Lock()
+	t.conns[c] = true
+	t.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		delete(t.conns, c)
+		t.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(targetIdleClose))
@@ -113,7 +169,7 @@
 	head := func(status string, headers ...string) string {
 		return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\n" + t.load() + strings.Join(headers, "")
 	}
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != t.id {
+	if want := r.Header.Get(wire.Expected); want != "" && want != t.id {
 		return head("421 Misdirected Request", "Instance-Id: ", t.id, "\r\nContent-Length: 0\r\n\r\n")
 	}
 	if t.pending.Add(1) > targetSlots+targetQueue {
